--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,51 @@
+// Package admission gives each request a slot at a target: it queues by class
+// with deadlines, sheds early, and asks the steering policy where to send.
+package admission
+
+import (
+	"context"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/outcome"
+)
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	ID           string
+	Service      *config.ServiceIndex
+	Class        *config.Class
+	Tenant       string
+	CallerRegion string    // region of the caller, by client block or by VM
+	Bytes        int64     // expected bytes of request and answer over a link; 0 unknown
+	Deadline     time.Time // when the caller gives up
+	Exclude      []string  // targets already tried
+	Retry        bool      // not the first attempt of this request
+}
+
+// Permit is a slot at a target. Release must be called exactly once.
+type Permit interface {
+	Target() *config.TargetIndex
+	// Shifted reports whether the target is outside the caller's region.
+	Shifted() bool
+	Release(Result)
+}
+
+// Result tells what a dispatch showed of the target.
+type Result struct {
+	Outcome    outcome.Outcome
+	Step       outcome.Step  // where it failed; StepComplete when answered
+	Latency    time.Duration // from sending to the answer's end
+	Status     int           // HTTP status, 0 when there was none
+	ShedByPeer bool          // the target said 'not run'
+	Draining   bool          // the target said that it leaves
+	InFlight   int           // load the target reported on the answer; -1 unknown
+	Canceled   bool          // the caller left; says nothing about the target
+}
+
+// Admitter gives out permits. The error is an *outcome.Error with outcome
+// NotRun at StepAdmit, with a RetryAfter when waiting helps; the decision to
+// give up is final and is told at once.
+type Admitter interface {
+	Acquire(ctx context.Context, r *Request) (Permit, error)
+}
--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,101 @@
+package kernel
+
+import (
+	"context"
+	"strings"
+	"testing"
+)
+
+type fakeService struct {
+	requires []string
+	log      *[]string
+	name     string
+}
+
+var _ Dependent = (*fakeService)(nil)
+
+func (f *fakeService) Requires() []string { return f.requires }
+
+func (f *fakeService) note(step string) error {
+	*f.log = append(*f.log, step+" "+f.name)
+	return nil
+}
+
+func (f *fakeService) Provision(*Kernel) error     { return f.note("provision") }
+func (f *fakeService) Start(context.Context) error { return f.note("start") }
+func (f *fakeService) Drain(context.Context) error { return f.note("drain") }
+func (f *fakeService) Stop(context.Context) error  { return f.note("stop") }
+
+func TestLifecycleFollowsDependencies(t *testing.T) {
+	var log []string
+	k := New(SystemClock{})
+	register(t, k, "a", &fakeService{name: "a", requires: []string{"b"}, log: &log})
+	register(t, k, "b", &fakeService{name: "b", log: &log})
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	got := strings.Join(log, ", ")
+	want := "provision b, provision a, start b, start a, drain a, drain b, stop a, stop b"
+	if got != want {
+		t.Errorf("lifecycle:\n got %s\nwant %s", got, want)
+	}
+}
+
+func TestBadDependenciesNameBothEnds(t *testing.T) {
+	tests := []struct {
+		name  string
+		needs map[string][]string
+		words []string
+	}{
+		{"missing", map[string][]string{"forward": {"peer"}}, []string{"forward", "peer", "not registered"}},
+		{"circular", map[string][]string{"a": {"b"}, "b": {"a"}}, []string{"circular", "a -> b -> a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var log []string
+			k := New(SystemClock{})
+			for name, needs := range tt.needs {
+				register(t, k, name, &fakeService{name: name, requires: needs, log: &log})
+			}
+			err := k.Start(t.Context())
+			if err == nil {
+				t.Fatal("no error")
+			}
+			for _, w := range tt.words {
+				if !strings.Contains(err.Error(), w) {
+					t.Errorf("error %q does not say %q", err, w)
+				}
+			}
+			if len(log) != 0 {
+				t.Errorf("services ran: %v", log)
+			}
+		})
+	}
+}
+
+func TestLookupChecksNameAndType(t *testing.T) {
+	k := New(SystemClock{})
+	register(t, k, "a", &fakeService{name: "a"})
+	if _, err := Lookup[*fakeService](k, "a"); err != nil {
+		t.Error(err)
+	}
+	if _, err := Lookup[*fakeService](k, "b"); err == nil {
+		t.Error("an unknown name was found")
+	}
+	if _, err := Lookup[Clock](k, "a"); err == nil {
+		t.Error("a service of another type was returned")
+	}
+}
+
+func register(t *testing.T, k *Kernel, name string, s Service) {
+	t.Helper()
+	if err := k.Register(name, s); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,50 @@
+// Package peer carries typed messages between daemons: TCP framing with
+// msgpack, correlation of answers, liveness pings, reconnection.
+package peer
+
+import "context"
+
+// Kind is the kind of a message. Each kind has one request type and, for
+// calls, one answer type, stated at its constant.
+type Kind uint8
+
+// The kinds of messages. A new kind goes to the end of its service's range.
+const (
+	KindPing Kind = 1 // liveness, empty both ways
+
+	KindHeartbeat Kind = 10 // membership: heartbeat and relayed digests
+	KindJoin      Kind = 11 // membership: a new daemon asks for the view
+	KindLeave     Kind = 12 // membership: a daemon says that it leaves
+
+	KindConfigPush  Kind = 20 // confsync: a document or its notice
+	KindConfigFetch Kind = 21 // confsync: asks for a document
+
+	KindTargetReport Kind = 30 // measure: a region's view of targets
+	KindTargetSignal Kind = 31 // measure: shed or drain seen on an answer
+
+	KindPermit  Kind = 40 // admission: asks a broker for slots
+	KindRelease Kind = 41 // admission: gives slots back
+	KindGrant   Kind = 42 // admission: a region grants credits to another
+	KindDemand  Kind = 43 // admission: a region tells its demand
+
+	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
+)
+
+// Handler answers one message. The payload is msgpack and is valid during the
+// call only; decode it with Decode. For one-way messages the answer is
+// dropped.
+type Handler func(ctx context.Context, from string, payload []byte) (answer any, err error)
+
+// Network sends messages to daemons by VM name. Errors carry the peer's name.
+type Network interface {
+	// Handle sets the handler of a kind. It must be called before Start.
+	Handle(kind Kind, h Handler)
+	// Send queues a one-way message. It never blocks: when the peer's queue is
+	// full or there is no route to it the message is dropped with an error.
+	Send(to string, kind Kind, msg any) error
+	// Call sends a message and decodes the answer into answer. After an error
+	// it is unknown whether the peer handled the message.
+	Call(ctx context.Context, to string, kind Kind, msg, answer any) error
+	// SetAddress tells where a VM listens; an empty address forgets it.
+	SetAddress(vm, address string)
+}
--- /dev/null
+++ b/internal/telemetry/event.go
@@ -0,0 +1,123 @@
+// Package telemetry holds the numbered events of the log, one typed
+// catalogue, and the metrics with histograms for each service and class.
+package telemetry
+
+import (
+	"io"
+	"sort"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is one numbered event of the log. Numbers are never reused.
+type Event struct {
+	Number  int
+	Level   logrus.Level
+	Name    string // short, constant text of the log line
+	Meaning string // what happened
+	Action  string // what the operator does
+}
+
+// Ranges of event numbers. Each package declares its events in its own file
+// events.go with Register.
+const (
+	RangeKernel     = 1000
+	RangePlatform   = 2000
+	RangeConfig     = 3000
+	RangePeer       = 4000 // peer and membership
+	RangeForward    = 5000 // request path, idempotency, drain
+	RangeAdmission  = 6000 // steering, measure, look-up
+	RangeOperator   = 7000
+	rangeSize       = 1000
+	fieldEvent      = "event"
+	fieldStep       = "step"
+	fieldPeer       = "peer"
+	fieldGeneration = "generation"
+)
+
+var catalogue = map[int]*Event{}
+
+// Register adds an event to the catalogue and returns it. It is called from
+// package-level variables only and panics on a number used twice, which is a
+// programming error.
+func Register(e Event) *Event {
+	if _, ok := catalogue[e.Number]; ok {
+		panic("telemetry: event number registered twice: " + e.Name)
+	}
+	catalogue[e.Number] = &e
+	return &e
+}
+
+// Catalogue returns all registered events by number.
+func Catalogue() []*Event {
+	events := make([]*Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		events = append(events, e)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Field is one typed field of a log line.
+type Field struct {
+	Key   string
+	Value any
+}
+
+// Peer names the peer at which something arose.
+func Peer(name string) Field { return Field{fieldPeer, name} }
+
+// Step names the step at which something arose.
+func Step(name string) Field { return Field{fieldStep, name} }
+
+// GenerationOf names a generation of the document.
+func GenerationOf(gen uint64) Field { return Field{fieldGeneration, gen} }
+
+// Value is any other field.
+func Value(key string, value any) Field { return Field{key, value} }
+
+// Err is the error field.
+func Err(err error) Field { return Field{logrus.ErrorKey, err} }
+
+// Logger writes numbered events.
+type Logger struct {
+	entry *logrus.Entry
+}
+
+// Format is the format of log lines.
+type Format string
+
+// The formats of log lines.
+const (
+	FormatJSON Format = "json"
+	FormatText Format = "text"
+)
+
+// NewLogger returns a logger for one VM.
+func NewLogger(w io.Writer, format Format, level logrus.Level, vm string) *Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(level)
+	if format == FormatJSON {
+		l.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	}
+	return &Logger{entry: l.WithField("vm", vm)}
+}
+
+// Discard returns a logger that writes nothing, for tests.
+func Discard() *Logger { return NewLogger(io.Discard, FormatText, logrus.PanicLevel, "") }
+
+// Log writes one event.
+func (l *Logger) Log(e *Event, fields ...Field) {
+	if l == nil || !l.entry.Logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	data := make(logrus.Fields, len(fields)+1)
+	data[fieldEvent] = e.Number
+	for _, f := range fields {
+		data[f.Key] = f.Value
+	}
+	l.entry.WithFields(data).Log(e.Level, e.Name)
+}
