--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"masticturn/internal/kernel"
+)
+
+var (
+	errCallerBody   = errors.New("the caller's body could not be read")
+	errBodyTooLarge = errors.New("the caller's body is larger than allowed")
+	errRevoked      = errors.New("the attempt is over")
+)
+
+// The states of an upload.
+const (
+	uploadUnread uint32 = iota
+	uploadRead          // a byte was asked of the caller
+	uploadRevoked
+)
+
+// upload streams a caller's body to a target, for one attempt. It bounds size
+// and pauses and tells what went wrong, since the transport reports its errors
+// as its own.
+type upload struct {
+	body  io.Reader
+	rc    *http.ResponseController
+	clock kernel.Clock
+	idle  time.Duration // longest pause between bytes
+	left  int64         // bytes that may still come
+	watch *watchdog     // nil while no attempt runs
+
+	state   atomic.Uint32
+	waiting atomic.Bool // for the caller
+	failed  atomic.Pointer[error]
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	if !u.state.CompareAndSwap(uploadUnread, uploadRead) && u.state.Load() == uploadRevoked {
+		return 0, errRevoked
+	}
+	n, err := u.read(p)
+	u.left -= int64(n)
+	switch {
+	case u.left < 0:
+		return 0, u.fail(errBodyTooLarge)
+	case err == io.EOF:
+		if u.watch != nil {
+			u.watch.sent()
+		}
+	case err != nil:
+		return n, u.fail(errors.Join(errCallerBody, err))
+	case u.watch != nil:
+		u.watch.sending()
+	}
+	return n, err
+}
+
+// read asks for no more than one byte above the limit, which proves that the
+// body is too large.
+func (u *upload) read(p []byte) (int, error) {
+	if int64(len(p)) > u.left+1 {
+		p = p[:u.left+1]
+	}
+	u.waiting.Store(true)
+	defer u.waiting.Store(false)
+	_ = u.rc.SetReadDeadline(u.clock.Now().Add(u.idle))
+	return u.body.Read(p)
+}
+
+func (u *upload) fail(err error) error {
+	u.failed.CompareAndSwap(nil, &err)
+	return err
+}
+
+// failure returns the error on the caller's side, or nil.
+func (u *upload) failure() error {
+	if p := u.failed.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// timedOut reports whether the caller was too slow.
+func (u *upload) timedOut() bool { return errors.Is(u.failure(), os.ErrDeadlineExceeded) }
+
+// revoke ends an attempt's right to read and returns an upload for the next
+// attempt; false when something was read, so that it can't be sent again.
+func (u *upload) revoke() (*upload, bool) {
+	if !u.state.CompareAndSwap(uploadUnread, uploadRevoked) {
+		return nil, false
+	}
+	return &upload{body: u.body, rc: u.rc, clock: u.clock, idle: u.idle, left: u.left}, true
+}
+
+// Close implements io.Closer. The server closes the caller's body itself.
+func (u *upload) Close() error { return nil }
+
+// readSmall reads a body of known length into one slice.
+func readSmall(u *upload, length int64) ([]byte, error) {
+	body := make([]byte, length)
+	if _, err := io.ReadFull(u, body); err != nil {
+		return nil, err
+	}
+	// Read up to the end, so that trailers and the connection are in order.
+	var rest [1]byte
+	if n, err := u.Read(rest[:]); n != 0 || err != io.EOF {
+		return nil, errors.Join(errCallerBody, err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/forward/dispatch.go
@@ -0,0 +1,203 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"masticturn/internal/outcome"
+)
+
+// Fault is why an attempt ended without a whole answer.
+type Fault uint8
+
+// The faults of an attempt.
+const (
+	FaultNone        Fault = iota
+	FaultRefused           // no slot, no connection, or the request was not accepted
+	FaultBroken            // the connection ended or was reset
+	FaultSilent            // nothing came for too long
+	FaultShort             // the answer was cut, or its end can't be told
+	FaultCrossed           // the answer carries the id of another request
+	FaultShed              // the target said that it did not run the request
+	FaultUnavailable       // the target answered 503 and does not say that it did not run it
+	FaultCallerGone        // the caller left
+	FaultCallerSlow        // the caller's body or its reading stopped for too long
+	FaultDeadline          // the request's deadline has passed
+	faultCount
+)
+
+// String returns the name used in answers, logs and metrics.
+func (f Fault) String() string {
+	return [...]string{
+		"none", "refused", "connection broken", "target silent", "answer cut short",
+		"answer of another request", "shed by the target", "target unavailable",
+		"caller left", "caller too slow", "deadline passed",
+	}[f]
+}
+
+// Faults lists all faults of an attempt.
+func Faults() []Fault {
+	all := make([]Fault, 0, faultCount)
+	for f := FaultNone; f < faultCount; f++ {
+		all = append(all, f)
+	}
+	return all
+}
+
+// Steps lists the steps of a dispatch, in order.
+func Steps() []outcome.Step {
+	return []outcome.Step{
+		outcome.StepParse, outcome.StepRoute, outcome.StepClaim, outcome.StepAdmit,
+		outcome.StepConnect, outcome.StepSend, outcome.StepWait, outcome.StepReceive,
+		outcome.StepRelay, outcome.StepRecord, outcome.StepComplete,
+	}
+}
+
+// attemptEnd is how one attempt ended.
+type attemptEnd struct {
+	Step       outcome.Step
+	Fault      Fault
+	Peer       string // target, empty when none was chosen
+	Sent       bool   // a byte of the request may have reached a target
+	Consumed   bool   // the body was read from the caller and is not kept
+	Relayed    bool   // a byte of the answer may have reached the caller
+	RetryAfter time.Duration
+	Status     int // HTTP status for the caller; 0: by fault
+	Err        error
+}
+
+// verdict is what to do after an attempt.
+type verdict uint8
+
+const (
+	verdictDone  verdict = iota // the caller has the whole answer
+	verdictRetry                // try again after the wait
+	verdictFail                 // tell the caller the error
+	verdictAbort                // break the caller's connection
+)
+
+// decision is the verdict with its data.
+type decision struct {
+	verdict verdict
+	wait    time.Duration
+	err     *outcome.Error
+}
+
+// retryRule bounds the attempts of one request.
+type retryRule struct {
+	repeatable  bool // it may run more than once
+	maxAttempts int
+	deadline    time.Time
+	// spend takes a retry out of the budget of a target; false when there is
+	// none left. Target is empty when none was reached.
+	spend func(target string) bool
+	// backoff returns the wait before the next attempt.
+	backoff func() time.Duration
+}
+
+// dispatch decides after each attempt of one request what is done next and,
+// in the end, what the caller is told. It does no I/O.
+type dispatch struct {
+	rule     retryRule
+	attempts int
+	mayRun   bool // an attempt of this request may have run
+	last     attemptEnd
+}
+
+// begin notes that an attempt starts.
+func (d *dispatch) begin() { d.attempts++ }
+
+// end decides after an attempt.
+func (d *dispatch) end(a attemptEnd, now time.Time) decision {
+	if a.Fault == FaultNone {
+		return decision{verdict: verdictDone}
+	}
+	if a.Sent && a.Fault != FaultShed {
+		d.mayRun = true
+	}
+	if a.Step == outcome.StepAdmit && a.Fault == FaultRefused && d.attempts > 1 {
+		// No other target is left: what the last one did is the news.
+		return decision{verdict: verdictFail, err: d.failure(d.last)}
+	}
+	d.last = a
+	if a.Relayed {
+		return decision{verdict: verdictAbort, err: d.failure(a)}
+	}
+	if wait, ok := d.retry(a, now); ok {
+		return decision{verdict: verdictRetry, wait: wait}
+	}
+	return decision{verdict: verdictFail, err: d.failure(a)}
+}
+
+// retryable reports whether another attempt keeps every promise.
+func (d *dispatch) retryable(a attemptEnd) bool {
+	switch a.Fault {
+	case FaultCallerGone, FaultCallerSlow, FaultDeadline:
+		return false
+	}
+	if a.Step == outcome.StepAdmit {
+		return false // admission has given up for good
+	}
+	if a.Consumed {
+		return false
+	}
+	return d.rule.repeatable || !(d.mayRun || a.Sent && a.Fault != FaultShed)
+}
+
+// mayRetry reports whether another attempt would be allowed after such an end,
+// the budget and the deadline apart.
+func (d *dispatch) mayRetry(a attemptEnd) bool {
+	return d.retryable(a) && d.attempts < d.rule.maxAttempts
+}
+
+func (d *dispatch) retry(a attemptEnd, now time.Time) (time.Duration, bool) {
+	if !d.mayRetry(a) {
+		return 0, false
+	}
+	wait := d.rule.backoff()
+	if !now.Add(wait).Before(d.rule.deadline) {
+		return 0, false
+	}
+	return wait, d.rule.spend(a.Peer)
+}
+
+// failure is the one place where the outcome of a failed request is decided.
+func (d *dispatch) failure(a attemptEnd) *outcome.Error {
+	o := outcome.NotRun
+	if d.mayRun {
+		o = outcome.Unknown
+	}
+	e := &outcome.Error{
+		Outcome:    o,
+		Step:       a.Step,
+		Peer:       a.Peer,
+		Reason:     a.Fault.String(),
+		RetryAfter: a.RetryAfter,
+		Status:     statusOf(a, o),
+		Err:        a.Err,
+	}
+	var cause *outcome.Error
+	if errors.As(a.Err, &cause) {
+		e.Reason = cause.Reason
+		e.RetryAfter = max(e.RetryAfter, cause.RetryAfter)
+	}
+	return e
+}
+
+// statusOf returns the HTTP status that tells the caller of a failure.
+func statusOf(a attemptEnd, o outcome.Outcome) int {
+	if a.Status != 0 {
+		return a.Status
+	}
+	switch a.Fault {
+	case FaultCallerSlow:
+		return http.StatusRequestTimeout
+	case FaultDeadline, FaultSilent:
+		return http.StatusGatewayTimeout
+	}
+	if o == outcome.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/forward/events.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"masticturn/internal/telemetry"
+)
+
+// The events of the request path.
+var (
+	eventRequestFailed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 1,
+		Level:   logrus.WarnLevel,
+		Name:    "request failed",
+		Meaning: "A request ended without a whole answer; step, peer and outcome are given. At most some of these lines are written each second.",
+		Action:  "Look at the peer that is named; when many requests fail at one step, look at the metrics by step.",
+	})
+	eventAnswerDropped = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 2,
+		Level:   logrus.ErrorLevel,
+		Name:    "answer dropped",
+		Meaning: "A target sent an answer that was cut short, had no clean end, or belongs to another request. It was not given to the caller.",
+		Action:  "Look into the target, or into what lies before it: it mixes up or cuts answers.",
+	})
+	eventServing = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 3,
+		Level:   logrus.InfoLevel,
+		Name:    "callers are served",
+		Meaning: "The callers' listener is open at the given address.",
+		Action:  "None.",
+	})
+	eventCut = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 4,
+		Level:   logrus.ErrorLevel,
+		Name:    "requests cut",
+		Meaning: "The process was forced to stop while requests were in flight; their number is given.",
+		Action:  "Wait for a planned stop to end by itself; look which requests are so long.",
+	})
+)
--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,286 @@
+package forward
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/edge"
+	"masticturn/internal/idempotency"
+	"masticturn/internal/outcome"
+)
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	h         *Handler
+	w         http.ResponseWriter
+	r         *http.Request
+	rc        *http.ResponseController
+	startedAt time.Time
+
+	snap       *config.Snapshot
+	match      config.Match
+	id         string
+	repeatable bool
+	deadline   time.Time
+	region     string // of the caller
+
+	body   []byte  // the whole body when it is small
+	stream *upload // otherwise; nil when there is no body
+	claim  idempotency.Claim
+	record *recording // nil when there is no claim
+
+	dispatch dispatch
+	tried    []string
+	served   string // region of the target that answered
+	written  bool   // the answer's head went to the caller
+	gone     bool   // the caller left while its keyed run goes on
+}
+
+// serve takes the request through all steps.
+func (x *exchange) serve() {
+	err := x.prepare()
+	if err == nil && x.claim != nil && x.claim.Replay() != nil {
+		x.replay(x.claim.Replay())
+		return
+	}
+	if err == nil {
+		err = x.run()
+	}
+	x.finish(err)
+}
+
+// prepare goes from parsing to the claim.
+func (x *exchange) prepare() *outcome.Error {
+	if err := x.parse(); err != nil {
+		return err
+	}
+	if err := x.route(); err != nil {
+		return err
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	return x.claimKey()
+}
+
+// refuse is the error of a request that was not run.
+func refuse(step outcome.Step, status int, reason string) *outcome.Error {
+	return &outcome.Error{Outcome: outcome.NotRun, Step: step, Status: status, Reason: reason}
+}
+
+func (x *exchange) parse() *outcome.Error {
+	x.rc = http.NewResponseController(x.w)
+	x.id = first(x.r.Header, edge.HeaderRequestID)
+	if !validRequestID(x.id) {
+		x.id = newRequestID()
+	}
+	if !x.r.ProtoAtLeast(1, 1) {
+		// The end of a streamed answer can't be told apart from a cut.
+		return refuse(outcome.StepParse, http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
+	}
+	x.snap = x.h.deps.Config.Current()
+	if x.snap == nil {
+		err := refuse(outcome.StepParse, http.StatusServiceUnavailable, "this VM has no document yet")
+		err.RetryAfter = time.Second
+		return err
+	}
+	return nil
+}
+
+func newRequestID() string {
+	var raw [16]byte
+	for i := range 2 {
+		v := rand.Uint64()
+		for j := range 8 {
+			raw[8*i+j] = byte(v >> (8 * j))
+		}
+	}
+	return hex.EncodeToString(raw[:])
+}
+
+func (x *exchange) route() *outcome.Error {
+	m, ok := x.snap.MatchRequest(x.r.Method, x.r.URL.Path)
+	if !ok || m.Class == nil {
+		return refuse(outcome.StepRoute, http.StatusNotFound, "no service is routed at this path and method")
+	}
+	x.match = m
+	x.repeatable = m.Repeatable && first(x.r.Header, edge.HeaderNoRetry) != "1"
+	x.region = x.h.place(x.r).Region
+	x.deadline = x.startedAt.Add(x.timeout())
+	if x.r.ContentLength > x.maxBody() {
+		return refuse(outcome.StepRoute, http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+	}
+	if m.Route.RequireKey && first(x.r.Header, edge.HeaderIdempotencyKey) == "" {
+		return refuse(outcome.StepRoute, http.StatusBadRequest, "the "+edge.HeaderIdempotencyKey+" header is required here")
+	}
+	return nil
+}
+
+// timeout is what the caller asks, or the route's or class's default.
+func (x *exchange) timeout() time.Duration {
+	ms, err := strconv.ParseInt(first(x.r.Header, edge.HeaderTimeoutMS), 10, 64)
+	if err == nil && ms > 0 {
+		return min(time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond, maxTimeout)
+	}
+	if t := x.match.Route.TimeoutMS; t > 0 {
+		return t.Duration()
+	}
+	if t := x.match.Class.TimeoutMS; t > 0 {
+		return t.Duration()
+	}
+	return defaultTimeout
+}
+
+func (x *exchange) maxBody() int64 {
+	if n := x.match.Route.MaxBodyBytes; n > 0 {
+		return n
+	}
+	return x.snap.Document.Limits.MaxBodyBytes
+}
+
+// readBody reads a small body whole, before a slot at a target is taken, and
+// prepares to stream a larger one.
+func (x *exchange) readBody() *outcome.Error {
+	length := x.r.ContentLength
+	if length == 0 {
+		return nil
+	}
+	limits := &x.snap.Document.Limits
+	x.stream = &upload{
+		body:  x.r.Body,
+		rc:    x.rc,
+		clock: x.h.deps.Clock,
+		idle:  limits.IdleTimeoutMS.Duration(),
+		left:  x.maxBody(),
+	}
+	if length < 0 || length > limits.ReplayBodyBytes || len(x.r.Trailer) > 0 {
+		return nil
+	}
+	body, err := readSmall(x.stream, length)
+	if err != nil {
+		return refuse(outcome.StepParse, http.StatusRequestTimeout, "the body could not be read")
+	}
+	x.body, x.stream = body, nil
+	return nil
+}
+
+// claimKey claims the idempotency key of a request that may not be repeated.
+func (x *exchange) claimKey() *outcome.Error {
+	key := first(x.r.Header, edge.HeaderIdempotencyKey)
+	if key == "" || x.repeatable {
+		return nil
+	}
+	if x.h.deps.Keys == nil {
+		return refuse(outcome.StepClaim, http.StatusNotImplemented, "idempotency keys are not served here")
+	}
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errDeadline)
+	defer cancel()
+	claim, err := x.h.deps.Keys.Claim(ctx, &idempotency.Request{
+		Service:     x.match.Service.Name,
+		Key:         key,
+		Fingerprint: idempotency.FingerprintOf(x.r.Method, x.r.URL.RequestURI(), x.body),
+		Deadline:    x.deadline,
+	})
+	if err != nil {
+		return outcome.From(err, outcome.StepClaim)
+	}
+	x.claim = claim
+	x.record = &recording{limit: x.snap.Document.Limits.RecordedAnswerBytes}
+	return nil
+}
+
+// run makes attempts until the request is answered or given up.
+func (x *exchange) run() *outcome.Error {
+	parent := x.r.Context()
+	if x.claim != nil {
+		// A keyed run goes on without its caller: the answer is kept for it.
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithDeadlineCause(parent, x.deadline, errDeadline)
+	defer cancel()
+	stripHeaders(x.r.Header)
+	retry := &x.snap.Document.Retry
+	x.h.budget.attempted(retry.BudgetFraction)
+	x.dispatch.rule = x.retryRule(retry)
+	for {
+		x.dispatch.begin()
+		end := x.attempt(ctx)
+		d := x.dispatch.end(end, x.h.deps.Clock.Now())
+		x.h.faults.note(x, &end)
+		switch d.verdict {
+		case verdictDone:
+			return nil
+		case verdictFail:
+			return d.err
+		case verdictAbort:
+			x.abort(d.err)
+		case verdictRetry:
+			if err := x.pause(ctx, d.wait); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// pause waits before the next attempt.
+func (x *exchange) pause(ctx context.Context, wait time.Duration) *outcome.Error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return x.dispatch.failure(attemptEnd{Step: outcome.StepAdmit, Fault: faultOf(context.Cause(ctx), FaultCallerGone)})
+	}
+}
+
+// abort breaks the caller's connection, so that a part is never taken for the
+// whole.
+func (x *exchange) abort(err *outcome.Error) {
+	x.observe(err)
+	if x.claim != nil {
+		x.claim.Finish(err.Outcome, nil)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// finish tells the caller of an error, ends the claim and counts.
+func (x *exchange) finish(err *outcome.Error) {
+	x.observe(err)
+	if x.claim != nil {
+		x.finishClaim(err)
+	}
+	if err != nil {
+		x.h.faults.failed(x, err)
+		writeError(x.w, x.id, err)
+	}
+}
+
+func (x *exchange) finishClaim(err *outcome.Error) {
+	if err != nil {
+		x.claim.Finish(err.Outcome, nil)
+		return
+	}
+	x.claim.Finish(outcome.Answered, x.record.answer())
+}
+
+// faultOf tells the fault from the cause of a canceled context or an error.
+func faultOf(err error, otherwise Fault) Fault {
+	switch {
+	case errors.Is(err, errDeadline):
+		return FaultDeadline
+	case errors.Is(err, errTargetSilent):
+		return FaultSilent
+	case errors.Is(err, errCallerSlow):
+		return FaultCallerSlow
+	case errors.Is(err, context.Canceled):
+		return FaultCallerGone
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,170 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/admission"
+	"masticturn/internal/config"
+	"masticturn/internal/idempotency"
+	"masticturn/internal/kernel"
+	"masticturn/internal/lookup"
+	"masticturn/internal/measure"
+	"masticturn/internal/outcome"
+	"masticturn/internal/settings"
+	"masticturn/internal/telemetry"
+)
+
+// fixedConfig is a config.Source with one snapshot.
+type fixedConfig struct{ snap *config.Snapshot }
+
+func (c fixedConfig) Current() *config.Snapshot                  { return c.snap }
+func (c fixedConfig) Subscribe(func(*config.Snapshot)) func()    { return func() {} }
+func (c fixedConfig) Locate(netip.Addr) lookup.Place             { return lookup.Place{Region: "r1"} }
+func (c fixedConfig) Observe(measure.Observation)                {}
+func (c fixedConfig) target(name string) (t *config.TargetIndex) { return c.snap.Target(name) }
+func (c fixedConfig) service() *config.ServiceIndex              { return c.snap.Service("svc") }
+
+// roundRobin admits everything, at the targets in turn.
+type roundRobin struct {
+	mu       sync.Mutex
+	next     int
+	held     int
+	released []admission.Result
+	requests int // first attempts
+	attempts int
+}
+
+func (a *roundRobin) Acquire(_ context.Context, r *admission.Request) (admission.Permit, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts++
+	if !r.Retry {
+		a.requests++
+	}
+	for range r.Service.AllTargets {
+		t := r.Service.AllTargets[a.next%len(r.Service.AllTargets)]
+		a.next++
+		if !contains(r.Exclude, t.Name) {
+			a.held++
+			return &permit{a: a, t: t}, nil
+		}
+	}
+	return nil, &outcome.Error{Outcome: outcome.NotRun, Step: outcome.StepAdmit, Reason: "all targets were tried"}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+type permit struct {
+	a *roundRobin
+	t *config.TargetIndex
+}
+
+func (p *permit) Target() *config.TargetIndex { return p.t }
+func (p *permit) Shifted() bool               { return false }
+func (p *permit) Release(r admission.Result) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.a.held--
+	p.a.released = append(p.a.released, r)
+}
+
+// document returns a document with one service on the given targets: "get"
+// may be repeated, "commit" must not, "keyed" needs a key.
+func document(targets ...string) *config.Document {
+	doc := &config.Document{
+		Fleet:   config.Fleet{MaxVMs: 1},
+		Regions: []config.Region{{Name: "r1", Zones: []string{"z1"}}},
+		Classes: []config.Class{{Name: "fast", TimeoutMS: 2000}},
+		Limits: config.Limits{
+			MaxBodyBytes: 64 << 20, IdleTimeoutMS: 1000, ReplayBodyBytes: 64 << 10,
+			RecordedAnswerBytes: 64 << 10, RecordedAnswersBytes: 1 << 20, RecordedAnswersMS: 60000,
+		},
+		Retry: config.Retry{MaxAttempts: 2, BudgetFraction: 0.1, BackoffMS: 1},
+	}
+	svc := config.Service{Name: "svc", PathPrefix: "/svc/", Routes: []config.Route{
+		{PathPrefix: "keyed", Class: "fast", RequireKey: true},
+		{Class: "fast", Tenant: "t"},
+	}}
+	for i, address := range targets {
+		svc.Targets = append(svc.Targets, config.Target{
+			Name: "target" + string(rune('a'+i)), Address: address, Zone: "z1", Slots: 4, Connections: 100,
+		})
+	}
+	doc.Services = []config.Service{svc}
+	return doc
+}
+
+// bench is a handler behind a real listener.
+type bench struct {
+	*httptest.Server
+	handler   *Handler
+	admission *roundRobin
+	client    *http.Client
+}
+
+func newBench(t testing.TB, doc *config.Document, keys idempotency.Registry, logger *telemetry.Logger) *bench {
+	t.Helper()
+	snap, err := config.NewSnapshot(1, doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := fixedConfig{snap}
+	a := &roundRobin{}
+	h := NewHandler(Deps{
+		Config: c, Admission: a, Locator: c, Measure: c, Keys: keys,
+		Dial: (&net.Dialer{}).DialContext, Logger: logger, Metrics: metrics.NewSet(),
+		VM: settings.VM{Name: "vm1", Zone: "z1", Region: "r1"}, Clock: kernel.SystemClock{},
+	})
+	b := &bench{Server: httptest.NewServer(h), handler: h, admission: a}
+	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	t.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		b.Close()
+		h.Close()
+	})
+	return b
+}
+
+// newTarget starts a target and returns its address.
+func newTarget(t testing.TB, f http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// call sends one request and returns the answer with its body read; err is of
+// reading the body.
+func (b *bench) call(t testing.TB, method, path string, body io.Reader, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, b.URL+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp, string(raw), err
+}
--- /dev/null
+++ b/internal/forward/handler.go
@@ -0,0 +1,121 @@
+// Package forward is the request path: it takes a caller's request to a target
+// and the target's whole answer back, and tells honestly what became of it
+// when that fails.
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/admission"
+	"masticturn/internal/config"
+	"masticturn/internal/idempotency"
+	"masticturn/internal/kernel"
+	"masticturn/internal/lookup"
+	"masticturn/internal/measure"
+	"masticturn/internal/settings"
+	"masticturn/internal/targetconn"
+	"masticturn/internal/telemetry"
+)
+
+// bufferBytes is the size of the buffers through which answers go. An answer
+// up to this size is read whole before its first byte goes to the caller.
+const bufferBytes = 32 << 10
+
+// Observer hears what targets say of themselves on answers.
+type Observer interface {
+	Observe(o measure.Observation)
+}
+
+// Deps is what a Handler needs.
+type Deps struct {
+	Config    config.Source
+	Admission admission.Admitter
+	Locator   lookup.Locator
+	Measure   Observer
+	Keys      idempotency.Registry // nil: keyed requests are refused
+	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	Logger    *telemetry.Logger
+	Metrics   *metrics.Set
+	VM        settings.VM
+	Clock     kernel.Clock
+}
+
+// Handler forwards callers' requests. It is safe for concurrent use.
+type Handler struct {
+	deps     Deps
+	conns    *targetconn.Pools
+	budget   *budget
+	series   *seriesCache
+	faults   *faultLog
+	buffers  sync.Pool
+	inFlight atomic.Int64
+	closing  atomic.Bool
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// NewHandler returns a handler.
+func NewHandler(d Deps) *Handler {
+	h := &Handler{
+		deps:   d,
+		conns:  targetconn.NewPools(targetconn.Deps{Dial: d.Dial, Clock: d.Clock, Metrics: d.Metrics}),
+		budget: newBudget(),
+		series: newSeriesCache(d.Metrics),
+		faults: newFaultLog(d.Logger),
+	}
+	h.buffers.New = func() any { return new([bufferBytes]byte) }
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.closing.Load() {
+		setOne(w.Header(), "Connection", "close")
+	}
+	x := exchange{h: h, w: w, r: r, startedAt: h.deps.Clock.Now()}
+	x.serve()
+}
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// CloseConnections makes each further answer ask the caller to close its
+// connection. Requests go on being served.
+func (h *Handler) CloseConnections() { h.closing.Store(true) }
+
+// Adopt drops what is kept for targets that left the document.
+func (h *Handler) Adopt(s *config.Snapshot) {
+	h.conns.Adopt(s)
+	h.budget.keep(func(target string) bool { return s.Target(target) != nil })
+}
+
+// Sweep closes old idle connections; it is to be called about once a second.
+func (h *Handler) Sweep() { h.conns.Sweep() }
+
+// Close closes the idle connections to targets.
+func (h *Handler) Close() { h.conns.Close() }
+
+// place returns where the caller is.
+func (h *Handler) place(r *http.Request) lookup.Place {
+	addr, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return lookup.Place{Region: h.deps.VM.Region, Zone: h.deps.VM.Zone}
+	}
+	return h.deps.Locator.Locate(addr.Addr().Unmap())
+}
+
+// deadline bounds for what callers ask.
+const (
+	defaultTimeout = 30 * time.Second
+	maxTimeout     = 10 * time.Minute
+)
--- /dev/null
+++ b/internal/forward/headers.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"masticturn/internal/edge"
+)
+
+// hopByHop lists the headers that belong to one connection and are never
+// passed on (RFC 9110, section 7.6.1).
+var hopByHop = [...]string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// stripHeaders removes what belongs to one connection and what only the
+// system may set. It changes h in place.
+func stripHeaders(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+	for name := range h {
+		if strings.HasPrefix(name, edge.InternalHeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// first returns the first value of a header by its canonical name.
+func first(h http.Header, name string) string {
+	v := h[name]
+	if len(v) == 0 {
+		return ""
+	}
+	return v[0]
+}
+
+// setOne sets a header by its canonical name.
+func setOne(h http.Header, name, value string) { h[name] = []string{value} }
+
+// requestIDMax is the longest request id that is taken over from a caller.
+const requestIDMax = 128
+
+// validRequestID reports whether an id can be logged and echoed as it is.
+func validRequestID(id string) bool {
+	if id == "" || len(id) > requestIDMax {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// parseLoad reads "inflight/slots"; -1 and 0 when it is absent or malformed.
+func parseLoad(value string) (inFlight, slots int) {
+	a, b, ok := strings.Cut(value, "/")
+	if !ok {
+		return -1, 0
+	}
+	inFlight, errA := strconv.Atoi(a)
+	slots, errB := strconv.Atoi(b)
+	if errA != nil || errB != nil || inFlight < 0 || slots < 0 {
+		return -1, 0
+	}
+	return inFlight, slots
+}
+
+// parseRetryAfter reads the Retry-After header in seconds or as a date.
+func parseRetryAfter(value string, now time.Time) time.Duration {
+	if value == "" {
+		return 0
+	}
+	if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+		return time.Duration(s) * time.Second
+	}
+	if at, err := http.ParseTime(value); err == nil && at.After(now) {
+		return at.Sub(now)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/outcome"
+)
+
+// seriesKey names one histogram of requests.
+type seriesKey struct{ service, class, tenant string }
+
+// seriesCache finds the metrics of a request without formatting names.
+type seriesCache struct {
+	set     *metrics.Set
+	latency sync.Map // seriesKey -> *metrics.Histogram
+	retries *metrics.Counter
+	ended   sync.Map // endKey -> *metrics.Counter
+}
+
+type endKey struct {
+	outcome outcome.Outcome
+	step    outcome.Step
+}
+
+func newSeriesCache(set *metrics.Set) *seriesCache {
+	return &seriesCache{set: set, retries: set.GetOrCreateCounter("masticturn_retries_total")}
+}
+
+// duration returns the histogram of the time from a request's head to its end.
+func (c *seriesCache) duration(k seriesKey) *metrics.Histogram {
+	if v, ok := c.latency.Load(k); ok {
+		return v.(*metrics.Histogram)
+	}
+	name := fmt.Sprintf("masticturn_request_duration_seconds{service=%q,class=%q,tenant=%q}", k.service, k.class, k.tenant)
+	v, _ := c.latency.LoadOrStore(k, c.set.GetOrCreateHistogram(name))
+	return v.(*metrics.Histogram)
+}
+
+// requests returns the counter of requests by how they ended.
+func (c *seriesCache) requests(k endKey) *metrics.Counter {
+	if v, ok := c.ended.Load(k); ok {
+		return v.(*metrics.Counter)
+	}
+	name := fmt.Sprintf("masticturn_requests_total{outcome=%q,step=%q}", k.outcome, k.step)
+	v, _ := c.ended.LoadOrStore(k, c.set.GetOrCreateCounter(name))
+	return v.(*metrics.Counter)
+}
+
+// observe counts the end of a request.
+func (x *exchange) observe(err *outcome.Error) {
+	s := x.h.series
+	k := endKey{outcome.Answered, outcome.StepComplete}
+	if err != nil {
+		k = endKey{err.Outcome, err.Step}
+	}
+	s.requests(k).Inc()
+	if n := x.dispatch.attempts; n > 1 {
+		s.retries.Add(n - 1)
+	}
+	if x.match.Service == nil {
+		return
+	}
+	took := x.h.deps.Clock.Now().Sub(x.startedAt)
+	s.duration(seriesKey{x.match.Service.Name, x.match.Class.Name, x.match.Route.Tenant}).Update(took.Seconds())
+}
--- /dev/null
+++ b/internal/forward/path_test.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"masticturn/internal/edge"
+	"masticturn/internal/telemetry"
+)
+
+func TestRequestGoesToTargetAndBack(t *testing.T) {
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		if r.Header.Get(edge.HeaderTargetDeadlineMS) == "" {
+			t.Error("no deadline was passed on")
+		}
+		w.Header().Set(edge.HeaderTargetRequestID, r.Header.Get(edge.HeaderTargetRequestID))
+		w.Header().Set("X-Path", r.URL.RequestURI())
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write(raw)
+	})
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	resp, body, err := b.call(t, "POST", "/svc/a%2Fb?x=1", strings.NewReader("hello"), edge.HeaderRequestID, "id-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusCreated || body != "hello" {
+		t.Errorf("got %d %q", resp.StatusCode, body)
+	}
+	want := map[string]string{
+		edge.HeaderRequestID: "id-1", edge.HeaderOutcome: "answered",
+		edge.HeaderServedRegion: "r1", "X-Path": "/svc/a%2Fb?x=1",
+	}
+	for name, value := range want {
+		if got := resp.Header.Get(name); got != value {
+			t.Errorf("%s: got %q, want %q", name, got, value)
+		}
+	}
+	if b.admission.held != 0 {
+		t.Errorf("%d permits are still held", b.admission.held)
+	}
+}
+
+func TestRefusalsSayNotRun(t *testing.T) {
+	b := newBench(t, document("127.0.0.1:1"), nil, telemetry.Discard())
+	tests := []struct {
+		name, method, path, body, step string
+		status                         int
+	}{
+		{"no route", "GET", "/other/", "", "route", http.StatusNotFound},
+		{"key required", "POST", "/svc/keyed", "x", "route", http.StatusBadRequest},
+		{"target refuses", "POST", "/svc/a", "x", "connect", http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body, err := b.call(t, tt.method, tt.path, strings.NewReader(tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var e edge.ErrorBody
+			if err := json.Unmarshal([]byte(body), &e); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || e.Outcome != "not-run" || e.Step != tt.step || e.RequestID == "" {
+				t.Errorf("got %d %+v", resp.StatusCode, e)
+			}
+			if resp.Header.Get(edge.HeaderOutcome) != e.Outcome || resp.Header.Get(edge.HeaderStep) != e.Step {
+				t.Errorf("headers %v differ from the body %+v", resp.Header, e)
+			}
+		})
+	}
+}
+
+func BenchmarkPath(b *testing.B) {
+	answer := strings.Repeat("x", 1024)
+	address := newTarget(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) })
+	doc := document(address)
+	doc.Services[0].Targets[0].Connections = 1000
+	bench := newBench(b, doc, nil, telemetry.Discard())
+	bench.client.Transport.(*http.Transport).MaxIdleConnsPerHost = 1000
+	b.ReportAllocs()
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := bench.client.Get(bench.URL + "/svc/a")
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/service.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+	"masticturn/internal/edge"
+	"masticturn/internal/kernel"
+	"masticturn/internal/telemetry"
+)
+
+// ServiceName is the name under which the service is registered.
+const ServiceName = "forward.callers"
+
+// What holds on the callers' listener until a document says otherwise.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	callerIdleTimeout    = 90 * time.Second // of a connection without a request
+	sweepInterval        = time.Second
+)
+
+// ServiceDeps is what a Service needs.
+type ServiceDeps struct {
+	Handler *Handler
+	Lookup  http.Handler // serves edge.PathLookup; nil: it is not served
+	Listen  string       // host:port
+	Config  config.Source
+	Logger  *telemetry.Logger
+}
+
+// Service owns the callers' listener.
+type Service struct {
+	deps     ServiceDeps
+	server   *http.Server
+	listener net.Listener
+	cancel   func()
+	done     chan struct{}
+}
+
+var _ kernel.Service = (*Service)(nil)
+
+// NewService returns a service.
+func NewService(d ServiceDeps) *Service { return &Service{deps: d, done: make(chan struct{})} }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(*kernel.Kernel) error {
+	if s.deps.Handler == nil || s.deps.Config == nil {
+		return trace.BadParameter("the callers' listener needs a handler and a document source")
+	}
+	return nil
+}
+
+// Start implements kernel.Service: it opens the listener.
+func (s *Service) Start(ctx context.Context) error {
+	l, err := net.Listen("tcp", s.deps.Listen)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s.listener = l
+	s.server = s.newServer()
+	s.cancel = s.deps.Config.Subscribe(s.deps.Handler.Adopt)
+	go func() { _ = s.server.Serve(newLimitedListener(l, s.deps.Config)) }()
+	go s.sweep(ctx)
+	s.deps.Logger.Log(eventServing, telemetry.Value("address", l.Addr().String()))
+	return nil
+}
+
+func (s *Service) newServer() *http.Server {
+	server := &http.Server{
+		Handler:           s.handler(),
+		MaxHeaderBytes:    defaultHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		ErrorLog:          log.New(discard{}, "", 0),
+	}
+	if snap := s.deps.Config.Current(); snap != nil {
+		limits := &snap.Document.Limits
+		if limits.MaxHeaderBytes > 0 {
+			server.MaxHeaderBytes = limits.MaxHeaderBytes
+		}
+		if limits.HeaderTimeoutMS > 0 {
+			server.ReadHeaderTimeout = limits.HeaderTimeoutMS.Duration()
+		}
+	}
+	return server
+}
+
+// discard drops the server's own lines, which tell of callers that left.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// handler splits look-ups from requests. A mux would clean paths by redirects,
+// which are the targets' to judge.
+func (s *Service) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.deps.Lookup != nil && r.URL.Path == edge.PathLookup {
+			s.deps.Lookup.ServeHTTP(w, r)
+			return
+		}
+		s.deps.Handler.ServeHTTP(w, r)
+	})
+}
+
+// Address returns where the listener is open.
+func (s *Service) Address() string { return s.listener.Addr().String() }
+
+func (s *Service) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.deps.Handler.Sweep()
+		case <-ctx.Done():
+			return
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// Drain implements kernel.Service: it takes no new connection and returns when
+// nothing is in flight.
+func (s *Service) Drain(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	return trace.Wrap(s.server.Shutdown(ctx), "wait for requests in flight")
+}
+
+// Stop implements kernel.Service. What is still in flight is cut and counted.
+func (s *Service) Stop(context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	if n := s.deps.Handler.InFlight(); n > 0 {
+		s.deps.Logger.Log(eventCut, telemetry.Value("requests", n))
+	}
+	s.cancel()
+	close(s.done)
+	err := s.server.Close()
+	s.deps.Handler.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/internal/forward/watchdog.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	errTargetSilent = errors.New("the target was silent for too long")
+	errCallerSlow   = errors.New("the caller was too slow")
+	errDeadline     = errors.New("the deadline has passed")
+)
+
+// watchPhase is what a watchdog waits for.
+type watchPhase uint32
+
+const (
+	watchSend    watchPhase = iota // bytes of the caller's body
+	watchWait                      // the answer's first byte
+	watchReceive                   // bytes of the answer
+)
+
+// watchdog cancels an attempt that makes no progress. It has one timer, which
+// is reset as the attempt goes on.
+type watchdog struct {
+	cancel    context.CancelCauseFunc
+	firstByte time.Duration // longest wait from the request's end to the answer's first byte
+	idle      time.Duration // longest pause between bytes
+	// giveUp tells whether to give up when the first byte does not come in
+	// time; if not the attempt waits on, up to the request's deadline.
+	giveUp func() bool
+	// callerWaits tells whether the caller is what is waited for.
+	callerWaits func() bool
+
+	timer *time.Timer
+	phase atomic.Uint32
+}
+
+// start arms the timer; streamed tells that a body is still to be sent.
+func (w *watchdog) start(streamed bool) {
+	if streamed {
+		w.timer = time.AfterFunc(w.idle, w.fire)
+		return
+	}
+	w.phase.Store(uint32(watchWait))
+	w.timer = time.AfterFunc(w.firstByte, w.fire)
+}
+
+func (w *watchdog) fire() {
+	switch watchPhase(w.phase.Load()) {
+	case watchSend:
+		if w.callerWaits() {
+			w.cancel(errCallerSlow)
+			return
+		}
+		w.cancel(errTargetSilent)
+	case watchWait:
+		if w.giveUp() {
+			w.cancel(errTargetSilent)
+		}
+	case watchReceive:
+		w.cancel(errTargetSilent)
+	}
+}
+
+// sending notes a piece of the request's body.
+func (w *watchdog) sending() {
+	if w.phase.Load() == uint32(watchSend) {
+		w.timer.Reset(w.idle)
+	}
+}
+
+// sent notes the end of the request.
+func (w *watchdog) sent() {
+	if w.phase.CompareAndSwap(uint32(watchSend), uint32(watchWait)) {
+		w.timer.Reset(w.firstByte)
+	}
+}
+
+// receiving notes the answer's head or a piece of its body.
+func (w *watchdog) receiving() {
+	w.phase.Store(uint32(watchReceive))
+	w.timer.Reset(w.idle)
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
--- /dev/null
+++ b/internal/targetconn/conn.go
@@ -0,0 +1,55 @@
+package targetconn
+
+import (
+	"net/http"
+	"time"
+)
+
+// Conn is one connection to a target, reserved for one exchange at a time. It
+// never resends a request. Every Conn returned by Get must be given back with
+// exactly one call of Keep or Drop.
+type Conn struct {
+	pool     *pool
+	client   *http.ClientConn
+	wire     *wire
+	openedAt time.Time
+	maxAge   time.Duration
+	idleAt   time.Time
+	reused   bool
+}
+
+// Reused reports whether the connection carried an exchange before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// RoundTrip sends the request once and returns the answer's head.
+func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
+	return c.client.RoundTrip(req)
+}
+
+// Untouched forbids further writes and reports whether no byte of the request
+// was handed to the network. It is decided once and for all: after true no
+// byte leaves. The connection can't be kept afterwards.
+func (c *Conn) Untouched() bool { return c.wire.seal() }
+
+// Keep gives back a connection whose answer was read to its clean end. It
+// becomes idle when the target turns out to have sent nothing after it.
+func (c *Conn) Keep() { c.wire.settle() }
+
+// Drop closes the connection.
+func (c *Conn) Drop() {
+	c.wire.seal()
+	c.pool.forget(c)
+	_ = c.client.Close()
+}
+
+func (c *Conn) usable(now time.Time, idleLimit time.Duration) bool {
+	switch {
+	case c.client.Err() != nil:
+		return false
+	case now.Sub(c.openedAt) > c.maxAge:
+		return false
+	case now.Sub(c.idleAt) > idleLimit:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/targetconn/idle.go
@@ -0,0 +1,157 @@
+package targetconn
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// pool holds the connections to one target.
+type pool struct {
+	dropped *metrics.Counter
+
+	mu      sync.Mutex
+	open    map[*Conn]struct{} // in use and idle
+	dialing int
+	idle    []*Conn // the most recently used last
+	retired bool    // the target left the document
+}
+
+func newPool(dropped *metrics.Counter) *pool {
+	return &pool{open: make(map[*Conn]struct{}), dropped: dropped}
+}
+
+// takeIdle returns the most recently used idle connection that may still be
+// used, in an exchange, or nil.
+func (p *pool) takeIdle(now time.Time) *Conn {
+	for {
+		c := p.popIdle()
+		if c == nil {
+			return nil
+		}
+		if c.usable(now, idleLimit) && c.wire.begin() {
+			c.reused = true
+			return c
+		}
+		c.Drop()
+	}
+}
+
+func (p *pool) popIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// reserve takes one place for a new connection within the limit. An idle
+// connection makes room when there is none.
+func (p *pool) reserve(limit int) bool {
+	p.mu.Lock()
+	var evicted *Conn
+	if len(p.open)+p.dialing >= limit && len(p.idle) > 0 {
+		evicted = p.idle[0]
+		p.idle = p.idle[1:]
+		delete(p.open, evicted)
+	}
+	ok := len(p.open)+p.dialing < limit
+	if ok {
+		p.dialing++
+	}
+	p.mu.Unlock()
+	if evicted != nil {
+		evicted.Drop()
+	}
+	return ok
+}
+
+func (p *pool) unreserve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+}
+
+// add turns a reserved place into an open connection.
+func (p *pool) add(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	p.open[c] = struct{}{}
+}
+
+// putIdle takes back a connection that is quiet after its exchange.
+func (p *pool) putIdle(c *Conn, now time.Time) {
+	p.mu.Lock()
+	_, known := p.open[c]
+	keep := known && !p.retired
+	if keep {
+		c.idleAt = now
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		// The caller may hold the connection's own reader: close elsewhere.
+		go c.Drop()
+	}
+}
+
+// forget removes a connection that is about to be closed.
+func (p *pool) forget(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.open[c]; !ok {
+		return
+	}
+	delete(p.open, c)
+	p.dropped.Inc()
+	for i, other := range p.idle {
+		if other == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *pool) dropIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Drop()
+	}
+}
+
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.dropIdle()
+}
+
+// sweep drops idle connections that may not be used any more.
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	var old []*Conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.usable(now, idleLimit) {
+			kept = append(kept, c)
+			continue
+		}
+		old = append(old, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Drop()
+	}
+}
--- /dev/null
+++ b/internal/targetconn/pool.go
@@ -0,0 +1,188 @@
+// Package targetconn keeps the connections to targets: limited per target,
+// aged out, never resent on, never reused after an answer that was late, short
+// or followed by more bytes than were asked for.
+package targetconn
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+)
+
+// How long connections are kept. A connection between idleLimit and the idle
+// timeout of a usual server is a race with the server's close, so that it is
+// kept well below.
+const (
+	idleLimit    = 4 * time.Second
+	maxAge       = 2 * time.Minute
+	maxAgeJitter = 30 * time.Second
+)
+
+// ErrLimit says that every connection this VM may have to the target is in use.
+var ErrLimit = errors.New("limit of connections to the target is reached")
+
+// Use says what a connection is wanted for.
+type Use uint8
+
+// The uses of a connection.
+const (
+	UseAny   Use = iota // an idle one is good
+	UseFresh            // only one on which nothing was sent yet
+)
+
+// Deps is what Pools needs.
+type Deps struct {
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Clock   kernel.Clock
+	Metrics *metrics.Set
+}
+
+// Pools holds a pool of connections for each target in use.
+type Pools struct {
+	deps      Deps
+	transport *http.Transport
+	opened    *metrics.Counter
+	reused    *metrics.Counter
+	dropped   *metrics.Counter
+
+	mu    sync.RWMutex
+	pools map[poolKey]*pool
+}
+
+type poolKey struct{ target, address string }
+
+type wireKey struct{}
+
+// NewPools returns empty pools.
+func NewPools(d Deps) *Pools {
+	p := &Pools{
+		deps:    d,
+		pools:   make(map[poolKey]*pool),
+		opened:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_opened_total"),
+		reused:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_reused_total"),
+		dropped: d.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total"),
+	}
+	p.transport = &http.Transport{DialContext: p.dial, DisableCompression: true}
+	return p
+}
+
+// dial wraps the connection in the wire found in the context.
+func (p *Pools) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := p.deps.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	w := ctx.Value(wireKey{}).(*wire)
+	w.Conn = conn
+	return w, nil
+}
+
+// Get returns a connection to the target. ErrLimit means that none is free
+// within the limit, which is this VM's share of the target's connections. No
+// byte has been sent when an error is returned.
+func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use) (*Conn, error) {
+	pl := p.pool(poolKey{t.Name, t.Address})
+	if use == UseAny {
+		if c := pl.takeIdle(p.deps.Clock.Now()); c != nil {
+			p.reused.Inc()
+			return c, nil
+		}
+	}
+	if !pl.reserve(limit) {
+		return nil, trace.Wrap(ErrLimit, "target %s, limit %d", t.Name, limit)
+	}
+	c, err := p.open(ctx, pl, t.Address)
+	if err != nil {
+		pl.unreserve()
+		return nil, trace.Wrap(err, "connect to target %s at %s", t.Name, t.Address)
+	}
+	return c, nil
+}
+
+func (p *Pools) open(ctx context.Context, pl *pool, address string) (*Conn, error) {
+	now := p.deps.Clock.Now()
+	w := &wire{}
+	c := &Conn{pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter)}
+	w.quiet = func() { pl.putIdle(c, p.deps.Clock.Now()) }
+	w.closed = func() { pl.forget(c) }
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", address)
+	if err != nil {
+		return nil, err
+	}
+	p.opened.Inc()
+	c.client = client
+	if !w.begin() {
+		_ = client.Close()
+		return nil, trace.ConnectionProblem(nil, "the target spoke first or closed the new connection")
+	}
+	pl.add(c)
+	return c, nil
+}
+
+func (p *Pools) pool(key poolKey) *pool {
+	p.mu.RLock()
+	pl := p.pools[key]
+	p.mu.RUnlock()
+	if pl != nil {
+		return pl
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl = p.pools[key]; pl == nil {
+		pl = newPool(p.dropped)
+		p.pools[key] = pl
+	}
+	return pl
+}
+
+// Suspect drops the idle connections to a target after one of its connections
+// went silent: what lost track of one may have lost track of all.
+func (p *Pools) Suspect(t *config.TargetIndex) {
+	p.pool(poolKey{t.Name, t.Address}).dropIdle()
+}
+
+// Adopt forgets targets that are no longer in the document. Their idle
+// connections are closed; exchanges in flight go on to their end.
+func (p *Pools) Adopt(s *config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, pl := range p.pools {
+		t := s.Target(key.target)
+		if t != nil && t.Address == key.address {
+			continue
+		}
+		pl.retire()
+		delete(p.pools, key)
+	}
+}
+
+// Sweep closes idle connections that are too old. It is called about once a
+// second.
+func (p *Pools) Sweep() {
+	now := p.deps.Clock.Now()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, pl := range p.pools {
+		pl.sweep(now)
+	}
+}
+
+// Close closes the idle connections; those in use are closed when given back.
+func (p *Pools) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, pl := range p.pools {
+		pl.retire()
+		delete(p.pools, key)
+	}
+}
