--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,7 +38,6 @@
 	sentAt   time.Time
 	inFlight int // load the target reported; -1 unknown
 	draining bool
-	relayed  bool
 	released bool
 }
 
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -35,6 +35,7 @@
 	left  int64         // bytes that may still come
 	watch *watchdog     // nil while no attempt runs
 
+	ended   bool // the body's end was read
 	state   atomic.Uint32
 	waiting atomic.Bool // for the caller
 	failed  atomic.Pointer[error]
@@ -45,12 +46,17 @@
 	if !u.state.CompareAndSwap(uploadUnread, uploadRead) && u.state.Load() == uploadRevoked {
 		return 0, errRevoked
 	}
+	if u.ended {
+		// A deadline set now would end the server's watch on the connection.
+		return 0, io.EOF
+	}
 	n, err := u.read(p)
 	u.left -= int64(n)
 	switch {
 	case u.left < 0:
 		return 0, u.fail(errBodyTooLarge)
 	case err == io.EOF:
+		u.ended = true
 		if u.watch != nil {
 			u.watch.sent()
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,16 +1,19 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"reflect"
 	"sync"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
@@ -26,12 +29,10 @@
 // fixedConfig is a config.Source with one snapshot.
 type fixedConfig struct{ snap *config.Snapshot }
 
-func (c fixedConfig) Current() *config.Snapshot                  { return c.snap }
-func (c fixedConfig) Subscribe(func(*config.Snapshot)) func()    { return func() {} }
-func (c fixedConfig) Locate(netip.Addr) lookup.Place             { return lookup.Place{Region: "r1"} }
-func (c fixedConfig) Observe(measure.Observation)                {}
-func (c fixedConfig) target(name string) (t *config.TargetIndex) { return c.snap.Target(name) }
-func (c fixedConfig) service() *config.ServiceIndex              { return c.snap.Service("svc") }
+func (c fixedConfig) Current() *config.Snapshot               { return c.snap }
+func (c fixedConfig) Subscribe(func(*config.Snapshot)) func() { return func() {} }
+func (c fixedConfig) Locate(netip.Addr) lookup.Place          { return lookup.Place{Region: "r1"} }
+func (c fixedConfig) Observe(measure.Observation)             {}
 
 // roundRobin admits everything, at the targets in turn.
 type roundRobin struct {
@@ -168,3 +169,27 @@
 	raw, err := io.ReadAll(resp.Body)
 	return resp, string(raw), err
 }
+
+var typeOfAttemptEnd = reflect.TypeFor[attemptEnd]()
+
+// syncBuffer is a buffer for log lines.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func newTestLogger(w io.Writer) *telemetry.Logger {
+	return telemetry.NewLogger(w, telemetry.FormatJSON, logrus.DebugLevel, "vm1")
+}
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"masticturn/internal/edge"
 	"masticturn/internal/telemetry"
@@ -94,3 +95,24 @@
 		}
 	})
 }
+
+// The pause allowed between the bytes of a body must not end the wait for the
+// answer.
+func TestSlowAnswerAfterBodyIsWaitedFor(t *testing.T) {
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(150 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	doc := document(address)
+	doc.Limits.IdleTimeoutMS = 50
+	b := newBench(t, doc, nil, telemetry.Discard())
+	for _, size := range []int{10, 200 << 10} { // kept and streamed
+		for range 2 { // the caller's connection stays good
+			resp, body, err := b.call(t, "POST", "/svc/a", strings.NewReader(strings.Repeat("x", size)))
+			if err != nil || body != "done" {
+				t.Errorf("%d bytes: got %v %q %v", size, resp, body, err)
+			}
+		}
+	}
+}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -42,14 +42,11 @@
 	_ = c.client.Close()
 }
 
+// usable reports whether an idle connection may carry another exchange.
 func (c *Conn) usable(now time.Time, idleLimit time.Duration) bool {
-	switch {
-	case c.client.Err() != nil:
-		return false
-	case now.Sub(c.openedAt) > c.maxAge:
-		return false
-	case now.Sub(c.idleAt) > idleLimit:
-		return false
-	}
-	return true
+	return c.fresh(now, idleLimit) && c.client.Err() == nil
+}
+
+func (c *Conn) fresh(now time.Time, idleLimit time.Duration) bool {
+	return now.Sub(c.openedAt) <= c.maxAge && now.Sub(c.idleAt) <= idleLimit
 }
--- /dev/null
+++ b/internal/targetconn/targetconn_test.go
@@ -0,0 +1,275 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+)
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// rawTarget accepts connections and serves each with f; n is the connection's
+// number, from 0.
+func rawTarget(t *testing.T, f func(n int, conn net.Conn)) *config.TargetIndex {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				f(n, conn)
+			}()
+		}
+	}()
+	return &config.TargetIndex{Target: &config.Target{Name: "t", Address: l.Addr().String()}}
+}
+
+func newPools(t *testing.T) *Pools {
+	p := NewPools(Deps{Dial: (&net.Dialer{}).DialContext, Clock: kernel.SystemClock{}, Metrics: metrics.NewSet()})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func get(t *testing.T, p *Pools, target *config.TargetIndex, limit int, use Use) *Conn {
+	t.Helper()
+	c, err := p.Get(t.Context(), target, limit, use)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// exchange sends one request and reads the answer.
+func exchange(ctx context.Context, c *Conn, method string) (string, error) {
+	req := &http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Header: http.Header{}}
+	resp, err := c.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
+
+// waitIdle waits until the target's pool has n idle connections.
+func waitIdle(t *testing.T, p *Pools, target *config.TargetIndex, n int) {
+	t.Helper()
+	pl := p.pool(poolKey{target.Name, target.Address})
+	for t.Context().Err() == nil {
+		pl.mu.Lock()
+		got := len(pl.idle)
+		pl.mu.Unlock()
+		if got == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("never %d idle connections", n)
+}
+
+func TestConnectionIsReusedAfterCleanAnswer(t *testing.T) {
+	var conns atomic.Int32
+	target := rawTarget(t, func(_ int, conn net.Conn) {
+		conns.Add(1)
+		br := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(conn, wholeAnswer)
+		}
+	})
+	p := newPools(t)
+	for range 5 {
+		c := get(t, p, target, 2, UseAny)
+		if body, err := exchange(t.Context(), c, "GET"); err != nil || body != "ok" {
+			t.Fatal(body, err)
+		}
+		c.Keep()
+		waitIdle(t, p, target, 1)
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+	if c := get(t, p, target, 2, UseFresh); c.Reused() {
+		t.Error("a fresh connection was asked for")
+	}
+}
+
+// A second answer behind the first must never become the answer of the next
+// request, however the two arrive.
+func TestConnectionWithMoreThanWasAskedIsNeverReused(t *testing.T) {
+	tests := map[string]func(conn net.Conn){
+		"in one piece": func(conn net.Conn) { fmt.Fprint(conn, wholeAnswer+wholeAnswer) },
+		"in two pieces": func(conn net.Conn) {
+			fmt.Fprint(conn, wholeAnswer)
+			fmt.Fprint(conn, wholeAnswer)
+		},
+		"a stray byte": func(conn net.Conn) { fmt.Fprint(conn, wholeAnswer+"H") },
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			target := rawTarget(t, func(_ int, conn net.Conn) {
+				br := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				answer(conn)
+				_, _ = io.Copy(io.Discard, br)
+			})
+			p := newPools(t)
+			for range 20 {
+				c := get(t, p, target, 100, UseAny)
+				if c.Reused() {
+					// The second piece may come late; then the next exchange
+					// must fail and not take it.
+					if body, err := exchange(t.Context(), c, "GET"); err == nil {
+						t.Fatalf("a stray answer was taken: %q", body)
+					}
+					c.Drop()
+					continue
+				}
+				if _, err := exchange(t.Context(), c, "GET"); err != nil {
+					t.Fatal(err)
+				}
+				c.Keep()
+			}
+		})
+	}
+}
+
+func TestLimitCountsIdleAndUsedConnections(t *testing.T) {
+	target := rawTarget(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	p := newPools(t)
+	a := get(t, p, target, 2, UseFresh)
+	get(t, p, target, 2, UseFresh)
+	if _, err := p.Get(t.Context(), target, 2, UseAny); !errors.Is(err, ErrLimit) {
+		t.Errorf("got %v, want ErrLimit", err)
+	}
+	a.Drop()
+	get(t, p, target, 2, UseAny)
+}
+
+func TestUntouchedIsFinal(t *testing.T) {
+	target := rawTarget(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	p := newPools(t)
+	c := get(t, p, target, 1, UseFresh)
+	if !c.Untouched() {
+		t.Fatal("nothing was written, yet it counts as touched")
+	}
+	if _, err := c.wire.Write([]byte("GET")); !errors.Is(err, errSealed) {
+		t.Errorf("a byte left after it was called untouched: %v", err)
+	}
+	c.Drop()
+	c = get(t, p, target, 1, UseFresh)
+	if _, err := c.wire.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	if c.Untouched() {
+		t.Error("a byte was written, yet it counts as untouched")
+	}
+}
+
+func TestTargetThatLeavesTheDocumentLosesIdleConnectionsOnly(t *testing.T) {
+	release := make(chan struct{})
+	target := rawTarget(t, func(n int, conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if n == 1 {
+				<-release
+			}
+			fmt.Fprint(conn, wholeAnswer)
+		}
+	})
+	p := newPools(t)
+	idle := get(t, p, target, 2, UseFresh)
+	if _, err := exchange(t.Context(), idle, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	idle.Keep()
+	waitIdle(t, p, target, 1)
+	busy := get(t, p, target, 2, UseFresh)
+	done := make(chan error, 1)
+	go func() {
+		_, err := exchange(context.Background(), busy, "GET")
+		done <- err
+	}()
+	empty, err := config.NewSnapshot(2, &config.Document{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Adopt(empty)
+	if idle.client.Err() == nil {
+		t.Error("the idle connection is still open")
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Errorf("the exchange in flight was cut: %v", err)
+	}
+}
+
+func TestSuspectDropsIdleConnections(t *testing.T) {
+	target := rawTarget(t, func(_ int, conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(conn, wholeAnswer)
+		}
+	})
+	p := newPools(t)
+	c := get(t, p, target, 2, UseFresh)
+	if _, err := exchange(t.Context(), c, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	c.Keep()
+	waitIdle(t, p, target, 1)
+	p.Suspect(target)
+	if c = get(t, p, target, 2, UseAny); c.Reused() {
+		t.Error("a suspect connection was reused")
+	}
+}
+
+func TestOldConnectionsAreNotUsed(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name             string
+		opened, lastUsed time.Duration // ago
+		want             bool
+	}{
+		{"new", 0, 0, true},
+		{"idle for too long", time.Minute, idleLimit + 1, false},
+		{"too old", maxAge + 1, 0, false},
+	}
+	for _, tt := range tests {
+		c := &Conn{client: &http.ClientConn{}, openedAt: now.Add(-tt.opened), idleAt: now.Add(-tt.lastUsed), maxAge: maxAge}
+		if got := c.fresh(now, idleLimit); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
