--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -7,6 +7,8 @@
 const (
 	// PathLookup answers which VMs a caller shall use: GET with ?service=.
 	PathLookup = "/.well-known/masticturn/lookup"
+
+	QueryAddress = "address" // of a look-up: ask on behalf of this IP address
 )
 
 // Headers between callers and the system.
--- /dev/null
+++ b/internal/lookup/service.go
@@ -0,0 +1,247 @@
+package lookup
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+	"masticturn/internal/edge"
+	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
+)
+
+// ServiceName is the name under which the kernel knows the service.
+const ServiceName = "lookup.service"
+
+const millisPerSecond = 1000
+
+// TicketIssuer makes the ticket that lets a caller use idempotency keys at one
+// VM without a write to the platform.
+type TicketIssuer interface {
+	Ticket(vm string, incarnation uint64) string
+}
+
+// Deps are what the service needs.
+type Deps struct {
+	Config  config.Source
+	Members membership.Source
+	Home    Place        // place of this VM, for callers of no known block
+	Tickets TicketIssuer // may be nil
+	Metrics *metrics.Set
+}
+
+// Service answers look-ups. The answers of one document and one view of
+// members are computed once for each place and bucket, then served from
+// memory.
+type Service struct {
+	deps     Deps
+	mu       sync.Mutex // serializes rebuilds
+	table    atomic.Pointer[tableState]
+	answers  atomic.Pointer[answerCache]
+	cancel   []func()
+	requests *metrics.Counter
+	misses   *metrics.Counter
+}
+
+var (
+	_ kernel.Service = (*Service)(nil)
+	_ Locator        = (*Service)(nil)
+	_ http.Handler   = (*Service)(nil)
+)
+
+// tableState is the table of one document.
+type tableState struct {
+	snap  *config.Snapshot
+	table *Table
+}
+
+// answerCache holds the encoded answers made from one document and one view.
+type answerCache struct {
+	snap        *config.Snapshot
+	view        *membership.View
+	fingerprint uint64
+	encoded     sync.Map // answerKey -> []byte
+}
+
+type answerKey struct {
+	place  Place
+	bucket uint8
+}
+
+// NewService returns a service; it follows config and members once started.
+func NewService(deps Deps) *Service {
+	return &Service{
+		deps:     deps,
+		requests: deps.Metrics.NewCounter("masticturn_lookups_total"),
+		misses:   deps.Metrics.NewCounter("masticturn_lookup_answers_computed_total"),
+	}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(*kernel.Kernel) error { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context) error {
+	s.cancel = append(s.cancel,
+		s.deps.Config.Subscribe(func(*config.Snapshot) { s.refresh() }),
+		s.deps.Members.Subscribe(func(*membership.View) { s.refresh() }))
+	s.refresh()
+	return nil
+}
+
+// Drain implements kernel.Service. Look-ups are answered until Stop, so that
+// callers learn which other VMs to use.
+func (s *Service) Drain(context.Context) error { return nil }
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	for _, cancel := range s.cancel {
+		cancel()
+	}
+	return nil
+}
+
+// refresh swaps in an empty cache when the document or a member's fitness to
+// be named changed, and a new table when the document changed.
+func (s *Service) refresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := s.deps.Config.Current()
+	if snap == nil {
+		return
+	}
+	if old := s.table.Load(); old == nil || old.snap != snap {
+		s.table.Store(&tableState{snap: snap, table: NewTable(snap.Document.ClientBlocks, s.deps.Home)})
+	}
+	view := s.deps.Members.View()
+	current := fingerprint(view)
+	if old := s.answers.Load(); old == nil || old.snap != snap || old.fingerprint != current {
+		s.answers.Store(&answerCache{snap: snap, view: view, fingerprint: current})
+	}
+}
+
+// fingerprint hashes what answers depend on. A member that merely took over a
+// later document changes the view, but no answer.
+func fingerprint(view *membership.View) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, m := range serving(view) {
+		_, _ = d.WriteString(m.Name)
+		_, _ = d.WriteString(m.CallerAddress)
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, m.Incarnation))
+	}
+	return d.Sum64()
+}
+
+// Locate implements Locator.
+func (s *Service) Locate(addr netip.Addr) Place {
+	t := s.table.Load()
+	if t == nil {
+		return s.deps.Home
+	}
+	return t.table.Locate(addr)
+}
+
+// ServeHTTP answers a look-up. The optional query parameter "address" asks on
+// behalf of another address (used by the command line).
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.Inc()
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		http.Error(w, "allowed is GET", http.StatusMethodNotAllowed)
+		return
+	}
+	addr, err := callerAddress(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, maxAge, err := s.answer(addr)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	h := w.Header()
+	h["Content-Type"] = contentTypeJSON
+	h["Cache-Control"] = []string{"private, max-age=" + strconv.Itoa(maxAge)}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	_, _ = w.Write(body)
+}
+
+var contentTypeJSON = []string{"application/json"}
+
+// answer returns the encoded answer for an address and its max-age in whole
+// seconds, rounded down.
+func (s *Service) answer(addr netip.Addr) ([]byte, int, error) {
+	cache := s.answers.Load()
+	if cache == nil {
+		return nil, 0, trace.ConnectionProblem(nil, "no document is in force yet")
+	}
+	maxAge := int(cache.snap.Document.Lookup.MaxAgeMS / millisPerSecond)
+	key := answerKey{place: s.Locate(addr), bucket: bucketOf(addr)}
+	if body, ok := cache.encoded.Load(key); ok {
+		return body.([]byte), maxAge, nil
+	}
+	body, err := s.encode(cache, key)
+	if err != nil {
+		return nil, 0, err
+	}
+	cache.encoded.Store(key, body)
+	return body, maxAge, nil
+}
+
+// encode computes one answer.
+func (s *Service) encode(cache *answerCache, key answerKey) ([]byte, error) {
+	s.misses.Inc()
+	lookup := cache.snap.Document.Lookup
+	members := Candidates(cache.snap, cache.view, key.place, int(key.bucket), lookup.Answers)
+	if len(members) == 0 {
+		return nil, trace.NotFound("no VM is known to be able to serve")
+	}
+	answer := edge.LookupAnswer{
+		MaxAgeSeconds: lookup.MaxAgeMS.Duration().Seconds(),
+		Generation:    uint64(cache.snap.Generation),
+	}
+	for _, m := range members {
+		vm := edge.LookupVM{Name: m.Name, Zone: m.Zone, Address: m.CallerAddress}
+		if s.deps.Tickets != nil {
+			vm.Ticket = s.deps.Tickets.Ticket(m.Name, m.Incarnation)
+		}
+		answer.VMs = append(answer.VMs, vm)
+	}
+	body, err := json.Marshal(answer)
+	return body, trace.Wrap(err)
+}
+
+// callerAddress returns the address a look-up is about.
+func callerAddress(r *http.Request) (netip.Addr, error) {
+	if r.URL.RawQuery != "" {
+		if q := r.URL.Query().Get(edge.QueryAddress); q != "" {
+			addr, err := netip.ParseAddr(q)
+			return addr, trace.Wrap(err, "query parameter %s", edge.QueryAddress)
+		}
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}, trace.Wrap(err)
+	}
+	addr, err := netip.ParseAddr(host)
+	return addr, trace.Wrap(err)
+}
+
+// bucketOf spreads callers by their address.
+func bucketOf(addr netip.Addr) uint8 {
+	b := addr.As16()
+	return uint8(xxhash.Sum64(b[:]) % Buckets)
+}
