--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
-	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,10 +28,12 @@
 	Stop(ctx context.Context) error
 }
 
-// Dependent is implemented by services that need others; Requires returns
-// their names.
-type Dependent interface {
-	Requires() []string
+// Module describes a service that the kernel builds itself. New is called in
+// dependency order, so that it finds what it requires by Lookup.
+type Module struct {
+	Name     string
+	Requires []string
+	New      func(k *Kernel) (Service, error)
 }
 
 // Clock tells the time. Durations use the monotonic reading, so that a step
@@ -49,37 +51,32 @@
 // Kernel holds the registered services.
 type Kernel struct {
 	clock    Clock
+	modules  map[string]Module
 	services map[string]Service
-	order    []string
 	started  []string
 	cancel   context.CancelFunc
 }
 
 // New returns an empty kernel with the given clock.
 func New(clock Clock) *Kernel {
-	return &Kernel{clock: clock, services: make(map[string]Service)}
+	return &Kernel{clock: clock, modules: make(map[string]Module), services: make(map[string]Service)}
 }
 
 // Clock returns the clock every service shall use.
 func (k *Kernel) Clock() Clock { return k.clock }
 
-// Register adds a service under a name. A name registered twice is an error.
-func (k *Kernel) Register(name string, s Service) error {
-	if _, ok := k.services[name]; ok {
-		return trace.AlreadyExists("service %q is registered twice", name)
+// Register adds a module. A name registered twice is an error.
+func (k *Kernel) Register(m Module) error {
+	if _, ok := k.modules[m.Name]; ok {
+		return trace.AlreadyExists("service %q is registered twice", m.Name)
 	}
-	k.services[name] = s
+	k.modules[m.Name] = m
 	return nil
 }
 
 // Names returns the registered names, sorted.
 func (k *Kernel) Names() []string {
-	names := make([]string, 0, len(k.services))
-	for name := range k.services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(k.modules))
 }
 
 // Lookup returns the service of that name as a T. It fails when there is no
@@ -88,7 +85,7 @@
 	var zero T
 	s, ok := k.services[name]
 	if !ok {
-		return zero, trace.NotFound("no service is registered as %q", name)
+		return zero, trace.NotFound("no service is running as %q", name)
 	}
 	t, ok := s.(T)
 	if !ok {
@@ -97,18 +94,15 @@
 	return t, nil
 }
 
-// Start orders the services by their dependencies, then provisions all of
-// them and starts all of them. On an error whatever was started is stopped.
+// Start orders the modules by their dependencies, builds and provisions all
+// services, then starts them. On an error whatever was started is stopped.
 func (k *Kernel) Start(ctx context.Context) error {
 	order, err := k.resolve()
 	if err != nil {
 		return err
 	}
-	k.order = order
-	for _, name := range order {
-		if err := k.services[name].Provision(k); err != nil {
-			return trace.Wrap(err, "provision %s", name)
-		}
+	if err := k.provision(order); err != nil {
+		return err
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	k.cancel = cancel
@@ -121,6 +115,20 @@
 	return nil
 }
 
+func (k *Kernel) provision(order []string) error {
+	for _, name := range order {
+		s, err := k.modules[name].New(k)
+		if err != nil {
+			return trace.Wrap(err, "build %s", name)
+		}
+		k.services[name] = s
+		if err := s.Provision(k); err != nil {
+			return trace.Wrap(err, "provision %s", name)
+		}
+	}
+	return nil
+}
+
 // Drain drains the started services in reverse order of their start.
 func (k *Kernel) Drain(ctx context.Context) error {
 	return k.reverse("drain", func(s Service) error { return s.Drain(ctx) })
@@ -181,20 +189,15 @@
 		return trace.BadParameter("circular dependency: %s", strings.Join(append(path, name), " -> "))
 	}
 	r.state[name] = visiting
-	if d, ok := r.kernel.services[name].(Dependent); ok {
-		for _, need := range d.Requires() {
-			if _, ok := r.kernel.services[need]; !ok {
-				return trace.NotFound("service %q requires %q, which is not registered", name, need)
-			}
-			if err := r.visit(need, append(path, name)); err != nil {
-				return err
-			}
+	for _, need := range r.kernel.modules[name].Requires {
+		if _, ok := r.kernel.modules[need]; !ok {
+			return trace.NotFound("service %q requires %q, which is not registered", name, need)
+		}
+		if err := r.visit(need, append(path, name)); err != nil {
+			return err
 		}
 	}
 	r.state[name] = visited
 	r.order = append(r.order, name)
 	return nil
 }
-
-// String lists the registered names, for error messages.
-func (k *Kernel) String() string { return fmt.Sprintf("kernel(%s)", strings.Join(k.Names(), ", ")) }
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -7,15 +7,10 @@
 )
 
 type fakeService struct {
-	requires []string
-	log      *[]string
-	name     string
+	log  *[]string
+	name string
 }
 
-var _ Dependent = (*fakeService)(nil)
-
-func (f *fakeService) Requires() []string { return f.requires }
-
 func (f *fakeService) note(step string) error {
 	*f.log = append(*f.log, step+" "+f.name)
 	return nil
@@ -29,8 +24,8 @@
 func TestLifecycleFollowsDependencies(t *testing.T) {
 	var log []string
 	k := New(SystemClock{})
-	register(t, k, "a", &fakeService{name: "a", requires: []string{"b"}, log: &log})
-	register(t, k, "b", &fakeService{name: "b", log: &log})
+	register(t, k, &log, "a", "b")
+	register(t, k, &log, "b")
 	if err := k.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +56,7 @@
 			var log []string
 			k := New(SystemClock{})
 			for name, needs := range tt.needs {
-				register(t, k, name, &fakeService{name: name, requires: needs, log: &log})
+				register(t, k, &log, name, needs...)
 			}
 			err := k.Start(t.Context())
 			if err == nil {
@@ -80,8 +75,12 @@
 }
 
 func TestLookupChecksNameAndType(t *testing.T) {
+	var log []string
 	k := New(SystemClock{})
-	register(t, k, "a", &fakeService{name: "a"})
+	register(t, k, &log, "a")
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := Lookup[*fakeService](k, "a"); err != nil {
 		t.Error(err)
 	}
@@ -93,9 +92,15 @@
 	}
 }
 
-func register(t *testing.T, k *Kernel, name string, s Service) {
+func register(t *testing.T, k *Kernel, log *[]string, name string, requires ...string) {
 	t.Helper()
-	if err := k.Register(name, s); err != nil {
+	m := Module{Name: name, Requires: requires, New: func(*Kernel) (Service, error) {
+		return &fakeService{name: name, log: log}, nil
+	}}
+	if err := k.Register(m); err != nil {
 		t.Fatal(err)
 	}
+	if err := k.Register(m); err == nil {
+		t.Error("a name was registered twice")
+	}
 }
