Platform: HTTP client, in-memory store with faults, stand-in server

Cause: daemons need the platform's object API with typed errors, and tests need one that fails on demand. Change: Client implements Store over net/http and sling. Every call has a timeout and takes a token of the budget. Each write uses a connection of its own, so that the transport of net/http, which resends only on reused connections, sends it at most once. A timeout drops the idle connections. The edge gains Platform-Not-Done: without it a 5xx on a write is an unknown outcome. platformtest.Store holds the logic once for tests and the stand-in.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,327 @@
+package platform_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/edge"
+	"masticturn/internal/platform"
+	"masticturn/internal/platform/platformtest"
+	standin "masticturn/internal/standin/platform"
+)
+
+const kind = platform.KindLease
+
+type rig struct {
+	store   *platformtest.Store
+	handler *standin.Handler
+	client  *platform.Client
+	metrics *metrics.Set
+}
+
+func newClient(t *testing.T, opts platform.ClientOptions) *platform.Client {
+	t.Helper()
+	c, err := platform.NewClient(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Stop(context.Background()) })
+	return c
+}
+
+func newRig(t *testing.T, opts platform.ClientOptions) *rig {
+	t.Helper()
+	r := &rig{store: platformtest.NewStore(), metrics: metrics.NewSet()}
+	r.handler = standin.NewHandler(r.store)
+	server := httptest.NewServer(r.handler)
+	t.Cleanup(server.Close)
+	opts.URL, opts.Metrics = server.URL, r.metrics
+	r.client = newClient(t, opts)
+	return r
+}
+
+func wantCode(t *testing.T, err, code error) {
+	t.Helper()
+	if !errors.Is(err, code) {
+		t.Fatalf("error = %v, want %v", err, code)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	ctx := context.Background()
+	c := newRig(t, platform.ClientOptions{CallsPerSecond: 1000}).client
+	const name = "a/b c%"
+
+	_, err := c.Get(ctx, kind, name)
+	wantCode(t, err, platform.ErrNotFound)
+	v1, err := c.Create(ctx, kind, name, []byte("one"))
+	wantCode(t, err, nil)
+	_, err = c.Create(ctx, kind, name, []byte("two"))
+	wantCode(t, err, platform.ErrConflict)
+	v2, err := c.Update(ctx, kind, name, []byte("two"), v1)
+	wantCode(t, err, nil)
+	_, err = c.Update(ctx, kind, name, []byte("three"), v1)
+	wantCode(t, err, platform.ErrConflict)
+	got, err := c.Get(ctx, kind, name)
+	wantCode(t, err, nil)
+	if string(got.Value) != "two" || got.Version != v2 || got.Name != name || v2 <= v1 {
+		t.Fatalf("got %+v, versions %d %d", got, v1, v2)
+	}
+	list, _, err := c.List(ctx, kind)
+	wantCode(t, err, nil)
+	if len(list) != 1 || list[0].Name != name || string(list[0].Value) != "two" {
+		t.Fatalf("list = %+v", list)
+	}
+	wantCode(t, c.Delete(ctx, kind, name, v1), platform.ErrConflict)
+	wantCode(t, c.Delete(ctx, kind, name, v2), nil)
+	wantCode(t, c.Delete(ctx, kind, name, v2), platform.ErrConflict)
+	_, err = c.Create(ctx, kind, name, make([]byte, platform.MaxValueBytes+1))
+	wantCode(t, err, platform.ErrTooLarge)
+}
+
+func TestWatch(t *testing.T) {
+	ctx := context.Background()
+	r := newRig(t, platform.ClientOptions{CallsPerSecond: 1000, WatchTimeout: 20 * time.Millisecond, Timeout: 5 * time.Second})
+	events, version, err := r.client.Watch(ctx, kind, 0)
+	if err != nil || len(events) != 0 {
+		t.Fatalf("empty watch: %v, %v", events, err)
+	}
+	v, _ := r.store.Create(ctx, kind, "a", []byte("x"))
+	r.store.Create(ctx, platform.KindClaim, "other", nil)
+	events, version, err = r.client.Watch(ctx, kind, version)
+	if err != nil || len(events) != 1 || events[0].Object.Name != "a" || events[0].Deleted {
+		t.Fatalf("watch after create: %+v, %v", events, err)
+	}
+	r.store.Delete(ctx, kind, "a", v)
+	events, _, err = r.client.Watch(ctx, kind, version)
+	if err != nil || len(events) != 1 || !events[0].Deleted {
+		t.Fatalf("watch after delete: %+v, %v", events, err)
+	}
+}
+
+func TestFaultsAsTypedErrors(t *testing.T) {
+	fault := func(f platformtest.Fault) func(*rig) {
+		return func(r *rig) {
+			r.store.SetHook(func(context.Context, platformtest.Call) platformtest.Fault { return f })
+		}
+	}
+	mode := func(m standin.Mode) func(*rig) { return func(r *rig) { r.handler.SetMode(m) } }
+	cases := []struct {
+		name        string
+		set         func(*rig)
+		read, write error
+		stored      bool
+	}{
+		{"outage", func(r *rig) { r.store.SetOutage(true) }, platform.ErrUnavailable, platform.ErrUnavailable, false},
+		{"refused", mode(standin.Refuse), platform.ErrUnavailable, platform.ErrUnavailable, false},
+		{"silent", mode(standin.Silent), platform.ErrUnavailable, platform.ErrUnknownOutcome, false},
+		{"cut", mode(standin.Cut), platform.ErrUnavailable, platform.ErrUnknownOutcome, false},
+		{"lost request", fault(platformtest.FaultLostRequest), platform.ErrUnavailable, platform.ErrUnknownOutcome, false},
+		{"lost answer", fault(platformtest.FaultLostAnswer), platform.ErrUnavailable, platform.ErrUnknownOutcome, true},
+		{"late effect", fault(platformtest.FaultLateEffect), platform.ErrUnavailable, platform.ErrUnknownOutcome, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx := context.Background()
+			r := newRig(t, platform.ClientOptions{Timeout: 100 * time.Millisecond, WatchTimeout: 10 * time.Millisecond})
+			tc.set(r)
+			_, err := r.client.Get(ctx, kind, "x")
+			wantCode(t, err, tc.read)
+			_, _, err = r.client.Watch(ctx, kind, 0)
+			wantCode(t, err, tc.read)
+			_, err = r.client.Create(ctx, kind, "x", nil)
+			wantCode(t, err, tc.write)
+			r.store.SetHook(nil)
+			r.store.SetOutage(false)
+			if _, err := r.store.Get(ctx, kind, "x"); (err == nil) != tc.stored {
+				t.Fatalf("stored: %v, want %v", err == nil, tc.stored)
+			}
+		})
+	}
+}
+
+func TestRefusedDialHasNoEffect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + l.Addr().String()
+	l.Close()
+	c := newClient(t, platform.ClientOptions{URL: url})
+	_, err = c.Create(context.Background(), kind, "x", nil)
+	wantCode(t, err, platform.ErrUnavailable)
+	var callErr *platform.CallError
+	if !errors.As(err, &callErr) || callErr.Op != platform.OpCreate || "http://"+callErr.Peer != url {
+		t.Fatalf("error without step and peer: %v", err)
+	}
+}
+
+func TestErrorStatusOfWrite(t *testing.T) {
+	cases := []struct {
+		status  int
+		notDone string
+		want    error
+	}{
+		{http.StatusTooManyRequests, "", platform.ErrUnavailable},
+		{http.StatusServiceUnavailable, "1", platform.ErrUnavailable},
+		{http.StatusServiceUnavailable, "", platform.ErrUnknownOutcome},
+		{http.StatusInternalServerError, "", platform.ErrUnknownOutcome},
+		{http.StatusRequestTimeout, "", platform.ErrUnknownOutcome},
+		{http.StatusTemporaryRedirect, "", platform.ErrUnavailable},
+		{http.StatusOK, "", platform.ErrUnknownOutcome}, // without a version
+	}
+	for _, tc := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
+			w.Header().Set(edge.HeaderNotDone, tc.notDone)
+			w.WriteHeader(tc.status)
+		}))
+		_, err := newClient(t, platform.ClientOptions{URL: server.URL}).Create(context.Background(), kind, "x", nil)
+		wantCode(t, err, tc.want)
+		server.Close()
+	}
+}
+
+// TestWriteIsSentOnce closes each connection after a number of bytes of the
+// write were read, also on connections that answered before.
+func TestWriteIsSentOnce(t *testing.T) {
+	const positions = 260 // past the end of the request
+	for position := 1; position < positions; position += 7 {
+		var writes atomic.Int32
+		url := serveRaw(t, func(conn net.Conn) {
+			r := bufio.NewReader(conn)
+			for {
+				head, err := r.Peek(3)
+				if err != nil {
+					return
+				}
+				if bytes.Equal(head, []byte("GET")) {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+					continue
+				}
+				writes.Add(1)
+				conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+				io.CopyN(io.Discard, r, int64(position))
+				return
+			}
+		})
+		c := newClient(t, platform.ClientOptions{URL: url, CallsPerSecond: 1000})
+		_, err := c.Get(context.Background(), kind, "x")
+		wantCode(t, err, platform.ErrNotFound)
+		_, err = c.Update(context.Background(), kind, "x", []byte("value"), 1)
+		wantCode(t, err, platform.ErrUnknownOutcome)
+		if n := writes.Load(); n != 1 {
+			t.Fatalf("cut after %d bytes: the write was sent %d times", position, n)
+		}
+	}
+}
+
+// serveRaw serves each connection by f and closes it then.
+func serveRaw(t *testing.T, f func(net.Conn)) (url string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				f(conn)
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// TestSilentConnectionIsReplaced lets the first connection go silent after
+// its first answer; calls must succeed again after one timeout.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var connections atomic.Int32
+	url := serveRaw(t, func(conn net.Conn) {
+		first := connections.Add(1) == 1
+		r := bufio.NewReader(conn)
+		for answered := 0; ; answered++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if first && answered > 0 {
+				continue
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nPlatform-Version: 7\r\nContent-Length: 2\r\n\r\n[]")
+		}
+	})
+	ctx := context.Background()
+	c := newClient(t, platform.ClientOptions{URL: url, Timeout: 200 * time.Millisecond, WatchTimeout: 10 * time.Millisecond})
+	_, _, err := c.Watch(ctx, kind, 0)
+	wantCode(t, err, nil)
+	_, _, err = c.Watch(ctx, kind, 0)
+	wantCode(t, err, platform.ErrUnavailable)
+	for range 3 {
+		_, version, err := c.Watch(ctx, kind, 0)
+		wantCode(t, err, nil)
+		if version != 7 {
+			t.Fatalf("version = %d", version)
+		}
+	}
+}
+
+func TestCutAnswerOfRead(t *testing.T) {
+	url := serveRaw(t, func(conn net.Conn) {
+		http.ReadRequest(bufio.NewReader(conn))
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nPlatform-Version: 7\r\nContent-Length: 10\r\n\r\nhalf")
+	})
+	_, err := newClient(t, platform.ClientOptions{URL: url}).Get(context.Background(), kind, "x")
+	wantCode(t, err, platform.ErrUnavailable)
+}
+
+func TestBudgetAndMetrics(t *testing.T) {
+	ctx := context.Background()
+	r := newRig(t, platform.ClientOptions{CallsPerSecond: 1, Timeout: 100 * time.Millisecond})
+	_, err := r.client.Create(ctx, kind, "x", nil)
+	wantCode(t, err, nil)
+	_, err = r.client.Create(ctx, kind, "y", nil)
+	wantCode(t, err, platform.ErrUnavailable)
+	if n := r.store.Calls(platform.OpCreate); n != 1 {
+		t.Fatalf("%d calls reached the platform, want 1", n)
+	}
+	var out strings.Builder
+	r.metrics.WritePrometheus(&out)
+	for _, want := range []string{
+		`masticturn_platform_calls_total{op="create",kind="masticturn-lease",result="ok"} 1`,
+		`masticturn_platform_over_budget_total{op="create",kind="masticturn-lease"} 1`,
+		`masticturn_platform_call_seconds_count{op="create"} 1`,
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("metrics lack %s in:\n%s", want, out.String())
+		}
+	}
+}
+
+func TestBadURL(t *testing.T) {
+	for _, url := range []string{"", "localhost:80", "ftp://x", "http://"} {
+		if _, err := platform.NewClient(platform.ClientOptions{URL: url}); err == nil {
+			t.Errorf("URL %q was taken", url)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,234 @@
+// Package platformtest is an in-memory platform with switchable faults, for
+// tests and for the stand-in server.
+package platformtest
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"masticturn/internal/platform"
+)
+
+// defaultWatchTimeout is how long a watch without changes waits.
+const defaultWatchTimeout = time.Second
+
+// Store is an in-memory platform.Store. Watches report the latest state of
+// each object changed since; a deleted object leaves a tombstone.
+type Store struct {
+	// WatchTimeout is how long a watch waits for changes. Set it before use.
+	WatchTimeout time.Duration
+
+	mu      sync.Mutex
+	live    state
+	frozen  *state        // what reads see instead of live, when set
+	changed chan struct{} // closed and replaced when a watch should look again
+	outage  bool
+	hook    Hook
+	late    []func() // writes to take effect at ReleaseLate
+	counts  map[CountKey]int
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// state is the content of the store at one version.
+type state struct {
+	version platform.Version
+	kinds   map[platform.Kind]map[string]entry
+}
+
+type entry struct {
+	version platform.Version
+	value   []byte
+	deleted bool
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		WatchTimeout: defaultWatchTimeout,
+		live:         state{kinds: make(map[platform.Kind]map[string]entry)},
+		changed:      make(chan struct{}),
+		counts:       make(map[CountKey]int),
+	}
+}
+
+func (s *state) clone() *state {
+	c := &state{version: s.version, kinds: make(map[platform.Kind]map[string]entry, len(s.kinds))}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+func (s *state) get(kind platform.Kind, name string) (entry, bool) {
+	e, ok := s.kinds[kind][name]
+	return e, ok && !e.deleted
+}
+
+func (s *state) put(kind platform.Kind, name string, e entry) platform.Version {
+	s.version++
+	e.version = s.version
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = make(map[string]entry)
+	}
+	s.kinds[kind][name] = e
+	return s.version
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if _, err := s.begin(ctx, Call{platform.OpGet, kind, name}); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.readable().get(kind, name)
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object(kind, name, e), nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Version, error) {
+	if _, err := s.begin(ctx, Call{platform.OpList, kind, ""}); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.readable()
+	objects := []platform.Object{}
+	for name, e := range seen.kinds[kind] {
+		if !e.deleted {
+			objects = append(objects, object(kind, name, e))
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return objects, seen.version, nil
+}
+
+// Create implements platform.Store.
+func (s *Store) Create(ctx context.Context, kind platform.Kind, name string, value []byte) (platform.Version, error) {
+	return s.write(ctx, Call{platform.OpCreate, kind, name}, func() (platform.Version, error) {
+		if _, ok := s.live.get(kind, name); ok {
+			return 0, platform.ErrConflict
+		}
+		return s.live.put(kind, name, entry{value: slices.Clone(value)}), nil
+	}, value)
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion platform.Version) (platform.Version, error) {
+	return s.write(ctx, Call{platform.OpUpdate, kind, name}, func() (platform.Version, error) {
+		if e, ok := s.live.get(kind, name); !ok || e.version != ifVersion {
+			return 0, platform.ErrConflict
+		}
+		return s.live.put(kind, name, entry{value: slices.Clone(value)}), nil
+	}, value)
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, kind platform.Kind, name string, ifVersion platform.Version) error {
+	_, err := s.write(ctx, Call{platform.OpDelete, kind, name}, func() (platform.Version, error) {
+		if e, ok := s.live.get(kind, name); !ok || e.version != ifVersion {
+			return 0, platform.ErrConflict
+		}
+		return s.live.put(kind, name, entry{deleted: true}), nil
+	}, nil)
+	return err
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, since platform.Version) ([]platform.Event, platform.Version, error) {
+	if _, err := s.begin(ctx, Call{platform.OpWatch, kind, ""}); err != nil {
+		return nil, since, err
+	}
+	timer := time.NewTimer(s.WatchTimeout)
+	defer timer.Stop()
+	for {
+		events, version, changed, err := s.poll(kind, since)
+		if err != nil || len(events) > 0 {
+			return events, version, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return []platform.Event{}, version, nil
+		case <-ctx.Done():
+			return nil, since, unavailable(ctx.Err())
+		}
+	}
+}
+
+// poll returns the events after since, and the channel that tells when to
+// look again. The version never falls below since.
+func (s *Store) poll(kind platform.Kind, since platform.Version) ([]platform.Event, platform.Version, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return nil, since, nil, platform.ErrUnavailable
+	}
+	seen := s.readable()
+	var events []platform.Event
+	for name, e := range seen.kinds[kind] {
+		if e.version > since {
+			events = append(events, platform.Event{Object: object(kind, name, e), Deleted: e.deleted})
+		}
+	}
+	slices.SortFunc(events, func(a, b platform.Event) int { return cmp.Compare(a.Object.Version, b.Object.Version) })
+	return events, max(since, seen.version), s.changed, nil
+}
+
+// write runs a write under the faults that the hook chose for it.
+func (s *Store) write(ctx context.Context, c Call, apply func() (platform.Version, error), value []byte) (platform.Version, error) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	fault, err := s.begin(ctx, c)
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch fault {
+	case FaultLostRequest:
+		return 0, platform.ErrUnknownOutcome
+	case FaultLateEffect:
+		s.late = append(s.late, func() { s.applyLocked(apply) })
+		return 0, platform.ErrUnknownOutcome
+	}
+	version, err := s.applyLocked(apply)
+	if fault == FaultLostAnswer {
+		return 0, platform.ErrUnknownOutcome
+	}
+	return version, err
+}
+
+func (s *Store) applyLocked(apply func() (platform.Version, error)) (platform.Version, error) {
+	version, err := apply()
+	if err == nil {
+		s.wakeLocked()
+	}
+	return version, err
+}
+
+func (s *Store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// readable returns what reads see; s.mu is held.
+func (s *Store) readable() *state {
+	if s.frozen != nil {
+		return s.frozen
+	}
+	return &s.live
+}
+
+func object(kind platform.Kind, name string, e entry) platform.Object {
+	return platform.Object{Kind: kind, Name: name, Version: e.version, Value: slices.Clone(e.value)}
+}
