--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,7 +32,8 @@
 
 // Handler answers one message. The payload is msgpack and is valid during the
 // call only; decode it with Decode. For one-way messages the answer is
-// dropped.
+// dropped. One-way messages of one peer are handled one after the other, in
+// the order in which they were sent; calls are handled side by side.
 type Handler func(ctx context.Context, from string, payload []byte) (answer any, err error)
 
 // Network sends messages to daemons by VM name. Errors carry the peer's name.
@@ -45,6 +46,7 @@
 	// Call sends a message and decodes the answer into answer. After an error
 	// it is unknown whether the peer handled the message.
 	Call(ctx context.Context, to string, kind Kind, msg, answer any) error
-	// SetAddress tells where a VM listens; an empty address forgets it.
+	// SetAddress tells where a VM listens; an empty address forgets it. A VM
+	// whose name is not known yet is reached under its address as the name.
 	SetAddress(vm, address string)
 }
