--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -9,7 +9,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
@@ -248,7 +247,7 @@
 
 func (s *Service) handleReport(_ context.Context, from string, payload []byte) (any, error) {
 	var r report
-	if err := msgpack.Unmarshal(payload, &r); err != nil {
+	if err := peer.Decode(payload, &r); err != nil {
 		return nil, trace.Wrap(err, "target report from %s", from)
 	}
 	now := s.deps.Clock.Now()
@@ -263,7 +262,7 @@
 
 func (s *Service) handleSignal(_ context.Context, from string, payload []byte) (any, error) {
 	var msg signal
-	if err := msgpack.Unmarshal(payload, &msg); err != nil {
+	if err := peer.Decode(payload, &msg); err != nil {
 		return nil, trace.Wrap(err, "target signal from %s", from)
 	}
 	o := Observation{Target: msg.Target, Draining: msg.Draining, Shed: msg.Shed, InFlight: int(msg.InFlight), Slots: int(msg.Slots)}
