Stand-ins: targets, callers, and the check of broken promises

Cause: promises must be counted outside the daemons. Change: target (slots, log-normal service time, health and load that lag, lie or stop, eleven faults of one request, cuts at a byte position, execution log, gauges of offered concurrency), caller (open loop, cached look-ups, content of each answer checked against its seed, no hidden resend), promise (joins both). Each of the eight counters has a test in which a broken forwarder over loopback raises that counter and no other; an honest one under faults raises none.

--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,193 @@
+// Package caller is the stand-in for callers: a generator of requests that
+// arrive in an open loop, look up VMs, check each answer, and note what they
+// were told.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"masticturn/internal/edge"
+	"masticturn/internal/standin"
+)
+
+// Shape is one kind of request in a caller's mix.
+type Shape struct {
+	Name        string
+	Service     string
+	Class       string
+	Method      string
+	Path        string
+	Weight      float64       // share of the requests, relative to the other shapes
+	AnswerBytes int64         // length of the answer asked for
+	BodyBytes   int64         // length of the request's body
+	BodyPace    time.Duration // time over which the body is sent; zero: as fast as it goes
+	Keyed       bool          // carries an Idempotency-Key
+}
+
+// repeatable reports whether running the request twice does no harm.
+func (s *Shape) repeatable() bool { return s.Method == http.MethodGet }
+
+// Options configures a Caller.
+type Options struct {
+	Name         string
+	LocalAddress string   // 127.x.y.z to send from; empty: any
+	Entries      []string // host:port of VMs that answer look-ups
+	Shapes       []Shape
+	Rate         float64       // requests a second, on average
+	MaxOpen      int           // requests open at once; beyond it they are counted, not sent
+	MaxTries     int           // tries of a request at different VMs; at least 1
+	Timeout      time.Duration // how long the caller waits for one try
+	Seed         uint64
+	Notes        *Notes
+	// Dial opens connections; nil means a plain net.Dialer bound to LocalAddress.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Defaults of Options.
+const (
+	defaultMaxOpen = 2000
+	defaultTimeout = 10 * time.Second
+	lookupTimeout  = 2 * time.Second
+)
+
+// Caller is one source of requests.
+type Caller struct {
+	opts    Options
+	pool    *pool
+	answers *answers
+	weights float64
+}
+
+// New returns a caller; Run starts it.
+func New(opts Options) *Caller {
+	opts.MaxTries = max(1, opts.MaxTries)
+	if opts.MaxOpen == 0 {
+		opts.MaxOpen = defaultMaxOpen
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Dial == nil {
+		opts.Dial = boundDialer(opts.LocalAddress).DialContext
+	}
+	c := &Caller{opts: opts, pool: newPool(opts.Dial)}
+	c.answers = &answers{pool: c.pool, entries: opts.Entries, timeout: lookupTimeout, cached: make(map[string]*cachedAnswer)}
+	for _, s := range opts.Shapes {
+		c.weights += s.Weight
+	}
+	return c
+}
+
+func boundDialer(local string) *net.Dialer {
+	if local == "" {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(local)}}
+}
+
+// Run sends requests until the context ends or count of them are sent (zero:
+// no bound), and waits for those that are open.
+func (c *Caller) Run(ctx context.Context, count int) {
+	defer c.pool.closeIdle("")
+	random := rand.New(rand.NewPCG(c.opts.Seed, c.opts.Seed))
+	open := make(chan struct{}, c.opts.MaxOpen)
+	var group sync.WaitGroup
+	defer group.Wait()
+	arrival := time.Now()
+	for n := 1; count == 0 || n <= count; n++ {
+		arrival = arrival.Add(time.Duration(random.ExpFloat64() / c.opts.Rate * float64(time.Second)))
+		if !sleepUntil(ctx, arrival) {
+			return
+		}
+		shape := c.pick(random.Float64())
+		planned, seed := arrival, random.Uint64()
+		select {
+		case open <- struct{}{}:
+		default:
+			c.opts.Notes.addOverrun()
+			continue
+		}
+		group.Go(func() {
+			defer func() { <-open }()
+			// Requests that are open at the end are finished, not cut.
+			c.request(context.WithoutCancel(ctx), shape, n, seed, planned)
+		})
+	}
+}
+
+// pick returns the shape at a point between 0 and 1 of the mix.
+func (c *Caller) pick(point float64) *Shape {
+	left := point * c.weights
+	for i := range c.opts.Shapes {
+		left -= c.opts.Shapes[i].Weight
+		if left < 0 {
+			return &c.opts.Shapes[i]
+		}
+	}
+	return &c.opts.Shapes[len(c.opts.Shapes)-1]
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request makes one request, with further tries at other VMs where what was
+// told allows them. Each try has an id of its own and is noted.
+func (c *Caller) request(ctx context.Context, shape *Shape, number int, seed uint64, planned time.Time) {
+	req := &request{shape: shape, seed: seed}
+	if shape.Keyed {
+		req.key = fmt.Sprintf("%s-k%d", c.opts.Name, number)
+	}
+	if shape.BodyBytes > 0 {
+		req.bodyHash = standin.ContentHash(seed, shape.BodyBytes)
+	}
+	told := ToldNotRun // nothing was sent yet
+	for attempt := range c.opts.MaxTries {
+		vm, err := c.chooseVM(ctx, req, attempt)
+		if err != nil {
+			break
+		}
+		req.id = fmt.Sprintf("%s-%d-%d", c.opts.Name, number, attempt)
+		note, wait := c.try(ctx, req, vm)
+		told = worse(told, note.Told)
+		if !req.mayRetry(note.Told) {
+			break
+		}
+		time.Sleep(wait)
+	}
+	c.opts.Notes.addRequest(ClassKey{shape.Service, shape.Class}, told, time.Since(planned))
+}
+
+// worse combines what earlier tries told with the last one: after an unknown
+// try, a later one that was not run leaves the request unknown.
+func worse(before, last Told) Told {
+	if last == ToldNotRun && before != ToldNotRun {
+		return before
+	}
+	return last
+}
+
+func (c *Caller) chooseVM(ctx context.Context, req *request, attempt int) (edge.LookupVM, error) {
+	vms, err := c.answers.vms(ctx, req.shape.Service)
+	if err != nil {
+		return edge.LookupVM{}, err
+	}
+	return vms[attempt%len(vms)], nil
+}
--- /dev/null
+++ b/internal/standin/content.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Query parameters by which a caller asks a target for an answer whose
+// content it can check.
+const (
+	QueryContent = "content" // seed of the answer's body, decimal
+	QueryBytes   = "bytes"   // length of the answer's body
+)
+
+const (
+	wordBytes     = 8
+	contentBuffer = 32 << 10
+	goldenRatio   = 0x9e3779b97f4a7c15 // increment of splitmix64
+)
+
+// Content is an endless stream of bytes that follows from its seed. Two seeds
+// give different streams.
+type Content struct {
+	state uint64
+	word  [wordBytes]byte
+	used  int
+}
+
+// NewContent returns the stream of a seed.
+func NewContent(seed uint64) *Content { return &Content{state: seed, used: wordBytes} }
+
+// Read implements io.Reader; it never fails.
+func (c *Content) Read(p []byte) (int, error) {
+	for i := range p {
+		if c.used == wordBytes {
+			c.next()
+		}
+		p[i] = c.word[c.used]
+		c.used++
+	}
+	return len(p), nil
+}
+
+// next makes the next word by splitmix64.
+func (c *Content) next() {
+	c.state += goldenRatio
+	z := c.state
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	binary.LittleEndian.PutUint64(c.word[:], z^z>>31)
+	c.used = 0
+}
+
+// ContentReader returns the first n bytes of a seed's stream.
+func ContentReader(seed uint64, n int64) io.Reader { return io.LimitReader(NewContent(seed), n) }
+
+// ContentHash returns the xxhash of the first n bytes of a seed's stream.
+func ContentHash(seed uint64, n int64) uint64 {
+	h := xxhash.New()
+	io.Copy(h, ContentReader(seed, n))
+	return h.Sum64()
+}
+
+// The ways in which content can be wrong.
+var (
+	ErrForeign = errors.New("content is not of this seed")
+	ErrShort   = errors.New("content ended early")
+	ErrLong    = errors.New("content is too long")
+)
+
+// CheckContent reads r to its end and compares it with the first n bytes of a
+// seed's stream. Errors of r itself are returned as they are.
+func CheckContent(r io.Reader, seed uint64, n int64) error {
+	want := NewContent(seed)
+	got, expected := make([]byte, contentBuffer), make([]byte, contentBuffer)
+	var total int64
+	for {
+		k, err := r.Read(got)
+		want.Read(expected[:k])
+		if string(got[:k]) != string(expected[:k]) {
+			return fmt.Errorf("%w: within %d bytes after byte %d", ErrForeign, k, total)
+		}
+		total += int64(k)
+		if total > n {
+			return fmt.Errorf("%w: %d bytes of %d", ErrLong, total, n)
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if total < n {
+		return fmt.Errorf("%w: %d bytes of %d", ErrShort, total, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/promise/promise_test.go
@@ -0,0 +1,169 @@
+package promise_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"masticturn/internal/edge"
+	"masticturn/internal/standin"
+	"masticturn/internal/standin/caller"
+	"masticturn/internal/standin/promise"
+	"masticturn/internal/standin/target"
+)
+
+const vmName = "vm-1"
+
+// forwarder is a daemon in miniature that keeps all promises or, when broken
+// is set, breaks one of them.
+type forwarder struct {
+	address string
+	target  string
+	broken  promise.Kind
+}
+
+func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == edge.PathLookup {
+		vm := edge.LookupVM{Name: vmName, Address: f.address}
+		json.NewEncoder(w).Encode(edge.LookupAnswer{VMs: []edge.LookupVM{vm}, MaxAgeSeconds: 60})
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	switch f.broken {
+	case promise.ExecutedTwice:
+		f.forward(r, body)
+	case promise.LostUpload:
+		body = body[:len(body)/2]
+	case promise.AnsweredUnrun:
+		seed, _ := strconv.ParseUint(r.URL.Query().Get(standin.QueryContent), 10, 64)
+		n, _ := strconv.ParseInt(r.URL.Query().Get(standin.QueryBytes), 10, 64)
+		w.Header().Set(edge.HeaderRequestID, r.Header.Get(edge.HeaderRequestID))
+		io.Copy(w, standin.ContentReader(seed, n))
+		return
+	case promise.Crossed:
+		query := r.URL.Query()
+		query.Set(standin.QueryContent, "1")
+		r.URL.RawQuery = query.Encode()
+	}
+	status, answer, err := f.forward(r, body)
+	switch {
+	case f.broken == promise.CutByDrain:
+		panic(http.ErrAbortHandler)
+	case f.broken == promise.FalseNotRun:
+		w.Header().Set(edge.HeaderOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case f.broken == promise.PartialAsWhole:
+		answer = answer[:len(answer)/2]
+	case err != nil:
+		w.Header().Set(edge.HeaderOutcome, "unknown")
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	w.Header().Set(edge.HeaderOutcome, "answered")
+	w.Header().Set(edge.HeaderRequestID, r.Header.Get(edge.HeaderRequestID))
+	w.WriteHeader(status)
+	w.Write(answer)
+}
+
+func (f *forwarder) forward(r *http.Request, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+f.target+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header = r.Header.Clone()
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+// run sends requests through a forwarder and checks the promises.
+func run(t *testing.T, broken promise.Kind, faults ...target.Fault) (promise.Report, []caller.ClassResult) {
+	t.Helper()
+	log := target.NewLog()
+	tg, err := target.Start(target.Options{Name: "t-1", Slots: 4, QueueLimit: 100, Seed: 1, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tg.Kill()
+	tg.SetFaults(0.3, faults...)
+	f := &forwarder{target: tg.Address(), broken: broken}
+	server, err := standin.Serve("127.0.0.1:0", f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	f.address = server.Address()
+
+	from := time.Now()
+	notes := caller.NewNotes(true)
+	caller.New(caller.Options{
+		Name:    "c-1",
+		Entries: []string{server.Address()},
+		Shapes: []caller.Shape{
+			{Name: "read", Service: "s", Class: "read", Method: http.MethodGet, Path: "/s/read", Weight: 1, AnswerBytes: 500},
+			{Name: "commit", Service: "s", Class: "commit", Method: http.MethodPost, Path: "/s/commit", Weight: 1, AnswerBytes: 50, BodyBytes: 20, Keyed: true},
+			{Name: "upload", Service: "s", Class: "upload", Method: http.MethodPost, Path: "/s/upload", Weight: 1, AnswerBytes: 50, BodyBytes: 50_000},
+		},
+		Rate: 400, MaxTries: 1, Seed: 7, Notes: notes, Timeout: 500 * time.Millisecond,
+	}).Run(context.Background(), 40)
+
+	in := promise.Input{Tries: notes.Tries(), Executions: log.Records()}
+	switch broken {
+	case promise.CutByDrain:
+		in.Drains = []promise.Interval{{Name: vmName, From: from}}
+	case promise.WorkToLeaving:
+		in.Leaving = []promise.Interval{{Name: "t-1", From: from.Add(-time.Second)}}
+		in.Quiet = time.Second
+	}
+	return promise.Check(in), notes.Results()
+}
+
+func TestHonestForwarderBreaksNothing(t *testing.T) {
+	faults := []target.Fault{target.CutBefore, target.CutAfter, target.CutAnswer, target.SilentAfter, target.WrongLength}
+	report, results := run(t, "", faults...)
+	if report.Total != 0 {
+		t.Fatalf("an honest forwarder broke promises: %+v", report)
+	}
+	var requests, answered, unknown int
+	for _, r := range results {
+		requests, answered, unknown = requests+r.Requests, answered+r.Answered, unknown+r.Unknown
+	}
+	if requests != 40 || answered < 15 || unknown < 3 {
+		t.Fatalf("%d requests, %d answered, %d unknown", requests, answered, unknown)
+	}
+}
+
+func TestBrokenForwarderIsFound(t *testing.T) {
+	counters := map[promise.Kind]func(promise.Report) int{
+		promise.ExecutedTwice:  func(r promise.Report) int { return r.ExecutedTwice },
+		promise.FalseNotRun:    func(r promise.Report) int { return r.FalseNotRun },
+		promise.PartialAsWhole: func(r promise.Report) int { return r.PartialAsWhole },
+		promise.Crossed:        func(r promise.Report) int { return r.Crossed },
+		promise.AnsweredUnrun:  func(r promise.Report) int { return r.AnsweredUnrun },
+		promise.LostUpload:     func(r promise.Report) int { return r.LostUpload },
+		promise.CutByDrain:     func(r promise.Report) int { return r.CutByDrain },
+		promise.WorkToLeaving:  func(r promise.Report) int { return r.WorkToLeaving },
+	}
+	for kind, count := range counters {
+		t.Run(string(kind), func(t *testing.T) {
+			report, _ := run(t, kind)
+			if n := count(report); n < 5 || report.Total != n {
+				t.Fatalf("%s = %d of %d broken promises: %+v", kind, n, report.Total, report)
+			}
+		})
+	}
+}
