--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+)
+
+// Bounds on the text of a document.
+const (
+	// MaxDocumentBytes is the largest text of a document.
+	MaxDocumentBytes = 64 << 20
+	// MaxDepth is the deepest nesting of objects and lists.
+	MaxDepth = 16
+)
+
+// Parse reads a document from JSON with comments and trailing commas. Unknown
+// and repeated fields and values of the wrong type are refused, all of them
+// in one *InvalidError. Neither defaults nor the rules of Validate are
+// applied.
+func Parse(raw []byte) (*Document, error) {
+	if len(raw) > MaxDocumentBytes {
+		return nil, invalid(fmt.Sprintf("%d bytes", len(raw)), fmt.Sprintf("at most %d bytes", MaxDocumentBytes))
+	}
+	if depthOf(raw) > MaxDepth {
+		return nil, invalid("deeper nesting", fmt.Sprintf("at most %d levels of objects and lists", MaxDepth))
+	}
+	value, err := hujson.Parse(bytes.Clone(raw))
+	if err != nil {
+		return nil, invalid(err.Error(), "JSON with comments and trailing commas")
+	}
+	if err := checkShape(raw, &value); err != nil {
+		return nil, err
+	}
+	value.Standardize()
+	return decode(value.Pack())
+}
+
+// ParseStored decodes a document as Encode wrote it. Fields that this build
+// does not know are ignored, so that a document accepted by a newer build can
+// be put in force by an older one.
+func ParseStored(raw []byte) (*Document, error) {
+	if len(raw) > MaxDocumentBytes || depthOf(raw) > MaxDepth {
+		return nil, trace.LimitExceeded("stored document is larger or deeper than allowed")
+	}
+	return decode(raw)
+}
+
+func decode(std []byte) (*Document, error) {
+	doc := &Document{}
+	if err := json.Unmarshal(std, doc); err != nil {
+		return nil, trace.Wrap(err, "decode document")
+	}
+	return doc, nil
+}
+
+// Encode returns the document as the compact JSON that is stored and hashed.
+func Encode(doc *Document) ([]byte, error) {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return nil, trace.Wrap(err, "encode document")
+	}
+	return raw, nil
+}
+
+func invalid(value, allowed string) error {
+	return &InvalidError{Faults: []Fault{{Value: value, Allowed: allowed}}}
+}
+
+// depthOf returns the deepest nesting of brackets outside strings and
+// comments. It runs before the parser, whose recursion is not bounded.
+func depthOf(raw []byte) int {
+	depth, deepest := 0, 0
+	for i := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			i = endOfString(raw, i)
+		case '/':
+			i = endOfComment(raw, i)
+		case '{', '[':
+			depth++
+			deepest = max(deepest, depth)
+		case '}', ']':
+			depth--
+		}
+	}
+	return deepest
+}
+
+// endOfString returns the index of the quote that ends the string at start.
+func endOfString(raw []byte, start int) int {
+	for i := start + 1; i < len(raw); i++ {
+		switch raw[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return len(raw)
+}
+
+// endOfComment returns the last index of the comment at start, or start when
+// there is none.
+func endOfComment(raw []byte, start int) int {
+	rest := raw[start:]
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		return endOf(raw, start, "\n")
+	case bytes.HasPrefix(rest, []byte("/*")):
+		return endOf(raw, start+1, "*/")
+	}
+	return start
+}
+
+func endOf(raw []byte, from int, mark string) int {
+	i := bytes.Index(raw[from+1:], []byte(mark))
+	if i < 0 {
+		return len(raw)
+	}
+	return from + i + len(mark)
+}
--- /dev/null
+++ b/internal/config/parse_test.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// faultsOf returns the faults of an error, failing the test when it has none.
+func faultsOf(t *testing.T, err error) []Fault {
+	t.Helper()
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v, want an *InvalidError", err)
+	}
+	return invalid.Faults
+}
+
+func TestParseReportsEveryFaultWithItsLine(t *testing.T) {
+	text := `{
+	// comment with brackets [[[
+	"deployment": "x",
+	"color": 1,
+	"regions": [{"name": 7, "zones": ["a"]}, {"nam": "r"}],
+	"deployment": "y",
+	"lookup": [],
+	"steering": {"headroom_weight": "much", "probe_ms": 1.5, "stale_ms": null},
+}`
+	want := []struct {
+		line int
+		path string
+		word string
+	}{
+		{4, "color", `"deployment", "fleet"`},
+		{5, "regions[0].name", "a string"},
+		{5, "regions[1].nam", `"name", "zones"`},
+		{6, "deployment", "once"},
+		{7, "lookup", "an object"},
+		{8, "steering.headroom_weight", "a number"},
+		{8, "steering.probe_ms", "a whole number"},
+		{8, "steering.stale_ms", "a whole number"},
+	}
+	_, err := Parse([]byte(text))
+	faults := faultsOf(t, err)
+	if len(faults) != len(want) {
+		t.Fatalf("got %d faults, want %d:\n%v", len(faults), len(want), err)
+	}
+	for i, w := range want {
+		f := faults[i]
+		if f.Line != w.line || f.Path != w.path || !strings.Contains(f.Allowed, w.word) {
+			t.Errorf("fault %d: got %v, want line %d, path %s, allowed with %q", i, f, w.line, w.path, w.word)
+		}
+	}
+}
+
+func TestParseBoundsDepthAndSyntax(t *testing.T) {
+	tests := []struct{ name, text, word string }{
+		{"deep", strings.Repeat("[", 1_000_000), "levels"},
+		{"cut", `{"deployment": "x"`, "JSON"},
+		{"empty", ``, "JSON"},
+		{"list", `[]`, "an object"},
+		{"open comment", `{} /* `, "JSON"},
+		{"open string", `{"dep`, "JSON"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse([]byte(tt.text))
+			if f := faultsOf(t, err); !strings.Contains(f[0].String(), tt.word) {
+				t.Errorf("got %v, want %q", f[0], tt.word)
+			}
+		})
+	}
+}
+
+func TestDepthIgnoresStringsAndComments(t *testing.T) {
+	text := `{"a[[\"[": "[[[", // [[[
+	/* {{{ */ "b": [1]}`
+	if got := depthOf([]byte(text)); got != 2 {
+		t.Errorf("depth %d, want 2", got)
+	}
+}
+
+func TestStoredDocumentOfNewerBuildIsRead(t *testing.T) {
+	s, err := Load(3, []byte(`{"deployment":"x","added_later":{"a":1}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Document.Deployment != "x" || s.Document.Lookup.Answers != DefaultLookupAnswers {
+		t.Errorf("got %+v", s.Document)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"deployment": "x", /* c */ "regions": [{"name": "r", "zones": ["a",]}]}`))
+	f.Add([]byte(`{"services": [{"targets": [{"address": "127.0.0.1:80"}]}]}`))
+	f.Add([]byte("{\"a\\\"//\": \"/*\"}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := Parse(text)
+		if err != nil {
+			return
+		}
+		_ = Validate(doc)
+		raw, err := Encode(doc)
+		if err != nil {
+			t.Fatalf("a parsed document cannot be encoded: %v", err)
+		}
+		again, err := Parse(raw)
+		if err != nil {
+			t.Fatalf("an encoded document cannot be parsed: %v", err)
+		}
+		if changes := Diff(doc, again); len(changes) > 0 {
+			t.Errorf("encoding changed the document: %v", changes)
+		}
+	})
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -16,7 +15,7 @@
 // immutable and shared by all requests.
 type Snapshot struct {
 	Generation Generation
-	Hash       uint64 // xxhash of the document's JSON
+	Hash       uint64 // xxhash of the stored document
 	Document   *Document
 
 	regionOfZone map[string]string
@@ -46,13 +45,32 @@
 // NewSnapshot derives the tables of a valid document. The document must not be
 // changed afterwards.
 func NewSnapshot(gen Generation, doc *Document) (*Snapshot, error) {
-	raw, err := json.Marshal(doc)
+	raw, err := Encode(doc)
 	if err != nil {
-		return nil, trace.Wrap(err, "encode document")
+		return nil, err
 	}
+	return newSnapshot(gen, HashOf(raw), doc), nil
+}
+
+// Load derives the snapshot of a stored document, as written by Encode:
+// defaults are filled in, and the hash is that of the stored bytes, so that
+// it is the same on all daemons whatever their builds.
+func Load(gen Generation, stored []byte) (*Snapshot, error) {
+	doc, err := ParseStored(stored)
+	if err != nil {
+		return nil, trace.Wrap(err, "load generation %d", gen)
+	}
+	SetDefaults(doc)
+	return newSnapshot(gen, HashOf(stored), doc), nil
+}
+
+// HashOf returns the hash of a stored document.
+func HashOf(stored []byte) uint64 { return xxhash.Sum64(stored) }
+
+func newSnapshot(gen Generation, hash uint64, doc *Document) *Snapshot {
 	s := &Snapshot{
 		Generation:   gen,
-		Hash:         xxhash.Sum64(raw),
+		Hash:         hash,
 		Document:     doc,
 		regionOfZone: make(map[string]string),
 		byName:       make(map[string]*ServiceIndex),
@@ -75,7 +93,7 @@
 	for i := range doc.Services {
 		s.addService(&doc.Services[i])
 	}
-	return s, nil
+	return s
 }
 
 func (s *Snapshot) addService(svc *Service) {
