--- /dev/null
+++ b/internal/steering/pool_place.go
@@ -0,0 +1,166 @@
+package steering
+
+import "time"
+
+// place chooses a free target for a request, by the policy: in this region,
+// or elsewhere while shifting pays. It reports false when there is none.
+func (p *Pool) place(r *Request) bool {
+	if p.placeShifted(r) {
+		return true
+	}
+	cap, ok := p.capFor(r, p.cfg.Region)
+	if !ok {
+		return p.placeHome(r)
+	}
+	t := p.pick(r)
+	if t == nil {
+		return false
+	}
+	p.chosen = placement{target: t, cap: cap}
+	return true
+}
+
+// placeShifted chooses a target elsewhere while the class is being shifted,
+// or while traffic would return faster than the cap's step.
+func (p *Pool) placeShifted(r *Request) bool {
+	for _, rem := range p.remotes {
+		if rem.static {
+			continue
+		}
+		cap := p.caps[CapKey{r.CallerRegion, rem.Region}]
+		i := p.classIndex(r.Class)
+		on := rem.shift[i].Update(p.advantage(rem, 0), p.band(), p.now)
+		if (on || (cap != nil && cap.Owed(p.now))) && p.placeAt(rem, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeHome sends a request that may not be served here to its caller's own
+// region.
+func (p *Pool) placeHome(r *Request) bool {
+	for _, rem := range p.remotes {
+		if rem.Region == r.CallerRegion {
+			return p.placeAt(rem, r)
+		}
+	}
+	return false
+}
+
+// placeElsewhere chooses the region with the greatest advantage over waiting
+// here for so long.
+func (p *Pool) placeElsewhere(r *Request, wait time.Duration) bool {
+	var best *remote
+	var most time.Duration
+	i := p.classIndex(r.Class)
+	for _, rem := range p.remotes {
+		if rem.static {
+			continue
+		}
+		adv := p.advantage(rem, wait)
+		if rem.shift[i].Update(adv, p.band(), p.now) && (best == nil || adv > most) {
+			best, most = rem, adv
+		}
+	}
+	return best != nil && p.placeAt(best, r)
+}
+
+// advantage compares serving at rem with waiting here.
+func (p *Pool) advantage(rem *remote, wait time.Duration) time.Duration {
+	here := Place{Wait: wait, Service: p.service.Mean(), Utilisation: p.local.Utilisation()}
+	there := Place{Service: rem.service.Mean(), Utilisation: rem.Utilisation()}
+	if link := p.cfg.Links[rem.Region]; link != nil {
+		there.OneWay = link.OneWay
+	}
+	return p.cfg.Comparison.Advantage(here, there)
+}
+
+func (p *Pool) band() time.Duration {
+	return max(p.cfg.Comparison.Band, p.service.Mean()/10)
+}
+
+// placeAt chooses a target of another region if credits, cap, link and
+// deadline allow it.
+func (p *Pool) placeAt(rem *remote, r *Request) bool {
+	if !rem.static && !p.now.Before(rem.validUntil) {
+		return false
+	}
+	if rem.Free() == 0 {
+		return false
+	}
+	cap, ok := p.capFor(r, rem.Region)
+	if !ok {
+		return false
+	}
+	link := p.cfg.Links[rem.Region]
+	if link == nil || !link.Allows(p.now) {
+		return false
+	}
+	if p.now.Add(2*link.OneWay + rem.service.Mean()).After(r.Deadline) {
+		return false
+	}
+	t := rem.least(r.Zone, r.Exclude, p.rng)
+	if t == nil {
+		return false
+	}
+	p.chosen = placement{target: t, remote: rem, cap: cap}
+	return true
+}
+
+// capFor returns the cap that a request served in region counts against, nil
+// when that is no shift; ok is false when the cap is reached or not set.
+func (p *Pool) capFor(r *Request, region string) (cap *ShiftCap, ok bool) {
+	if r.CallerRegion == region || r.CallerRegion == "" {
+		return nil, true
+	}
+	cap = p.caps[CapKey{r.CallerRegion, region}]
+	if cap == nil || !cap.Allows(p.now) {
+		return nil, false
+	}
+	return cap, true
+}
+
+// shiftTails moves waiting requests to other regions, the last of each class
+// first, while the expected wait here makes that pay.
+func (p *Pool) shiftTails() {
+	for i := range p.queue.classes {
+		name := p.queue.classes[i].spec.Name
+		for {
+			it := p.queue.Last(name)
+			if it == nil || !p.placeElsewhere(it.Request, p.ExpectedWait(name, p.now)) {
+				break
+			}
+			p.queue.Remove(it)
+			p.grant(it.Request)
+		}
+	}
+}
+
+// remoteOf returns the pool's view of another region, made when absent.
+func (p *Pool) remoteOf(region string) *remote {
+	for _, r := range p.remotes {
+		if r.Region == region {
+			return r
+		}
+	}
+	r := &remote{
+		Group:   newGroup(region),
+		service: NewServiceTime(p.cfg.ServiceTime),
+		shift:   make([]Hysteresis, len(p.cfg.Classes)),
+	}
+	for i := range r.shift {
+		r.shift[i].Hold = shiftHold
+	}
+	p.remotes = append(p.remotes, r)
+	return r
+}
+
+func (p *Pool) remoteByGroup(g *Group) *remote {
+	for _, r := range p.remotes {
+		if r.Group == g {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steering/shiftcap.go
@@ -0,0 +1,139 @@
+package steering
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// capBuckets is how many buckets a window is divided into.
+	capBuckets = 16
+	// capRing covers three windows, one bucket of skew and the current bucket.
+	capRing = 64
+)
+
+// CapLimits is the bound that operators set on a shift between two regions
+// for one service.
+type CapLimits struct {
+	MaxFraction     float64       // shifted requests in a window per counted request of the window before
+	MaxStepFraction float64       // how much the fraction may rise from one window to the next; 0: by any amount
+	Window          time.Duration // length of a window
+}
+
+// ShiftCap bounds the requests of the callers of one region that this process
+// sends to targets of another one. It counts this process's own traffic only,
+// so that the sum over all processes keeps the bound without agreement: the
+// bound is a fraction of what each one counted, rounded down.
+//
+// Property 1, for every alignment of the windows, not only that of one clock:
+// with s requests shifted in [a, a+Window) and n requests counted in
+// [a-Window, a), s ≤ floor(MaxFraction·n).
+//
+// Property 2, for every window that starts at a boundary of a bucket: the
+// fraction s/n exceeds that of the window before by MaxStepFraction at most.
+//
+// Property 3: a new ShiftCap has counted nothing and shifts nothing.
+//
+// The time must not go back; one that does counts as the latest time seen.
+type ShiftCap struct {
+	limits  CapLimits
+	origin  time.Time
+	current int64 // number of the current bucket since origin
+	counted [capRing]uint32
+	shifted [capRing]uint32
+	used    uint64 // shifted in the last window and the current bucket
+	allowed uint64 // bound on used, of the current bucket
+	owed    uint64 // shifts below which the fraction falls faster than MaxStepFraction
+}
+
+// NewShiftCap returns a cap that has counted nothing.
+func NewShiftCap(limits CapLimits, now time.Time) *ShiftCap {
+	return &ShiftCap{limits: limits, origin: now}
+}
+
+// Count counts one request of the callers of the region, whether it is
+// shifted or not. A further attempt of a counted request is not counted.
+func (c *ShiftCap) Count(now time.Time) {
+	c.advance(now)
+	c.counted[c.current%capRing]++
+}
+
+// Allows reports whether one more request may be shifted now.
+func (c *ShiftCap) Allows(now time.Time) bool {
+	c.advance(now)
+	return c.used < c.allowed
+}
+
+// Shift takes one shift; it reports false, and takes none, when the cap is
+// reached.
+func (c *ShiftCap) Shift(now time.Time) bool {
+	if !c.Allows(now) {
+		return false
+	}
+	c.shifted[c.current%capRing]++
+	c.used++
+	return true
+}
+
+// Owed reports whether traffic returns faster than MaxStepFraction per window,
+// so that a request should be shifted although nothing else calls for it.
+func (c *ShiftCap) Owed(now time.Time) bool {
+	c.advance(now)
+	return c.used < c.owed
+}
+
+// Fraction returns the shifted requests of the last window per request that
+// was counted in the window before it.
+func (c *ShiftCap) Fraction(now time.Time) float64 {
+	c.advance(now)
+	return ratio(c.sum(&c.shifted, c.current, capBuckets), c.sum(&c.counted, c.current-capBuckets, capBuckets))
+}
+
+// advance moves to the bucket of now.
+func (c *ShiftCap) advance(now time.Time) {
+	bucket := int64(now.Sub(c.origin) / (c.limits.Window / capBuckets))
+	if bucket <= c.current {
+		return
+	}
+	for n := max(c.current+1, bucket-capRing+1); n <= bucket; n++ {
+		c.counted[n%capRing] = 0
+		c.shifted[n%capRing] = 0
+	}
+	c.current = bucket
+	c.bound()
+}
+
+// bound computes allowed and owed for the current bucket. Every window that
+// holds the present moment starts in one of the last capBuckets+1 buckets;
+// one bucket more allows for the way between caller and counter.
+func (c *ShiftCap) bound() {
+	base := uint64(math.MaxUint64)
+	before := math.Inf(1)
+	for start := c.current - capBuckets - 1; start <= c.current; start++ {
+		base = min(base, c.sum(&c.counted, start, capBuckets-1))
+		before = min(before, ratio(c.sum(&c.shifted, start, capBuckets), c.sum(&c.counted, start-capBuckets, capBuckets)))
+	}
+	fraction := c.limits.MaxFraction
+	if c.limits.MaxStepFraction > 0 {
+		fraction = min(fraction, before+c.limits.MaxStepFraction)
+		c.owed = uint64(max(0, before-c.limits.MaxStepFraction) * float64(base))
+	}
+	c.allowed = uint64(fraction * float64(base))
+	c.used = c.sum(&c.shifted, c.current+1, capBuckets+1)
+}
+
+// sum adds up the n buckets before end.
+func (c *ShiftCap) sum(ring *[capRing]uint32, end int64, n int64) uint64 {
+	var total uint64
+	for i := max(end-n, 0); i < end; i++ {
+		total += uint64(ring[i%capRing])
+	}
+	return total
+}
+
+func ratio(part, whole uint64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
