--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -12,36 +12,22 @@
 // Service is the admitter as a service of the kernel.
 type Service struct {
 	*Controller
-	resolve  func(*kernel.Kernel) (Deps, error)
-	requires []string
-	stop     context.CancelFunc
-	done     chan struct{}
+	stop context.CancelFunc
+	done chan struct{}
 }
 
 var (
-	_ kernel.Service   = (*Service)(nil)
-	_ kernel.Dependent = (*Service)(nil)
-	_ Admitter         = (*Service)(nil)
+	_ kernel.Service = (*Service)(nil)
+	_ Admitter       = (*Service)(nil)
 )
 
-// NewService returns a service that takes its dependencies from resolve when
-// it is provisioned; requires names the services that resolve looks up.
-func NewService(resolve func(*kernel.Kernel) (Deps, error), requires ...string) *Service {
-	return &Service{resolve: resolve, requires: requires}
+// NewService returns the admitter as a service.
+func NewService(deps Deps) *Service {
+	return &Service{Controller: New(deps)}
 }
 
-// Requires implements kernel.Dependent.
-func (s *Service) Requires() []string { return s.requires }
-
 // Provision implements kernel.Service.
-func (s *Service) Provision(k *kernel.Kernel) error {
-	deps, err := s.resolve(k)
-	if err != nil {
-		return err
-	}
-	s.Controller = New(deps)
-	return nil
-}
+func (s *Service) Provision(*kernel.Kernel) error { return nil }
 
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context) error {
