--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,11 +3,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
-	_ "masticturn/internal/settings" // PLACEHOLDER
-
+	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 )
 
@@ -16,21 +17,71 @@
 	ExitOK     = 0 // done
 	ExitFailed = 1 // the command failed; the message says at which step
 	ExitUsage  = 2 // wrong arguments, settings or document
-	ExitBroken = 3 // a bench or demo saw a broken promise
+	ExitBroken = 3 // a bench or the demo saw a broken promise
 )
 
-// Run runs the command line and returns the exit code.
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func usageError(err error) error  { return &exitError{code: ExitUsage, err: err} }
+func brokenError(err error) error { return &exitError{code: ExitBroken, err: err} }
+
+// Run runs the command line and returns the exit code. Errors go to stderr as
+// one line, without a stack trace.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := &cli.Command{
+	err := newRoot(stdout, stderr).Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "masticturn: %s\n", trace.UserMessage(err))
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	if trace.IsBadParameter(err) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func newRoot(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
 		Name:                  "masticturn",
 		Usage:                 "global traffic steering",
+		Description:           "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or document, 3 a bench or the demo saw a broken promise.",
+		Version:               version(),
 		EnableShellCompletion: true,
 		Writer:                stdout,
 		ErrWriter:             stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return usageError(err)
+		},
+		Commands: []*cli.Command{
+			newServe(),
+			newLookup(),
+			newEvents(),
+			newVersion(),
+		},
 	}
-	if err := root.Run(ctx, args); err != nil {
-		fmt.Fprintf(stderr, "masticturn: %v\n", err)
-		return ExitFailed
-	}
-	return ExitOK
+}
+
+const flagJSON = "json"
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: flagJSON, Usage: "print one JSON object"}
+}
+
+// printJSON writes v as one indented JSON object.
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return trace.Wrap(enc.Encode(v))
 }
