--- a/internal/lookup/answer.go
+++ b/internal/lookup/answer.go
@@ -23,63 +23,84 @@
 // spread. All callers of a bucket get the same order.
 const Buckets = 64
 
-// Candidates returns the VMs that may be named to callers, best first, at
-// most limit: those of the caller's region, spread by bucket, then those of
-// the other regions, nearest first. Only members that are alive and have a
-// document in force are named, unless there is none such.
-func Candidates(snap *config.Snapshot, view *membership.View, place Place, bucket, limit int) []membership.Member {
-	members := serving(view)
-	scored := make([]scoredMember, len(members))
-	key := place.Region + "/" + place.Zone + "/" + strconv.Itoa(bucket)
-	for i, m := range members {
-		scored[i] = scoredMember{
-			member:   m,
-			distance: distance(snap, place.Region, m.Region),
-			score:    rendezvous.WeightedScore(key, m.Name, weight(place, m)),
+// Roster holds the members that may be named to callers, by region. It is
+// immutable; answers of one view share it.
+type Roster struct {
+	regions []string
+	members map[string][]membership.Member
+}
+
+// NewRoster groups the members of a view that may be named: those alive and
+// with a document in force; failing that, the suspect ones, since a wrong
+// suspicion must not leave callers with nothing.
+func NewRoster(view *membership.View) *Roster {
+	r := &Roster{members: make(map[string][]membership.Member)}
+	r.fill(view, func(m *membership.Member) bool { return m.State == membership.Alive && m.Generation > 0 })
+	if len(r.regions) == 0 {
+		r.fill(view, func(m *membership.Member) bool { return m.State == membership.Suspect })
+	}
+	return r
+}
+
+func (r *Roster) fill(view *membership.View, take func(*membership.Member) bool) {
+	for i := range view.Members {
+		m := &view.Members[i]
+		if !take(m) {
+			continue
+		}
+		if _, ok := r.members[m.Region]; !ok {
+			r.regions = append(r.regions, m.Region)
 		}
+		r.members[m.Region] = append(r.members[m.Region], *m)
 	}
-	slices.SortFunc(scored, compareScored)
-	out := make([]membership.Member, min(limit, len(scored)))
-	for i := range out {
-		out[i] = scored[i].member
+}
+
+// Candidates returns the VMs to name to the callers of a place and bucket,
+// best first, at most limit: those of the place's region, spread by bucket,
+// then those of the other regions, nearest first.
+func (r *Roster) Candidates(snap *config.Snapshot, place Place, bucket, limit int) []membership.Member {
+	key := place.Region + "/" + place.Zone + "/" + strconv.Itoa(bucket)
+	var out []membership.Member
+	for _, region := range r.nearestFirst(snap, place.Region) {
+		if len(out) >= limit {
+			break
+		}
+		out = append(out, ranked(r.members[region], place, key, limit-len(out))...)
 	}
 	return out
 }
 
-type scoredMember struct {
-	member   membership.Member
-	distance config.Millis
-	score    float64
+func (r *Roster) nearestFirst(snap *config.Snapshot, from string) []string {
+	regions := slices.Clone(r.regions)
+	slices.SortFunc(regions, func(a, b string) int {
+		return cmp.Or(cmp.Compare(distance(snap, from, a), distance(snap, from, b)), cmp.Compare(a, b))
+	})
+	return regions
 }
 
-func compareScored(a, b scoredMember) int {
-	return cmp.Or(
-		cmp.Compare(a.distance, b.distance),
-		cmp.Compare(b.score, a.score),
-		cmp.Compare(a.member.Name, b.member.Name),
-	)
+type scoredMember struct {
+	member *membership.Member
+	score  float64
 }
 
-// serving returns the members to name: alive ones with a document; failing
-// that, suspect ones, since a wrong suspicion must not leave callers with
-// nothing.
-func serving(view *membership.View) []membership.Member {
-	var alive, suspect []membership.Member
-	for _, m := range view.Members {
-		switch {
-		case m.State == membership.Alive && m.Generation > 0:
-			alive = append(alive, m)
-		case m.State == membership.Suspect:
-			suspect = append(suspect, m)
-		}
+// ranked returns the first limit members for the key, best first.
+func ranked(members []membership.Member, place Place, key string, limit int) []membership.Member {
+	scored := make([]scoredMember, len(members))
+	for i := range members {
+		m := &members[i]
+		scored[i] = scoredMember{m, rendezvous.WeightedScore(key, m.Name, weight(place, m))}
 	}
-	if len(alive) > 0 {
-		return alive
+	slices.SortFunc(scored, func(a, b scoredMember) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	out := make([]membership.Member, min(limit, len(scored)))
+	for i := range out {
+		out[i] = *scored[i].member
 	}
-	return suspect
+	return out
 }
 
-func weight(place Place, m membership.Member) float64 {
+func weight(place Place, m *membership.Member) float64 {
 	if place.Zone != "" && place.Zone == m.Zone {
 		return weightSameZone
 	}
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -84,7 +84,7 @@
 
 func TestCandidatesOrder(t *testing.T) {
 	snap, view := testSnapshot(t), testView()
-	got := Candidates(snap, view, Place{"rosario", "ros-a"}, 0, 5)
+	got := NewRoster(view).Candidates(snap, Place{"rosario", "ros-a"}, 0, 5)
 	for i, m := range got {
 		if wantHome := i < 3; (m.Region == "rosario") != wantHome {
 			t.Errorf("place %d is %s of %s", i, m.Name, m.Region)
@@ -109,7 +109,7 @@
 			view := testView()
 			tt.change(&view.Members[0])
 			for bucket := range Buckets {
-				for _, m := range Candidates(testSnapshot(t), view, Place{"rosario", "ros-a"}, bucket, 5) {
+				for _, m := range NewRoster(view).Candidates(testSnapshot(t), Place{"rosario", "ros-a"}, bucket, 5) {
 					if m.Name == "vm-0" {
 						t.Fatal("named all the same")
 					}
@@ -123,13 +123,13 @@
 	snap, view := testSnapshot(t), testView()
 	takenOver := map[string]int{}
 	for bucket := range Buckets {
-		before := Candidates(snap, view, Place{Region: "rosario"}, bucket, 1)[0]
+		before := NewRoster(view).Candidates(snap, Place{Region: "rosario"}, bucket, 1)[0]
 		if before.Name != "vm-1" {
 			continue
 		}
 		lost := testView()
 		lost.Members[1].State = membership.Leaving
-		takenOver[Candidates(snap, lost, Place{Region: "rosario"}, bucket, 1)[0].Name]++
+		takenOver[NewRoster(lost).Candidates(snap, Place{Region: "rosario"}, bucket, 1)[0].Name]++
 	}
 	if takenOver["vm-0"] == 0 || takenOver["vm-2"] == 0 {
 		t.Errorf("one VM took all callers over: %v", takenOver)
--- a/internal/lookup/service.go
+++ b/internal/lookup/service.go
@@ -69,7 +69,7 @@
 // answerCache holds the encoded answers made from one document and one view.
 type answerCache struct {
 	snap        *config.Snapshot
-	view        *membership.View
+	roster      *Roster
 	fingerprint uint64
 	encoded     sync.Map // answerKey -> []byte
 }
@@ -124,22 +124,24 @@
 	if old := s.table.Load(); old == nil || old.snap != snap {
 		s.table.Store(&tableState{snap: snap, table: NewTable(snap.Document.ClientBlocks, s.deps.Home)})
 	}
-	view := s.deps.Members.View()
-	current := fingerprint(view)
+	roster := NewRoster(s.deps.Members.View())
+	current := roster.fingerprint()
 	if old := s.answers.Load(); old == nil || old.snap != snap || old.fingerprint != current {
-		s.answers.Store(&answerCache{snap: snap, view: view, fingerprint: current})
+		s.answers.Store(&answerCache{snap: snap, roster: roster, fingerprint: current})
 	}
 }
 
 // fingerprint hashes what answers depend on. A member that merely took over a
 // later document changes the view, but no answer.
-func fingerprint(view *membership.View) uint64 {
+func (r *Roster) fingerprint() uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, m := range serving(view) {
-		_, _ = d.WriteString(m.Name)
-		_, _ = d.WriteString(m.CallerAddress)
-		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, m.Incarnation))
+	for _, region := range r.regions {
+		for _, m := range r.members[region] {
+			_, _ = d.WriteString(m.Name)
+			_, _ = d.WriteString(m.CallerAddress)
+			_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, m.Incarnation))
+		}
 	}
 	return d.Sum64()
 }
@@ -205,7 +207,7 @@
 func (s *Service) encode(cache *answerCache, key answerKey) ([]byte, error) {
 	s.misses.Inc()
 	lookup := cache.snap.Document.Lookup
-	members := Candidates(cache.snap, cache.view, key.place, int(key.bucket), lookup.Answers)
+	members := cache.roster.Candidates(cache.snap, key.place, int(key.bucket), lookup.Answers)
 	if len(members) == 0 {
 		return nil, trace.NotFound("no VM is known to be able to serve")
 	}
