config/repository: accept documents by conditional update, lost answers decided by re-reading

Cause: documents had no place to last and operators no way to race safely. Change: one head object holds the document in force and 16 generations before it, so that history needs no further call; large documents go into chunks written first. A write carries its id and is sent again under the same condition while it is in doubt; a re-read past that version decides by the id, also when the record has moved into the history. Nothing is said to have failed while the write may still take effect. A new kind of objects keeps chunks out of the watches of the head.

--- /dev/null
+++ b/internal/config/repository/repository.go
@@ -0,0 +1,337 @@
+package repository
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/platform"
+)
+
+// Waits between the calls of one Apply after a failure, and the time after
+// which Apply gives up when its context has no earlier deadline.
+const (
+	minRetryWait = 20 * time.Millisecond
+	maxRetryWait = 500 * time.Millisecond
+	ApplyTimeout = 10 * time.Second
+)
+
+// Repository reads and accepts documents in the platform's object API.
+type Repository struct {
+	store      platform.Store
+	clock      kernel.Clock
+	chunkBytes int // largest value of a chunk
+}
+
+// New returns a repository on a store.
+func New(store platform.Store, clock kernel.Clock) *Repository {
+	return &Repository{store: store, clock: clock, chunkBytes: maxChunkBytes}
+}
+
+// Proposal is a document to be accepted.
+type Proposal struct {
+	Document *config.Document
+	Base     config.Generation // generation the operator started from; 0 for the first document
+	InForce  *config.Snapshot  // in force at this daemon, nil when none is
+	Author   string
+	Comment  string
+}
+
+func (p *Proposal) inForce() config.Generation {
+	if p.InForce == nil {
+		return 0
+	}
+	return p.InForce.Generation
+}
+
+func (p *Proposal) validate() error {
+	if len(p.Author) > maxAuthorBytes || len(p.Comment) > maxCommentBytes {
+		return &config.InvalidError{Faults: []config.Fault{{
+			Path:    "author or comment",
+			Value:   fmt.Sprintf("%d and %d bytes", len(p.Author), len(p.Comment)),
+			Allowed: fmt.Sprintf("at most %d and %d bytes", maxAuthorBytes, maxCommentBytes),
+		}}}
+	}
+	return config.Validate(p.Document)
+}
+
+// Accepted is a document that was accepted.
+type Accepted struct {
+	Record Record
+	Raw    []byte // the encoded document
+	// Unchanged is set when the document was in force already and nothing was
+	// written.
+	Unchanged bool
+}
+
+// Head reads the head object. The error is ErrNoDocument when there is none,
+// or one of the platform's. The read may be stale.
+func (r *Repository) Head(ctx context.Context) (*Head, platform.Version, error) {
+	o, err := r.store.Get(ctx, platform.KindConfig, HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, ErrNoDocument
+	}
+	if err != nil {
+		return nil, 0, trace.Wrap(err, "read head of the configuration")
+	}
+	head, err := DecodeHead(o.Value)
+	return head, o.Version, err
+}
+
+// Body returns the encoded document of a record, read from its chunks if
+// need be, and checked against its hash.
+func (r *Repository) Body(ctx context.Context, rec *Record) ([]byte, error) {
+	body := rec.Body
+	for _, c := range rec.Chunks {
+		o, err := r.store.Get(ctx, platform.KindConfigChunk, c.Name)
+		if err != nil {
+			return nil, trace.Wrap(err, "read chunk %s of generation %d", c.Name, rec.Generation)
+		}
+		body = append(body, o.Value...)
+	}
+	if len(body) == 0 {
+		return nil, trace.NotFound("the document of generation %d is no longer kept", rec.Generation)
+	}
+	return Open(body, rec.Hash)
+}
+
+// Open decompresses a document and checks its hash.
+func Open(body []byte, hash uint64) ([]byte, error) {
+	raw, err := Decompress(body)
+	if err != nil {
+		return nil, err
+	}
+	if got := config.HashOf(raw); got != hash {
+		return nil, trace.CompareFailed("document has hash %016x, its record says %016x", got, hash)
+	}
+	return raw, nil
+}
+
+// Apply validates a document and stores it by conditional update on the
+// generation that the operator started from. Errors are
+// *config.InvalidError, *ConflictError, *UnknownError or *NotStoredError.
+func (r *Repository) Apply(ctx context.Context, p Proposal) (*Accepted, error) {
+	if err := p.validate(); err != nil {
+		return nil, err
+	}
+	raw, err := config.Encode(p.Document)
+	if err != nil {
+		return nil, err
+	}
+	body, err := Compress(raw)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ApplyTimeout)
+	defer cancel()
+	w := &writer{
+		Repository: r,
+		proposal:   p,
+		raw:        raw,
+		body:       body,
+		attempt:    attempt{writeID: rand.Text(), hash: config.HashOf(raw), base: p.Base, inForce: p.inForce()},
+	}
+	w.run(ctx)
+	return w.conclude()
+}
+
+// writer runs the attempt of one call of Apply against the store.
+type writer struct {
+	*Repository
+	attempt
+	proposal Proposal
+	raw      []byte
+	body     []byte
+	chunks   []Chunk // written for this document
+	retired  []Chunk // of no use once this document is accepted
+}
+
+// run takes steps until a final one. It waits after steps that got nowhere.
+func (w *writer) run(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = minRetryWait
+	wait.MaxInterval = maxRetryWait
+	for !w.step.final() {
+		before := w.step
+		w.take(ctx)
+		if !w.stuck(before) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			w.onDeadline()
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+// take does the I/O of one step.
+func (w *writer) take(ctx context.Context) {
+	switch w.step {
+	case StepRead:
+		w.onRead(w.readHead(ctx))
+	case StepChunks:
+		w.onChunks(w.writeChunks(ctx))
+	case StepWrite:
+		w.onWrite(w.writeHead(ctx))
+	case StepReread:
+		w.onReread(w.readHead(ctx))
+	}
+}
+
+func (w *writer) readHead(ctx context.Context) (*Head, platform.Version, error) {
+	head, version, err := w.Head(ctx)
+	if errors.Is(err, ErrNoDocument) {
+		return nil, 0, nil
+	}
+	return head, version, err
+}
+
+// writeChunks stores a large document apart from the head. Names are unique
+// to this write, so that a chunk which exists already is our own.
+func (w *writer) writeChunks(ctx context.Context) error {
+	if len(w.body) <= MaxInlineBytes {
+		return nil
+	}
+	for i := len(w.chunks); i*w.chunkBytes < len(w.body); i++ {
+		part := w.body[i*w.chunkBytes : min((i+1)*w.chunkBytes, len(w.body))]
+		name := fmt.Sprintf("%s-%d", w.writeID, i)
+		version, err := w.store.Create(ctx, platform.KindConfigChunk, name, part)
+		if errors.Is(err, platform.ErrConflict) {
+			version, err = w.versionOf(ctx, name)
+		}
+		if err != nil {
+			return trace.Wrap(err, "write chunk %s", name)
+		}
+		w.chunks = append(w.chunks, Chunk{Name: name, Version: version})
+	}
+	return nil
+}
+
+func (w *writer) versionOf(ctx context.Context, chunk string) (platform.Version, error) {
+	o, err := w.store.Get(ctx, platform.KindConfigChunk, chunk)
+	return o.Version, err
+}
+
+// writeHead sends the conditional write.
+func (w *writer) writeHead(ctx context.Context) (*Record, error) {
+	rec := w.record()
+	next, value, err := w.head.succeed(rec)
+	if err != nil {
+		return nil, err
+	}
+	w.retired = dropped(w.head, next)
+	if w.version == 0 {
+		_, err = w.store.Create(ctx, platform.KindConfig, HeadName, value)
+	} else {
+		_, err = w.store.Update(ctx, platform.KindConfig, HeadName, value, w.version)
+	}
+	return &rec, err
+}
+
+func (w *writer) record() Record {
+	rec := Record{
+		Generation: w.next(),
+		WriteID:    w.writeID,
+		Hash:       w.hash,
+		Author:     w.proposal.Author,
+		Comment:    w.proposal.Comment,
+		AcceptedAt: w.clock.Now().UTC(),
+		Bytes:      len(w.raw),
+		Chunks:     w.chunks,
+	}
+	if len(w.chunks) == 0 {
+		rec.Body = w.body
+	}
+	return rec
+}
+
+// conclude returns the result of a final step.
+func (w *writer) conclude() (*Accepted, error) {
+	switch w.step {
+	case StepAccepted:
+		accepted := &Accepted{Record: *w.result, Raw: w.raw, Unchanged: w.result.WriteID != w.writeID}
+		if !accepted.Unchanged {
+			w.remove(w.retired)
+		}
+		return accepted, nil
+	case StepConflict:
+		w.remove(w.chunks)
+		return nil, w.conflict()
+	case StepUnknown:
+		return nil, &UnknownError{WriteID: w.writeID, Step: w.ended, Err: w.lastErr}
+	default:
+		w.remove(w.chunks)
+		return nil, &NotStoredError{Step: w.ended, Err: w.lastErr}
+	}
+}
+
+// cleanUpTimeout bounds the calls made after an outcome is certain.
+const cleanUpTimeout = time.Second
+
+// remove deletes chunks. One that cannot be deleted now stays behind; it
+// costs room and nothing else.
+func (w *writer) remove(chunks []Chunk) {
+	ctx, cancel := context.WithTimeout(context.Background(), cleanUpTimeout)
+	defer cancel()
+	for _, c := range chunks {
+		_ = w.store.Delete(ctx, platform.KindConfigChunk, c.Name, c.Version)
+	}
+}
+
+// conflict describes what stands in the way.
+func (w *writer) conflict() error {
+	if generationOf(w.head) < w.inForce {
+		return w.conflictInForce()
+	}
+	e := &ConflictError{Base: w.base, Current: w.head.Current}
+	e.Current.Body, e.Current.Chunks = nil, nil
+	ctx, cancel := context.WithTimeout(context.Background(), cleanUpTimeout)
+	defer cancel()
+	current := w.load(ctx, &w.head.Current)
+	base := w.load(ctx, w.head.byGeneration(w.base))
+	if base != nil && current != nil {
+		e.Theirs = config.Diff(base, current)
+	}
+	if base == nil {
+		base = current
+	}
+	if base != nil {
+		e.Yours = config.Diff(base, w.proposal.Document)
+	}
+	return e
+}
+
+// conflictInForce describes a conflict with the document in force here, when
+// the store shows an older one.
+func (w *writer) conflictInForce() error {
+	snap := w.proposal.InForce
+	e := &ConflictError{Base: w.base, Current: Record{Generation: snap.Generation, Hash: snap.Hash}}
+	if proposed, err := config.Effective(w.proposal.Document); err == nil {
+		e.Yours = config.Diff(snap.Document, proposed)
+	}
+	return e
+}
+
+// load returns the document of a record, nil when it cannot be had.
+func (w *writer) load(ctx context.Context, rec *Record) *config.Document {
+	if rec == nil {
+		return nil
+	}
+	raw, err := w.Body(ctx, rec)
+	if err != nil {
+		return nil
+	}
+	doc, err := config.ParseStored(raw)
+	if err != nil {
+		return nil
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/config/repository/repository_test.go
@@ -0,0 +1,390 @@
+package repository
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticturn/examples"
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/platform"
+	"masticturn/internal/platform/platformtest"
+)
+
+// document returns the Estiba example with another look-up age, by which
+// tests tell documents apart.
+func document(t testing.TB, maxAge config.Millis) *config.Document {
+	t.Helper()
+	text, _ := examples.Document("estiba")
+	doc, err := config.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc.Lookup.MaxAgeMS = maxAge
+	return doc
+}
+
+type rig struct {
+	*Repository
+	t     *testing.T
+	store *platformtest.Store
+}
+
+func newRig(t *testing.T) *rig {
+	store := platformtest.NewStore()
+	return &rig{Repository: New(store, kernel.SystemClock{}), t: t, store: store}
+}
+
+func (r *rig) apply(base config.Generation, maxAge config.Millis) (*Accepted, error) {
+	return r.Apply(context.Background(), Proposal{Document: document(r.t, maxAge), Base: base, Author: "op"})
+}
+
+func (r *rig) mustApply(base config.Generation, maxAge config.Millis) *Accepted {
+	r.t.Helper()
+	a, err := r.apply(base, maxAge)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return a
+}
+
+// current returns generation and look-up age of what the store holds.
+func (r *rig) current() (config.Generation, config.Millis) {
+	r.t.Helper()
+	head, _, err := r.Head(context.Background())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	raw, err := r.Body(context.Background(), &head.Current)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	doc, err := config.ParseStored(raw)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return head.Current.Generation, doc.Lookup.MaxAgeMS
+}
+
+// headFaults makes the first calls on the head fail as listed, by operation.
+func headFaults(op platform.Op, faults ...platformtest.Fault) platformtest.Hook {
+	n := 0
+	return func(_ context.Context, c platformtest.Call) platformtest.Fault {
+		if c.Kind != platform.KindConfig || (c.Op != op && !(op == platform.OpUpdate && c.Op == platform.OpCreate)) {
+			return platformtest.FaultNone
+		}
+		n++
+		if n > len(faults) {
+			return platformtest.FaultNone
+		}
+		return faults[n-1]
+	}
+}
+
+func TestGenerationsRiseAndHistoryIsKept(t *testing.T) {
+	r := newRig(t)
+	for gen := range config.Generation(HistoryLength + 5) {
+		a := r.mustApply(gen, config.Millis(1000+gen))
+		if a.Record.Generation != gen+1 {
+			t.Fatalf("generation %d after %d", a.Record.Generation, gen)
+		}
+	}
+	head, _, err := r.Head(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(head.History) != HistoryLength || head.History[0].Generation != HistoryLength+4 {
+		t.Errorf("history of %d, newest %d", len(head.History), head.History[0].Generation)
+	}
+	if _, err := r.Body(t.Context(), &head.History[HistoryLength-1]); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestInvalidDocumentIsNeverStored(t *testing.T) {
+	r := newRig(t)
+	doc := document(t, 0)
+	doc.Regions = nil
+	_, err := r.Apply(t.Context(), Proposal{Document: doc})
+	var invalid *config.InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v", err)
+	}
+	if _, _, err := r.Head(t.Context()); !errors.Is(err, ErrNoDocument) {
+		t.Errorf("got %v, want nothing stored", err)
+	}
+}
+
+func TestLoserGetsTheDifference(t *testing.T) {
+	r := newRig(t)
+	r.mustApply(0, 1000)
+	r.mustApply(1, 2000)
+	_, err := r.apply(1, 3000)
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a conflict", err)
+	}
+	if len(conflict.Theirs) != 1 || conflict.Theirs[0].String() != "lookup max_age_ms: 1000 → 2000" {
+		t.Errorf("theirs: %v", conflict.Theirs)
+	}
+	if len(conflict.Yours) != 1 || conflict.Yours[0].String() != "lookup max_age_ms: 1000 → 3000" {
+		t.Errorf("yours: %v", conflict.Yours)
+	}
+}
+
+func TestSameDocumentAgainIsNoChange(t *testing.T) {
+	r := newRig(t)
+	r.mustApply(0, 1000)
+	a := r.mustApply(0, 1000)
+	if !a.Unchanged || a.Record.Generation != 1 {
+		t.Errorf("got %+v", a.Record)
+	}
+}
+
+// TestFaultAtEachStep applies generation 2 on 1 with faults at one step. Each
+// must end with the document accepted exactly once.
+func TestFaultAtEachStep(t *testing.T) {
+	const (
+		refused     = platformtest.FaultUnavailable
+		lostRequest = platformtest.FaultLostRequest
+		lostAnswer  = platformtest.FaultLostAnswer
+	)
+	tests := []struct {
+		name   string
+		op     platform.Op
+		faults []platformtest.Fault
+	}{
+		{"read/outage", platform.OpGet, []platformtest.Fault{refused, refused}},
+		{"write/outage", platform.OpUpdate, []platformtest.Fault{refused, refused}},
+		{"write/lost request", platform.OpUpdate, []platformtest.Fault{lostRequest}},
+		{"write/lost request twice", platform.OpUpdate, []platformtest.Fault{lostRequest, lostRequest}},
+		{"write/lost answer", platform.OpUpdate, []platformtest.Fault{lostAnswer}},
+		{"write/lost request, then lost answer", platform.OpUpdate, []platformtest.Fault{lostRequest, lostAnswer}},
+		{"write/lost request, then outage", platform.OpUpdate, []platformtest.Fault{lostRequest, refused}},
+		{"reread/outage after lost answer", platform.OpGet, []platformtest.Fault{platformtest.FaultNone, refused, refused}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				r.mustApply(0, 1000)
+				hook := headFaults(tt.op, tt.faults...)
+				if tt.op == platform.OpGet {
+					hook = both(hook, headFaults(platform.OpUpdate, lostAnswer))
+				}
+				r.store.SetHook(hook)
+				if a := r.mustApply(1, 2000); a.Unchanged || a.Record.Generation != 2 {
+					t.Errorf("got %+v", a.Record)
+				}
+				r.store.SetHook(nil)
+				if gen, age := r.current(); gen != 2 || age != 2000 {
+					t.Errorf("store holds generation %d, age %d", gen, age)
+				}
+			})
+		})
+	}
+}
+
+func both(a, b platformtest.Hook) platformtest.Hook {
+	return func(ctx context.Context, c platformtest.Call) platformtest.Fault {
+		return max(a(ctx, c), b(ctx, c))
+	}
+}
+
+// TestLateEffectIsUnknownAndRetryIsSafe has a write that takes effect only
+// after the deadline: first with nothing else written, then after a retry of
+// the same document, then after another operator's document.
+func TestLateEffectIsUnknownAndRetryIsSafe(t *testing.T) {
+	tests := []struct {
+		name    string
+		between func(r *rig)
+		gen     config.Generation
+		age     config.Millis
+	}{
+		{"alone", func(*rig) {}, 2, 2000},
+		{"after a retry", func(r *rig) { r.mustApply(1, 2000) }, 2, 2000},
+		{"after another document", func(r *rig) { r.mustApply(1, 3000) }, 2, 3000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				r.mustApply(0, 1000)
+				r.store.SetHook(func(_ context.Context, c platformtest.Call) platformtest.Fault {
+					if c.Op == platform.OpUpdate {
+						return platformtest.FaultLateEffect
+					}
+					return platformtest.FaultNone
+				})
+				_, err := r.apply(1, 2000)
+				var unknown *UnknownError
+				if !errors.As(err, &unknown) || unknown.WriteID == "" {
+					t.Fatalf("got %v, want an unknown outcome", err)
+				}
+				r.store.SetHook(nil)
+				tt.between(r)
+				if r.store.ReleaseLate() < 2 {
+					t.Error("the write in doubt was not sent again")
+				}
+				if gen, age := r.current(); gen != tt.gen || age != tt.age {
+					t.Errorf("store holds generation %d, age %d; want %d, %d", gen, age, tt.gen, tt.age)
+				}
+			})
+		})
+	}
+}
+
+// TestLateEffectIsFoundInTheHistory has a write in doubt that takes effect
+// and is superseded by another operator before it is read again.
+func TestLateEffectIsFoundInTheHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.mustApply(0, 1000)
+		superseded := false
+		r.store.SetHook(func(_ context.Context, c platformtest.Call) platformtest.Fault {
+			switch {
+			case c.Op == platform.OpUpdate && !superseded:
+				return platformtest.FaultLostAnswer
+			case c.Op == platform.OpGet && r.store.Calls(platform.OpUpdate) == 1 && !superseded:
+				superseded = true
+				r.mustApply(2, 3000)
+			}
+			return platformtest.FaultNone
+		})
+		if a := r.mustApply(1, 2000); a.Record.Generation != 2 {
+			t.Errorf("got generation %d", a.Record.Generation)
+		}
+		if gen, age := r.current(); gen != 3 || age != 3000 {
+			t.Errorf("store holds generation %d, age %d", gen, age)
+		}
+	})
+}
+
+func TestStaleReadsDecideNothing(t *testing.T) {
+	t.Run("base is ahead of the read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.mustApply(0, 1000)
+			r.store.Freeze()
+			r.mustApply(1, 2000)
+			time.AfterFunc(time.Second, r.store.Thaw)
+			if a := r.mustApply(2, 3000); a.Record.Generation != 3 {
+				t.Errorf("got generation %d", a.Record.Generation)
+			}
+		})
+	})
+	t.Run("reread after a lost answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.mustApply(0, 1000)
+			r.store.Freeze()
+			r.store.SetHook(headFaults(platform.OpUpdate, platformtest.FaultLostAnswer))
+			time.AfterFunc(time.Second, r.store.Thaw)
+			if a := r.mustApply(1, 2000); a.Record.Generation != 2 {
+				t.Errorf("got generation %d", a.Record.Generation)
+			}
+		})
+	})
+}
+
+func TestOutageIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.store.SetOutage(true)
+		_, err := r.apply(0, 1000)
+		var refused *NotStoredError
+		if !errors.As(err, &refused) || !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// TestStoreThatLostGenerations has the store go back to generation 1 while
+// the fleet has generation 5 in force: the next one is 6.
+func TestStoreThatLostGenerations(t *testing.T) {
+	r := newRig(t)
+	r.mustApply(0, 1000)
+	snap, err := config.NewSnapshot(5, document(t, 5000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := r.Apply(t.Context(), Proposal{Document: document(t, 6000), Base: 5, InForce: snap})
+	if err != nil || a.Record.Generation != 6 {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+	_, err = r.Apply(t.Context(), Proposal{Document: document(t, 7000), Base: 1, InForce: snap})
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Errorf("got %v, want a conflict", err)
+	}
+}
+
+func TestLargeDocumentsAreChunked(t *testing.T) {
+	r := newRig(t)
+	r.chunkBytes = MaxInlineBytes / 2
+	doc := document(t, 1000)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 20_000 {
+		var address [16]byte
+		binary.LittleEndian.PutUint64(address[:], random.Uint64())
+		binary.LittleEndian.PutUint64(address[8:], random.Uint64())
+		cidr := netip.PrefixFrom(netip.AddrFrom16(address), 128).String()
+		doc.ClientBlocks = append(doc.ClientBlocks, config.ClientBlock{CIDR: cidr, Region: "rosario"})
+	}
+	first, err := r.Apply(t.Context(), Proposal{Document: doc})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(first.Record.Chunks) < 2 {
+		t.Fatalf("%d chunks for %d bytes", len(first.Record.Chunks), first.Record.Bytes)
+	}
+	raw, err := r.Body(t.Context(), &first.Record)
+	if err != nil || config.HashOf(raw) != first.Record.Hash {
+		t.Fatalf("the document cannot be read back: %v", err)
+	}
+	doc.Lookup.MaxAgeMS = 2000
+	if _, err := r.Apply(t.Context(), Proposal{Document: doc, Base: 0}); err == nil {
+		t.Fatal("no conflict")
+	}
+	chunks, _, _ := r.store.List(t.Context(), platform.KindConfigChunk)
+	if len(chunks) != len(first.Record.Chunks) {
+		t.Errorf("%d chunks are left behind a conflict", len(chunks)-len(first.Record.Chunks))
+	}
+}
+
+func TestHeadStaysWithinTheBoundOfValues(t *testing.T) {
+	var head *Head
+	for gen := range config.Generation(HistoryLength + 2) {
+		body := []byte(strings.Repeat("x", MaxInlineBytes))
+		next, value, err := head.succeed(Record{Generation: gen + 1, Body: body})
+		if err != nil || len(value) > platform.MaxValueBytes {
+			t.Fatalf("generation %d: %d bytes, %v", gen+1, len(value), err)
+		}
+		head = next
+	}
+	if len(head.History) != HistoryLength || head.History[0].Body == nil || head.History[HistoryLength-1].Body != nil {
+		t.Error("the history does not keep all records, with the documents of the newest")
+	}
+}
+
+func TestBaseThatNobodyHasIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.mustApply(0, 1000)
+		_, err := r.apply(9, 2000)
+		var refused *NotStoredError
+		if !errors.As(err, &refused) || refused.Step != StepRead {
+			t.Errorf("got %v", err)
+		}
+		if gen, _ := r.current(); gen != 1 {
+			t.Errorf("store holds generation %d", gen)
+		}
+	})
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -14,7 +14,12 @@
 
 // The kinds used by the system.
 const (
-	KindConfig  Kind = "masticturn-config"  // the operators' document, its history
+	KindConfig Kind = "masticturn-config" // the operators' document, its history
+
+	// KindConfigChunk holds parts of large documents, apart from KindConfig so
+	// that its watches do not carry them.
+	KindConfigChunk Kind = "masticturn-config-chunk"
+
 	KindClaim   Kind = "masticturn-claim"   // claims of idempotency keys
 	KindLease   Kind = "masticturn-lease"   // leases
 	KindVM      Kind = "vm"                 // the platform's own list of live and leaving VMs
