--- a/internal/steering/pool_config.go
+++ b/internal/steering/pool_config.go
@@ -60,6 +60,6 @@
 		return NewShiftCap(limits, now)
 	}
 	c.limits = limits
-	c.bound()
+	c.plan()
 	return c
 }
--- a/internal/steering/queue.go
+++ b/internal/steering/queue.go
@@ -31,7 +31,7 @@
 //
 // Properties: the class with the lowest priority number is dequeued first,
 // except that a backlogged class c gets at least the part
-// ReservedShare·weight(c)/Σweights of the dequeues; within a class the
+// ReservedShare·weight(c)/Σweights of the dequeues, less one; within a class the
 // backlogged tenants are dequeued in proportion to their weights; within a
 // tenant the order is first in, first out. Push, Remove and Pop cost
 // O(classes + backlogged tenants of one class).
--- a/internal/steering/shiftcap.go
+++ b/internal/steering/shiftcap.go
@@ -41,9 +41,8 @@
 	current int64 // number of the current bucket since origin
 	counted [capRing]uint32
 	shifted [capRing]uint32
-	used    uint64 // shifted in the last window and the current bucket
-	allowed uint64 // bound on used, of the current bucket
-	owed    uint64 // shifts below which the fraction falls faster than MaxStepFraction
+	budget  uint64 // shifts allowed in the current bucket
+	owed    uint64 // shifts in the current bucket below which traffic returns too fast
 }
 
 // NewShiftCap returns a cap that has counted nothing.
@@ -61,7 +60,7 @@
 // Allows reports whether one more request may be shifted now.
 func (c *ShiftCap) Allows(now time.Time) bool {
 	c.advance(now)
-	return c.used < c.allowed
+	return c.shiftedNow() < c.budget
 }
 
 // Shift takes one shift; it reports false, and takes none, when the cap is
@@ -71,7 +70,6 @@
 		return false
 	}
 	c.shifted[c.current%capRing]++
-	c.used++
 	return true
 }
 
@@ -79,16 +77,18 @@
 // so that a request should be shifted although nothing else calls for it.
 func (c *ShiftCap) Owed(now time.Time) bool {
 	c.advance(now)
-	return c.used < c.owed
+	return c.shiftedNow() < c.owed
 }
 
 // Fraction returns the shifted requests of the last window per request that
 // was counted in the window before it.
 func (c *ShiftCap) Fraction(now time.Time) float64 {
 	c.advance(now)
-	return ratio(c.sum(&c.shifted, c.current, capBuckets), c.sum(&c.counted, c.current-capBuckets, capBuckets))
+	return c.fractionBefore(c.current)
 }
 
+func (c *ShiftCap) shiftedNow() uint64 { return uint64(c.shifted[c.current%capRing]) }
+
 // advance moves to the bucket of now.
 func (c *ShiftCap) advance(now time.Time) {
 	bucket := int64(now.Sub(c.origin) / (c.limits.Window / capBuckets))
@@ -100,26 +100,55 @@
 		c.shifted[n%capRing] = 0
 	}
 	c.current = bucket
-	c.bound()
+	c.plan()
 }
 
-// bound computes allowed and owed for the current bucket. Every window that
-// holds the present moment starts in one of the last capBuckets+1 buckets;
-// one bucket more allows for the way between caller and counter.
-func (c *ShiftCap) bound() {
-	base := uint64(math.MaxUint64)
-	before := math.Inf(1)
+// plan computes budget and owed when a bucket begins. Every window that holds
+// the present moment starts in one of the last capBuckets+1 buckets; one more
+// allows for the way between caller and counter.
+func (c *ShiftCap) plan() {
+	budget := uint64(math.MaxUint64)
 	for start := c.current - capBuckets - 1; start <= c.current; start++ {
-		base = min(base, c.sum(&c.counted, start, capBuckets-1))
-		before = min(before, ratio(c.sum(&c.shifted, start, capBuckets), c.sum(&c.counted, start-capBuckets, capBuckets)))
+		budget = min(budget, c.left(start))
 	}
-	fraction := c.limits.MaxFraction
+	c.budget = budget
+	c.owed = 0
 	if c.limits.MaxStepFraction > 0 {
-		fraction = min(fraction, before+c.limits.MaxStepFraction)
-		c.owed = uint64(max(0, before-c.limits.MaxStepFraction) * float64(base))
+		c.pace()
+	}
+}
+
+// pace spreads a rise and a fall by the step evenly over the window. In a
+// linear change by one step per window the present fraction is that of the
+// last window and half a step.
+func (c *ShiftCap) pace() {
+	perBucket := float64(c.sum(&c.counted, c.current, capBuckets)) / capBuckets
+	fraction := c.fractionBefore(c.current)
+	half := c.limits.MaxStepFraction / 2
+	rise := uint64(math.Ceil((fraction + 2*half) * perBucket))
+	c.budget = min(c.budget, max(rise, 1))
+	c.owed = uint64(max(0, fraction-half) * perBucket)
+}
+
+// left returns how many more requests a window that starts in the bucket
+// start may shift.
+func (c *ShiftCap) left(start int64) uint64 {
+	done := c.sum(&c.shifted, c.current, c.current-start)
+	surely := c.sum(&c.counted, start, capBuckets-1)
+	allowed := uint64(c.limits.MaxFraction * float64(surely))
+	if c.limits.MaxStepFraction > 0 && start > c.current-capBuckets {
+		fraction := c.fractionBefore(start) + c.limits.MaxStepFraction
+		allowed = min(allowed, uint64(fraction*float64(c.sum(&c.counted, start, capBuckets))))
+	}
+	if done >= allowed {
+		return 0
 	}
-	c.allowed = uint64(fraction * float64(base))
-	c.used = c.sum(&c.shifted, c.current+1, capBuckets+1)
+	return allowed - done
+}
+
+// fractionBefore returns the fraction of the window that ends before a bucket.
+func (c *ShiftCap) fractionBefore(end int64) float64 {
+	return ratio(c.sum(&c.shifted, end, capBuckets), c.sum(&c.counted, end-capBuckets, capBuckets))
 }
 
 // sum adds up the n buckets before end.
