--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,7 +64,6 @@
 			return usageError(err)
 		},
 		Commands: []*cli.Command{
-			newServe(),
 			newLookup(),
 			newEvents(),
 			newVersion(),
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -32,8 +32,10 @@
 	Handler *Handler
 	Lookup  http.Handler // serves edge.PathLookup; nil: it is not served
 	Listen  string       // host:port
-	Config  config.Source
-	Logger  *telemetry.Logger
+	// Listener is used in place of Listen, if not nil.
+	Listener net.Listener
+	Config   config.Source
+	Logger   *telemetry.Logger
 }
 
 // Service owns the callers' listener.
@@ -60,9 +62,12 @@
 
 // Start implements kernel.Service: it opens the listener.
 func (s *Service) Start(ctx context.Context) error {
-	l, err := net.Listen("tcp", s.deps.Listen)
-	if err != nil {
-		return trace.ConvertSystemError(err)
+	l := s.deps.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", s.deps.Listen); err != nil {
+			return trace.ConvertSystemError(err)
+		}
 	}
 	s.listener = l
 	s.server = s.newServer()
