--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -48,6 +48,7 @@
 	Told       Told
 	Status     int
 	Replayed   bool // a recorded answer
+	GaveUp     bool // the caller's own patience ended
 	Content    Content
 	Step       string // told on errors
 	Peer       string // told on errors
--- a/internal/standin/network/network_test.go
+++ b/internal/standin/network/network_test.go
@@ -149,3 +149,18 @@
 		t.Fatalf("listener's read: %v", err)
 	}
 }
+
+func TestDownHostIsUnreachableUntilUp(t *testing.T) {
+	n := newNetwork(t, 0)
+	dialed, accepted := pair(t, n)
+	n.Down(far)
+	if _, err := dialed.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("read from a host that is down: %v", err)
+	}
+	if _, err := n.Dialer(near)(context.Background(), "tcp", accepted.LocalAddr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("dial to a host that is down: %v", err)
+	}
+	n.Up(far)
+	dialed, accepted = pair(t, n)
+	echo(t, dialed, accepted)
+}
