--- a/internal/capacity/lookup.go
+++ b/internal/capacity/lookup.go
@@ -104,7 +104,7 @@
 	}
 	svc := config.Service{Name: "service", PathPrefix: "/service/"}
 	for i := range targets {
-		svc.Targets = append(svc.Targets, config.Target{Name: fmt.Sprintf("site-%03d", i), Zone: zoneName(i % DesignZones), Slots: 4})
+		svc.Targets = append(svc.Targets, config.Target{Name: siteName(i), Zone: zoneName(i % DesignZones), Slots: 4})
 	}
 	doc.Services = []config.Service{svc}
 	snap, err := config.NewSnapshot(1, doc)
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -14,7 +14,7 @@
 	Cost float64 `json:"cost"`
 }
 
-// Slope is a fitted line through at least minPoints measurements.
+// Slope is a fitted line through at least four measurements.
 type Slope struct {
 	Role      string  `json:"role"`
 	Quantity  string  `json:"quantity"`  // what the cost is, with its unit
@@ -29,9 +29,6 @@
 	Design    float64 `json:"design"`    // cost at that size, by the line
 }
 
-// minPoints is the least number of points a slope is fitted through.
-const minPoints = 4
-
 // fit works out the line through the points and the cost at the design size.
 func (s *Slope) fit() {
 	xs, ys := make([]float64, len(s.Points)), make([]float64, len(s.Points))
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -66,6 +66,7 @@
 		Commands: []*cli.Command{
 			newLookup(),
 			newEvents(),
+			newBench(),
 			newVersion(),
 		},
 	}
--- a/internal/measure/messages.go
+++ b/internal/measure/messages.go
@@ -49,3 +49,12 @@
 		At: now.Add(-time.Duration(p.AgeMS) * time.Millisecond),
 	}
 }
+
+// SampleReport returns the message that reports the given targets, for sizing.
+func SampleReport(targets []string) any {
+	var r report
+	for _, t := range targets {
+		r.Probes = append(r.Probes, reportedProbe{Target: t, OK: true, Status: edge.TargetOK, InFlight: 3, Slots: 4, Queued: 1, AgeMS: 250})
+	}
+	return r
+}
