--- /dev/null
+++ b/internal/bench/faults.go
@@ -0,0 +1,172 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/bench/cluster"
+	"masticturn/internal/config"
+	"masticturn/internal/standin/caller"
+	"masticturn/internal/standin/promise"
+)
+
+// FaultsOptions configures Faults. Document and Start are required.
+type FaultsOptions struct {
+	Document *config.Document
+	Start    cluster.StartDaemon
+	Seed     uint64
+	Requests int           // at least so many are sent
+	Load     time.Duration // over which they arrive
+	VMs      int
+	Trace    string                 // id of a request to trace; may be empty
+	Cluster  func(*cluster.Options) // changes the cluster's options; may be nil
+}
+
+// Defaults of FaultsOptions, and what callers of this scenario do.
+const (
+	defaultFaultRequests = 20_000
+	defaultFaultLoad     = 28 * time.Second
+	faultTries           = 3
+	faultPatience        = 4 * time.Second
+	faultMaxAge          = 1000 // milliseconds that a look-up may be cached, so that drains fit
+	loadMargin           = 1.05 // more requests than asked for, since arrivals vary
+	startTimeout         = 20 * time.Second
+)
+
+func (o *FaultsOptions) setDefaults() {
+	if o.Requests == 0 {
+		o.Requests = defaultFaultRequests
+	}
+	if o.Load == 0 {
+		o.Load = defaultFaultLoad
+	}
+}
+
+// FaultCount tells how often a kind of fault was caused.
+type FaultCount struct {
+	Kind  FaultKind `json:"kind"`
+	Count int       `json:"count"`
+}
+
+// FaultsReport is the result of Faults.
+type FaultsReport struct {
+	Deployment     string               `json:"deployment"`
+	Seed           uint64               `json:"seed"`
+	Seconds        float64              `json:"seconds"`
+	Requests       int                  `json:"requests"`
+	Answered       int                  `json:"answered"`
+	NotRun         int                  `json:"not_run"`
+	Unknown        int                  `json:"unknown"`
+	Overruns       int                  `json:"overruns"` // not sent, because callers had too many open
+	ShareAnswered  float64              `json:"share_answered"`
+	P50MS          float64              `json:"p50_ms"`
+	P99MS          float64              `json:"p99_ms"`
+	P999MS         float64              `json:"p999_ms"`
+	Attempts       int                  `json:"attempts"` // requests that reached targets
+	Tries          int                  `json:"tries"`    // sent by callers
+	Classes        []caller.ClassResult `json:"classes"`
+	Faults         []FaultCount         `json:"faults"`
+	Errors         []string             `json:"errors,omitempty"` // of causing and healing faults
+	Promises       promise.Report       `json:"promises"`
+	BrokenPromises int                  `json:"broken_promises"`
+	Trace          []cluster.TraceLine  `json:"trace,omitempty"`
+}
+
+// Faults runs a mixed load while faults come by chance, alone and in pairs.
+func Faults(ctx context.Context, opts FaultsOptions) (*FaultsReport, error) {
+	opts.setDefaults()
+	started := time.Now()
+	c, err := startFaults(ctx, opts)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	snapshot, err := config.NewSnapshot(1, c.Document)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	callers := c.Callers(caller.Options{
+		Shapes:   Mix(snapshot),
+		Rate:     loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
+		MaxTries: faultTries,
+		Timeout:  faultPatience,
+	})
+	j := newInjector(c, opts.Seed)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		j.run(ctx, planFaults(opts.Seed, opts.Load))
+	}()
+	loadCtx, cancel := context.WithTimeout(ctx, opts.Load)
+	defer cancel()
+	cluster.RunCallers(loadCtx, callers)
+	<-done
+	return faultsReport(c, j, opts, time.Since(started)), nil
+}
+
+func startFaults(ctx context.Context, opts FaultsOptions) (*cluster.Cluster, error) {
+	doc, err := config.Clone(opts.Document)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	doc.Lookup.MaxAgeMS = faultMaxAge
+	clusterOpts := cluster.Options{
+		Document:   doc,
+		Start:      opts.Start,
+		VMs:        opts.VMs,
+		Seed:       opts.Seed,
+		Sigma:      cluster.DefaultSigma,
+		QueueLimit: cluster.DefaultQueueLimit,
+		ColdFactor: cluster.DefaultColdFactor,
+		KeepLogs:   true,
+	}
+	if opts.Cluster != nil {
+		opts.Cluster(&clusterOpts)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return cluster.New(ctx, clusterOpts)
+}
+
+func faultsReport(c *cluster.Cluster, j *injector, opts FaultsOptions, took time.Duration) *FaultsReport {
+	r := &FaultsReport{
+		Deployment: c.Document.Deployment,
+		Seed:       opts.Seed,
+		Seconds:    took.Seconds(),
+		Overruns:   c.Notes.Overruns(),
+		Classes:    c.Notes.Results(),
+		Attempts:   len(c.Log.Records()),
+		Tries:      len(c.Notes.Tries()),
+		Promises:   c.Check(),
+	}
+	slices.SortFunc(r.Classes, func(a, b caller.ClassResult) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
+	})
+	for _, class := range r.Classes {
+		r.Requests += class.Requests
+		r.Answered += class.Answered
+		r.NotRun += class.NotRun
+		r.Unknown += class.Unknown
+	}
+	r.ShareAnswered = float64(r.Answered) / float64(max(1, r.Requests))
+	latency := c.Notes.Histogram("")
+	r.P50MS = float64(latency.ValueAtQuantile(50)) / microsPerMilli
+	r.P99MS = float64(latency.ValueAtQuantile(99)) / microsPerMilli
+	r.P999MS = float64(latency.ValueAtQuantile(99.9)) / microsPerMilli
+	for kind, count := range j.counts {
+		r.Faults = append(r.Faults, FaultCount{kind, count})
+	}
+	slices.SortFunc(r.Faults, func(a, b FaultCount) int { return cmp.Compare(a.Kind, b.Kind) })
+	for _, err := range j.errs {
+		r.Errors = append(r.Errors, err.Error())
+	}
+	r.BrokenPromises = r.Promises.Total
+	if opts.Trace != "" {
+		r.Trace = c.Trace(opts.Trace)
+	}
+	return r
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"masticturn/internal/edge"
@@ -35,6 +36,7 @@
 	Name         string
 	LocalAddress string   // 127.x.y.z to send from; empty: any
 	Entries      []string // host:port of VMs that answer look-ups
+	Fixed        string   // host:port to send all requests to, without look-ups; may be empty
 	Shapes       []Shape
 	Rate         float64       // requests a second, on average
 	MaxOpen      int           // requests open at once; beyond it they are counted, not sent
@@ -118,6 +120,58 @@
 	}
 }
 
+// RunCount sends a number of requests one after the other.
+func (c *Caller) RunCount(ctx context.Context, count int) {
+	defer c.pool.closeIdle("")
+	random := rand.New(rand.NewPCG(c.opts.Seed, c.opts.Seed))
+	for n := 1; n <= count && ctx.Err() == nil; n++ {
+		c.request(ctx, c.pick(random.Float64()), n, random.Uint64(), time.Now())
+	}
+}
+
+// RunClosed sends requests one after the other from each of a number of
+// workers until the context ends, and returns how many were sent.
+func (c *Caller) RunClosed(ctx context.Context, workers int) int {
+	defer c.pool.closeIdle("")
+	var group sync.WaitGroup
+	var sent atomic.Int64
+	for w := range workers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(c.opts.Seed, uint64(w)))
+			for ctx.Err() == nil {
+				number := int(sent.Add(1))
+				c.request(context.WithoutCancel(ctx), c.pick(random.Float64()), number, random.Uint64(), time.Now())
+			}
+		})
+	}
+	group.Wait()
+	return int(sent.Load())
+}
+
+// RunLookups makes look-ups one after the other from each of a number of
+// workers until the context ends, and returns how many were answered and how
+// many failed.
+func (c *Caller) RunLookups(ctx context.Context, workers int) (answered, failed int) {
+	defer c.pool.closeIdle("")
+	var group sync.WaitGroup
+	var good, bad atomic.Int64
+	for w := range workers {
+		entry := c.opts.Entries[w%len(c.opts.Entries)]
+		group.Go(func() {
+			for ctx.Err() == nil {
+				answer, err := c.answers.askOne(context.WithoutCancel(ctx), entry, "")
+				if err == nil && len(answer.VMs) > 0 {
+					good.Add(1)
+				} else {
+					bad.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	return int(good.Load()), int(bad.Load())
+}
+
 // pick returns the shape at a point between 0 and 1 of the mix.
 func (c *Caller) pick(point float64) *Shape {
 	left := point * c.weights
@@ -182,6 +236,9 @@
 }
 
 func (c *Caller) chooseVM(ctx context.Context, req *request, attempt int) (edge.LookupVM, error) {
+	if c.opts.Fixed != "" {
+		return edge.LookupVM{Address: c.opts.Fixed}, nil
+	}
 	vms, err := c.answers.vms(ctx, req.shape.Service)
 	if err != nil {
 		return edge.LookupVM{}, err
--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -78,8 +78,8 @@
 	latencyDigits  = 3
 )
 
-// NewNotes returns an empty collection. Without keepTries only counts and
-// latencies are kept.
+// NewNotes returns an empty collection. Without keepTries only counts,
+// latencies and the tries with a wrong answer are kept.
 func NewNotes(keepTries bool) *Notes {
 	return &Notes{
 		latencies: make(map[ClassKey]*hdrhistogram.Histogram),
@@ -89,7 +89,8 @@
 }
 
 func (n *Notes) addTry(note Note) {
-	if !n.keepTries {
+	wrong := note.Content == ContentPartial || note.Content == ContentForeign
+	if !n.keepTries && !wrong {
 		return
 	}
 	n.mu.Lock()
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -31,6 +31,7 @@
 	mu    sync.Mutex
 	hosts map[string]Host // by IP
 	held  map[way]bool
+	alone map[string]bool // hosts whose ways are all held, by IP
 	down  map[string]bool // by IP
 	heal  chan struct{}   // closed and replaced when a way is released
 	conns map[*conn]struct{}
@@ -45,6 +46,7 @@
 		delays: delays,
 		hosts:  make(map[string]Host),
 		held:   make(map[way]bool),
+		alone:  make(map[string]bool),
 		down:   make(map[string]bool),
 		heal:   make(chan struct{}),
 		conns:  make(map[*conn]struct{}),
@@ -143,15 +145,15 @@
 func (n *Network) state(w way) (held bool, heal <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.held[w] || n.held[way{w.to, w.from}], n.heal
+	return n.isHeld(w) || n.isHeld(way{w.to, w.from}), n.heal
 }
 
 func (n *Network) wrap(raw net.Conn, w way, delay time.Duration) net.Conn {
 	c := newConn(n, raw, w, delay)
 	n.mu.Lock()
 	n.conns[c] = struct{}{}
-	c.out.hold(n.held[w])
-	c.in.hold(n.held[way{w.to, w.from}])
+	c.out.hold(n.isHeld(w))
+	c.in.hold(n.isHeld(way{w.to, w.from}))
 	down := n.down[w.from] || n.down[w.to]
 	n.mu.Unlock()
 	if down {
@@ -170,22 +172,31 @@
 // Hold holds back all bytes from one host to another, on open and on new
 // connections, until Release. Nothing is lost: as with TCP, what was held
 // arrives afterwards.
-func (n *Network) Hold(from, to Host) { n.setHeld(way{from.IP, to.IP}, true) }
+func (n *Network) Hold(from, to Host) {
+	n.change(func() { n.held[way{from.IP, to.IP}] = true })
+}
 
 // Release ends Hold.
-func (n *Network) Release(from, to Host) { n.setHeld(way{from.IP, to.IP}, false) }
+func (n *Network) Release(from, to Host) {
+	n.change(func() { delete(n.held, way{from.IP, to.IP}) })
+}
+
+// HoldHost holds back all bytes from and to a host, or lets them go again.
+func (n *Network) HoldHost(h Host, on bool) {
+	n.change(func() { n.alone[h.IP] = on })
+}
+
+// isHeld reports whether a direction is held; n.mu is held.
+func (n *Network) isHeld(w way) bool { return n.held[w] || n.alone[w.from] || n.alone[w.to] }
 
-func (n *Network) setHeld(w way, on bool) {
+// change changes what is held and tells the connections.
+func (n *Network) change(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.held[w] = on
+	f()
 	for c := range n.conns {
-		switch {
-		case c.way == w:
-			c.out.hold(on)
-		case c.way == way{w.to, w.from}:
-			c.in.hold(on)
-		}
+		c.out.hold(n.isHeld(c.way))
+		c.in.hold(n.isHeld(way{c.way.to, c.way.from}))
 	}
 	close(n.heal)
 	n.heal = make(chan struct{})
--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -73,6 +73,9 @@
 
 // Records returns copies of all records, in the order of their arrival.
 func (l *Log) Records() []Record {
+	if l == nil {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]Record, len(l.records))
