--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -37,6 +37,7 @@
 	Sigma      float64 // shape of the targets' service times
 	QueueLimit int     // requests that may wait inside a target
 	ColdFactor float64 // how much slower a cold target is
+	Instant    bool    // targets take no time
 	KeepLogs   bool    // keep each try and execution, for the check of promises
 	Direct     bool    // no emulated network: plain connections without delays and faults
 	LogTo      io.Writer
--- a/internal/bench/cluster/targets.go
+++ b/internal/bench/cluster/targets.go
@@ -48,12 +48,16 @@
 func (c *Cluster) startTarget(svc *config.Service, doc *config.Target, region, ip string) error {
 	gauge := standin.NewGauge(doc.Slots)
 	c.Regions[region].AddCapacity(doc.Slots)
+	service := svc.ServiceMS.Duration()
+	if c.opts.Instant {
+		service = 0
+	}
 	started, err := target.Start(target.Options{
 		Name:       doc.Name,
 		Address:    doc.Address,
 		Slots:      doc.Slots,
 		QueueLimit: c.opts.QueueLimit,
-		Service:    svc.ServiceMS.Duration(),
+		Service:    service,
 		Sigma:      c.opts.Sigma,
 		ColdFactor: c.opts.ColdFactor,
 		ColdFor:    c.Document.Steering.ColdMS.Duration(),
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -83,6 +83,7 @@
 		Start:    start,
 		VMs:      1,
 		Direct:   true,
+		Instant:  true,
 		KeepLogs: keepLogs,
 	})
 }
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -101,7 +101,7 @@
 		http.NewResponseController(w).Flush()
 		swallow(r)
 	default:
-		io.Copy(w, body)
+		standin.Copy(w, body)
 	}
 }
 
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -157,7 +157,7 @@
 func (t *Target) run(ctx context.Context, r *http.Request, record *Record, service time.Duration) {
 	t.opts.Log.update(func() { record.Started = time.Now() })
 	hash := xxhash.New()
-	n, err := io.Copy(hash, r.Body)
+	n, err := standin.Copy(hash, r.Body)
 	t.opts.Log.update(func() { record.BodyBytes, record.BodyHash = n, hash.Sum64() })
 	if err != nil {
 		t.finish(record, Broken)
