peer: keep links of VMs in use only, and their backoff

Change: addresses stand in a table of their own; a link exists while it has users, connections, calls, a dial or a recent backoff.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,8 +15,9 @@
 // link is the way to one VM: its address, its connections and what waits for
 // them. A lock of its own keeps links apart from each other.
 type link struct {
-	net *TCP
-	vm  string
+	net   *TCP
+	vm    string
+	users atomic.Int32 // who holds the link; raised under the network's lock only
 
 	mu      sync.Mutex
 	address string
@@ -46,11 +48,11 @@
 
 func newCall() any { return &call{done: make(chan result, 1)} }
 
-func newLink(t *TCP, vm string) *link {
+func newLink(t *TCP, vm, address string) *link {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = t.opts.MinBackoff
 	b.MaxInterval = t.opts.MaxBackoff
-	return &link{net: t, vm: vm, conns: make(map[*conn]struct{}), calls: make(map[uint32]*call), backoff: b}
+	return &link{net: t, vm: vm, address: address, conns: make(map[*conn]struct{}), calls: make(map[uint32]*call), backoff: b}
 }
 
 func (l *link) fail(step Step, err error) error {
@@ -281,6 +283,7 @@
 		return
 	}
 	l.dialing = false
+	l.retryAt = time.Time{}
 	l.backoff.Reset()
 	l.moveBacklog(c)
 }
@@ -332,10 +335,11 @@
 	return len(l.backlog) > 0 && l.dialing
 }
 
-func (l *link) empty() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns) == 0 && l.address == "" && !l.dialing && len(l.calls) == 0
+// unused reports whether nobody holds the link and it holds nothing. The state
+// of the backoff is kept for a while after the last dial. The lock is held.
+func (l *link) unused(now time.Time) bool {
+	held := l.users.Load() > 0 || len(l.conns) > 0 || l.dialing || len(l.calls) > 0
+	return !held && now.Sub(l.retryAt) > l.net.opts.MaxBackoff
 }
 
 // sweep looks after the connections and reports whether the link holds
@@ -350,9 +354,10 @@
 			causes = append(causes, err)
 		}
 	}
+	empty = l.unused(now)
 	l.mu.Unlock()
 	for i, c := range ended {
 		c.close(causes[i])
 	}
-	return l.empty()
+	return empty
 }
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -39,9 +39,10 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[string]*link // by VM
-	stopped bool
+	mu        sync.Mutex
+	addresses map[string]string // by VM
+	links     map[string]*link  // by VM, those in use
+	stopped   bool
 }
 
 var (
@@ -58,7 +59,9 @@
 		workers: newWorkers(),
 		slots:   make(chan struct{}, opts.MaxConnections),
 		links:   make(map[string]*link),
-		calls:   sync.Pool{New: newCall},
+
+		addresses: make(map[string]string),
+		calls:     sync.Pool{New: newCall},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	if !opts.TLS.Enabled() {
@@ -155,20 +158,35 @@
 func (t *TCP) Handle(kind Kind, h Handler) { t.handlers[kind] = h }
 
 // SetAddress tells where a VM listens.
-func (t *TCP) SetAddress(vm, address string) { t.link(vm).setAddress(address) }
+func (t *TCP) SetAddress(vm, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if address == "" {
+		delete(t.addresses, vm)
+	} else {
+		t.addresses[vm] = address
+	}
+	if l, ok := t.links[vm]; ok {
+		l.setAddress(address)
+	}
+}
 
-// link returns the link to a VM and makes it if there is none.
+// link returns the link to a VM and makes it if there is none. It stays in the
+// table until its release.
 func (t *TCP) link(vm string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l, ok := t.links[vm]
 	if !ok {
-		l = newLink(t, vm)
+		l = newLink(t, vm, t.addresses[vm])
 		t.links[vm] = l
 	}
+	l.users.Add(1)
 	return l
 }
 
+func (l *link) release() { l.users.Add(-1) }
+
 func (t *TCP) snapshot() []*link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -186,7 +204,9 @@
 	if err := t.encode(e, to, msg); err != nil {
 		return err
 	}
-	return t.link(to).send(kind, e.buf.Bytes())
+	l := t.link(to)
+	defer l.release()
+	return l.send(kind, e.buf.Bytes())
 }
 
 // Call sends a message and waits for its answer.
@@ -199,7 +219,9 @@
 	if err := t.encode(e, to, msg); err != nil {
 		return err
 	}
-	res := t.link(to).call(ctx, kind, e.buf.Bytes())
+	l := t.link(to)
+	defer l.release()
+	res := l.call(ctx, kind, e.buf.Bytes())
 	if res.err != nil {
 		return res.err
 	}
@@ -264,8 +286,10 @@
 		return
 	}
 	t.meters.accepted.Inc()
-	c := newConn(t.link(s.remote.VM), s, false)
-	c.link.attach(c)
+	l := t.link(s.remote.VM)
+	defer l.release()
+	c := newConn(l, s, false)
+	l.attach(c)
 	c.run()
 }
 
@@ -305,11 +329,13 @@
 	}
 }
 
-// forget removes a link that holds nothing.
+// forget removes a link that holds nothing; the next message makes it again.
 func (t *TCP) forget(l *link) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.empty() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unused(time.Now()) {
 		delete(t.links, l.vm)
 	}
 }
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -167,7 +167,7 @@
 				t.Fatal(err)
 			}
 			time.Sleep(defaultIdleTimeout + time.Second)
-			for _, l := range []*link{a.link("b"), b.link("a")} {
+			for _, l := range append(a.snapshot(), b.snapshot()...) {
 				l.mu.Lock()
 				if len(l.conns) != 0 {
 					t.Errorf("%s still holds a connection", l.net.opts.VM)
@@ -181,6 +181,22 @@
 	})
 }
 
+func TestUnusedLinksAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, a, b, stop := pairOf(t, nil)
+		defer stop()
+		for range 2 {
+			if err := ask(a, "b", KindPermit, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(defaultIdleTimeout + time.Second)
+			if n := len(a.snapshot()) + len(b.snapshot()); n != 0 {
+				t.Errorf("%d links are kept, want none", n)
+			}
+		}
+	})
+}
+
 func TestSendNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPipes()
