membership: heartbeats, detection, relays, generations

Cause: daemons need to know who is here, leaving or gone without a store, with lost ways, pauses, clocks that are off and regions cut from each other.

Heartbeats carry what was last heard of the receiver, the generation in force, and what changed since the receiver's acknowledgment. A pause is reported before anything else of the event that ended it. A new process whose clock is behind goes above the incarnation that others remember.

--- /dev/null
+++ b/internal/membership/machine.go
@@ -0,0 +1,378 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Phase is the phase of this daemon's own membership.
+type Phase uint8
+
+// The phases, in order.
+const (
+	PhaseJoining Phase = iota // it asks other daemons for their table
+	PhaseMember
+	PhaseLeaving // it said that it drains
+	PhaseLeft    // it said that it is gone
+)
+
+// String returns the name used in status and logs.
+func (p Phase) String() string {
+	return [...]string{"joining", "member", "leaving", "left"}[p]
+}
+
+// Candidate is a daemon that may be called to join. The name is empty when
+// only the address is known.
+type Candidate struct {
+	Name    string
+	Address string
+}
+
+// entry is one member in the table.
+type entry struct {
+	Record
+	recordVersion uint64     // of the table, when the record last changed
+	noteVersion   uint64     // of the table, when the generation last changed
+	recordSource  *linkState // where the record came from; nil: from here
+	noteSource    *linkState // where the generation came from
+	changed       time.Time  // when the state last changed
+	sign          time.Time  // last sign of life: heard, told by others, or a newer Seq
+}
+
+// Machine is the membership protocol of one daemon: it takes events with the
+// time and returns actions. It does no I/O and is not safe for concurrent use.
+type Machine struct {
+	opts   Options
+	random *rand.Rand
+
+	self    *entry
+	epoch   uint64
+	phase   Phase
+	started time.Time
+	last    time.Time // of the last event
+
+	table   map[string]*entry
+	version uint64 // rises with each change of the table
+	digest  uint64 // of all records
+	regions map[string]*regionState
+	links   map[string]*linkState
+
+	topology      topology
+	topologyStale bool
+	viewStale     bool
+	view          *View
+	derived       map[string]State // as last reported
+
+	candidates []Candidate
+	lost       []Candidate // forgotten members that may live
+	nextTry    time.Time
+	nextExpire time.Time
+	nextNote   time.Time // of the own region, if this daemon relays
+	renewedAt  time.Time
+
+	actions []Action
+}
+
+// NewMachine returns the machine of a daemon that starts now. The record names
+// it and its places; candidates are set by SetCandidates.
+func NewMachine(self Record, opts Options, random *rand.Rand, now time.Time) *Machine {
+	opts.setDefaults()
+	self.Seq = 1
+	m := &Machine{
+		opts:    opts,
+		random:  random,
+		epoch:   self.Incarnation,
+		started: now,
+		last:    now,
+		table:   make(map[string]*entry),
+		regions: make(map[string]*regionState),
+		links:   make(map[string]*linkState),
+		derived: make(map[string]State),
+	}
+	m.self = &entry{Record: self, changed: now, sign: now}
+	m.table[self.Name] = m.self
+	m.digest = self.digest()
+	m.touchRecord(m.self, nil)
+	m.touchNote(m.self, nil)
+	return m
+}
+
+// Phase returns the phase of this daemon's own membership.
+func (m *Machine) Phase() Phase { return m.phase }
+
+// Incarnation returns this daemon's incarnation, which may rise.
+func (m *Machine) Incarnation() uint64 { return m.self.Incarnation }
+
+// Tick looks at all timers. It shall be called every TickInterval.
+func (m *Machine) Tick(now time.Time) []Action {
+	m.begin(now)
+	if m.phase == PhaseLeft {
+		return m.end()
+	}
+	m.tryJoin(now)
+	m.detect(now)
+	m.expire(now)
+	m.noteRegion(now)
+	m.sendDue(now)
+	return m.end()
+}
+
+// begin starts the handling of an event. A gap since the last one means that
+// this process was paused, which is dealt with before anything else.
+func (m *Machine) begin(now time.Time) {
+	away := now.Sub(m.last)
+	m.last = now
+	if away >= m.opts.PauseAfter {
+		m.awake(now, away)
+	}
+}
+
+// awake restarts the timers of what is believed of others: their silence was
+// this daemon's own. One that was away for so long that the others hold it for
+// gone takes a new incarnation at once.
+func (m *Machine) awake(now time.Time, away time.Duration) {
+	m.act(ReportAwake{Away: away})
+	for _, e := range m.table {
+		e.sign = now
+		e.changed = e.changed.Add(away)
+	}
+	for _, l := range m.links {
+		l.heard = now
+	}
+	for _, r := range m.regions {
+		r.heard = now
+	}
+	if away >= m.opts.GoneAfter && m.phase != PhaseLeft {
+		m.renew(m.self.Incarnation, now)
+	}
+}
+
+// end returns the actions of an event.
+func (m *Machine) end() []Action {
+	m.reportStates()
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
+
+// touchRecord notes a change of a record; it spreads to the links but the one
+// it came from.
+func (m *Machine) touchRecord(e *entry, source *linkState) {
+	m.version++
+	e.recordVersion = m.version
+	e.recordSource = source
+	m.topologyStale = true
+	m.viewStale = true
+}
+
+func (m *Machine) touchNote(e *entry, source *linkState) {
+	m.version++
+	e.noteVersion = m.version
+	e.noteSource = source
+	m.viewStale = true
+}
+
+// changeSelf applies a change that this daemon makes to its own record.
+func (m *Machine) changeSelf(now time.Time, change func(*Record)) {
+	m.digest ^= m.self.Record.digest()
+	change(&m.self.Record)
+	m.self.Seq++
+	m.digest ^= m.self.Record.digest()
+	m.self.changed = now
+	m.touchRecord(m.self, nil)
+}
+
+// renew takes an incarnation above the given one.
+func (m *Machine) renew(over uint64, now time.Time) {
+	m.renewedAt = now
+	m.changeSelf(now, func(r *Record) {
+		r.Incarnation = above(max(over, r.Incarnation))
+		r.Seq = 0
+		r.Suspect, r.Gone = false, false
+	})
+	m.act(ReportRenewed{Incarnation: m.self.Incarnation})
+}
+
+// SetGeneration tells which document this daemon has in force.
+func (m *Machine) SetGeneration(now time.Time, generation, hash uint64) []Action {
+	m.begin(now)
+	m.self.Generation, m.self.Hash = generation, hash
+	m.touchNote(m.self, nil)
+	return m.end()
+}
+
+// Leave says to all that this daemon drains: it gets no new work.
+func (m *Machine) Leave(now time.Time) []Action {
+	m.begin(now)
+	if m.phase < PhaseLeaving {
+		m.phase = PhaseLeaving
+		m.changeSelf(now, func(r *Record) { r.Leaving = true })
+		m.sendDue(now)
+	}
+	return m.end()
+}
+
+// Depart says to all that this daemon is gone.
+func (m *Machine) Depart(now time.Time) []Action {
+	m.begin(now)
+	if m.phase != PhaseLeft {
+		m.phase = PhaseLeft
+		m.changeSelf(now, func(r *Record) { r.Leaving, r.Gone = true, true })
+		m.sendAll(now)
+	}
+	return m.end()
+}
+
+// LeaveKnown reports whether all neighbors have acknowledged the own record.
+func (m *Machine) LeaveKnown() bool {
+	for _, name := range m.currentTopology().targets {
+		l := m.links[name]
+		if e := m.table[name]; e == nil || e.Gone || e.Suspect {
+			continue
+		}
+		if l == nil || l.acked < m.self.recordVersion {
+			return false
+		}
+	}
+	return true
+}
+
+// merge takes in a record that a daemon told.
+func (m *Machine) merge(r *Record, source *linkState, now time.Time) {
+	if r.Name == m.self.Name {
+		m.mergeSelf(r, now)
+		return
+	}
+	e, ok := m.table[r.Name]
+	if !ok {
+		m.add(r, source, now)
+		return
+	}
+	if !r.supersedes(&e.Record) {
+		m.mergeGeneration(e, r.Incarnation, r.Generation, r.Hash, source)
+		return
+	}
+	m.replace(e, r, source, now)
+}
+
+func (m *Machine) add(r *Record, source *linkState, now time.Time) {
+	e := &entry{Record: *r, changed: now, sign: now}
+	m.table[r.Name] = e
+	m.digest ^= r.digest()
+	m.touchRecord(e, source)
+	m.learnAddress(e, "")
+	m.noteRegionSeen(r.Region, now)
+}
+
+func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
+	address := e.PeerAddress
+	m.digest ^= e.Record.digest()
+	generation, hash := r.Generation, r.Hash
+	if e.Incarnation == r.Incarnation && e.Generation > generation {
+		generation, hash = e.Generation, e.Hash
+	}
+	if !r.Suspect && !r.Gone {
+		e.sign = now
+	}
+	e.Record = *r
+	e.Generation, e.Hash = generation, hash
+	e.changed = now
+	m.digest ^= e.Record.digest()
+	m.touchRecord(e, source)
+	m.learnAddress(e, address)
+}
+
+func (m *Machine) learnAddress(e *entry, before string) {
+	if e.PeerAddress != before && !e.Gone {
+		m.act(LearnAddress{VM: e.Name, Address: e.PeerAddress})
+	}
+}
+
+// mergeGeneration takes in the generation that a member has in force.
+func (m *Machine) mergeGeneration(e *entry, incarnation, generation, hash uint64, source *linkState) {
+	if e == m.self || incarnation != e.Incarnation || generation <= e.Generation {
+		return
+	}
+	e.Generation, e.Hash = generation, hash
+	m.touchNote(e, source)
+}
+
+// renewPause bounds how often a daemon raises its incarnation, should two
+// processes run under one VM name.
+const renewPause = time.Second
+
+// mergeSelf answers what others say of this daemon: a suspicion is refuted by
+// a higher Seq, a higher or ended incarnation by a still higher one.
+func (m *Machine) mergeSelf(r *Record, now time.Time) {
+	if m.phase == PhaseLeft {
+		return
+	}
+	own := &m.self.Record
+	surpassed := r.Incarnation > own.Incarnation || r.Incarnation == own.Incarnation && r.Gone
+	switch {
+	case surpassed && now.Sub(m.renewedAt) >= renewPause:
+		m.renew(r.Incarnation, now)
+	case r.Incarnation == own.Incarnation && !r.Gone && (r.Suspect && r.Seq >= own.Seq || r.Seq > own.Seq):
+		m.changeSelf(now, func(own *Record) { own.Seq = r.Seq })
+	}
+}
+
+// View returns the view of the members. It is the same value until something
+// changes.
+func (m *Machine) View() *View {
+	if m.view != nil && !m.viewStale {
+		return m.view
+	}
+	m.viewStale = false
+	v := &View{Self: m.self.Name, Version: 1}
+	if m.view != nil {
+		v.Version = m.view.Version + 1
+	}
+	v.Members = make([]Member, 0, len(m.table))
+	for _, e := range m.table {
+		if !e.Gone || e == m.self {
+			v.Members = append(v.Members, m.member(e))
+		}
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	m.view = v
+	return v
+}
+
+func (m *Machine) member(e *entry) Member {
+	return Member{
+		Name: e.Name, Zone: e.Zone, Region: e.Region,
+		PeerAddress: e.PeerAddress, CallerAddress: e.CallerAddress,
+		Incarnation: e.Incarnation, State: m.derive(e), Generation: e.Generation, Hash: e.Hash,
+	}
+}
+
+// derive returns the state of a member: that of its record, but suspect when
+// its region is not heard of.
+func (m *Machine) derive(e *entry) State {
+	s := e.state()
+	if s == Alive && e.Region != m.self.Region {
+		if r := m.regions[e.Region]; r != nil && r.silent {
+			return Suspect
+		}
+	}
+	return s
+}
+
+// reportStates reports the members whose state changed.
+func (m *Machine) reportStates() {
+	if !m.viewStale {
+		return
+	}
+	for name, e := range m.table {
+		s := m.derive(e)
+		if old, ok := m.derived[name]; !ok || old != s {
+			m.derived[name] = s
+			m.act(ReportState{Name: name, State: s})
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/message.go
@@ -0,0 +1,63 @@
+package membership
+
+// Heartbeat is the message of peer.KindHeartbeat, one way. It carries the
+// sender's own state, what it last heard of the receiver, and what changed in
+// its table since the receiver's last acknowledgment.
+type Heartbeat struct {
+	Epoch       uint64 // first incarnation of the sender's process; versions count within it
+	Incarnation uint64
+	Generation  uint64 // of the document that the sender has in force
+	Hash        uint64 // of that document
+	TableHash   uint64 // of the sender's records
+
+	HeardMS uint32 // how long ago the sender last heard the receiver; neverHeard if not
+
+	AckEpoch uint64 // epoch of the receiver to which Ack belongs
+	Ack      uint64 // version of the receiver's table up to which the sender has all changes
+	Base     uint64 // the changes below are those after this version of the sender's table
+	Version  uint64 // ... and up to this one
+
+	Records []Record
+	Notes   []Note
+	Regions []RegionNote
+
+	Ask   []string // members about which the sender wants to know
+	Heard []Sign   // members that the receiver asked about and the sender heard lately
+}
+
+// neverHeard is the HeardMS of a sender that has not heard the receiver.
+const neverHeard = 1<<32 - 1
+
+// Note tells the generation that a member of the sender's region has in force.
+type Note struct {
+	Name        string
+	Incarnation uint64
+	Generation  uint64
+}
+
+// RegionNote is what the relays of a region say of it.
+type RegionNote struct {
+	Region     string
+	Beat       uint64   // rises with each note
+	Generation uint64   // that all members have in force or surpass
+	Except     []string // but these
+}
+
+// Sign is a sign of life of a member that the sender heard itself.
+type Sign struct {
+	Name        string
+	Incarnation uint64
+	AgeMS       uint32
+}
+
+// JoinRequest is the message of peer.KindJoin, a call.
+type JoinRequest struct {
+	Record Record
+}
+
+// JoinAnswer is the answer to a JoinRequest.
+type JoinAnswer struct {
+	Name    string // of the daemon that answers
+	Records []Record
+	Regions []RegionNote
+}
--- /dev/null
+++ b/internal/membership/region.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// maxExceptions bounds the members that a region's note names one by one.
+const maxExceptions = 8
+
+// regionState is what is known of one region.
+type regionState struct {
+	RegionNote
+	heard   time.Time // when the last note came
+	silent  bool
+	version uint64
+	source  *linkState
+}
+
+func (m *Machine) region(name string) *regionState {
+	r, ok := m.regions[name]
+	if !ok {
+		r = &regionState{RegionNote: RegionNote{Region: name}}
+		m.regions[name] = r
+	}
+	return r
+}
+
+// noteRegionSeen starts the timer of a region when its first member is known.
+func (m *Machine) noteRegionSeen(name string, now time.Time) {
+	if r := m.region(name); r.heard.IsZero() {
+		r.heard = now
+	}
+}
+
+// noteRegion lets a relay say, once an interval, that its region lives and
+// which generation it has in force. The number of the note goes above all that
+// were heard, and is the wall clock's at least, so that it rises across
+// restarts of a whole region.
+func (m *Machine) noteRegion(now time.Time) {
+	t := m.currentTopology()
+	if !t.relay || m.phase == PhaseJoining || now.Before(m.nextNote) {
+		return
+	}
+	m.nextNote = now.Add(m.opts.RelayInterval)
+	r := m.region(m.self.Region)
+	r.Beat = max(r.Beat+1, uint64(now.UnixMilli()))
+	r.Generation, r.Except = m.summarize()
+	r.heard = now
+	m.version++
+	r.version, r.source = m.version, nil
+}
+
+// summarize returns the highest generation that all members of the own region
+// but few have in force.
+func (m *Machine) summarize() (generation uint64, except []string) {
+	lowest := m.self.Generation
+	for _, e := range m.table {
+		if e.Region == m.self.Region && !e.Gone {
+			generation = max(generation, e.Generation)
+			lowest = min(lowest, e.Generation)
+		}
+	}
+	for name, e := range m.table {
+		if e.Region == m.self.Region && !e.Gone && e.Generation < generation {
+			except = append(except, name)
+		}
+	}
+	if len(except) > maxExceptions {
+		return lowest, nil
+	}
+	slices.Sort(except)
+	return generation, except
+}
+
+// takeRegion takes in the note of a region.
+func (m *Machine) takeRegion(n *RegionNote, source *linkState, now time.Time) {
+	r := m.region(n.Region)
+	if n.Beat <= r.Beat {
+		return
+	}
+	r.RegionNote = *n
+	r.heard = now
+	m.version++
+	r.version, r.source = m.version, source
+	if r.silent {
+		r.silent = false
+		m.viewStale = true
+	}
+	if n.Region == m.self.Region {
+		return
+	}
+	for name, e := range m.table {
+		if e.Region == n.Region && !e.Gone && e.Generation < n.Generation && !slices.Contains(n.Except, name) {
+			e.Generation, e.Hash = n.Generation, 0
+			m.viewStale = true
+		}
+	}
+}
+
+// detectRegions marks the regions that are not heard of.
+func (m *Machine) detectRegions(now time.Time) {
+	for name, r := range m.regions {
+		silent := name != m.self.Region && now.Sub(r.heard) >= m.opts.RegionAfter
+		if silent != r.silent {
+			r.silent = silent
+			m.viewStale = true
+		}
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -67,3 +67,14 @@
 	// Subscribe calls f after each change, in order, from one goroutine.
 	Subscribe(f func(*View)) (cancel func())
 }
+
+// Count returns the number of members in a state.
+func (v *View) Count(s State) int {
+	n := 0
+	for i := range v.Members {
+		if v.Members[i].State == s {
+			n++
+		}
+	}
+	return n
+}
