--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,9 +64,9 @@
 			return usageError(err)
 		},
 		Commands: []*cli.Command{
-			newServe(),
 			newLookup(),
 			newEvents(),
+			newBench(),
 			newVersion(),
 		},
 	}
