--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -255,11 +255,12 @@
 	return "http://" + l.Addr().String()
 }
 
-// TestSilentConnectionsAreReplaced lets two pooled connections go silent
-// after their first answers: one timeout must be enough to drop both.
+// TestSilentConnectionsAreReplaced lets two pooled connections go silent once
+// both watches were answered: one timeout must be enough to drop both.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	const silent = 2
 	var connections atomic.Int32
+	var silence atomic.Bool
 	bothOpen := make(chan struct{})
 	url := serveRaw(t, func(conn net.Conn) {
 		number := connections.Add(1)
@@ -267,19 +268,19 @@
 			close(bothOpen)
 		}
 		r := bufio.NewReader(conn)
-		for answered := 0; ; answered++ {
+		for {
 			if _, err := http.ReadRequest(r); err != nil {
 				return
 			}
 			<-bothOpen
-			if number <= silent && answered > 0 {
+			if number <= silent && silence.Load() {
 				continue
 			}
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nPlatform-Version: 7\r\nContent-Length: 2\r\n\r\n[]")
 		}
 	})
 	ctx := context.Background()
-	c := newClient(t, platform.ClientOptions{URL: url, Timeout: 3 * time.Second, WatchTimeout: 10 * time.Millisecond})
+	c := newClient(t, platform.ClientOptions{URL: url, Timeout: 500 * time.Millisecond, WatchTimeout: 10 * time.Millisecond})
 	watch := func() error {
 		_, _, err := c.Watch(ctx, kind, 0)
 		return err
@@ -289,6 +290,7 @@
 		group.Go(watch)
 	}
 	wantCode(t, group.Wait(), nil)
+	silence.Store(true)
 	wantCode(t, watch(), platform.ErrUnavailable)
 	for range 3 {
 		wantCode(t, watch(), nil)
