confsync: put the accepted document in force everywhere, few watchers, peers push

Cause: daemons had no way to hear of documents. Only rising generations are adopted. A daemon is ready once a peer, or the store with no peer to be had, has confirmed its document, and says why it is not; a pause of the process starts that over.

--- /dev/null
+++ b/internal/confsync/core_test.go
@@ -0,0 +1,152 @@
+package confsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/membership"
+)
+
+func member(i int) membership.Member {
+	return membership.Member{Name: fmt.Sprintf("vm-%03d", i), Region: "r", Zone: "z"}
+}
+
+// testHeld is a document with nothing in it.
+func testHeld(gen config.Generation, hash uint64) *held {
+	return &held{snap: &config.Snapshot{Generation: gen, Hash: hash, Document: &config.Document{}}}
+}
+
+// TestTreeReachesAllOnce walks the tree of each root of a region.
+func TestTreeReachesAllOnce(t *testing.T) {
+	const n = 155
+	view := &membership.View{}
+	for i := range n {
+		view.Members = append(view.Members, member(i))
+	}
+	root := member(17).Name
+	reached := map[string]int{root: 1}
+	queue := []string{root}
+	for len(queue) > 0 {
+		c := newCore(membership.Member{Name: queue[0], Region: "r"}, 1)
+		c.view = view
+		queue = queue[1:]
+		children := c.children(root)
+		if len(children) > treeDegree {
+			t.Errorf("%d children", len(children))
+		}
+		for _, child := range children {
+			reached[child]++
+			queue = append(queue, child)
+		}
+	}
+	if len(reached) != n {
+		t.Errorf("reached %d of %d", len(reached), n)
+	}
+	for name, times := range reached {
+		if times != 1 {
+			t.Errorf("%s reached %d times", name, times)
+		}
+	}
+}
+
+func TestOnlyRisingGenerationsAreAdopted(t *testing.T) {
+	for _, from := range []source{fromStore, fromPush, fromFetch, fromApply} {
+		t.Run(from.String(), func(t *testing.T) {
+			c := newCore(member(1), 1)
+			c.adopt(testHeld(5, 50), from, "")
+			c.adopt(testHeld(4, 40), from, "")
+			if c.cur.generation() != 5 {
+				t.Errorf("went back to %d", c.cur.generation())
+			}
+			c.adopt(testHeld(5, 51), from, "")
+			if decided := c.cur.hash() == 51; decided != (from == fromStore) {
+				t.Errorf("another document of the generation was taken: %v", decided)
+			}
+		})
+	}
+}
+
+// TestPausedProcessIsNotReadyUntilConfirmed lets time jump between two ticks.
+func TestPausedProcessIsNotReadyUntilConfirmed(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newCore(member(1), 1)
+	c.onStart(now)
+	c.onView(now, &membership.View{Version: 1, Members: []membership.Member{member(1), member(2)}})
+	c.onHead(now, testHeld(1, 1), 1, nil)
+	c.onFetched(now, testHeld(1, 1), nil)
+	if err := c.whyNotReady(); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(awayAfter + time.Second)
+	c.onTick(now)
+	if c.whyNotReady() == nil {
+		t.Fatal("ready right after a pause")
+	}
+	c.onWatch(now, nil, 1, nil)
+	c.onFetched(now, testHeld(2, 2), nil)
+	if err := c.whyNotReady(); err != nil || c.cur.generation() != 2 {
+		t.Errorf("generation %d, %v", c.cur.generation(), err)
+	}
+}
+
+func TestNotReadyWhileAPeerHasMore(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newCore(member(1), 1)
+	c.onStart(now)
+	ahead := member(2)
+	ahead.Generation = 7
+	c.onView(now, &membership.View{Version: 1, Members: []membership.Member{member(1), ahead}})
+	c.onHead(now, testHeld(6, 6), 1, nil)
+	if c.whyNotReady() == nil {
+		t.Error("ready with a stale document")
+	}
+	c.onTick(now)
+	c.onFetched(now, testHeld(7, 7), nil)
+	if err := c.whyNotReady(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTwoWatchersPerRegionAreChosenAnew(t *testing.T) {
+	view := &membership.View{}
+	for i := range 20 {
+		view.Members = append(view.Members, member(i))
+	}
+	first := watchers(view, "r")
+	if len(first) != watchersPerRegion {
+		t.Fatalf("%d watchers", len(first))
+	}
+	for i := range view.Members {
+		if view.Members[i].Name == first[0].Name {
+			view.Members[i].State = membership.Suspect
+		}
+	}
+	again := watchers(view, "r")
+	if again[0].Name != first[1].Name || again[1].Name == first[0].Name {
+		t.Errorf("from %v to %v", first, again)
+	}
+}
+
+// TestRelaysForABoundedNumberOfRoots has the same document pushed down many
+// trees.
+func TestRelaysForABoundedNumberOfRoots(t *testing.T) {
+	c := newCore(member(0), 1)
+	for i := range 200 {
+		c.view.Members = append(c.view.Members, member(i))
+	}
+	doc := testHeld(1, 1)
+	pushes := 0
+	for root := range 200 {
+		c.onPush(time.Unix(0, 0), member(root).Name, pushMessage{Root: member(root).Name, Document: doc.notice()}, doc)
+		for _, a := range c.take() {
+			if _, ok := a.(pushTo); ok {
+				pushes++
+			}
+		}
+	}
+	if len(c.relay.roots) != maxRoots || pushes > maxRoots*treeDegree {
+		t.Errorf("%d roots, %d pushes", len(c.relay.roots), pushes)
+	}
+}
--- /dev/null
+++ b/internal/confsync/fleet_test.go
@@ -0,0 +1,271 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"masticturn/examples"
+	"masticturn/internal/config"
+	"masticturn/internal/config/repository"
+	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
+	"masticturn/internal/peer/peertest"
+	"masticturn/internal/platform"
+	"masticturn/internal/platform/platformtest"
+)
+
+// Times of the fleet's stand-in for membership.
+const (
+	heartbeat  = 500 * time.Millisecond
+	goneAfter  = 2 * time.Second
+	inForceMax = 3 * time.Second // bound on accept to in force everywhere
+)
+
+// fakeMembers is the membership.Source of one daemon.
+type fakeMembers struct {
+	mu    sync.Mutex
+	view  *membership.View
+	calls []func(*membership.View)
+}
+
+func (f *fakeMembers) View() *membership.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fakeMembers) Subscribe(call func(*membership.View)) (cancel func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, call)
+	return func() {}
+}
+
+func (f *fakeMembers) set(v *membership.View) {
+	f.mu.Lock()
+	f.view = v
+	calls := slices.Clone(f.calls)
+	f.mu.Unlock()
+	for _, call := range calls {
+		call(v)
+	}
+}
+
+// testDaemon is one daemon of a fleet.
+type testDaemon struct {
+	*Service
+	member  membership.Member
+	members *fakeMembers
+	diedAt  time.Time // zero while it runs
+	mu      sync.Mutex
+	reverts int
+}
+
+func (d *testDaemon) running() bool { return d.diedAt.IsZero() }
+
+// fleet is some daemons over an in-memory network and store. Its stand-in for
+// membership tells all daemons of all others at each heartbeat.
+type fleet struct {
+	t     *testing.T
+	hub   *peertest.Hub
+	store *platformtest.Store
+
+	mu      sync.Mutex // guards daemons and their diedAt
+	daemons []*testDaemon
+
+	stop context.CancelFunc
+	next config.Millis
+}
+
+// newFleet starts perRegion daemons in each of two regions. It must run in a
+// synctest bubble.
+func newFleet(t *testing.T, perRegion int) *fleet {
+	f := &fleet{t: t, hub: peertest.NewHub(1), store: platformtest.NewStore(), next: 1000}
+	for i := range 2 * perRegion {
+		f.start(fmt.Sprintf("vm-%02d", i), fmt.Sprintf("region-%d", i%2))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go f.beat(ctx)
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) close() {
+	f.stop()
+	for _, d := range f.daemons {
+		_ = d.Stop(context.Background())
+	}
+	time.Sleep(time.Minute) // lets what is on the way end
+}
+
+func (f *fleet) start(name, region string) *testDaemon {
+	d := &testDaemon{
+		member:  membership.Member{Name: name, Region: region, Zone: region + "-a", Incarnation: uint64(time.Now().UnixNano())},
+		members: &fakeMembers{},
+	}
+	d.members.view = &membership.View{Self: name, Members: []membership.Member{d.member}}
+	d.Service = NewService(Deps{
+		Self: d.member, Store: f.store, Network: f.hub.Network(name), Members: d.members, Clock: kernel.SystemClock{},
+	})
+	last := config.Generation(0)
+	d.Subscribe(func(s *config.Snapshot) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if s.Generation <= last {
+			d.reverts++
+		}
+		last = s.Generation
+	})
+	f.mu.Lock()
+	f.daemons = slices.DeleteFunc(slices.Clone(f.daemons), func(o *testDaemon) bool { return o.member.Name == name })
+	f.daemons = append(f.daemons, d)
+	f.mu.Unlock()
+	if err := d.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
+// crash ends a daemon without a word.
+func (f *fleet) crash(d *testDaemon) {
+	f.hub.Remove(d.member.Name)
+	_ = d.Stop(context.Background())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.diedAt = time.Now()
+}
+
+func (f *fleet) beat(ctx context.Context) {
+	for tick := uint64(1); ctx.Err() == nil; tick++ {
+		members := f.known()
+		for _, d := range f.alive() {
+			d.members.set(&membership.View{Version: tick, Self: d.member.Name, Members: members})
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// known returns what heartbeats tell: daemons that died stay for a while.
+func (f *fleet) known() []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []membership.Member
+	for _, d := range f.daemons {
+		m := d.member
+		if s := d.Current(); s != nil {
+			m.Generation, m.Hash = uint64(s.Generation), s.Hash
+		}
+		if !d.running() && time.Since(d.diedAt) > goneAfter {
+			continue
+		}
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+func (f *fleet) alive() []*testDaemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.daemons), func(d *testDaemon) bool { return !d.running() })
+}
+
+// watcher returns a running daemon that watches, of a region.
+func (f *fleet) watchers(region string) []*testDaemon {
+	var out []*testDaemon
+	for _, d := range f.alive() {
+		d.Service.mu.Lock()
+		if d.member.Region == region && d.core.watch.watcher {
+			out = append(out, d)
+		}
+		d.Service.mu.Unlock()
+	}
+	return out
+}
+
+// document returns a document unlike all before it.
+func (f *fleet) document() *config.Document {
+	text, _ := examples.Document("estiba")
+	doc, err := config.Parse(text)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.next++
+	doc.Lookup.MaxAgeMS = f.next
+	return doc
+}
+
+// apply has a document accepted through a daemon, on what that one has in
+// force.
+func (f *fleet) apply(d *testDaemon) config.Generation {
+	f.t.Helper()
+	p := repository.Proposal{Document: f.document()}
+	if s := d.Current(); s != nil {
+		p.Base = s.Generation
+	}
+	accepted, err := d.Apply(context.Background(), p)
+	if err != nil {
+		f.t.Fatalf("apply at %s: %v", d.member.Name, err)
+	}
+	return accepted.Record.Generation
+}
+
+// put has a document accepted past all daemons, as by one that died at once.
+func (f *fleet) put(base config.Generation) config.Generation {
+	f.t.Helper()
+	repo := repository.New(f.store, kernel.SystemClock{})
+	accepted, err := repo.Apply(context.Background(), repository.Proposal{Document: f.document(), Base: base})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return accepted.Record.Generation
+}
+
+// settle waits until the generation is in force at all running daemons, and
+// fails when that takes longer than allowed.
+func (f *fleet) settle(gen config.Generation, within time.Duration) {
+	f.t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		behind := f.behind(gen)
+		if len(behind) == 0 {
+			break
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("after %v generation %d is not in force at %v", within, gen, behind)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, d := range f.daemons {
+		d.mu.Lock()
+		if d.reverts > 0 {
+			f.t.Errorf("%s went back %d times", d.member.Name, d.reverts)
+		}
+		d.mu.Unlock()
+	}
+}
+
+func (f *fleet) behind(gen config.Generation) []string {
+	var names []string
+	for _, d := range f.alive() {
+		if s := d.Current(); s == nil || s.Generation != gen {
+			names = append(names, d.member.Name)
+		}
+	}
+	return names
+}
+
+// storeCalls returns the calls so far that follow the document.
+func (f *fleet) storeCalls() int {
+	return f.store.Calls(platform.OpGet) + f.store.Calls(platform.OpWatch)
+}
