--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,6 +64,7 @@
 			return usageError(err)
 		},
 		Commands: []*cli.Command{
+			newServe(),
 			newLookup(),
 			newEvents(),
 			newBench(),
