--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -40,6 +40,7 @@
 	Instant    bool    // targets take no time
 	KeepLogs   bool    // keep each try and execution, for the check of promises
 	Direct     bool    // no emulated network: plain connections without delays and faults
+	TokenFile  string  // operators' token of all VMs; may be empty
 	LogTo      io.Writer
 	LogLevel   logrus.Level
 }
@@ -185,6 +186,7 @@
 		},
 		Platform: settings.Platform{URL: c.platform.URL(), TimeoutMS: platformTimeoutMS, CallsPerSecond: platformCallsPerSecond},
 		Peers:    settings.Peers{Seeds: []string{hostPort(c.plan.ip(groupVM, 1), portPeers), hostPort(c.plan.ip(groupVM, 2), portPeers)}},
+		Operator: settings.Operator{TokenFile: c.opts.TokenFile},
 		Log:      settings.Log{Format: telemetry.FormatText, Level: c.opts.LogLevel.String()},
 	}
 	return &VM{Host: host, Settings: s, cluster: c}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -65,6 +65,7 @@
 		},
 		Commands: []*cli.Command{
 			newServe(),
+			newDemo(),
 			newLookup(),
 			newEvents(),
 			newBench(),
