--- a/internal/bench/faultrun.go
+++ b/internal/bench/faultrun.go
@@ -9,6 +9,7 @@
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/edge"
 	"masticturn/internal/platform/platformtest"
+	"masticturn/internal/standin/network"
 	standinplatform "masticturn/internal/standin/platform"
 	"masticturn/internal/standin/target"
 )
@@ -17,7 +18,9 @@
 // with enough of them, and strengths of the faults.
 const (
 	maxBrokenVMs     = 3
-	maxBrokenTargets = 6
+	maxBrokenTargets = 20
+	targetsAtOnce    = 8
+	targetStep       = 7    // between those, so that they are of several services
 	faultyShare      = 0.3  // of the requests of a faulty target
 	lossShare        = 0.4  // of the writes of a platform that loses them
 	maxCutBytes      = 4096 // after which a connection is cut
@@ -135,17 +138,32 @@
 	j.count(f.kind, err)
 }
 
+// causeAtTarget breaks one target, or a number of them when only some of
+// their requests are hit.
 func (j *injector) causeAtTarget(f plannedFault) {
+	switch f.kind {
+	case FaultTargetDeath, FaultTargetLeaves:
+		j.causeAtOneTarget(f, f.first)
+		return
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	for i := range targetsAtOnce {
+		group.Go(func() { j.causeAtOneTarget(f, f.first+i*targetStep) })
+	}
+}
+
+func (j *injector) causeAtOneTarget(f plannedFault, index int) {
 	var names []string
 	for _, t := range j.cluster.Targets {
 		names = append(names, t.Name())
 	}
-	name, ok := j.take(names, f.first, maxBrokenTargets)
+	name, ok := j.take(names, index, maxBrokenTargets)
 	if !ok {
 		return
 	}
 	defer j.giveBack(name)
-	t := j.cluster.Targets[f.first%len(j.cluster.Targets)]
+	t := j.cluster.Targets[index%len(j.cluster.Targets)]
 	var err error
 	switch f.kind {
 	case FaultTargetDeath:
@@ -231,38 +249,63 @@
 	}
 }
 
-// causeBetween breaks the ways between two hosts.
+// causeBetween breaks the ways between a VM and others.
 func (j *injector) causeBetween(f plannedFault) {
 	c := j.cluster
 	vm := c.VMs[f.first%len(c.VMs)]
-	other := c.VMs[(f.first+1+f.second%(len(c.VMs)-1))%len(c.VMs)]
-	t := c.Targets[f.second%len(c.Targets)]
 	switch f.kind {
 	case FaultSilentTarget:
-		c.Note(cluster.ConnsSilenced, vm.Host.Name, t.Name(), "")
-		c.Network.Silence(vm.Host, t.Host)
+		j.atEach(cluster.ConnsSilenced, vm, j.targetHosts(f.second))
 	case FaultSilentPeer:
-		c.Note(cluster.ConnsSilenced, vm.Host.Name, other.Host.Name, "")
-		c.Network.Silence(vm.Host, other.Host)
+		j.atEach(cluster.ConnsSilenced, vm, j.peerHosts(vm))
 	case FaultSilentCaller:
-		host := c.CallerHosts()[f.second%len(c.CallerHosts())]
-		c.Note(cluster.ConnsSilenced, vm.Host.Name, host.Name, "")
-		c.Network.Silence(vm.Host, host)
+		j.atEach(cluster.ConnsSilenced, vm, c.CallerHosts())
 	case FaultSilentStore:
-		c.Note(cluster.ConnsSilenced, vm.Host.Name, storeName, "")
-		c.Network.Silence(vm.Host, c.PlatformHost())
+		j.atEach(cluster.ConnsSilenced, vm, []network.Host{c.PlatformHost()})
 	case FaultCutTarget:
-		c.Note(cluster.ConnsCut, vm.Host.Name, t.Name(), "")
-		c.Network.Cut(vm.Host, t.Host)
+		j.atEach(cluster.ConnsCut, vm, j.targetHosts(f.second))
 	case FaultCutPeer:
-		c.Note(cluster.ConnsCut, vm.Host.Name, other.Host.Name, "")
-		c.Network.Cut(vm.Host, other.Host)
+		j.atEach(cluster.ConnsCut, vm, j.peerHosts(vm))
 	case FaultPartition, FaultPartitionHalf:
+		other := c.VMs[(f.first+1+f.second%(len(c.VMs)-1))%len(c.VMs)]
 		j.partition(f, vm, other)
 	}
 	j.count(f.kind, nil)
 }
 
+// targetHosts returns the targets of one service.
+func (j *injector) targetHosts(index int) []network.Host {
+	services := j.cluster.Document.Services
+	var hosts []network.Host
+	for _, t := range j.cluster.Services[services[index%len(services)].Name] {
+		hosts = append(hosts, t.Host)
+	}
+	return hosts
+}
+
+// peerHosts returns the other VMs.
+func (j *injector) peerHosts(vm *cluster.VM) []network.Host {
+	var hosts []network.Host
+	for _, other := range j.cluster.VMs {
+		if other != vm {
+			hosts = append(hosts, other.Host)
+		}
+	}
+	return hosts
+}
+
+// atEach silences or cuts the open connections of a VM with some hosts.
+func (j *injector) atEach(what cluster.What, vm *cluster.VM, hosts []network.Host) {
+	for _, host := range hosts {
+		j.cluster.Note(what, vm.Host.Name, host.Name, "")
+		if what == cluster.ConnsSilenced {
+			j.cluster.Network.Silence(vm.Host, host)
+		} else {
+			j.cluster.Network.Cut(vm.Host, host)
+		}
+	}
+}
+
 func (j *injector) partition(f plannedFault, a, b *cluster.VM) {
 	c := j.cluster
 	c.Note(cluster.WayHeld, a.Host.Name, b.Host.Name, string(f.kind))
--- a/internal/bench/thin_test.go
+++ b/internal/bench/thin_test.go
@@ -28,10 +28,7 @@
 	cancel  context.CancelFunc
 }
 
-type fixed struct {
-	snapshot *config.Snapshot
-	view     *membership.View
-}
+type fixed struct{ snapshot *config.Snapshot }
 
 func (f fixed) Current() *config.Snapshot                      { return f.snapshot }
 func (f fixed) Subscribe(notify func(*config.Snapshot)) func() { notify(f.snapshot); return func() {} }
