--- a/internal/config/repository/repository.go
+++ b/internal/config/repository/repository.go
@@ -85,6 +85,20 @@
 	return head, o.Version, err
 }
 
+// Generation returns the encoded document of a generation, or trace.NotFound
+// when it is not kept.
+func (r *Repository) Generation(ctx context.Context, gen config.Generation) ([]byte, error) {
+	head, _, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rec := head.byGeneration(gen)
+	if rec == nil {
+		return nil, trace.NotFound("generation %d is not in the history", gen)
+	}
+	return r.Body(ctx, rec)
+}
+
 // Body returns the encoded document of a record, read from its chunks if
 // need be, and checked against its hash.
 func (r *Repository) Body(ctx context.Context, rec *Record) ([]byte, error) {
--- a/internal/confsync/service.go
+++ b/internal/confsync/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 
 	"masticturn/internal/config"
 	"masticturn/internal/config/repository"
@@ -149,6 +150,17 @@
 // Repository returns the repository, to read the history.
 func (s *Service) Repository() *repository.Repository { return s.repo }
 
+// Encoded returns the document in force as it was written, without defaults,
+// and its generation; trace.NotFound when there is none.
+func (s *Service) Encoded() (config.Generation, []byte, error) {
+	cur := s.current.Load()
+	if cur == nil {
+		return 0, nil, trace.NotFound("no document is in force here")
+	}
+	raw, err := repository.Decompress(cur.body)
+	return cur.generation(), raw, err
+}
+
 // Apply stores a document and puts it in force here at once, from where it
 // spreads. Errors are those of repository.Apply.
 func (s *Service) Apply(ctx context.Context, p repository.Proposal) (*repository.Accepted, error) {
