confsync: a member whose hash is not known has no other document

Cause: membership tells only the generation of daemons in other regions, with hash 0, and each of them counted as a dispute, with a read of the store. Change: hash 0 counts as equal. Test added; it fails without the change.

--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// TestUnknownHashIsNoDispute has a member whose generation alone is known.
+func TestUnknownHashIsNoDispute(t *testing.T) {
+	c := newCore(member(1), 1)
+	c.adopt(testHeld(5, 50), fromPush, "")
+	far := member(2)
+	far.Generation = 5
+	c.onView(time.Unix(0, 0), &membership.View{Version: 1, Members: []membership.Member{member(1), far}})
+	if c.watch.disputed != 0 {
+		t.Error("a member whose hash is not known counts as having another document")
+	}
+}
+
 func TestTwoWatchersPerRegionAreChosenAnew(t *testing.T) {
 	view := &membership.View{}
 	for i := range 20 {
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -87,10 +87,10 @@
 }
 
 // findDisputes looks for members with another document of the generation in
-// force.
+// force. The hash of daemons far away is not known here and counts as equal.
 func (c *core) findDisputes() {
 	for _, m := range c.others() {
-		if c.cur != nil && config.Generation(m.Generation) == c.cur.generation() && m.Hash != c.cur.hash() {
+		if c.cur != nil && config.Generation(m.Generation) == c.cur.generation() && m.Hash != 0 && m.Hash != c.cur.hash() {
 			c.dispute(c.cur.generation(), m.Name)
 		}
 	}
