--- a/internal/bench/cluster/event.go
+++ b/internal/bench/cluster/event.go
@@ -68,13 +68,14 @@
 		Quiet:      c.Document.Drain.TargetQuietMS.Duration(),
 	}
 	spans := spansOf(c.Events())
-	in.Drains, in.Leaving, in.Faults = spans.drains, spans.leaving, spans.faults
+	in.Drains, in.Away, in.Leaving, in.Faults = spans.drains, spans.away, spans.leaving, spans.faults
 	return promise.Check(in)
 }
 
 // spans are the intervals that a list of events describes.
 type spans struct {
 	drains  []promise.Interval
+	away    []promise.Interval
 	leaving []promise.Interval
 	faults  []promise.Fault
 }
@@ -90,6 +91,7 @@
 		switch e.What {
 		case VMDrains:
 			s.drains = append(s.drains, promise.Interval{Name: e.VM, From: e.At, To: until(rest, VMDrained, e)})
+			s.away = append(s.away, promise.Interval{Name: e.VM, From: e.At, To: until(rest, VMStarted, e)})
 		case TargetLeaves:
 			s.leaving = append(s.leaving, promise.Interval{Name: e.Target, From: e.At, To: until(rest, TargetReturns, e)})
 		case VMKilled:
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -73,7 +73,31 @@
 	Errors         []string             `json:"errors,omitempty"` // of causing and healing faults
 	Promises       promise.Report       `json:"promises"`
 	BrokenPromises int                  `json:"broken_promises"`
-	Trace          []cluster.TraceLine  `json:"trace,omitempty"`
+	Traces         []RequestTrace       `json:"traces,omitempty"` // of the request asked for, and of some broken promises
+}
+
+// RequestTrace is what happened to one request.
+type RequestTrace struct {
+	RequestID string              `json:"request_id"`
+	Lines     []cluster.TraceLine `json:"lines"`
+}
+
+// tracesOf traces the request asked for and the first example of each kind of
+// broken promise.
+func tracesOf(c *cluster.Cluster, asked string, broken []promise.Violation) []RequestTrace {
+	var traces []RequestTrace
+	add := func(id string) { traces = append(traces, RequestTrace{id, c.Trace(id)}) }
+	if asked != "" {
+		add(asked)
+	}
+	seen := make(map[promise.Kind]bool)
+	for _, v := range broken {
+		if !seen[v.Kind] {
+			seen[v.Kind] = true
+			add(v.RequestID)
+		}
+	}
+	return traces
 }
 
 // Faults runs a mixed load while faults come by chance, alone and in pairs.
@@ -165,8 +189,6 @@
 		r.Errors = append(r.Errors, err.Error())
 	}
 	r.BrokenPromises = r.Promises.Total
-	if opts.Trace != "" {
-		r.Trace = c.Trace(opts.Trace)
-	}
+	r.Traces = tracesOf(c, opts.Trace, r.Promises.Examples)
 	return r
 }
--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -49,6 +49,7 @@
 	Status     int
 	Replayed   bool // a recorded answer
 	GaveUp     bool // the caller's own patience ended
+	Refused    bool // no connection could be opened
 	Content    Content
 	Step       string // told on errors
 	Peer       string // told on errors
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -79,7 +79,7 @@
 func (c *Caller) exchange(ctx context.Context, req *request, address string, note *Note) (time.Duration, error) {
 	conn, err := c.pool.get(ctx, address)
 	if err != nil {
-		note.Told = ToldNotRun // nothing was sent
+		note.Told, note.Refused = ToldNotRun, true // nothing was sent
 		return retryPause, err
 	}
 	httpReq, err := c.build(ctx, req, address)
--- a/internal/standin/promise/promise.go
+++ b/internal/standin/promise/promise.go
@@ -22,6 +22,7 @@
 	AnsweredUnrun  Kind = "answered_unrun"   // the caller was told 'answered', but no target ran it
 	LostUpload     Kind = "lost_upload"      // the caller was told 'answered', but the body did not arrive whole
 	CutByDrain     Kind = "cut_by_drain"     // a planned stop of a VM cut the request
+	RefusedByDrain Kind = "refused_by_drain" // a VM stopped as planned before the last look-up naming it had expired
 	WorkToLeaving  Kind = "work_to_leaving"  // a target got new work after its quiet time
 )
 
@@ -75,6 +76,7 @@
 	Tries      []caller.Note
 	Executions []target.Record
 	Drains     []Interval    // planned stops of VMs, from the request to stop until the process ended
+	Away       []Interval    // the same, until the VM was started again
 	Faults     []Fault       // other reasons for broken connections
 	Leaving    []Interval    // targets, from the first sign of leaving
 	Quiet      time.Duration // how long after the first sign a leaving target may still get work
@@ -96,13 +98,14 @@
 	AnsweredUnrun  int         `json:"answered_unrun"`
 	LostUpload     int         `json:"lost_upload"`
 	CutByDrain     int         `json:"cut_by_drain"`
+	RefusedByDrain int         `json:"refused_by_drain"`
 	WorkToLeaving  int         `json:"work_to_leaving"`
 	Total          int         `json:"total"`
 	Examples       []Violation `json:"examples,omitempty"` // some of them
 }
 
-// maxExamples bounds Report.Examples.
-const maxExamples = 20
+// maxExamples bounds Report.Examples, for each kind.
+const maxExamples = 5
 
 // Check counts the broken promises.
 func Check(in Input) Report {
@@ -120,6 +123,7 @@
 	byID       map[string][]*target.Record
 	byKey      map[string][]*target.Record
 	repeatable map[string]bool // request ids that may run twice
+	examples   map[Kind]int
 	report     Report
 }
 
@@ -129,6 +133,7 @@
 		byID:       make(map[string][]*target.Record),
 		byKey:      make(map[string][]*target.Record),
 		repeatable: make(map[string]bool),
+		examples:   make(map[Kind]int),
 	}
 	for i := range in.Executions {
 		r := &in.Executions[i]
@@ -146,7 +151,7 @@
 func (c *check) broken(count *int, kind Kind, id, format string, args ...any) {
 	*count++
 	c.report.Total++
-	if len(c.report.Examples) < maxExamples {
+	if c.examples[kind]++; c.examples[kind] <= maxExamples {
 		c.report.Examples = append(c.report.Examples, Violation{kind, id, fmt.Sprintf(format, args...)})
 	}
 }
@@ -161,6 +166,7 @@
 	switch n.Told {
 	case caller.ToldNotRun:
 		c.checkNotRun(n)
+		c.checkRefused(n)
 	case caller.ToldAnswered:
 		c.checkAnswered(n)
 	case caller.ToldNothing:
@@ -207,7 +213,7 @@
 // checkCut finds requests that broke off while their VM drained, when nothing
 // else explains it.
 func (c *check) checkCut(n *caller.Note) {
-	if n.GaveUp || !c.drained(n) {
+	if n.GaveUp || !overlapsAny(c.in.Drains, n) {
 		return
 	}
 	records := c.byID[n.RequestID]
@@ -224,9 +230,23 @@
 	c.broken(&c.report.CutByDrain, CutByDrain, n.RequestID, "%s drained; the caller saw: %s", n.VM, n.Detail)
 }
 
-// drained reports whether the VM drained at some time of the try.
-func (c *check) drained(n *caller.Note) bool {
-	for _, i := range c.in.Drains {
+// checkRefused finds requests that met a closed listener because their VM had
+// stopped as planned, though a look-up that was still valid named it.
+func (c *check) checkRefused(n *caller.Note) {
+	if !n.Refused || n.GaveUp || !overlapsAny(c.in.Away, n) {
+		return
+	}
+	for _, f := range c.in.Faults {
+		if f.explains(n, nil) {
+			return
+		}
+	}
+	c.broken(&c.report.RefusedByDrain, RefusedByDrain, n.RequestID, "%s had stopped; the caller saw: %s", n.VM, n.Detail)
+}
+
+// overlapsAny reports whether the try overlaps an interval of its VM.
+func overlapsAny(intervals []Interval, n *caller.Note) bool {
+	for _, i := range intervals {
 		if i.Name == n.VM && i.overlaps(n.Started, n.Ended) {
 			return true
 		}
--- a/internal/standin/promise/promise_test.go
+++ b/internal/standin/promise/promise_test.go
@@ -30,6 +30,9 @@
 func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == edge.PathLookup {
 		vm := edge.LookupVM{Name: vmName, Address: f.address}
+		if f.broken == promise.RefusedByDrain {
+			vm.Address = "127.0.0.1:1" // nobody listens there any more
+		}
 		json.NewEncoder(w).Encode(edge.LookupAnswer{VMs: []edge.LookupVM{vm}, MaxAgeSeconds: 60})
 		return
 	}
@@ -125,6 +128,8 @@
 	switch broken {
 	case promise.CutByDrain:
 		in.Drains = []promise.Interval{{Name: vmName, From: from}}
+	case promise.RefusedByDrain:
+		in.Away = []promise.Interval{{Name: vmName, From: from}}
 	case promise.WorkToLeaving:
 		in.Leaving = []promise.Interval{{Name: "t-1", From: from.Add(-time.Second)}}
 		in.Quiet = time.Second
@@ -188,6 +193,7 @@
 		promise.AnsweredUnrun:  func(r promise.Report) int { return r.AnsweredUnrun },
 		promise.LostUpload:     func(r promise.Report) int { return r.LostUpload },
 		promise.CutByDrain:     func(r promise.Report) int { return r.CutByDrain },
+		promise.RefusedByDrain: func(r promise.Report) int { return r.RefusedByDrain },
 		promise.WorkToLeaving:  func(r promise.Report) int { return r.WorkToLeaving },
 	}
 	for kind, count := range counters {
