--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -156,7 +156,7 @@
 		c.VMs = append(c.VMs, c.newVM(i+1, z))
 	}
 	for _, vm := range c.VMs {
-		if err := c.listVM(ctx, vm); err != nil {
+		if err := c.listVM(vm); err != nil {
 			return err
 		}
 	}
--- a/internal/bench/cluster/targets.go
+++ b/internal/bench/cluster/targets.go
@@ -1,9 +1,7 @@
 package cluster
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -112,7 +110,7 @@
 }
 
 // listVM puts a VM into the platform's list.
-func (c *Cluster) listVM(ctx context.Context, vm *VM) error {
+func (c *Cluster) listVM(vm *VM) error {
 	record := edge.VMRecord{
 		Name:          vm.Host.Name,
 		Zone:          vm.Host.Zone,
@@ -123,19 +121,15 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = c.Store.Create(ctx, platform.KindVM, record.Name, value)
-	if errors.Is(err, platform.ErrConflict) {
-		return nil // still listed from before
-	}
-	return trace.Wrap(err, "list VM %s", record.Name)
+	c.Store.Put(platform.KindVM, record.Name, value)
+	return nil
 }
 
 // unlistAfter removes a VM from the platform's list, which lags.
 func (c *Cluster) unlistAfter(vm *VM, lag time.Duration) {
 	time.AfterFunc(lag, func() {
-		ctx := context.Background()
-		if o, err := c.Store.Get(ctx, platform.KindVM, vm.Host.Name); err == nil && !vm.Running() {
-			c.Store.Delete(ctx, platform.KindVM, vm.Host.Name, o.Version)
+		if !vm.Running() {
+			c.Store.Remove(platform.KindVM, vm.Host.Name)
 		}
 	})
 }
--- a/internal/bench/cluster/vm.go
+++ b/internal/bench/cluster/vm.go
@@ -68,7 +68,7 @@
 	v.daemon, v.metrics = daemon, set
 	v.mu.Unlock()
 	v.cluster.note(Event{What: VMStarted, VM: v.Host.Name})
-	return v.cluster.listVM(ctx, v)
+	return v.cluster.listVM(v)
 }
 
 // Metrics returns the metrics of the present daemon, nil before Start.
--- a/internal/platform/platformtest/faults.go
+++ b/internal/platform/platformtest/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 
 	"masticturn/internal/platform"
 )
@@ -69,6 +70,25 @@
 	s.wakeLocked()
 }
 
+// Put stores an object as the platform itself does, under no fault and
+// uncounted.
+func (s *Store) Put(kind platform.Kind, name string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.live.put(kind, name, entry{value: slices.Clone(value)})
+	s.wakeLocked()
+}
+
+// Remove removes an object as the platform itself does.
+func (s *Store) Remove(kind platform.Kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.live.get(kind, name); ok {
+		s.live.put(kind, name, entry{deleted: true})
+		s.wakeLocked()
+	}
+}
+
 // ReleaseLate lets the writes of FaultLateEffect take effect, in their order,
 // each only if its condition still holds. It returns how many there were.
 func (s *Store) ReleaseLate() int {
