--- a/internal/bench/daemon.go
+++ b/internal/bench/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/daemon"
@@ -18,7 +19,9 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
-	return &shipped{d}, nil
+	running := &shipped{daemon: d, killed: make(chan struct{})}
+	go running.drainWhenAsked(context.WithoutCancel(ctx))
+	return running, nil
 }
 
 var _ cluster.StartDaemon = StartDaemon
@@ -26,16 +29,45 @@
 // shipped is a daemon of a cluster.
 type shipped struct {
 	daemon *daemon.Daemon
+	killed chan struct{}
+	kill   sync.Once
+	drain  sync.Once
+	err    error // of the drain
 }
 
-// Drain implements cluster.Daemon.
+// drainWhenAsked drains as the program would when an operator asks for it.
+func (s *shipped) drainWhenAsked(ctx context.Context) {
+	select {
+	case <-s.killed:
+	case <-s.daemon.DrainRequested():
+		_ = s.Drain(ctx) // the daemon's log tells
+	}
+}
+
+// Drain implements cluster.Daemon. It ends early when the daemon is killed.
 func (s *shipped) Drain(ctx context.Context) error {
-	err := s.daemon.Drain(ctx)
-	s.Kill()
-	return err
+	s.drain.Do(func() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			select {
+			case <-s.killed:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		s.err = s.daemon.Drain(ctx)
+		s.stop()
+	})
+	return s.err
 }
 
 // Kill implements cluster.Daemon.
 func (s *shipped) Kill() {
+	s.kill.Do(func() { close(s.killed) })
+	s.drain.Do(s.stop)
+}
+
+func (s *shipped) stop() {
 	_ = s.daemon.Stop(context.Background()) // listeners already closed are no news
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,10 +95,21 @@
 // DrainRequested is closed once a drain was asked for by RequestDrain.
 func (d *Daemon) DrainRequested() <-chan struct{} { return d.drainAsk }
 
+// draining reports whether a drain was asked for or runs.
+func (d *Daemon) draining() bool {
+	select {
+	case <-d.drainAsk:
+		return true
+	default:
+		return false
+	}
+}
+
 // Drain leaves the fleet without cutting a request: look-ups stop naming this
 // VM, and it serves on until the last cached look-up has expired and nothing
 // is in flight. It returns early when the context is done.
 func (d *Daemon) Drain(ctx context.Context) error {
+	d.RequestDrain()
 	started := time.Now()
 	d.opts.Logger.Log(eventDraining)
 	err := d.kernel.Drain(ctx)
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/confsync"
@@ -58,7 +56,7 @@
 		},
 		{
 			Name:     operator.ServiceName,
-			Requires: []string{confsync.ServiceName, membership.ServiceName},
+			Requires: []string{storeName, membership.ServiceName, confsync.ServiceName, measure.ServiceName, forward.ServiceName},
 			New:      d.newOperator,
 		},
 	}
@@ -251,26 +249,3 @@
 		Logger:   d.opts.Logger,
 	}), nil
 }
-
-func (d *Daemon) newOperator(k *kernel.Kernel) (kernel.Service, error) {
-	var members *membership.Service
-	var sync *confsync.Service
-	var err error
-	need(k, membership.ServiceName, &members, &err)
-	need(k, confsync.ServiceName, &sync, &err)
-	if err != nil {
-		return nil, err
-	}
-	return operator.NewServer(operator.Deps{
-		Listener:  d.listeners.operators,
-		TokenFile: d.settings.Operator.TokenFile,
-		Ready: func() error {
-			if !members.Ready() {
-				return trace.ConnectionProblem(nil, "this daemon has not joined the others yet")
-			}
-			return sync.Ready()
-		},
-		Metrics: d.opts.Metrics,
-		Logger:  d.opts.Logger,
-	}), nil
-}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -115,6 +115,9 @@
 	})
 }
 
+// InFlight returns the number of requests in flight.
+func (s *Service) InFlight() int { return s.deps.Handler.InFlight() }
+
 // Address returns where the listener is open.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -19,7 +19,8 @@
 	// Provision resolves dependencies and validates; it starts nothing.
 	Provision(k *Kernel) error
 	// Start opens listeners and starts goroutines; it returns when ready to
-	// be used by dependents. The context is done when the kernel stops.
+	// be used by dependents. The context is done once the kernel has stopped
+	// all services.
 	Start(ctx context.Context) error
 	// Drain finishes work in flight and takes no new work. It returns when
 	// done or when the context is done.
@@ -96,6 +97,7 @@
 
 // Start orders the modules by their dependencies, builds and provisions all
 // services, then starts them. On an error whatever was started is stopped.
+// The context bounds the start only: the services run until Stop.
 func (k *Kernel) Start(ctx context.Context) error {
 	order, err := k.resolve()
 	if err != nil {
@@ -104,7 +106,7 @@
 	if err := k.provision(order); err != nil {
 		return err
 	}
-	runCtx, cancel := context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	k.cancel = cancel
 	for _, name := range order {
 		if err := k.services[name].Start(runCtx); err != nil {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -7,8 +7,9 @@
 )
 
 type fakeService struct {
-	log  *[]string
-	name string
+	log     *[]string
+	name    string
+	running context.Context
 }
 
 func (f *fakeService) note(step string) error {
@@ -16,8 +17,12 @@
 	return nil
 }
 
-func (f *fakeService) Provision(*Kernel) error     { return f.note("provision") }
-func (f *fakeService) Start(context.Context) error { return f.note("start") }
+func (f *fakeService) Provision(*Kernel) error { return f.note("provision") }
+func (f *fakeService) Start(ctx context.Context) error {
+	f.running = ctx
+	return f.note("start")
+}
+
 func (f *fakeService) Drain(context.Context) error { return f.note("drain") }
 func (f *fakeService) Stop(context.Context) error  { return f.note("stop") }
 
@@ -42,6 +47,30 @@
 	}
 }
 
+func TestServicesOutliveTheContextOfStart(t *testing.T) {
+	var log []string
+	k := New(SystemClock{})
+	register(t, k, &log, "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	if err := k.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	a, err := Lookup[*fakeService](k, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.running.Err() != nil {
+		t.Error("the end of the start's context stopped a running service")
+	}
+	if err := k.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if a.running.Err() == nil {
+		t.Error("Stop left the service's context open")
+	}
+}
+
 func TestBadDependenciesNameBothEnds(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/operator/configclient/client.go
+++ b/internal/operator/client/client.go
@@ -1,6 +1,6 @@
-// Package configclient is the operators' client of the API about the
-// document, for the command line.
-package configclient
+// Package client is the operators' client of a daemon, for the command
+// line.
+package client
 
 import (
 	"bytes"
@@ -139,7 +139,7 @@
 	failure := &edge.OperatorError{}
 	resp, err := s.Do(req.WithContext(ctx), answer, failure)
 	if err != nil && resp == nil {
-		return trace.ConnectionProblem(err, "call %s %s at %s", req.Method, req.URL.Path, c.url)
+		return trace.ConnectionProblem(err, "call %s %s at %s: %v", req.Method, req.URL.Path, c.url, err)
 	}
 	if resp.StatusCode/100 == 2 {
 		return trace.Wrap(err, "read the answer of %s", c.url)
--- a/internal/operator/configclient/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -1,4 +1,4 @@
-package configclient
+package client
 
 import (
 	"bytes"
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -44,6 +44,7 @@
 	started := time.Now()
 	a, err := c.within(ctx, cl)
 	c.metrics.observe(cl, err, time.Since(started))
+	c.health.note(err, time.Now())
 	return a, err
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -57,6 +57,7 @@
 	writes  *http.Client
 	limiter *rate.Limiter
 	metrics callMetrics
+	health  healthNote
 }
 
 var (
