--- /dev/null
+++ b/internal/lookup/answer.go
@@ -0,0 +1,120 @@
+package lookup
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"masticturn/internal/config"
+	"masticturn/internal/membership"
+	"masticturn/internal/rendezvous"
+)
+
+// Weights of a VM in the order of an answer. A VM of the caller's own zone
+// wins more often, but not always: else the death of one VM would move all
+// callers of its zone to one other VM.
+const (
+	weightSameZone   = 4
+	weightSameRegion = 1
+)
+
+// Buckets is the number of groups into which the callers of one place are
+// spread. All callers of a bucket get the same order.
+const Buckets = 64
+
+// Roster holds the members that may be named to callers, by region. It is
+// immutable; answers of one view share it.
+type Roster struct {
+	regions []string
+	members map[string][]membership.Member
+}
+
+// NewRoster groups the members of a view that may be named: those alive and
+// with a document in force; failing that, the suspect ones, since a wrong
+// suspicion must not leave callers with nothing.
+func NewRoster(view *membership.View) *Roster {
+	r := &Roster{members: make(map[string][]membership.Member)}
+	r.fill(view, func(m *membership.Member) bool { return m.State == membership.Alive && m.Generation > 0 })
+	if len(r.regions) == 0 {
+		r.fill(view, func(m *membership.Member) bool { return m.State == membership.Suspect })
+	}
+	return r
+}
+
+func (r *Roster) fill(view *membership.View, take func(*membership.Member) bool) {
+	for i := range view.Members {
+		m := &view.Members[i]
+		if !take(m) {
+			continue
+		}
+		if _, ok := r.members[m.Region]; !ok {
+			r.regions = append(r.regions, m.Region)
+		}
+		r.members[m.Region] = append(r.members[m.Region], *m)
+	}
+}
+
+// Candidates returns the VMs to name to the callers of a place and bucket,
+// best first, at most limit: those of the place's region, spread by bucket,
+// then those of the other regions, nearest first.
+func (r *Roster) Candidates(snap *config.Snapshot, place Place, bucket, limit int) []membership.Member {
+	key := place.Region + "/" + place.Zone + "/" + strconv.Itoa(bucket)
+	var out []membership.Member
+	for _, region := range r.nearestFirst(snap, place.Region) {
+		if len(out) >= limit {
+			break
+		}
+		out = append(out, ranked(r.members[region], place, key, limit-len(out))...)
+	}
+	return out
+}
+
+func (r *Roster) nearestFirst(snap *config.Snapshot, from string) []string {
+	regions := slices.Clone(r.regions)
+	slices.SortFunc(regions, func(a, b string) int {
+		return cmp.Or(cmp.Compare(distance(snap, from, a), distance(snap, from, b)), cmp.Compare(a, b))
+	})
+	return regions
+}
+
+type scoredMember struct {
+	member *membership.Member
+	score  float64
+}
+
+// ranked returns the first limit members for the key, best first.
+func ranked(members []membership.Member, place Place, key string, limit int) []membership.Member {
+	scored := make([]scoredMember, len(members))
+	for i := range members {
+		m := &members[i]
+		scored[i] = scoredMember{m, rendezvous.WeightedScore(key, m.Name, weight(place, m))}
+	}
+	slices.SortFunc(scored, func(a, b scoredMember) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	out := make([]membership.Member, min(limit, len(scored)))
+	for i := range out {
+		out[i] = *scored[i].member
+	}
+	return out
+}
+
+func weight(place Place, m *membership.Member) float64 {
+	if place.Zone != "" && place.Zone == m.Zone {
+		return weightSameZone
+	}
+	return weightSameRegion
+}
+
+// distance is the one-way latency of the link between two regions; a region
+// without a link is farthest.
+func distance(snap *config.Snapshot, from, to string) config.Millis {
+	if from == to || from == "" {
+		return 0
+	}
+	if link := snap.Link(from, to); link != nil {
+		return max(link.OneWayMS, 1)
+	}
+	return math.MaxInt64
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,17 +22,20 @@
 	KindTargetReport Kind = 30 // measure: a region's view of targets
 	KindTargetSignal Kind = 31 // measure: shed or drain seen on an answer
 
-	KindPermit  Kind = 40 // admission: asks a broker for slots
-	KindRelease Kind = 41 // admission: gives slots back
-	KindGrant   Kind = 42 // admission: a region grants credits to another
-	KindDemand  Kind = 43 // admission: a region tells its demand
+	KindPermit    Kind = 40 // admission: asks a broker for slots
+	KindRelease   Kind = 41 // admission: gives slots back
+	KindGrant     Kind = 42 // admission: a region grants credits to another
+	KindDemand    Kind = 43 // admission: a region tells its demand
+	KindDecision  Kind = 44 // admission: a broker's answer to KindPermit
+	KindInventory Kind = 45 // admission: tells a broker what is held
 
 	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
 // call only; decode it with Decode. For one-way messages the answer is
-// dropped.
+// dropped. One-way messages of one peer are handled one after the other, in
+// the order in which they were sent; calls are handled side by side.
 type Handler func(ctx context.Context, from string, payload []byte) (answer any, err error)
 
 // Network sends messages to daemons by VM name. Errors carry the peer's name.
@@ -45,6 +48,7 @@
 	// Call sends a message and decodes the answer into answer. After an error
 	// it is unknown whether the peer handled the message.
 	Call(ctx context.Context, to string, kind Kind, msg, answer any) error
-	// SetAddress tells where a VM listens; an empty address forgets it.
+	// SetAddress tells where a VM listens; an empty address forgets it. A VM
+	// whose name is not known yet is reached under its address as the name.
 	SetAddress(vm, address string)
 }
