--- a/internal/idempotency/claimant.go
+++ b/internal/idempotency/claimant.go
@@ -148,7 +148,7 @@
 	case ev.verdict == VerdictRun:
 		c.step = ClaimTakeOver // the holder declares that its run never was
 	case ev.verdict == VerdictBusy:
-		c.pause(ClaimRead)
+		c.pause(ClaimAsk)
 	default:
 		c.done(ev.verdict, ev.answer)
 	}
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -111,6 +111,9 @@
 
 // add notes a running key; nil when there is no room.
 func (l *ledger) add(now time.Duration, key, token string, fp Fingerprint, keepUntil time.Duration, b Bounds) *entry {
+	if old := l.records[key]; old != nil {
+		l.remove(old)
+	}
 	l.makeRoom(recordOverhead, b.Bytes)
 	if l.bytes+recordOverhead > b.Bytes {
 		return nil
