Wire idempotency keys into daemon, look-up and stand-in caller

Cause: keys need tickets on look-ups and an owner in the daemon. Change: a ticket is the head of the key itself (edge.KeySeparator); the separate ticket header is gone, since a repeated key could come with another ticket and would then run twice. The stand-in caller sends ticket and key as one; its test checks the same ticket at the key's head. Look-up answers are made again when there are new tickets.

--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -7,6 +7,7 @@
 	"masticturn/internal/config"
 	"masticturn/internal/confsync"
 	"masticturn/internal/forward"
+	"masticturn/internal/idempotency"
 	"masticturn/internal/kernel"
 	"masticturn/internal/lookup"
 	"masticturn/internal/measure"
@@ -39,9 +40,14 @@
 			Requires: []string{peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName},
 			New:      d.newMeasure,
 		},
+		{
+			Name:     idempotency.ServiceName,
+			Requires: []string{peer.ServiceName, storeName, confsync.ServiceName},
+			New:      d.newKeys,
+		},
 		{
 			Name:     lookup.ServiceName,
-			Requires: []string{membership.ServiceName, confsync.ServiceName},
+			Requires: []string{membership.ServiceName, confsync.ServiceName, idempotency.ServiceName},
 			New:      d.newLookup,
 		},
 		{
@@ -51,7 +57,7 @@
 		},
 		{
 			Name:     forward.ServiceName,
-			Requires: []string{confsync.ServiceName, measure.ServiceName, lookup.ServiceName, admission.ServiceName},
+			Requires: []string{confsync.ServiceName, measure.ServiceName, idempotency.ServiceName, lookup.ServiceName, admission.ServiceName},
 			New:      d.newForward,
 		},
 		{
@@ -180,20 +186,45 @@
 	}), nil
 }
 
+func (d *Daemon) newKeys(k *kernel.Kernel) (kernel.Service, error) {
+	var w wiring
+	var err error
+	need(k, peer.ServiceName, &w.network, &err)
+	need(k, storeName, &w.store, &err)
+	need(k, confsync.ServiceName, &w.config, &err)
+	if err != nil {
+		return nil, err
+	}
+	return idempotency.NewKeys(idempotency.Deps{
+		Self:    idempotency.Instance{VM: d.settings.VM.Name, Incarnation: d.incarnation},
+		Store:   w.store,
+		Network: w.network,
+		Config:  w.config,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
+		Metrics: d.opts.Metrics,
+	})
+}
+
 func (d *Daemon) newLookup(k *kernel.Kernel) (kernel.Service, error) {
 	var w wiring
 	var err error
 	need(k, membership.ServiceName, &w.members, &err)
+	var keys *idempotency.Keys
 	need(k, confsync.ServiceName, &w.config, &err)
+	need(k, idempotency.ServiceName, &keys, &err)
 	if err != nil {
 		return nil, err
 	}
-	return lookup.NewService(lookup.Deps{
+	s := lookup.NewService(lookup.Deps{
 		Config:  w.config,
 		Members: w.members,
 		Home:    lookup.Place{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
+		Tickets: keys,
 		Metrics: d.opts.Metrics,
-	}), nil
+	})
+	keys.Subscribe(s.Renew)
+	return s, nil
 }
 
 func (d *Daemon) newAdmission(k *kernel.Kernel) (kernel.Service, error) {
@@ -223,6 +254,8 @@
 	var err error
 	var places *lookup.Service
 	var admitter admission.Admitter
+	var keys *idempotency.Keys
+	need(k, idempotency.ServiceName, &keys, &err)
 	need(k, confsync.ServiceName, &w.config, &err)
 	need(k, measure.ServiceName, &w.targets, &err)
 	need(k, lookup.ServiceName, &places, &err)
@@ -235,6 +268,7 @@
 		Admission: admitter,
 		Locator:   places,
 		Measure:   w.targets,
+		Keys:      keys,
 		Dial:      d.opts.Dial,
 		Logger:    d.opts.Logger,
 		Metrics:   d.opts.Metrics,
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -21,10 +21,15 @@
 	HeaderStep           = "Masticturn-Step"        // to the caller, on errors
 	HeaderPeer           = "Masticturn-Peer"        // to the caller, on errors
 	HeaderReplayed       = "Masticturn-Replayed"    // to the caller: "1" on a recorded answer
-	HeaderTicket         = "Masticturn-Key-Ticket"  // look-up to caller to VM: ticket for idempotency keys
 	HeaderServedRegion   = "Masticturn-Served-From" // to the caller: region of the target that answered
 )
 
+// KeySeparator stands between a look-up's ticket and the caller's own part of
+// an idempotency key. A key that begins with a ticket is held in memory by the
+// VM that the ticket names; any other key costs a write to the platform. The
+// ticket is a part of the key, so that a repeated key never comes with another.
+const KeySeparator = ":"
+
 // InternalHeaderPrefix marks headers that only the system may set; they are
 // removed from what callers and targets send unless named above.
 const InternalHeaderPrefix = "Masticturn-"
@@ -50,6 +55,6 @@
 type LookupVM struct {
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
-	Address string `json:"address"` // host:port of the caller listener
-	Ticket  string `json:"ticket,omitempty"`
+	Address string `json:"address"`          // host:port of the caller listener
+	Ticket  string `json:"ticket,omitempty"` // how an idempotency key may begin, see KeySeparator
 }
--- a/internal/idempotency/ticket.go
+++ b/internal/idempotency/ticket.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"masticturn/internal/edge"
 )
 
 // A key that begins with a ticket and keySeparator belongs to the instance
@@ -13,7 +15,7 @@
 const (
 	ticketPrefix    = "mt1"
 	ticketSeparator = "~"
-	keySeparator    = ":"
+	keySeparator    = edge.KeySeparator
 	ticketParts     = 4
 	numberBase      = 36
 )
--- a/internal/lookup/service.go
+++ b/internal/lookup/service.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// Renew drops the computed answers, so that new ones carry new tickets.
+func (s *Service) Renew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.answers.Load(); old != nil {
+		s.answers.Store(&answerCache{snap: old.snap, roster: old.roster, fingerprint: old.fingerprint})
+	}
+}
+
 // fingerprint hashes what answers depend on. A member that merely took over a
 // later document changes the view, but no answer.
 func (r *Roster) fingerprint() uint64 {
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -136,9 +136,10 @@
 	for _, h := range v.sent() {
 		ids[h.Get(edge.HeaderRequestID)] = true
 		keys[h.Get(edge.HeaderIdempotencyKey)] = true
-		tickets[h.Get(edge.HeaderTicket)] = true
+		ticket, _, _ := strings.Cut(h.Get(edge.HeaderIdempotencyKey), edge.KeySeparator)
+		tickets[ticket] = true
 	}
-	if len(ids) != 3 || len(keys) != 1 || len(tickets) != 1 || keys[""] || tickets[""] {
+	if len(ids) != 3 || len(keys) != 1 || len(tickets) != 1 || keys[""] || !tickets["ticket-0"] {
 		t.Fatalf("ids %v, keys %v, tickets %v", ids, keys, tickets)
 	}
 	if v.at[0] != v.addresses[0] || v.at[1] != v.addresses[1] {
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -118,12 +118,12 @@
 	httpReq.ContentLength = req.shape.BodyBytes
 	httpReq.Header.Set(edge.HeaderRequestID, req.id)
 	httpReq.Header.Set(edge.HeaderTimeoutMS, strconv.FormatInt(c.opts.Timeout.Milliseconds(), 10))
-	if req.key != "" {
+	switch {
+	case req.key != "" && req.ticket != "":
+		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.ticket+edge.KeySeparator+req.key)
+	case req.key != "":
 		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.key)
 	}
-	if req.key != "" && req.ticket != "" {
-		httpReq.Header.Set(edge.HeaderTicket, req.ticket)
-	}
 	return httpReq, nil
 }
 
