Planned stop: a machine that ends only when nothing is in flight and no look-up names the VM

Cause: the listener was shut down before the others knew that the VM leaves. Change: internal/drain, wired so that it is drained first. Times: neighbors told (5 s at most), 4 s for the news to spread, the look-ups' max-age, then until nothing is in flight.

--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -6,6 +6,7 @@
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/confsync"
+	"masticturn/internal/drain"
 	"masticturn/internal/forward"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/kernel"
@@ -65,6 +66,12 @@
 			Requires: []string{storeName, membership.ServiceName, confsync.ServiceName, measure.ServiceName, forward.ServiceName},
 			New:      d.newOperator,
 		},
+		{
+			// Required by none and requiring the last ones: it is drained first.
+			Name:     drain.ServiceName,
+			Requires: []string{membership.ServiceName, confsync.ServiceName, forward.ServiceName, operator.ServiceName},
+			New:      d.newDrain,
+		},
 	}
 }
 
@@ -283,3 +290,22 @@
 		Logger:   d.opts.Logger,
 	}), nil
 }
+
+func (d *Daemon) newDrain(k *kernel.Kernel) (kernel.Service, error) {
+	var w wiring
+	var err error
+	var callers *forward.Service
+	need(k, membership.ServiceName, &w.members, &err)
+	need(k, confsync.ServiceName, &w.config, &err)
+	need(k, forward.ServiceName, &callers, &err)
+	if err != nil {
+		return nil, err
+	}
+	return drain.NewService(drain.Deps{
+		Members: w.members,
+		Callers: callers,
+		Config:  w.config,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
+	}), nil
+}
--- /dev/null
+++ b/internal/drain/machine.go
@@ -0,0 +1,112 @@
+// Package drain takes this VM out of service without cutting or refusing a
+// request: look-ups stop naming it, it serves on until the last cached look-up
+// has expired and nothing is in flight, and only then it ends.
+package drain
+
+import "time"
+
+// Step is a step of a planned stop.
+type Step string
+
+// The steps of a planned stop, in order. StepForced can follow any of them.
+const (
+	StepServing   Step = "serving"   // no stop was asked for
+	StepLeaving   Step = "leaving"   // the other VMs are being told
+	StepLingering Step = "lingering" // callers may still hold look-ups that name this VM
+	StepFinishing Step = "finishing" // requests in flight go to their end
+	StepEnded     Step = "ended"     // nothing is in flight
+	StepForced    Step = "forced"    // what was in flight is cut
+)
+
+// Steps lists the steps of a planned stop.
+func Steps() []Step {
+	return []Step{StepServing, StepLeaving, StepLingering, StepFinishing, StepEnded, StepForced}
+}
+
+// eventKind is what happened.
+type eventKind uint8
+
+const (
+	eventBegin eventKind = iota // a stop was asked for
+	eventTold                   // the other VMs know, or could not be told in time
+	eventTick                   // some time has passed
+	eventForce                  // the stop is to end now
+)
+
+// event is one input of the machine.
+type event struct {
+	kind     eventKind
+	inFlight int // requests being served, for eventTick and eventForce
+}
+
+// action is what the machine asks for.
+type action uint8
+
+const (
+	actionTell             action = iota + 1 // tell the other VMs that this one leaves
+	actionCloseConnections                   // let each answer close its connection
+	actionReport                             // log what is still in flight
+	actionEnd                                // the stop is over
+)
+
+// times are the durations a stop follows.
+type times struct {
+	maxAge time.Duration // how long callers may keep a look-up
+	spread time.Duration // until the last VM has stopped naming this one, once neighbors know
+	grace  time.Duration // after which what is still in flight is reported, each time it passes
+}
+
+// machine decides the steps of one stop. It does no I/O. It never cuts a
+// request by itself, however long that takes: only eventForce does.
+type machine struct {
+	times  times
+	step   Step
+	linger time.Time // until when look-ups may name this VM
+	report time.Time
+}
+
+func newMachine(t times) *machine { return &machine{times: t, step: StepServing} }
+
+// next takes an event and returns what is to be done, in order.
+func (m *machine) next(e event, now time.Time) []action {
+	switch {
+	case m.step == StepEnded || m.step == StepForced:
+		return nil
+	case e.kind == eventForce:
+		return m.force(e)
+	case e.kind == eventBegin && m.step == StepServing:
+		m.step = StepLeaving
+		m.report = now.Add(m.times.grace)
+		return []action{actionTell}
+	case e.kind == eventTold && m.step == StepLeaving:
+		m.step = StepLingering
+		m.linger = now.Add(m.times.spread + m.times.maxAge)
+		return []action{actionCloseConnections}
+	case e.kind == eventTick:
+		return m.tick(e, now)
+	}
+	return nil
+}
+
+func (m *machine) force(e event) []action {
+	m.step = StepForced
+	if e.inFlight > 0 {
+		return []action{actionReport, actionEnd}
+	}
+	return []action{actionEnd}
+}
+
+func (m *machine) tick(e event, now time.Time) []action {
+	if m.step == StepLingering && !now.Before(m.linger) {
+		m.step = StepFinishing
+	}
+	if m.step == StepFinishing && e.inFlight == 0 {
+		m.step = StepEnded
+		return []action{actionEnd}
+	}
+	if m.step != StepServing && e.inFlight > 0 && now.After(m.report) {
+		m.report = now.Add(m.times.grace)
+		return []action{actionReport}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/drain/service.go
@@ -0,0 +1,114 @@
+package drain
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/telemetry"
+)
+
+// ServiceName is the name under which the service is registered.
+const ServiceName = "drain.vm"
+
+// Durations of a stop that the document does not set.
+const (
+	tellTimeout = 5 * time.Second        // neighbors that are cut off are not waited for longer
+	spreadTime  = 4 * time.Second        // some heartbeats, within a region and between regions
+	tickTime    = 100 * time.Millisecond // between looks at what is in flight
+)
+
+// Members tells the other VMs.
+type Members interface {
+	// Leave says that this VM leaves; it returns when its neighbors know.
+	Leave(ctx context.Context) error
+}
+
+// Callers is the listener that is drained.
+type Callers interface {
+	InFlight() int
+	CloseConnections()
+}
+
+// Deps is what a Service needs.
+type Deps struct {
+	Members Members
+	Callers Callers
+	Config  config.Source
+	Clock   kernel.Clock
+	Logger  *telemetry.Logger
+}
+
+// Service drains this VM. It must be registered so that it is drained before
+// the services it uses.
+type Service struct{ deps Deps }
+
+var _ kernel.Service = (*Service)(nil)
+
+// NewService returns a service.
+func NewService(d Deps) *Service { return &Service{deps: d} }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(*kernel.Kernel) error { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Drain implements kernel.Service. It returns nil when nothing is in flight
+// and no caller may still be sent here, or the context's error.
+func (s *Service) Drain(ctx context.Context) error {
+	m := newMachine(s.times())
+	s.perform(ctx, m, event{kind: eventBegin})
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for m.step != StepEnded {
+		select {
+		case <-ticker.C:
+			s.perform(ctx, m, event{kind: eventTick, inFlight: s.deps.Callers.InFlight()})
+		case <-ctx.Done():
+			at := m.step
+			s.perform(ctx, m, event{kind: eventForce, inFlight: s.deps.Callers.InFlight()})
+			return trace.Wrap(ctx.Err(), "the planned stop was ended at step %s", at)
+		}
+	}
+	return nil
+}
+
+func (s *Service) times() times {
+	t := times{spread: spreadTime}
+	if snap := s.deps.Config.Current(); snap != nil {
+		t.maxAge = snap.Document.Lookup.MaxAgeMS.Duration()
+		t.grace = snap.Document.Drain.GraceMS.Duration()
+	}
+	return t
+}
+
+// perform does what the machine asks for.
+func (s *Service) perform(ctx context.Context, m *machine, e event) {
+	for _, a := range m.next(e, s.deps.Clock.Now()) {
+		switch a {
+		case actionTell:
+			s.tell(ctx)
+			s.perform(ctx, m, event{kind: eventTold})
+		case actionCloseConnections:
+			s.deps.Callers.CloseConnections()
+		case actionReport:
+			s.deps.Logger.Log(eventInFlight,
+				telemetry.Step(string(m.step)), telemetry.Value("requests", e.inFlight))
+		}
+	}
+}
+
+func (s *Service) tell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := s.deps.Members.Leave(ctx); err != nil {
+		s.deps.Logger.Log(eventNotTold, telemetry.Err(trace.Wrap(err, "tell the other VMs")))
+	}
+}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -118,6 +118,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return s.deps.Handler.InFlight() }
 
+// CloseConnections makes each further answer close its caller's connection.
+func (s *Service) CloseConnections() { s.deps.Handler.CloseConnections() }
+
 // Address returns where the listener is open.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
