Idempotency: tickets of VMs that could not be asked are asked for again; the stand-in caller's key never changes

Cause: a VM that gave no ticket at first never got one into look-up answers; the stand-in caller took a ticket on a later try when the first VM had none, which makes two keys of one request.

--- a/internal/idempotency/issue.go
+++ b/internal/idempotency/issue.go
@@ -37,6 +37,10 @@
 	answer, err := k.callOnce(context.Background(), who.VM, &ownerRequest{Op: opTicket, Incarnation: who.Incarnation})
 	t, ok := ParseKey(answer.Ticket + keySeparator + "-")
 	ok = ok && err == nil && t.Instance == who
+	if !ok && notify {
+		// Let the answers be made again, and ask again by that.
+		time.Sleep(ticketRetry)
+	}
 	k.mu.Lock()
 	delete(k.asking, who)
 	if ok {
@@ -45,7 +49,7 @@
 		delete(k.tickets, who)
 	}
 	k.mu.Unlock()
-	if ok && notify {
+	if notify {
 		k.notify()
 	}
 }
--- a/internal/idempotency/keys.go
+++ b/internal/idempotency/keys.go
@@ -24,6 +24,7 @@
 const (
 	ticketLife     = time.Hour
 	ticketRenew    = 5 * time.Minute // age at which tickets are replaced by younger ones
+	ticketRetry    = 2 * time.Second // until a VM that gave no ticket is asked again
 	defaultBytes   = 32 << 20
 	defaultKeep    = 15 * time.Minute
 	maxTokens      = 16384            // abandoned tokens that are remembered
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -353,3 +353,35 @@
 		})
 	}
 }
+
+func TestTicketsOfOthersComeWithinTheirLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		a, b := f.start("a"), f.start("b")
+		b1 := b.deps.Self
+		var answer string
+		over := false
+		a.Subscribe(func() {
+			if !over {
+				answer = a.Ticket(b1.VM, b1.Incarnation)
+			}
+		})
+		f.hub.Cut("a", "b")
+		if got := a.Ticket(b1.VM, b1.Incarnation); got != "" {
+			t.Errorf("a ticket of a VM that could not be asked: %q", got)
+		}
+		time.Sleep(5 * time.Second)
+		f.hub.Heal()
+		time.Sleep(10 * time.Second)
+		if got, ok := ParseKey(answer + keySeparator + "own"); !ok || got.Instance != b1 {
+			t.Errorf("got %q, want a ticket of %v", answer, b1)
+		}
+		over = true
+		f.start("b")
+		a.renewAll()
+		if got := a.Ticket(b1.VM, b1.Incarnation); got != "" {
+			t.Errorf("a ticket of an instance that is gone: %q", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -19,6 +19,7 @@
 	id       string // of the present try
 	key      string
 	ticket   string // of the VM that the key was first sent to
+	sent     bool   // a try was made
 	seed     uint64
 	bodyHash uint64
 }
@@ -60,8 +61,10 @@
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
-	if req.ticket == "" {
-		req.ticket = vm.Ticket
+	if !req.sent {
+		// Every try sends the same key, so that the first VM's ticket, or its
+		// lack of one, stays with the request.
+		req.sent, req.ticket = true, vm.Ticket
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
