--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -373,6 +373,7 @@
 		time.Sleep(5 * time.Second)
 		f.hub.Heal()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		if got, ok := ParseKey(answer + keySeparator + "own"); !ok || got.Instance != b1 {
 			t.Errorf("got %q, want a ticket of %v", answer, b1)
 		}
