--- a/internal/idempotency/issue.go
+++ b/internal/idempotency/issue.go
@@ -9,7 +9,8 @@
 func (k *Keys) issue() Ticket { return Ticket{k.deps.Self, k.now()} }
 
 // Subscribe makes f be called when Ticket would return new tickets, so that
-// answers made from older ones are made again. It must be called before Start.
+// answers made from older ones are made again. f may be called from several
+// goroutines at once. Subscribe must be called before Start.
 func (k *Keys) Subscribe(f func()) { k.changed = append(k.changed, f) }
 
 // Ticket returns a ticket of the named instance, or "" while none is known;
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -359,11 +360,11 @@
 		f := newFleet(t)
 		a, b := f.start("a"), f.start("b")
 		b1 := b.deps.Self
-		var answer string
-		over := false
+		var answer atomic.Value
+		var over atomic.Bool
 		a.Subscribe(func() {
-			if !over {
-				answer = a.Ticket(b1.VM, b1.Incarnation)
+			if !over.Load() {
+				answer.Store(a.Ticket(b1.VM, b1.Incarnation))
 			}
 		})
 		f.hub.Cut("a", "b")
@@ -374,10 +375,10 @@
 		f.hub.Heal()
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		if got, ok := ParseKey(answer + keySeparator + "own"); !ok || got.Instance != b1 {
-			t.Errorf("got %q, want a ticket of %v", answer, b1)
+		if got, ok := ParseKey(answer.Load().(string) + keySeparator + "own"); !ok || got.Instance != b1 {
+			t.Errorf("got %q, want a ticket of %v", answer.Load(), b1)
 		}
-		over = true
+		over.Store(true)
 		f.start("b")
 		a.renewAll()
 		if got := a.Ticket(b1.VM, b1.Incarnation); got != "" {
