Request path: silent targets, uploads, callers that leave or stall

Cause: tests for what fails slowly. Fault found and mended: the watchdog read the dispatch's state from its timer.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -344,15 +344,15 @@
 // allowed, half of what is left of the deadline is kept for it.
 func (x *exchange) newWatchdog(cancel context.CancelCauseFunc, target string) *watchdog {
 	left := x.deadline.Sub(x.h.deps.Clock.Now())
+	stream := x.stream
+	silent := attemptEnd{Step: outcome.StepWait, Fault: FaultSilent, Sent: true, Consumed: stream != nil}
+	mayRetry := x.dispatch.mayRetry(silent)
 	return &watchdog{
-		cancel:    cancel,
-		firstByte: left / 2,
-		idle:      x.snap.Document.Limits.IdleTimeoutMS.Duration(),
-		giveUp: func() bool {
-			silent := attemptEnd{Step: outcome.StepWait, Fault: FaultSilent, Sent: true, Consumed: x.stream != nil}
-			return x.dispatch.mayRetry(silent) && x.h.budget.available(target)
-		},
-		callerWaits: func() bool { return x.stream != nil && x.stream.waiting.Load() },
+		cancel:      cancel,
+		firstByte:   left / 2,
+		idle:        x.snap.Document.Limits.IdleTimeoutMS.Duration(),
+		giveUp:      func() bool { return mayRetry && x.h.budget.available(target) },
+		callerWaits: func() bool { return stream != nil && stream.waiting.Load() },
 	}
 }
 
--- a/internal/forward/faults_test.go
+++ b/internal/forward/faults_test.go
@@ -109,8 +109,8 @@
 			if resp.StatusCode != http.StatusBadGateway || e.Outcome != "unknown" || e.Reason != tt.fault || e.Peer != "targeta" {
 				t.Errorf("got %d %+v", resp.StatusCode, e)
 			}
-			if b.admission.held != 0 {
-				t.Errorf("%d permits are still held", b.admission.held)
+			if n := b.heldPermits(); n != 0 {
+				t.Errorf("%d permits are still held", n)
 			}
 		})
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -142,6 +143,17 @@
 	return b
 }
 
+// heldPermits waits until no request is in flight and returns the permits that
+// were not released.
+func (b *bench) heldPermits() int {
+	for b.handler.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.admission.mu.Lock()
+	defer b.admission.mu.Unlock()
+	return b.admission.held
+}
+
 // newTarget starts a target and returns its address.
 func newTarget(t testing.TB, f http.HandlerFunc) string {
 	t.Helper()
@@ -159,6 +171,9 @@
 		t.Fatal(err)
 	}
 	for i := 0; i+1 < len(header); i += 2 {
+		if header[i] == "" {
+			continue
+		}
 		req.Header.Set(header[i], header[i+1])
 	}
 	resp, err := b.client.Do(req)
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -40,8 +40,8 @@
 			t.Errorf("%s: got %q, want %q", name, got, value)
 		}
 	}
-	if b.admission.held != 0 {
-		t.Errorf("%d permits are still held", b.admission.held)
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
 	}
 }
 
--- /dev/null
+++ b/internal/forward/silent_test.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"masticturn/internal/edge"
+	"masticturn/internal/telemetry"
+)
+
+// silent returns a target that takes requests and says nothing until the test
+// ends.
+func silent(t *testing.T) *scriptedTarget {
+	t.Helper()
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	target := newScripted(t)
+	target.set(script{readBytes: -1, writeBytes: 0, hold: hold})
+	return target
+}
+
+func TestSilentTargetIsLeftForAnotherOnlyWhenRepeatable(t *testing.T) {
+	mute, good := silent(t), newScripted(t)
+	good.set(whole(okAnswer))
+	doc := document(mute.address, good.address)
+	doc.Classes[0].TimeoutMS = 600
+	tests := []struct {
+		method, header, value string
+		status, runs          int
+		outcome               string
+	}{
+		{"GET", "", "", http.StatusOK, 1, "answered"},
+		{"POST", "", "", http.StatusGatewayTimeout, 0, "unknown"},
+		{"GET", edge.HeaderNoRetry, "1", http.StatusGatewayTimeout, 0, "unknown"},
+	}
+	for _, tt := range tests {
+		good.set(whole(okAnswer))
+		b := newBench(t, doc, nil, telemetry.Discard())
+		resp, _, err := b.call(t, tt.method, "/svc/a", nil, tt.header, tt.value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, runs := good.counts()
+		if resp.StatusCode != tt.status || runs != tt.runs || resp.Header.Get(edge.HeaderOutcome) != tt.outcome {
+			t.Errorf("%s: got %d, %s, %d runs at the other target", tt.method, resp.StatusCode, resp.Header.Get(edge.HeaderOutcome), runs)
+		}
+	}
+}
+
+// One connection that went silent costs the other idle ones their trust.
+func TestSilenceDropsTheIdleConnectionsOfTheTarget(t *testing.T) {
+	target := newScripted(t)
+	target.set(whole(okAnswer))
+	doc := document(target.address)
+	doc.Classes[0].TimeoutMS = 300
+	b := newBench(t, doc, nil, telemetry.Discard())
+	for range 3 {
+		if _, _, err := b.call(t, "GET", "/svc/a", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	opened := b.handler.deps.Metrics.GetOrCreateCounter("masticturn_target_connections_opened_total")
+	before := opened.Get()
+	hold := make(chan struct{})
+	defer close(hold)
+	target.set(script{readBytes: -1, writeBytes: 0, hold: hold})
+	if resp, _, err := b.call(t, "GET", "/svc/a", nil); err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatal(resp, err)
+	}
+	target.set(whole(okAnswer))
+	if resp, _, err := b.call(t, "GET", "/svc/a", nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	if opened.Get() != before+1 {
+		t.Errorf("%d connections were opened after the silence, want 1", opened.Get()-before)
+	}
+}
+
+func TestAnswerThatStopsMidwayBreaksTheCallersConnection(t *testing.T) {
+	body := strings.Repeat("x", 2*bufferBytes)
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "65536")
+		_, _ = io.WriteString(w, body[:len(body)/2+100])
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	doc := document(address)
+	doc.Limits.IdleTimeoutMS = 100
+	b := newBench(t, doc, nil, telemetry.Discard())
+	_, got, err := b.call(t, "GET", "/svc/a", nil)
+	if err == nil {
+		t.Errorf("%d bytes were taken for a whole answer", len(got))
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
+
+// A caller that left frees its slot and ends the target's work.
+func TestCallerThatLeavesFreesTheSlot(t *testing.T) {
+	ended := make(chan struct{})
+	address := newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	b.client.Timeout = 100 * time.Millisecond
+	if _, _, err := b.call(t, "GET", "/svc/a", nil); err == nil {
+		t.Fatal("the caller did not give up")
+	}
+	<-ended
+	if b.heldPermits() != 0 || !b.admission.released[0].Canceled {
+		t.Errorf("%d permits are held, released with %+v", b.admission.held, b.admission.released)
+	}
+}
