Callers' listener: limits of heads follow the document; what callers may not do is tested

Cause: http.Server takes its limits when it is made, so that an accepted document was not in force there. Change: a new server for new connections when the limits change; tests of header size, slow heads, connections per address, request smuggling shapes, headers stripped both ways, drain and change with an upload in flight.

--- /dev/null
+++ b/internal/forward/callers_test.go
@@ -0,0 +1,251 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/config"
+	"masticturn/internal/edge"
+	"masticturn/internal/kernel"
+	"masticturn/internal/settings"
+	"masticturn/internal/telemetry"
+)
+
+// changingConfig is a config.Source whose snapshot the test replaces.
+type changingConfig struct {
+	fixedConfig
+	snap      atomic.Pointer[config.Snapshot]
+	subscribe func(*config.Snapshot)
+}
+
+func (c *changingConfig) Current() *config.Snapshot { return c.snap.Load() }
+func (c *changingConfig) Subscribe(f func(*config.Snapshot)) func() {
+	c.subscribe = f
+	return func() {}
+}
+
+func (c *changingConfig) set(t *testing.T, doc *config.Document) {
+	t.Helper()
+	snap, err := config.NewSnapshot(1, doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.snap.Store(snap)
+	if c.subscribe != nil {
+		c.subscribe(snap)
+	}
+}
+
+// newService starts a callers' listener over the document.
+func newService(t *testing.T, c *changingConfig) *Service {
+	t.Helper()
+	h := NewHandler(Deps{
+		Config: c, Admission: &roundRobin{}, Locator: c, Measure: c, Dial: (&net.Dialer{}).DialContext,
+		Logger: telemetry.Discard(), Metrics: metrics.NewSet(), VM: settings.VM{Name: "vm1"}, Clock: kernel.SystemClock{},
+	})
+	s := NewService(ServiceDeps{Handler: h, Listen: "127.0.0.1:0", Config: c, Logger: telemetry.Discard()})
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// raw sends bytes on a new connection and returns the status of the answer, 0
+// when the connection was closed without one.
+func raw(t *testing.T, address, request string) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, request)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func TestCallersLimitsFollowTheDocument(t *testing.T) {
+	address := newTarget(t, func(http.ResponseWriter, *http.Request) {})
+	c := &changingConfig{}
+	doc := document(address)
+	c.set(t, doc)
+	s := newService(t, c)
+	large := "GET /svc/a HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n"
+	if got := raw(t, s.Address(), large); got != http.StatusOK {
+		t.Errorf("before: got %d", got)
+	}
+	changed := document(address)
+	changed.Limits.MaxHeaderBytes = 1 << 10
+	changed.Limits.HeaderTimeoutMS = 50
+	c.set(t, changed)
+	if got := raw(t, s.Address(), large); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("large header: got %d", got)
+	}
+	if got := raw(t, s.Address(), "GET /svc/a HTTP/1.1\r\nHo"); got != http.StatusBadRequest && got != 0 {
+		t.Errorf("slow header: got %d", got)
+	}
+}
+
+func TestConnectionsOfOneAddressAreBounded(t *testing.T) {
+	address := newTarget(t, func(http.ResponseWriter, *http.Request) {})
+	c := &changingConfig{}
+	doc := document(address)
+	doc.Limits.MaxConnectionsPerAddr = 2
+	c.set(t, doc)
+	s := newService(t, c)
+	const request = "GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n"
+	var open []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, request)
+		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, conn)
+	}
+	if got := raw(t, s.Address(), request); got != 0 {
+		t.Errorf("a third connection was served: %d", got)
+	}
+	open[0].Close()
+	for raw(t, s.Address(), request) != http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Shapes in which two readers see different requests are refused, or taken as
+// one request.
+func TestSmugglingShapesAreRefused(t *testing.T) {
+	var runs atomic.Int32
+	address := newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path != "/svc/a" {
+			t.Errorf("the target was asked for %s", r.URL.Path)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	c := &changingConfig{}
+	c.set(t, document(address))
+	s := newService(t, c)
+	const smuggled = "GET /svc/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	tests := []struct{ name, head string }{
+		{"two lengths", "Content-Length: 0\r\nContent-Length: 41\r\n"},
+		{"a list of lengths", "Content-Length: 0, 41\r\n"},
+		{"signed length", "Content-Length: +0\r\n"},
+		{"unknown transfer coding", "Transfer-Encoding: xchunked\r\n"},
+		{"two transfer codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"},
+		{"space before the colon", "Content-Length : 0\r\n"},
+		{"folded header", "X: a\r\n b: c\r\nContent-Length: 0\r\n\x00: y\r\n"},
+		{"bad chunk", "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+		{"no host", "Host: y\r\n"},
+	}
+	for _, tt := range tests {
+		request := "POST /svc/a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + tt.head + "\r\n" + smuggled
+		if got := raw(t, s.Address(), request); got == http.StatusOK {
+			t.Errorf("%s: it was served", tt.name)
+		}
+	}
+	// A length besides chunks is dropped by the reader; chunks rule, and the
+	// target sees one request.
+	raw(t, s.Address(), "POST /svc/a HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+smuggled)
+	if got := raw(t, s.Address(), "GET /svc/a HTTP/1.0\r\n\r\n"); got != http.StatusHTTPVersionNotSupported {
+		t.Errorf("HTTP/1.0: got %d", got)
+	}
+}
+
+func TestHeadersAreStrippedBothWays(t *testing.T) {
+	var seen http.Header
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		h := w.Header()
+		h.Set(edge.HeaderOutcome, "not-run")
+		h.Set(edge.HeaderReplayed, "1")
+		h.Set("Connection", "X-Private")
+		h.Set("X-Private", "1")
+		h.Set("X-Public", "1")
+	})
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	resp, _, err := b.call(t, "GET", "/svc/a", nil,
+		"Masticturn-Not-Run", "1", edge.HeaderTargetDeadlineMS, "999999", "Te", "trailers", "Proxy-Authorization", "secret",
+		"Upgrade", "websocket", "Connection", "X-Hop", "X-Hop", "1", "X-End", "1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"Masticturn-Not-Run", "Te", "Proxy-Authorization", "Upgrade", "X-Hop", "User-Agent-2"} {
+		if seen.Get(name) != "" {
+			t.Errorf("the target got %s: %s", name, seen.Get(name))
+		}
+	}
+	if seen.Get("X-End") != "1" || seen.Get(edge.HeaderTargetDeadlineMS) == "999999" {
+		t.Errorf("the target got %v", seen)
+	}
+	h := resp.Header
+	if h.Get(edge.HeaderOutcome) != "answered" || h.Get(edge.HeaderReplayed) != "" || h.Get("X-Private") != "" || h.Get("X-Public") != "1" {
+		t.Errorf("the caller got %v", h)
+	}
+}
+
+// A drain and a change of the document cut nothing.
+func TestDrainAndChangeWaitForWhatIsInFlight(t *testing.T) {
+	release := make(chan struct{})
+	began := make(chan struct{}, 1)
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	c := &changingConfig{}
+	c.set(t, document(address))
+	s := newService(t, c)
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Post("http://"+s.Address()+"/svc/a", "", io.LimitReader(endless{}, uploadBytes))
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		answer <- string(body) + " " + resp.Header.Get("Connection")
+	}()
+	<-began
+	without := document()
+	without.Limits.MaxHeaderBytes = 2 << 10
+	c.set(t, without) // the target leaves the document, the limits change
+	s.CloseConnections()
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := s.Drain(short); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("the drain ended with %v while an upload was in flight", err)
+	}
+	close(release)
+	if err := s.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if got, want := <-answer, fmt.Sprint(uploadBytes); !strings.HasPrefix(got, want) {
+		t.Errorf("the upload was answered with %q, want %s", got, want)
+	}
+}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"log"
 	"net"
 	"net/http"
 	"time"
@@ -25,6 +23,7 @@
 	defaultHeaderTimeout = 10 * time.Second
 	callerIdleTimeout    = 90 * time.Second // of a connection without a request
 	sweepInterval        = time.Second
+	acceptPause          = 10 * time.Millisecond // after an accept that failed, such as for want of descriptors
 )
 
 // ServiceDeps is what a Service needs.
@@ -41,7 +40,7 @@
 // Service owns the callers' listener.
 type Service struct {
 	deps     ServiceDeps
-	server   *http.Server
+	front    *frontend
 	listener net.Listener
 	cancel   func()
 	done     chan struct{}
@@ -70,39 +69,19 @@
 		}
 	}
 	s.listener = l
-	s.server = s.newServer()
-	s.cancel = s.deps.Config.Subscribe(s.deps.Handler.Adopt)
-	go func() { _ = s.server.Serve(newLimitedListener(l, s.deps.Config)) }()
+	s.front = newFrontend(newLimitedListener(l, s.deps.Config), s.handler(), headLimitsOf(s.deps.Config.Current()))
+	s.cancel = s.deps.Config.Subscribe(s.adopt)
+	go s.front.serve()
 	go s.sweep(ctx)
 	s.deps.Logger.Log(eventServing, telemetry.Value("address", l.Addr().String()))
 	return nil
 }
 
-func (s *Service) newServer() *http.Server {
-	server := &http.Server{
-		Handler:           s.handler(),
-		MaxHeaderBytes:    defaultHeaderBytes,
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		ErrorLog:          log.New(discard{}, "", 0),
-	}
-	if snap := s.deps.Config.Current(); snap != nil {
-		limits := &snap.Document.Limits
-		if limits.MaxHeaderBytes > 0 {
-			server.MaxHeaderBytes = limits.MaxHeaderBytes
-		}
-		if limits.HeaderTimeoutMS > 0 {
-			server.ReadHeaderTimeout = limits.HeaderTimeoutMS.Duration()
-		}
-	}
-	return server
+func (s *Service) adopt(snap *config.Snapshot) {
+	s.front.setLimits(headLimitsOf(snap))
+	s.deps.Handler.Adopt(snap)
 }
 
-// discard drops the server's own lines, which tell of callers that left.
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
 // handler splits look-ups from requests. A mux would clean paths by redirects,
 // which are the targets' to judge.
 func (s *Service) handler() http.Handler {
@@ -142,15 +121,15 @@
 // Drain implements kernel.Service: it takes no new connection and returns when
 // nothing is in flight.
 func (s *Service) Drain(ctx context.Context) error {
-	if s.server == nil {
+	if s.front == nil {
 		return nil
 	}
-	return trace.Wrap(s.server.Shutdown(ctx), "wait for requests in flight")
+	return trace.Wrap(s.front.shutdown(ctx), "wait for requests in flight")
 }
 
 // Stop implements kernel.Service. What is still in flight is cut and counted.
 func (s *Service) Stop(context.Context) error {
-	if s.server == nil {
+	if s.front == nil {
 		return nil
 	}
 	if n := s.deps.Handler.InFlight(); n > 0 {
@@ -158,10 +137,7 @@
 	}
 	s.cancel()
 	close(s.done)
-	err := s.server.Close()
+	err := s.front.close()
 	s.deps.Handler.Close()
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
 	return trace.Wrap(err)
 }
