--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -35,6 +36,7 @@
 // Run runs the command line and returns the exit code. Errors go to stderr as
 // one line, without a stack trace.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	log.SetOutput(io.Discard) // net/http writes there what peers did wrong; our own log tells it by number
 	err := newRoot(stdout, stderr).Run(ctx, args)
 	if err == nil {
 		return ExitOK
