admission: the last VM of a region may drain

Cause: three daemons run as processes of their own (examples/settings): after SIGTERM to the only VM of a region its broker divided by the number of the region's members that are alive, zero, and the process crashed. Stand-ins can be run by hand for this.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -322,7 +322,9 @@
 // broker that hears more than half of the region uses all slots, another one
 // the part of the members that it hears.
 func (b *broker) splitShare(slots int) int {
-	here := len(b.members.InRegion(b.scope.Region))
+	// A broker that is leaving is not among the region's members, but serves
+	// those who still ask it.
+	here := max(len(b.members.InRegion(b.scope.Region)), 1)
 	away := 0
 	for name, at := range b.silent {
 		if b.last.Sub(at) < splitFor {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -73,6 +73,7 @@
 			newStatus(),
 			newDrain(),
 			newEvents(),
+			newStandin(),
 			newBench(),
 			newVersion(),
 		},
