bench drains: planned stops under slow uploads, and targets leaving by each sign alone

The signs (document, platform's list, health, shed answer) are given one at a time while the others say that all is well, and health and shed also with the platform down. New work after a sign is read from the targets' logs.

--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -62,6 +62,9 @@
 	plan     plan
 	platform *standin.Server
 
+	applying   sync.Mutex // guards generation
+	generation config.Generation
+
 	mu     sync.Mutex
 	events []Event
 }
@@ -137,16 +140,28 @@
 	if err := c.startTargets(); err != nil {
 		return err
 	}
-	if err := c.applyDocument(ctx); err != nil {
+	if err := c.Apply(ctx, func(*config.Document) {}); err != nil {
 		return err
 	}
 	return c.startVMs(ctx)
 }
 
-func (c *Cluster) applyDocument(ctx context.Context) error {
+// Apply changes the document in force, as an operator would.
+func (c *Cluster) Apply(ctx context.Context, change func(*config.Document)) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	doc, err := config.Clone(c.Document)
+	if err != nil {
+		return trace.Wrap(err, "copy the document")
+	}
+	change(doc)
 	repo := repository.New(c.Store, kernel.SystemClock{})
-	_, err := repo.Apply(ctx, repository.Proposal{Document: c.Document, Author: "bench", Comment: "first document"})
-	return trace.Wrap(err, "store the document")
+	accepted, err := repo.Apply(ctx, repository.Proposal{Document: doc, Base: c.generation, Author: "bench"})
+	if err != nil {
+		return trace.Wrap(err, "store the document")
+	}
+	c.Document, c.generation = doc, accepted.Record.Generation
+	return nil
 }
 
 func (c *Cluster) startVMs(ctx context.Context) error {
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -54,26 +54,18 @@
 
 // FaultsReport is the result of Faults.
 type FaultsReport struct {
-	Deployment     string               `json:"deployment"`
-	Seed           uint64               `json:"seed"`
-	Seconds        float64              `json:"seconds"`
-	Requests       int                  `json:"requests"`
-	Answered       int                  `json:"answered"`
-	NotRun         int                  `json:"not_run"`
-	Unknown        int                  `json:"unknown"`
-	Overruns       int                  `json:"overruns"` // not sent, because callers had too many open
-	ShareAnswered  float64              `json:"share_answered"`
-	P50MS          float64              `json:"p50_ms"`
-	P99MS          float64              `json:"p99_ms"`
-	P999MS         float64              `json:"p999_ms"`
-	Attempts       int                  `json:"attempts"` // requests that reached targets
-	Tries          int                  `json:"tries"`    // sent by callers
-	Classes        []caller.ClassResult `json:"classes"`
-	Faults         []FaultCount         `json:"faults"`
-	Errors         []string             `json:"errors,omitempty"` // of causing and healing faults
-	Promises       promise.Report       `json:"promises"`
-	BrokenPromises int                  `json:"broken_promises"`
-	Traces         []RequestTrace       `json:"traces,omitempty"` // of the request asked for, and of some broken promises
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	LoadSummary
+	ShareAnswered  float64        `json:"share_answered"`
+	Attempts       int            `json:"attempts"` // requests that reached targets
+	Tries          int            `json:"tries"`    // sent by callers
+	Faults         []FaultCount   `json:"faults"`
+	Errors         []string       `json:"errors,omitempty"` // of causing and healing faults
+	Promises       promise.Report `json:"promises"`
+	BrokenPromises int            `json:"broken_promises"`
+	Traces         []RequestTrace `json:"traces,omitempty"` // of the request asked for, and of some broken promises
 }
 
 // RequestTrace is what happened to one request.
@@ -161,26 +153,12 @@
 		Deployment: c.Document.Deployment,
 		Seed:       opts.Seed,
 		Seconds:    took.Seconds(),
-		Overruns:   c.Notes.Overruns(),
-		Classes:    c.Notes.Results(),
 		Attempts:   len(c.Log.Records()),
 		Tries:      len(c.Notes.Tries()),
 		Promises:   c.Check(),
 	}
-	slices.SortFunc(r.Classes, func(a, b caller.ClassResult) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
-	})
-	for _, class := range r.Classes {
-		r.Requests += class.Requests
-		r.Answered += class.Answered
-		r.NotRun += class.NotRun
-		r.Unknown += class.Unknown
-	}
+	r.LoadSummary = summarize(c.Notes)
 	r.ShareAnswered = float64(r.Answered) / float64(max(1, r.Requests))
-	latency := c.Notes.Histogram("")
-	r.P50MS = float64(latency.ValueAtQuantile(50)) / microsPerMilli
-	r.P99MS = float64(latency.ValueAtQuantile(99)) / microsPerMilli
-	r.P999MS = float64(latency.ValueAtQuantile(99.9)) / microsPerMilli
 	for kind, count := range j.counts {
 		r.Faults = append(r.Faults, FaultCount{kind, count})
 	}
--- a/internal/bench/mix.go
+++ b/internal/bench/mix.go
@@ -16,6 +16,9 @@
 	uploadBody  = 200 << 10
 )
 
+// uploadShape is the name of the shapes with a large body.
+const uploadShape = "upload"
+
 // Shares of a mix.
 const (
 	smallReads = 6.0
@@ -71,7 +74,7 @@
 	if shape.Keyed {
 		shape.Name, shape.Weight, shape.BodyBytes = "commit", commits, commitBody
 	} else {
-		shape.Name, shape.Weight, shape.BodyBytes = "upload", uploads, uploadBody
+		shape.Name, shape.Weight, shape.BodyBytes = uploadShape, uploads, uploadBody
 	}
 	return []caller.Shape{shape}
 }
--- a/internal/command/bench_scenarios.go
+++ b/internal/command/bench_scenarios.go
@@ -116,3 +116,26 @@
 		&cli.IntFlag{Name: flagRequests, Usage: "at least `N` requests (0: 20,000)"},
 		&cli.StringFlag{Name: flagTrace, Usage: "print what happened to this request `ID`"})
 }
+
+func newBenchDrains() *cli.Command {
+	return scenario("drains", "planned stops of VMs under slow uploads, and targets that leave by each sign alone",
+		func(ctx context.Context, c *cli.Command) (scenarioResult, error) {
+			doc, err := exampleDocument(c)
+			if err != nil {
+				return scenarioResult{}, err
+			}
+			r, err := bench.Drains(ctx, bench.DrainsOptions{
+				Document: doc,
+				Start:    bench.StartDaemon,
+				Seed:     c.Uint64(flagSeed),
+				Trace:    c.String(flagTrace),
+			})
+			if err != nil {
+				return scenarioResult{}, err
+			}
+			return scenarioResult{r, r.BrokenPromises}, nil
+		},
+		deploymentFlag(),
+		&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "`SEED` of the load"},
+		&cli.StringFlag{Name: flagTrace, Usage: "print what happened to this request `ID`"})
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -33,7 +33,8 @@
 
 // Options configures a Caller.
 type Options struct {
-	Name         string
+	Name         string   // begins the ids of its requests
+	Prefix       string   // goes before Name, where a cluster gives that
 	LocalAddress string   // 127.x.y.z to send from; empty: any
 	Entries      []string // host:port of VMs that answer look-ups
 	Fixed        string   // host:port to send all requests to, without look-ups; may be empty
