--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -65,7 +65,11 @@
 		},
 		Commands: []*cli.Command{
 			newServe(),
+			newDemo(),
 			newLookup(),
+			newConfig(),
+			newStatus(),
+			newDrain(),
 			newEvents(),
 			newBench(),
 			newVersion(),
