steering: headroom counts smoothed and moves what can wait first

Cause: at 50% load 1% of the first class was shifted 55 ms away, because a moment without a free slot counted as a region without headroom. Change: utilisation is smoothed over 1 s, credits tell that of the granting region, and the weight of headroom grows with the class's rank.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -227,7 +227,7 @@
 	b.id.Term++
 	for region, g := range b.grantees {
 		g.Drop()
-		b.core.pool.SetCredits(region, nil, time.Time{}, b.spec)
+		b.core.pool.SetCredits(steering.Credits{Region: region}, b.spec)
 	}
 	b.begin(now)
 }
--- a/internal/admission/broker_credits.go
+++ b/internal/admission/broker_credits.go
@@ -40,7 +40,7 @@
 		want := b.core.pool.Want(region, len(others), now)
 		inUse := b.core.pool.InUse(region)
 		if !g.Valid(now) {
-			b.core.pool.SetCredits(region, nil, time.Time{}, b.spec)
+			b.core.pool.SetCredits(steering.Credits{Region: region}, b.spec)
 		}
 		if want == 0 && len(inUse) == 0 && !g.Valid(now) {
 			continue
@@ -95,7 +95,12 @@
 	}
 	g := b.grantee(m.ByRegion)
 	if g.Adopt(m.Grant, now) {
-		b.core.pool.SetCredits(m.ByRegion, g.Slots(now), g.Expires(), b.spec)
+		b.core.pool.SetCredits(steering.Credits{
+			Region:      m.ByRegion,
+			Slots:       g.Slots(now),
+			Until:       g.Expires(),
+			Utilisation: m.Grant.Utilisation,
+		}, b.spec)
 		b.core.pool.Tick(now)
 	}
 	b.deliver(now)
@@ -115,6 +120,7 @@
 	if !ok {
 		return
 	}
+	grant.Utilisation = b.core.pool.Utilisation()
 	b.core.refreshNow(now)
 	b.send(d.VM, peer.KindGrant, &grantMessage{
 		Scope:    scope{Service: b.scope.Service, Region: m.FromRegion},
--- a/internal/steering/completion.go
+++ b/internal/steering/completion.go
@@ -7,7 +7,7 @@
 	OneWay      time.Duration // from here to there; 0 here
 	Wait        time.Duration // expected wait for a slot
 	Service     time.Duration // expected time at the target
-	Utilisation float64       // slots in use per usable slot, 0 to 1
+	Utilisation float64       // slots in use per usable slot, 0 to 1, smoothed
 }
 
 // Completion returns the expected time until the answer's end: the wait, the
--- a/internal/steering/credit.go
+++ b/internal/steering/credit.go
@@ -27,6 +27,8 @@
 	Seq   uint64 // of the demand
 	Slots []TargetSlots
 	TTL   time.Duration
+	// Utilisation of the granting region's slots, for comparisons.
+	Utilisation float64
 }
 
 // CreditTerms holds the times of credits, the same for both sides.
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -96,6 +96,8 @@
 	chosen    placement
 
 	frozenUntil time.Time
+	utilisation float64 // of this region, smoothed over utilisationWindow
+	smoothed    time.Time
 }
 
 // remote is another region whose targets this pool may use.
@@ -104,7 +106,9 @@
 	validUntil time.Time // of the credits; zero: always valid (static spill)
 	static     bool
 	service    ServiceTime
-	shift      []Hysteresis // by class
+	// utilisation of the region, as its broker told with the last credits.
+	utilisation float64
+	shift       []Hysteresis // by class
 }
 
 // placement is a free target for a request.
@@ -223,6 +227,7 @@
 // the passing of time has made possible.
 func (p *Pool) Tick(now time.Time) {
 	p.now = now
+	p.smooth()
 	for it := p.queue.Expired(now); it != nil; it = p.queue.Expired(now) {
 		p.refuse(it.Request, ReasonWaited)
 	}
@@ -306,8 +311,24 @@
 // Local returns the targets of this region.
 func (p *Pool) Local() []*Target { return p.local.targets }
 
-// Utilisation returns the permits out per usable slot of this region.
-func (p *Pool) Utilisation() float64 { return p.local.Utilisation() }
+// utilisationWindow is the time constant over which utilisation is smoothed,
+// so that a moment without a free slot does not count as a region without
+// headroom.
+const utilisationWindow = time.Second
+
+// smooth takes the present utilisation in.
+func (p *Pool) smooth() {
+	weight := min(1, p.now.Sub(p.smoothed).Seconds()/utilisationWindow.Seconds())
+	if p.smoothed.IsZero() {
+		weight = 1
+	}
+	p.utilisation += weight * (p.local.Utilisation() - p.utilisation)
+	p.smoothed = p.now
+}
+
+// Utilisation returns the permits out per usable slot of this region, smoothed
+// over utilisationWindow.
+func (p *Pool) Utilisation() float64 { return p.utilisation }
 
 // Waiting returns how many requests wait.
 func (p *Pool) Waiting() int { return p.queue.Len() }
--- a/internal/steering/pool_config.go
+++ b/internal/steering/pool_config.go
@@ -11,6 +11,7 @@
 	next.service = p.service
 	next.decisions = p.decisions
 	next.frozenUntil = p.frozenUntil
+	next.utilisation, next.smoothed = p.utilisation, p.smoothed
 	for key, c := range p.caps {
 		if limits, ok := cfg.Caps[key]; ok {
 			next.caps[key] = c.withLimits(limits, now)
@@ -46,6 +47,7 @@
 	r := p.remoteOf(old.Region)
 	r.validUntil = old.validUntil
 	r.service = old.service
+	r.utilisation = old.utilisation
 	for _, t := range old.targets {
 		if r.byName[t.Name] == nil && !old.static {
 			r.add(&Target{Name: t.Name, Zone: t.Zone, Region: t.Region, Slots: t.Slots})
--- a/internal/steering/pool_place.go
+++ b/internal/steering/pool_place.go
@@ -33,7 +33,7 @@
 		}
 		cap := p.caps[CapKey{r.CallerRegion, rem.Region}]
 		i := p.classIndex(r.Class)
-		adv := p.advantage(rem, 0)
+		adv := p.advantage(rem, i, 0)
 		on := rem.shift[i].Update(adv, p.band(), p.now) && adv > -p.band()
 		if (on || (cap != nil && cap.Owed(p.now))) && p.placeAt(rem, r) {
 			return true
@@ -63,7 +63,7 @@
 		if rem.static {
 			continue
 		}
-		adv := p.advantage(rem, wait)
+		adv := p.advantage(rem, i, wait)
 		on := rem.shift[i].Update(adv, p.band(), p.now) && adv > -p.band()
 		if on && (best == nil || adv > most) {
 			best, most = rem, adv
@@ -72,14 +72,17 @@
 	return best != nil && p.placeAt(best, r)
 }
 
-// advantage compares serving at rem with waiting here.
-func (p *Pool) advantage(rem *remote, wait time.Duration) time.Duration {
+// advantage compares serving a request of a class at rem with waiting here.
+// Headroom counts the more the later the class goes: what can wait moves first.
+func (p *Pool) advantage(rem *remote, class int, wait time.Duration) time.Duration {
 	if p.local.limit == 0 {
 		wait = maxWait
 	}
-	here := Place{Wait: wait, Service: p.service.Mean(), Utilisation: p.local.Utilisation()}
-	there := Place{OneWay: p.oneWay(rem.Region), Service: rem.service.Mean(), Utilisation: rem.Utilisation()}
-	return p.cfg.Comparison.Advantage(here, there)
+	here := Place{Wait: wait, Service: p.service.Mean(), Utilisation: p.utilisation}
+	there := Place{OneWay: p.oneWay(rem.Region), Service: rem.service.Mean(), Utilisation: rem.utilisation}
+	c := p.cfg.Comparison
+	c.HeadroomWeight *= float64(class+1) / float64(len(p.queue.classes))
+	return c.Advantage(here, there)
 }
 
 func (p *Pool) band() time.Duration {
--- a/internal/steering/pool_remote.go
+++ b/internal/steering/pool_remote.go
@@ -14,15 +14,24 @@
 	wantLeast = 2
 )
 
-// SetCredits sets the slots that another region has granted, until when. All
-// other slots of that region may not be used. spec finds a target by name.
-func (p *Pool) SetCredits(region string, slots []TargetSlots, until time.Time, spec func(string) (TargetSpec, bool)) {
-	rem := p.remoteOf(region)
-	rem.validUntil = until
+// Credits are the slots that another region has granted.
+type Credits struct {
+	Region      string
+	Slots       []TargetSlots
+	Until       time.Time
+	Utilisation float64 // of the region's slots, as its broker told
+}
+
+// SetCredits sets the credits of another region. All other slots of that
+// region may not be used. spec finds a target by name.
+func (p *Pool) SetCredits(c Credits, spec func(string) (TargetSpec, bool)) {
+	rem := p.remoteOf(c.Region)
+	rem.validUntil = c.Until
+	rem.utilisation = c.Utilisation
 	for _, t := range rem.targets {
 		rem.setLimit(t, 0)
 	}
-	for _, s := range slots {
+	for _, s := range c.Slots {
 		if t := p.ensure(rem, s.Target, spec); t != nil {
 			rem.setLimit(t, s.Slots)
 		}
