--- a/internal/bench/summary.go
+++ b/internal/bench/summary.go
@@ -21,6 +21,38 @@
 	P99MS    float64              `json:"p99_ms"`
 	P999MS   float64              `json:"p999_ms"`
 	Classes  []caller.ClassResult `json:"classes"` // by service and class
+	Reasons  []ReasonCount        `json:"reasons,omitempty"`
+}
+
+// ReasonCount counts the tries that were not answered, by what callers were told.
+type ReasonCount struct {
+	Told   caller.Told `json:"told"`
+	Class  string      `json:"class"`
+	Step   string      `json:"step,omitempty"`
+	Detail string      `json:"detail,omitempty"`
+	Count  int         `json:"count"`
+}
+
+// maxReasons bounds the reasons in a report; the most frequent are kept.
+const maxReasons = 12
+
+// reasons counts why tries were not answered.
+func reasons(tries []caller.Note) []ReasonCount {
+	counts := make(map[ReasonCount]int)
+	for _, n := range tries {
+		if n.Told != caller.ToldAnswered {
+			counts[ReasonCount{Told: n.Told, Class: n.Class, Step: n.Step, Detail: n.Detail}]++
+		}
+	}
+	all := make([]ReasonCount, 0, len(counts))
+	for r, n := range counts {
+		r.Count = n
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Detail, b.Detail))
+	})
+	return all[:min(len(all), maxReasons)]
 }
 
 // summarize adds up what the callers noted.
@@ -39,6 +71,7 @@
 	s.P50MS = float64(latency.ValueAtQuantile(50)) / microsPerMilli
 	s.P99MS = float64(latency.ValueAtQuantile(99)) / microsPerMilli
 	s.P999MS = float64(latency.ValueAtQuantile(99.9)) / microsPerMilli
+	s.Reasons = reasons(notes.Tries())
 	return s
 }
 
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -141,6 +141,9 @@
 	if err := tab.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
+	for _, reason := range r.Reasons {
+		fmt.Fprintf(w, "%d %s tries were told %s at step %s: %s\n", reason.Count, reason.Class, reason.Told, reason.Step, reason.Detail)
+	}
 	fmt.Fprintf(w, "\nbroken promises: %d\n", r.BrokenPromises)
 	return nil
 }
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -127,6 +128,16 @@
 	return httpReq, nil
 }
 
+// reasonOf returns the reason in the body of an error answer, or the body
+// itself when it is of another form.
+func reasonOf(body []byte) string {
+	var e edge.ErrorBody
+	if json.Unmarshal(body, &e) == nil && e.Reason != "" {
+		return e.Reason
+	}
+	return string(body)
+}
+
 // readAnswer notes what the answer tells. An error means that the connection
 // broke before the answer's end, so that nothing was told.
 func readAnswer(resp *http.Response, req *request, note *Note) (time.Duration, error) {
@@ -140,7 +151,7 @@
 		if err != nil {
 			return retryPause, err
 		}
-		note.Told, note.Detail = told, string(body)
+		note.Told, note.Detail = told, reasonOf(body)
 		return retryAfter(resp), nil
 	}
 	content, err := checkContent(resp, req, note.Replayed)
