config: client blocks apart from the rest, carried and decoded only when they change

Change: a document is encoded in two parts; its identity covers both. The head holds the small part; many client blocks stay in chunks, which a change of something else takes over without writing them again. Tests: a stale first read whose blocks are equal must not make the write refer to chunks that the head replaced does not have; found while writing it.

--- a/internal/bench/thin_test.go
+++ b/internal/bench/thin_test.go
@@ -57,11 +57,16 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := repo.Body(ctx, &head.Current)
+	packed, err := repo.Read(ctx, &head.Current, 0)
 	if err != nil {
 		return nil, err
 	}
-	snapshot, err := config.Load(head.Current.Generation, raw)
+	doc, err := packed.Document()
+	if err != nil {
+		return nil, err
+	}
+	config.SetDefaults(doc)
+	snapshot, err := config.NewSnapshot(head.Current.Generation, doc)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -28,6 +28,7 @@
 		slopeOf(of(byTargets, "document on the wire, bytes"), targetSizes, func(n int) float64 { return wireBytes(documentOf(n, 0)) }),
 		slopeOf(of(byTargets, "heap of a document in force, bytes"), targetSizes, func(n int) float64 { return documentHeap(documentOf(n, 0)) }),
 		slopeOf(of(byBlocks, "time to adopt a document, ns"), blockSizes, func(n int) float64 { return adoptTime(documentOf(blockDocumentSites, n)) }),
+		slopeOf(of(byBlocks, "time to adopt a document with the same client blocks, ns"), blockSizes, func(n int) float64 { return adoptSameBlocksTime(documentOf(blockDocumentSites, n)) }),
 		slopeOf(of(byBlocks, "document on the wire, bytes"), blockSizes, func(n int) float64 { return wireBytes(documentOf(blockDocumentSites, n)) }),
 		slopeOf(of(byBlocks, "heap of a document in force, bytes"), blockSizes, func(n int) float64 { return documentHeap(documentOf(blockDocumentSites, n)) }),
 	}
@@ -39,53 +40,65 @@
 }
 
 // documentOf returns an encoded document.
-func documentOf(targets, blocks int) []byte {
+func documentOf(targets, blocks int) *config.Encoded {
 	doc := *designSnapshot(targets).Document
 	doc.ClientBlocks = clientBlocks(blocks)
-	raw, err := config.Encode(&doc)
+	e, err := config.Split(&doc)
 	if err != nil {
 		panic(err) // the document is made here and always encodes
 	}
-	return raw
+	return e
 }
 
-func compressed(raw []byte) []byte {
-	body, err := repository.Compress(raw)
+func packed(e *config.Encoded) *repository.Packed {
+	p, err := repository.Pack(e)
 	if err != nil {
 		panic(err) // writing to memory does not fail
 	}
-	return body
+	return p
 }
 
-// adoptTime is the time to check, decompress, decode and index a document.
-func adoptTime(raw []byte) float64 {
-	body, hash := compressed(raw), config.HashOf(raw)
+// adoptTime is the time to check, decompress, decode and index a document
+// that differs from the one in force in all its parts.
+func adoptTime(e *config.Encoded) float64 { return adoptTimeHaving(e, nil) }
+
+// adoptSameBlocksTime is the time to adopt a document whose client blocks are
+// those in force.
+func adoptSameBlocksTime(e *config.Encoded) float64 {
+	return adoptTimeHaving(&config.Encoded{Main: e.Main, BlocksHash: e.BlocksHash}, loaded(e, nil))
+}
+
+func adoptTimeHaving(e *config.Encoded, have *config.Snapshot) float64 {
+	p := packed(e)
 	return timePerCall(adoptRepetitionTime, func(int) {
-		opened, err := repository.Open(body, hash)
+		opened, err := p.Open()
 		if err != nil {
-			panic(err) // compressed right before
+			panic(err) // packed right before
 		}
-		loaded(opened)
+		loaded(opened, have)
 	})
 }
 
-func loaded(raw []byte) *config.Snapshot {
-	snap, err := config.Load(1, raw)
+func loaded(e *config.Encoded, have *config.Snapshot) *config.Snapshot {
+	snap, err := config.Load(1, e, have)
 	if err != nil {
 		panic(err) // encoded right before
 	}
 	return snap
 }
 
-func wireBytes(raw []byte) float64 { return float64(len(compressed(raw))) }
+func wireBytes(e *config.Encoded) float64 {
+	p := packed(e)
+	return float64(len(p.Main) + len(p.Blocks))
+}
 
 // documentHeap is the heap of the snapshot and of the compressed document that
 // is kept to be passed on.
-func documentHeap(raw []byte) float64 {
+func documentHeap(e *config.Encoded) float64 {
 	type kept struct {
 		snap *config.Snapshot
-		body []byte
+		body *repository.Packed
 	}
-	defer runtime.KeepAlive(raw) // which is not part of what is held
-	return heapOf(func() *kept { return &kept{loaded(raw), compressed(raw)} })
+	defer runtime.KeepAlive(e) // which is not part of what is held
+	return heapOf(func() *kept { return &kept{loaded(e, nil), packed(e)} })
 }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-
-	"github.com/gravitational/trace"
 )
 
 // Defaults of optional fields. They are part of the document's meaning: all
@@ -108,6 +106,5 @@
 	if err != nil {
 		return nil, err
 	}
-	clone, err := ParseStored(raw)
-	return clone, trace.Wrap(err)
+	return decode(raw)
 }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -39,16 +39,6 @@
 	return decode(value.Pack())
 }
 
-// ParseStored decodes a document as Encode wrote it. Fields that this build
-// does not know are ignored, so that a document accepted by a newer build can
-// be put in force by an older one.
-func ParseStored(raw []byte) (*Document, error) {
-	if len(raw) > MaxDocumentBytes || depthOf(raw) > MaxDepth {
-		return nil, trace.LimitExceeded("stored document is larger or deeper than allowed")
-	}
-	return decode(raw)
-}
-
 func decode(std []byte) (*Document, error) {
 	doc := &Document{}
 	if err := json.Unmarshal(std, doc); err != nil {
@@ -57,7 +47,7 @@
 	return doc, nil
 }
 
-// Encode returns the document as the compact JSON that is stored and hashed.
+// Encode returns the whole document as compact JSON.
 func Encode(doc *Document) ([]byte, error) {
 	raw, err := json.Marshal(doc)
 	if err != nil {
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -81,7 +81,7 @@
 }
 
 func TestStoredDocumentOfNewerBuildIsRead(t *testing.T) {
-	s, err := Load(3, []byte(`{"deployment":"x","added_later":{"a":1}}`))
+	s, err := Load(3, &Encoded{Main: []byte(`{"deployment":"x","added_later":{"a":1}}`)}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/repository/attempt.go
+++ b/internal/config/repository/attempt.go
@@ -14,7 +14,7 @@
 // The steps of applying a document. The last four are final.
 const (
 	StepRead     Step = iota // reads the head
-	StepChunks               // writes the chunks of a large document
+	StepChunks               // writes the chunks of many client blocks, those not yet written
 	StepWrite                // writes the head under its condition
 	StepReread               // reads the head to learn what became of the write
 	StepAccepted             // the document was accepted
@@ -51,7 +51,6 @@
 	version platform.Version // version of head, 0 when there is none
 	inDoubt bool             // a write at version may take effect
 	moved   bool             // the store said that version was passed
-	chunked bool             // the chunks are written
 	result  *Record          // the accepted record
 	lastErr error
 }
@@ -80,8 +79,6 @@
 		// Either the read is stale or the base never existed.
 		a.lastErr = fmt.Errorf("the store shows generation %d and this daemon has %d, both before generation %d", gen, a.inForce, a.base)
 		a.step = StepRead
-	case a.chunked:
-		a.step = StepWrite
 	default:
 		a.step = StepChunks
 	}
@@ -106,7 +103,6 @@
 		a.lastErr = err
 		return
 	}
-	a.chunked = true
 	a.step = StepWrite
 }
 
--- a/internal/config/repository/error.go
+++ b/internal/config/repository/error.go
@@ -16,7 +16,7 @@
 // generation that the operator started from. Nothing was written.
 type ConflictError struct {
 	Base    config.Generation // generation the operator started from
-	Current Record            // what stands instead, without its document
+	Current Record            // what stands instead
 	Theirs  []config.Change   // from the base to the current document; nil when the base is no longer kept
 	Yours   []config.Change   // from the base, or else the current document, to the one proposed
 }
--- /dev/null
+++ b/internal/config/repository/packed.go
@@ -0,0 +1,60 @@
+package repository
+
+import (
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/config"
+)
+
+// Packed is a compressed document with its hashes, as it is stored and sent.
+type Packed struct {
+	Hash       uint64
+	BlocksHash uint64
+	Main       []byte
+	Blocks     []byte // nil when there are none or when they are left out
+}
+
+// Pack compresses both parts of a document.
+func Pack(e *config.Encoded) (*Packed, error) {
+	p := &Packed{Hash: e.Hash(), BlocksHash: e.BlocksHash}
+	var err error
+	if p.Main, err = Compress(e.Main); err != nil {
+		return nil, err
+	}
+	if len(e.Blocks) > 0 {
+		p.Blocks, err = Compress(e.Blocks)
+	}
+	return p, err
+}
+
+// Open decompresses a document and checks its hashes. Client blocks that are
+// left out stay so.
+func (p *Packed) Open() (*config.Encoded, error) {
+	e := &config.Encoded{BlocksHash: p.BlocksHash}
+	var err error
+	if e.Main, err = Decompress(p.Main); err != nil {
+		return nil, err
+	}
+	if got := e.Hash(); got != p.Hash {
+		return nil, trace.CompareFailed("document has hash %016x, its record says %016x", got, p.Hash)
+	}
+	if len(p.Blocks) == 0 {
+		return e, nil
+	}
+	if e.Blocks, err = Decompress(p.Blocks); err != nil {
+		return nil, err
+	}
+	if got := config.HashOfBlocks(e.Blocks); got != p.BlocksHash {
+		return nil, trace.CompareFailed("client blocks have hash %016x, their record says %016x", got, p.BlocksHash)
+	}
+	return e, nil
+}
+
+// Document decompresses, checks and decodes a document without parts left out.
+func (p *Packed) Document() (*config.Document, error) {
+	e, err := p.Open()
+	if err != nil {
+		return nil, err
+	}
+	return e.Document(nil)
+}
--- a/internal/config/repository/record.go
+++ b/internal/config/repository/record.go
@@ -21,9 +21,12 @@
 const (
 	// HistoryLength is the number of generations kept besides the one in force.
 	HistoryLength = 16
-	// MaxInlineBytes is the largest compressed document kept in the head
-	// object itself; a larger one goes into chunks.
-	MaxInlineBytes = 256 << 10
+	// MaxMainBytes is the largest compressed document, without its client
+	// blocks, that is accepted. It is kept in the head object itself.
+	MaxMainBytes = 256 << 10
+	// maxInlineBlocks is the largest compressed list of client blocks kept in
+	// the head object; a larger one goes into chunks.
+	maxInlineBlocks = 16 << 10
 	// maxHeadBytes leaves room below the platform's bound on values.
 	maxHeadBytes = platform.MaxValueBytes * 9 / 10
 	// maxAuthorBytes and maxCommentBytes bound what operators write about a
@@ -40,14 +43,16 @@
 // Record is one accepted generation.
 type Record struct {
 	Generation config.Generation `json:"generation"`
-	WriteID    string            `json:"write_id"`         // unique for each call of Apply
-	Hash       uint64            `json:"hash,string"`      // of the encoded document
-	Author     string            `json:"author"`           // who applied it
-	Comment    string            `json:"comment"`          // why
-	AcceptedAt time.Time         `json:"accepted_at"`      // by the clock of the daemon that wrote it
-	Bytes      int               `json:"bytes"`            // size of the encoded document
-	Body       []byte            `json:"body,omitempty"`   // compressed document, when small
-	Chunks     []Chunk           `json:"chunks,omitempty"` // objects that hold it otherwise, in order
+	WriteID    string            `json:"write_id"`           // unique for each call of Apply
+	Hash       uint64            `json:"hash,string"`        // of the document
+	BlocksHash uint64            `json:"blocks_hash,string"` // of its client blocks; 0: none
+	Author     string            `json:"author"`             // who applied it
+	Comment    string            `json:"comment"`            // why
+	AcceptedAt time.Time         `json:"accepted_at"`        // by the clock of the daemon that wrote it
+	Bytes      int               `json:"bytes"`              // size of the encoded document
+	Main       []byte            `json:"main,omitempty"`     // compressed document without client blocks
+	Blocks     []byte            `json:"blocks,omitempty"`   // compressed client blocks, when few
+	Chunks     []Chunk           `json:"chunks,omitempty"`   // objects that hold them otherwise, in order
 }
 
 // Chunk names an object of platform.KindConfigChunk.
@@ -57,7 +62,7 @@
 }
 
 // Kept reports whether the document of this generation can still be read.
-func (r *Record) Kept() bool { return len(r.Body) > 0 || len(r.Chunks) > 0 }
+func (r *Record) Kept() bool { return len(r.Main) > 0 }
 
 // Head is the value of the head object.
 type Head struct {
@@ -116,8 +121,8 @@
 	for i := range h.History {
 		size += h.History[i].encodedSize()
 		if size > maxHeadBytes {
-			size -= base64.StdEncoding.EncodedLen(len(h.History[i].Body))
-			h.History[i].Body = nil
+			size -= h.History[i].encodedSize() - recordOverhead
+			h.History[i].leaveOut()
 		}
 	}
 }
@@ -131,9 +136,13 @@
 
 // encodedSize returns a bound on the size of a record within the head.
 func (r *Record) encodedSize() int {
-	return recordOverhead + chunkOverhead*len(r.Chunks) + base64.StdEncoding.EncodedLen(len(r.Body))
+	return recordOverhead + chunkOverhead*len(r.Chunks) +
+		base64.StdEncoding.EncodedLen(len(r.Main)) + base64.StdEncoding.EncodedLen(len(r.Blocks))
 }
 
+// leaveOut forgets the document of the record.
+func (r *Record) leaveOut() { r.Main, r.Blocks, r.Chunks = nil, nil, nil }
+
 // dropped returns the chunks that before names and after does not.
 func dropped(before, after *Head) []Chunk {
 	if before == nil {
@@ -160,7 +169,7 @@
 	return all
 }
 
-// Compress returns the compressed form of an encoded document.
+// Compress returns the compressed form of a part of a document.
 func Compress(raw []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
@@ -173,7 +182,7 @@
 	return b.Bytes(), nil
 }
 
-// Decompress returns the encoded document of its compressed form. It refuses
+// Decompress returns a part of a document from its compressed form. It refuses
 // one larger than config.MaxDocumentBytes.
 func Decompress(body []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(body))
--- a/internal/config/repository/repository.go
+++ b/internal/config/repository/repository.go
@@ -62,10 +62,29 @@
 	return config.Validate(p.Document)
 }
 
+// pack encodes and compresses the document. It returns the encoded size, too.
+func (p *Proposal) pack() (*Packed, int, error) {
+	encoded, err := config.Split(p.Document)
+	if err != nil {
+		return nil, 0, err
+	}
+	packed, err := Pack(encoded)
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(packed.Main) > MaxMainBytes {
+		return nil, 0, &config.InvalidError{Faults: []config.Fault{{
+			Value:   fmt.Sprintf("%d bytes compressed, without client blocks", len(packed.Main)),
+			Allowed: fmt.Sprintf("at most %d bytes", MaxMainBytes),
+		}}}
+	}
+	return packed, encoded.Bytes(), nil
+}
+
 // Accepted is a document that was accepted.
 type Accepted struct {
 	Record Record
-	Raw    []byte // the encoded document
+	Packed *Packed
 	// Unchanged is set when the document was in force already and nothing was
 	// written.
 	Unchanged bool
@@ -85,9 +104,9 @@
 	return head, o.Version, err
 }
 
-// Generation returns the encoded document of a generation, or trace.NotFound
-// when it is not kept.
-func (r *Repository) Generation(ctx context.Context, gen config.Generation) ([]byte, error) {
+// Generation returns the document of a generation, or trace.NotFound when it
+// is not kept.
+func (r *Repository) Generation(ctx context.Context, gen config.Generation) (*Packed, error) {
 	head, _, err := r.Head(ctx)
 	if err != nil {
 		return nil, err
@@ -96,36 +115,36 @@
 	if rec == nil {
 		return nil, trace.NotFound("generation %d is not in the history", gen)
 	}
-	return r.Body(ctx, rec)
+	return r.Read(ctx, rec, 0)
 }
 
-// Body returns the encoded document of a record, read from its chunks if
-// need be, and checked against its hash.
-func (r *Repository) Body(ctx context.Context, rec *Record) ([]byte, error) {
-	body := rec.Body
-	for _, c := range rec.Chunks {
-		o, err := r.store.Get(ctx, platform.KindConfigChunk, c.Name)
+// Read returns the document of a record. Client blocks with the hash have may
+// be left out.
+func (r *Repository) Read(ctx context.Context, rec *Record, have uint64) (*Packed, error) {
+	if !rec.Kept() {
+		return nil, trace.NotFound("the document of generation %d is no longer kept", rec.Generation)
+	}
+	p := &Packed{Hash: rec.Hash, BlocksHash: rec.BlocksHash, Main: rec.Main, Blocks: rec.Blocks}
+	if have != rec.BlocksHash {
+		chunks, err := r.readChunks(ctx, rec)
 		if err != nil {
-			return nil, trace.Wrap(err, "read chunk %s of generation %d", c.Name, rec.Generation)
+			return nil, err
 		}
-		body = append(body, o.Value...)
-	}
-	if len(body) == 0 {
-		return nil, trace.NotFound("the document of generation %d is no longer kept", rec.Generation)
+		p.Blocks = append(p.Blocks, chunks...)
 	}
-	return Open(body, rec.Hash)
+	return p, nil
 }
 
-// Open decompresses a document and checks its hash.
-func Open(body []byte, hash uint64) ([]byte, error) {
-	raw, err := Decompress(body)
-	if err != nil {
-		return nil, err
-	}
-	if got := config.HashOf(raw); got != hash {
-		return nil, trace.CompareFailed("document has hash %016x, its record says %016x", got, hash)
+func (r *Repository) readChunks(ctx context.Context, rec *Record) ([]byte, error) {
+	var all []byte
+	for _, c := range rec.Chunks {
+		o, err := r.store.Get(ctx, platform.KindConfigChunk, c.Name)
+		if err != nil {
+			return nil, trace.Wrap(err, "read chunk %s of generation %d", c.Name, rec.Generation)
+		}
+		all = append(all, o.Value...)
 	}
-	return raw, nil
+	return all, nil
 }
 
 // Apply validates a document and stores it by conditional update on the
@@ -135,11 +154,7 @@
 	if err := p.validate(); err != nil {
 		return nil, err
 	}
-	raw, err := config.Encode(p.Document)
-	if err != nil {
-		return nil, err
-	}
-	body, err := Compress(raw)
+	packed, size, err := p.pack()
 	if err != nil {
 		return nil, err
 	}
@@ -148,9 +163,9 @@
 	w := &writer{
 		Repository: r,
 		proposal:   p,
-		raw:        raw,
-		body:       body,
-		attempt:    attempt{writeID: rand.Text(), hash: config.HashOf(raw), base: p.Base, inForce: p.inForce()},
+		packed:     packed,
+		size:       size,
+		attempt:    attempt{writeID: rand.Text(), hash: packed.Hash, base: p.Base, inForce: p.inForce()},
 	}
 	w.run(ctx)
 	return w.conclude()
@@ -161,8 +176,8 @@
 	*Repository
 	attempt
 	proposal Proposal
-	raw      []byte
-	body     []byte
+	packed   *Packed
+	size     int     // bytes of the encoded document
 	chunks   []Chunk // written for this document
 	retired  []Chunk // of no use once this document is accepted
 }
@@ -208,14 +223,16 @@
 	return head, version, err
 }
 
-// writeChunks stores a large document apart from the head. Names are unique
-// to this write, so that a chunk which exists already is our own.
+// writeChunks stores many client blocks apart from the head, unless the
+// document before has the same ones. Names are unique to this write, so that
+// a chunk which exists already is our own.
 func (w *writer) writeChunks(ctx context.Context) error {
-	if len(w.body) <= MaxInlineBytes {
+	blocks := w.packed.Blocks
+	if len(blocks) <= maxInlineBlocks || w.sameBlocks() {
 		return nil
 	}
-	for i := len(w.chunks); i*w.chunkBytes < len(w.body); i++ {
-		part := w.body[i*w.chunkBytes : min((i+1)*w.chunkBytes, len(w.body))]
+	for i := len(w.chunks); i*w.chunkBytes < len(blocks); i++ {
+		part := blocks[i*w.chunkBytes : min((i+1)*w.chunkBytes, len(blocks))]
 		name := fmt.Sprintf("%s-%d", w.writeID, i)
 		version, err := w.store.Create(ctx, platform.KindConfigChunk, name, part)
 		if errors.Is(err, platform.ErrConflict) {
@@ -229,6 +246,13 @@
 	return nil
 }
 
+// sameBlocks reports whether the head that the write is based on has the same
+// client blocks in chunks. They stay for as long as that head or the new one
+// refers to them, since the write is conditional on that head.
+func (w *writer) sameBlocks() bool {
+	return w.head != nil && len(w.head.Current.Chunks) > 0 && w.head.Current.BlocksHash == w.packed.BlocksHash
+}
+
 func (w *writer) versionOf(ctx context.Context, chunk string) (platform.Version, error) {
 	o, err := w.store.Get(ctx, platform.KindConfigChunk, chunk)
 	return o.Version, err
@@ -254,15 +278,21 @@
 	rec := Record{
 		Generation: w.next(),
 		WriteID:    w.writeID,
-		Hash:       w.hash,
+		Hash:       w.packed.Hash,
+		BlocksHash: w.packed.BlocksHash,
 		Author:     w.proposal.Author,
 		Comment:    w.proposal.Comment,
 		AcceptedAt: w.clock.Now().UTC(),
-		Bytes:      len(w.raw),
-		Chunks:     w.chunks,
-	}
-	if len(w.chunks) == 0 {
-		rec.Body = w.body
+		Bytes:      w.size,
+		Main:       w.packed.Main,
+	}
+	switch {
+	case len(w.packed.Blocks) <= maxInlineBlocks:
+		rec.Blocks = w.packed.Blocks
+	case w.sameBlocks():
+		rec.Chunks = w.head.Current.Chunks
+	default:
+		rec.Chunks = w.chunks
 	}
 	return rec
 }
@@ -271,10 +301,11 @@
 func (w *writer) conclude() (*Accepted, error) {
 	switch w.step {
 	case StepAccepted:
-		accepted := &Accepted{Record: *w.result, Raw: w.raw, Unchanged: w.result.WriteID != w.writeID}
+		accepted := &Accepted{Record: *w.result, Packed: w.packed, Unchanged: w.result.WriteID != w.writeID}
 		if !accepted.Unchanged {
 			w.remove(w.retired)
 		}
+		w.remove(dropped(&Head{Current: Record{Chunks: w.chunks}}, &Head{Current: *w.result}))
 		return accepted, nil
 	case StepConflict:
 		w.remove(w.chunks)
@@ -306,7 +337,6 @@
 		return w.conflictInForce()
 	}
 	e := &ConflictError{Base: w.base, Current: w.head.Current}
-	e.Current.Body, e.Current.Chunks = nil, nil
 	ctx, cancel := context.WithTimeout(context.Background(), cleanUpTimeout)
 	defer cancel()
 	current := w.load(ctx, &w.head.Current)
@@ -339,11 +369,11 @@
 	if rec == nil {
 		return nil
 	}
-	raw, err := w.Body(ctx, rec)
+	packed, err := w.Read(ctx, rec, 0)
 	if err != nil {
 		return nil
 	}
-	doc, err := config.ParseStored(raw)
+	doc, err := packed.Document()
 	if err != nil {
 		return nil
 	}
--- a/internal/config/repository/repository_test.go
+++ b/internal/config/repository/repository_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -62,11 +63,11 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	raw, err := r.Body(context.Background(), &head.Current)
+	packed, err := r.Read(context.Background(), &head.Current, 0)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	doc, err := config.ParseStored(raw)
+	doc, err := packed.Document()
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -103,9 +104,7 @@
 	if len(head.History) != HistoryLength || head.History[0].Generation != HistoryLength+4 {
 		t.Errorf("history of %d, newest %d", len(head.History), head.History[0].Generation)
 	}
-	if _, err := r.Body(t.Context(), &head.History[HistoryLength-1]); err != nil {
-		t.Error(err)
-	}
+	r.expectReadable(&head.History[HistoryLength-1])
 }
 
 func TestInvalidDocumentIsNeverStored(t *testing.T) {
@@ -326,18 +325,25 @@
 	}
 }
 
-func TestLargeDocumentsAreChunked(t *testing.T) {
-	r := newRig(t)
-	r.chunkBytes = MaxInlineBytes / 2
-	doc := document(t, 1000)
+// randomBlocks returns client blocks that hardly compress.
+func randomBlocks(n int) []config.ClientBlock {
 	random := rand.New(rand.NewPCG(1, 1))
-	for range 20_000 {
+	blocks := make([]config.ClientBlock, n)
+	for i := range blocks {
 		var address [16]byte
 		binary.LittleEndian.PutUint64(address[:], random.Uint64())
 		binary.LittleEndian.PutUint64(address[8:], random.Uint64())
-		cidr := netip.PrefixFrom(netip.AddrFrom16(address), 128).String()
-		doc.ClientBlocks = append(doc.ClientBlocks, config.ClientBlock{CIDR: cidr, Region: "rosario"})
+		prefix := netip.PrefixFrom(netip.AddrFrom16(address), 128)
+		blocks[i] = config.ClientBlock{CIDR: prefix.String(), Region: "rosario"}
 	}
+	return blocks
+}
+
+func TestLargeDocumentsAreChunked(t *testing.T) {
+	r := newRig(t)
+	r.chunkBytes = 128 << 10
+	doc := document(t, 1000)
+	doc.ClientBlocks = append(doc.ClientBlocks, randomBlocks(20_000)...)
 	first, err := r.Apply(t.Context(), Proposal{Document: doc})
 	if err != nil {
 		t.Fatal(err)
@@ -345,31 +351,84 @@
 	if len(first.Record.Chunks) < 2 {
 		t.Fatalf("%d chunks for %d bytes", len(first.Record.Chunks), first.Record.Bytes)
 	}
-	raw, err := r.Body(t.Context(), &first.Record)
-	if err != nil || config.HashOf(raw) != first.Record.Hash {
-		t.Fatalf("the document cannot be read back: %v", err)
-	}
+	r.expectReadable(&first.Record)
 	doc.Lookup.MaxAgeMS = 2000
-	if _, err := r.Apply(t.Context(), Proposal{Document: doc, Base: 0}); err == nil {
+	written := r.store.Calls(platform.OpCreate)
+	second, err := r.Apply(t.Context(), Proposal{Document: doc, Base: 1})
+	if err != nil || r.store.Calls(platform.OpCreate) != written {
+		t.Errorf("equal client blocks were written again: %v", err)
+	}
+	r.expectReadable(&second.Record)
+	slices.Reverse(doc.ClientBlocks)
+	if _, err := r.Apply(t.Context(), Proposal{Document: doc, Base: 1}); err == nil {
 		t.Fatal("no conflict")
 	}
-	chunks, _, _ := r.store.List(t.Context(), platform.KindConfigChunk)
-	if len(chunks) != len(first.Record.Chunks) {
-		t.Errorf("%d chunks are left behind a conflict", len(chunks)-len(first.Record.Chunks))
+	r.expectChunks(len(first.Record.Chunks), "a conflict")
+	for gen := range config.Generation(HistoryLength + 2) {
+		r.mustApply(2+gen, config.Millis(3000+gen))
+	}
+	r.expectChunks(0, "documents that left the history")
+}
+
+// expectReadable checks that a document can be read back whole.
+func (r *rig) expectReadable(rec *Record) {
+	r.t.Helper()
+	packed, err := r.Read(context.Background(), rec, 0)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if _, err := packed.Document(); err != nil {
+		r.t.Errorf("generation %d: %v", rec.Generation, err)
+	}
+}
+
+// expectChunks checks how many chunks the store holds.
+func (r *rig) expectChunks(want int, after string) {
+	r.t.Helper()
+	chunks, _, err := r.store.List(context.Background(), platform.KindConfigChunk)
+	if err != nil || len(chunks) != want {
+		r.t.Errorf("%d chunks after %s, want %d: %v", len(chunks), after, want, err)
 	}
 }
 
+// TestChunksFollowTheHeadThatIsReplaced has a first read that is stale: there
+// the client blocks are the same, in the head that is replaced they are not.
+func TestChunksFollowTheHeadThatIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		many := document(t, 1000)
+		many.ClientBlocks = append(many.ClientBlocks, randomBlocks(3000)...)
+		first, err := r.Apply(context.Background(), Proposal{Document: many})
+		if err != nil || len(first.Record.Chunks) == 0 {
+			t.Fatalf("%d chunks, %v", len(first.Record.Chunks), err)
+		}
+		r.store.Freeze()
+		few := r.mustApply(1, 2000)
+		snap, err := config.NewSnapshot(few.Record.Generation, document(t, 2000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(time.Second, r.store.Thaw)
+		many.Lookup.MaxAgeMS = 3000
+		third, err := r.Apply(context.Background(), Proposal{Document: many, Base: 2, InForce: snap})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.expectReadable(&third.Record)
+	})
+}
+
 func TestHeadStaysWithinTheBoundOfValues(t *testing.T) {
 	var head *Head
 	for gen := range config.Generation(HistoryLength + 2) {
-		body := []byte(strings.Repeat("x", MaxInlineBytes))
-		next, value, err := head.succeed(Record{Generation: gen + 1, Body: body})
+		body := []byte(strings.Repeat("x", MaxMainBytes))
+		next, value, err := head.succeed(Record{Generation: gen + 1, Main: body})
 		if err != nil || len(value) > platform.MaxValueBytes {
 			t.Fatalf("generation %d: %d bytes, %v", gen+1, len(value), err)
 		}
 		head = next
 	}
-	if len(head.History) != HistoryLength || head.History[0].Body == nil || head.History[HistoryLength-1].Body != nil {
+	if len(head.History) != HistoryLength || !head.History[0].Kept() || head.History[HistoryLength-1].Kept() {
 		t.Error("the history does not keep all records, with the documents of the newest")
 	}
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -3,9 +3,6 @@
 import (
 	"net/http"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/gravitational/trace"
 )
 
 // Generation numbers accepted documents. It only rises.
@@ -15,7 +12,8 @@
 // immutable and shared by all requests.
 type Snapshot struct {
 	Generation Generation
-	Hash       uint64 // xxhash of the stored document
+	Hash       uint64 // of the stored document
+	BlocksHash uint64 // of its client blocks; 0 when there are none
 	Document   *Document
 
 	regionOfZone map[string]string
@@ -45,32 +43,18 @@
 // NewSnapshot derives the tables of a valid document. The document must not be
 // changed afterwards.
 func NewSnapshot(gen Generation, doc *Document) (*Snapshot, error) {
-	raw, err := Encode(doc)
+	e, err := Split(doc)
 	if err != nil {
 		return nil, err
 	}
-	return newSnapshot(gen, HashOf(raw), doc), nil
-}
-
-// Load derives the snapshot of a stored document, as written by Encode:
-// defaults are filled in, and the hash is that of the stored bytes, so that
-// it is the same on all daemons whatever their builds.
-func Load(gen Generation, stored []byte) (*Snapshot, error) {
-	doc, err := ParseStored(stored)
-	if err != nil {
-		return nil, trace.Wrap(err, "load generation %d", gen)
-	}
-	SetDefaults(doc)
-	return newSnapshot(gen, HashOf(stored), doc), nil
+	return newSnapshot(gen, e, doc), nil
 }
 
-// HashOf returns the hash of a stored document.
-func HashOf(stored []byte) uint64 { return xxhash.Sum64(stored) }
-
-func newSnapshot(gen Generation, hash uint64, doc *Document) *Snapshot {
+func newSnapshot(gen Generation, e *Encoded, doc *Document) *Snapshot {
 	s := &Snapshot{
 		Generation:   gen,
-		Hash:         hash,
+		Hash:         e.Hash(),
+		BlocksHash:   e.BlocksHash,
 		Document:     doc,
 		regionOfZone: make(map[string]string),
 		byName:       make(map[string]*ServiceIndex),
--- a/internal/confsync/calls.go
+++ b/internal/confsync/calls.go
@@ -67,15 +67,11 @@
 	if s.has(rec.Generation, rec.Hash) {
 		return &held{snap: &config.Snapshot{Generation: rec.Generation, Hash: rec.Hash}}, nil
 	}
-	raw, err := s.repo.Body(ctx, rec)
+	packed, err := s.repo.Read(ctx, rec, s.blocksHash())
 	if err != nil {
 		return nil, err
 	}
-	d, err := newHeld(rec.Generation, raw)
-	if err != nil {
-		return nil, s.unreadable(rec.Generation, err)
-	}
-	return d, nil
+	return s.load(rec.Generation, packed)
 }
 
 // has reports whether a document is in force here or superseded.
@@ -87,27 +83,40 @@
 	return gen < cur.generation()
 }
 
+// unreadable logs that a document cannot be read, and returns the error. A
+// document whose client blocks were those in force a moment ago is only
+// incomplete; it is asked for again.
 func (s *Service) unreadable(gen config.Generation, err error) error {
+	if trace.IsNotFound(err) {
+		return err
+	}
 	s.deps.Log.Log(eventUnreadable, telemetry.GenerationOf(uint64(gen)), telemetry.Err(err))
 	return err
 }
 
-// receive loads a document from a peer; nil when it is a notice or not newer
-// than what is in force.
+// blocksHash returns the hash of the client blocks in force, 0 when there are
+// none.
+func (s *Service) blocksHash() uint64 {
+	if cur := s.current.Load(); cur != nil {
+		return cur.snap.BlocksHash
+	}
+	return 0
+}
+
+// receive loads a document from a peer; nil when it is not newer than what is
+// in force, or when not all of it came.
 func (s *Service) receive(w *wireDocument) (*held, error) {
 	gen := config.Generation(w.Generation)
-	if len(w.Body) == 0 || s.has(gen, w.Hash) {
+	if len(w.Main) == 0 || s.has(gen, w.Hash) || s.lacksBlocks(w) {
 		return nil, nil
 	}
-	raw, err := repository.Open(w.Body, w.Hash)
-	if err != nil {
-		return nil, s.unreadable(gen, err)
-	}
-	snap, err := config.Load(gen, raw)
-	if err != nil {
-		return nil, s.unreadable(gen, err)
-	}
-	return &held{snap: snap, body: w.Body}, nil
+	return s.load(gen, w.packed())
+}
+
+// lacksBlocks reports whether a document's client blocks have neither come
+// nor are in force here.
+func (s *Service) lacksBlocks(w *wireDocument) bool {
+	return w.BlocksHash != 0 && len(w.Blocks) == 0 && w.BlocksHash != s.blocksHash()
 }
 
 // handlePush handles peer.KindConfigPush.
@@ -134,18 +143,17 @@
 	if cur == nil {
 		return &fetchAnswer{}, nil
 	}
-	return cur.part(&m), nil
+	return cur.piece(&m), nil
 }
 
-// part returns the part asked for, or the first part when another generation
-// was meant or the offset is outside.
-func (h *held) part(m *fetchMessage) *fetchAnswer {
-	offset := m.Offset
-	if m.Generation != uint64(h.generation()) || offset < 0 || offset > len(h.body) {
-		offset = 0
+// piece returns the piece asked for, or the notice alone when another
+// generation was meant or the offset is outside.
+func (h *held) piece(m *fetchMessage) *fetchAnswer {
+	whole := h.section(m.Section)
+	a := &fetchAnswer{Notice: h.notice(), Total: len(whole)}
+	if (m.Generation == 0 || m.Generation == a.Notice.Generation) && m.Offset >= 0 && m.Offset < len(whole) {
+		a.Piece = whole[m.Offset:min(m.Offset+maxPieceBytes, len(whole))]
 	}
-	a := &fetchAnswer{Document: h.notice(), Offset: offset, Total: len(h.body)}
-	a.Document.Body = h.body[offset:min(offset+maxPartBytes, len(h.body))]
 	return a
 }
 
@@ -153,7 +161,7 @@
 func (s *Service) fetch(from string) {
 	s.counts.fetches.Inc()
 	var d *held
-	w, err := s.fetchParts(from)
+	w, err := s.fetchDocument(from)
 	if err == nil && w.Generation > 0 {
 		d, err = s.receive(w)
 		if d == nil && err == nil {
@@ -163,31 +171,48 @@
 	s.report(func(now time.Time) { s.core.onFetched(now, d, err) })
 }
 
-// fetchParts collects the parts of a peer's document. It starts over when the
-// peer changes to another generation on the way.
-func (s *Service) fetchParts(from string) (*wireDocument, error) {
-	w := &wireDocument{}
-	for {
-		a, err := s.fetchPart(from, &fetchMessage{Generation: w.Generation, Offset: len(w.Body)})
+// fetchDocument collects a peer's document, without client blocks that are in
+// force here. It returns a notice alone when there is nothing newer to fetch.
+func (s *Service) fetchDocument(from string) (*wireDocument, error) {
+	first, err := s.fetchPiece(from, &fetchMessage{})
+	if err != nil {
+		return nil, err
+	}
+	w := first.Notice
+	if w.Generation == 0 || s.has(config.Generation(w.Generation), w.Hash) {
+		return &w, nil
+	}
+	if w.Main, err = s.fetchRest(from, sectionMain, &w, first); err != nil {
+		return nil, err
+	}
+	if s.lacksBlocks(&w) {
+		w.Blocks, err = s.fetchRest(from, sectionBlocks, &w, nil)
+	}
+	return &w, err
+}
+
+// fetchRest collects a section, of which the first piece may have come.
+func (s *Service) fetchRest(from string, part section, w *wireDocument, first *fetchAnswer) ([]byte, error) {
+	var whole []byte
+	for a := first; ; {
+		if a != nil {
+			whole = append(whole, a.Piece...)
+			if len(whole) >= a.Total {
+				return whole, nil
+			}
+		}
+		var err error
+		a, err = s.fetchPiece(from, &fetchMessage{Generation: w.Generation, Section: part, Offset: len(whole)})
 		if err != nil {
 			return nil, err
 		}
-		if a.Document.Generation != w.Generation || a.Offset != len(w.Body) {
-			w = &wireDocument{Generation: a.Document.Generation, Hash: a.Document.Hash}
-		}
-		if a.Offset == len(w.Body) {
-			w.Body = append(w.Body, a.Document.Body...)
-		}
-		if len(w.Body) >= a.Total {
-			return w, nil
-		}
-		if len(a.Document.Body) == 0 || a.Total > config.MaxDocumentBytes {
-			return nil, trace.BadParameter("%s sent a bad part of generation %d", from, w.Generation)
+		if a.Notice.Hash != w.Hash || len(a.Piece) == 0 || a.Total > config.MaxDocumentBytes {
+			return nil, trace.CompareFailed("%s no longer sends generation %d", from, w.Generation)
 		}
 	}
 }
 
-func (s *Service) fetchPart(from string, m *fetchMessage) (*fetchAnswer, error) {
+func (s *Service) fetchPiece(from string, m *fetchMessage) (*fetchAnswer, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
 	defer cancel()
 	a := &fetchAnswer{}
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -40,10 +40,10 @@
 	repairInterval = 400 * time.Millisecond
 	repairers      = 2 // daemons that push again to one that is behind
 
-	treeDegree   = 8 // pushes of one daemon for each root of its region
-	maxRoots     = 4 // roots that a daemon relays for, per generation
-	maxPushBytes = 32 << 10
-	maxPartBytes = 256 << 10
+	treeDegree    = 8 // pushes of one daemon for each root of its region
+	maxRoots      = 4 // roots that a daemon relays for, per generation
+	maxPushBytes  = 32 << 10
+	maxPieceBytes = 256 << 10
 )
 
 // source is where a document came from.
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/config/repository"
 	"masticturn/internal/membership"
 )
 
@@ -15,7 +16,10 @@
 
 // testHeld is a document with nothing in it.
 func testHeld(gen config.Generation, hash uint64) *held {
-	return &held{snap: &config.Snapshot{Generation: gen, Hash: hash, Document: &config.Document{}}}
+	return &held{
+		snap:   &config.Snapshot{Generation: gen, Hash: hash, Document: &config.Document{}},
+		packed: &repository.Packed{},
+	}
 }
 
 // TestTreeReachesAllOnce walks the tree of each root of a region.
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -79,6 +82,8 @@
 
 	stop context.CancelFunc
 	next config.Millis
+
+	blocks int // client blocks in the next documents, besides those of the example
 }
 
 // newFleet starts perRegion daemons in each of two regions. It must run in a
@@ -202,6 +207,11 @@
 	}
 	f.next++
 	doc.Lookup.MaxAgeMS = f.next
+	random := rand.New(rand.NewPCG(1, 1))
+	for range f.blocks {
+		address := netip.AddrFrom16([16]byte(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, random.Uint64()), random.Uint64())))
+		doc.ClientBlocks = append(doc.ClientBlocks, config.ClientBlock{CIDR: netip.PrefixFrom(address, 128).String(), Region: "rosario"})
+	}
 	return doc
 }
 
@@ -269,3 +279,8 @@
 func (f *fleet) storeCalls() int {
 	return f.store.Calls(platform.OpGet) + f.store.Calls(platform.OpWatch)
 }
+
+// chunkReads returns the reads so far of client blocks kept in chunks.
+func (f *fleet) chunkReads() int {
+	return f.store.Counts()[platformtest.CountKey{Op: platform.OpGet, Kind: platform.KindConfigChunk}]
+}
--- a/internal/confsync/service.go
+++ b/internal/confsync/service.go
@@ -149,15 +149,14 @@
 // Repository returns the repository, to read the history.
 func (s *Service) Repository() *repository.Repository { return s.repo }
 
-// Encoded returns the document in force as it was written, without defaults,
+// Written returns the document in force as it was written, without defaults,
 // and its generation; repository.ErrNoDocument when there is none.
-func (s *Service) Encoded() (config.Generation, []byte, error) {
+func (s *Service) Written() (config.Generation, *repository.Packed, error) {
 	cur := s.current.Load()
 	if cur == nil {
 		return 0, nil, repository.ErrNoDocument
 	}
-	raw, err := repository.Decompress(cur.body)
-	return cur.generation(), raw, err
+	return cur.generation(), cur.packed, nil
 }
 
 // Apply stores a document and puts it in force here at once, from where it
@@ -168,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d, err := newHeld(accepted.Record.Generation, accepted.Raw)
+	d, err := s.load(accepted.Record.Generation, accepted.Packed)
 	if err != nil {
 		return nil, err
 	}
@@ -176,17 +175,28 @@
 	return accepted, nil
 }
 
-// newHeld loads an encoded document.
-func newHeld(gen config.Generation, raw []byte) (*held, error) {
-	snap, err := config.Load(gen, raw)
+// load derives what is held of a document. Client blocks equal to those in
+// force are shared with them, and may be left out.
+func (s *Service) load(gen config.Generation, packed *repository.Packed) (*held, error) {
+	p := *packed
+	var have *config.Snapshot
+	cur := s.current.Load()
+	if cur != nil && cur.snap.BlocksHash == p.BlocksHash {
+		have = cur.snap
+		p.Blocks = nil // need not be opened
+	}
+	encoded, err := p.Open()
 	if err != nil {
-		return nil, err
+		return nil, s.unreadable(gen, err)
 	}
-	body, err := repository.Compress(raw)
+	snap, err := config.Load(gen, encoded, have)
 	if err != nil {
-		return nil, err
+		return nil, s.unreadable(gen, err)
+	}
+	if have != nil {
+		p.Blocks = cur.packed.Blocks
 	}
-	return &held{snap: snap, body: body}, nil
+	return &held{snap: snap, packed: &p}, nil
 }
 
 // step lets the core take an event and carries out its actions.
--- a/internal/confsync/spread_test.go
+++ b/internal/confsync/spread_test.go
@@ -227,15 +227,19 @@
 func TestStoreDecidesADispute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := settled(t)
-		raw, err := config.Encode(f.document())
+		d := f.daemons[2]
+		encoded, err := config.Split(f.document())
 		if err != nil {
 			t.Fatal(err)
 		}
-		other, err := newHeld(1, raw)
+		packed, err := repository.Pack(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := d.load(1, packed)
 		if err != nil {
 			t.Fatal(err)
 		}
-		d := f.daemons[2]
 		right := d.Current().Hash
 		d.step(func(time.Time) { d.core.cur = other })
 		d.current.Store(other)
@@ -299,32 +303,41 @@
 	}
 }
 
-func TestPartsOfALargeDocument(t *testing.T) {
+// TestManyClientBlocksTravelOnce spreads a document whose client blocks are too
+// many to be pushed, and then a change of something else.
+func TestManyClientBlocksTravelOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1)
-		body := make([]byte, 3*maxPartBytes+7)
-		for i := range body {
-			body[i] = byte(i >> 8)
+		f := newFleet(t, 4)
+		time.Sleep(time.Second)
+		f.blocks = 20_000
+		f.settle(f.apply(f.daemons[0]), inForceMax)
+		size := len(f.daemons[7].current.Load().packed.Blocks)
+		if size < maxPieceBytes {
+			t.Fatalf("the client blocks have %d bytes, which one piece holds", size)
+		}
+		before, read := f.hub.Stats().Bytes, f.chunkReads()
+		f.settle(f.apply(f.daemons[0]), inForceMax)
+		if n := f.chunkReads() - read; n > 0 {
+			t.Errorf("%d chunks read for a change of something else", n)
 		}
-		h := &held{snap: &config.Snapshot{Generation: 4, Hash: 9}, body: body}
-		f.daemons[0].current.Store(h)
-		w, err := f.daemons[1].fetchParts(f.daemons[0].member.Name)
-		if err != nil || w.Generation != 4 || string(w.Body) != string(body) {
-			t.Errorf("got generation %d, %d bytes, %v", w.Generation, len(w.Body), err)
+		if sent := f.hub.Stats().Bytes - before; sent > len(f.daemons)*maxPushBytes {
+			t.Errorf("%d bytes sent for a change of something else", sent)
 		}
-		f.daemons[0].current.Store(nil)
+		f.store.SetOutage(true)
+		f.start("vm-90", "region-0")
+		f.settle(2, inForceMax)
 	})
 }
 
 func TestDamagedPushIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := settled(t)
-		body, err := repository.Compress([]byte(`{"deployment":"forged"}`))
+		packed, err := repository.Pack(&config.Encoded{Main: []byte(`{"deployment":"forged"}`)})
 		if err != nil {
 			t.Fatal(err)
 		}
 		d := f.daemons[0]
-		if _, err := d.receive(&wireDocument{Generation: 9, Hash: 1, Body: body}); err == nil {
+		if _, err := d.receive(&wireDocument{Generation: 9, Hash: 1, Main: packed.Main}); err == nil {
 			t.Error("a document that does not match its hash was taken")
 		}
 	})
--- a/internal/operator/configapi/api.go
+++ b/internal/operator/configapi/api.go
@@ -22,8 +22,8 @@
 type Documents interface {
 	// Current returns the snapshot in force, nil when there is none.
 	Current() *config.Snapshot
-	// Encoded returns the document in force as it was written.
-	Encoded() (config.Generation, []byte, error)
+	// Written returns the document in force as it was written.
+	Written() (config.Generation, *repository.Packed, error)
 	// Apply stores a document and puts it in force.
 	Apply(ctx context.Context, p repository.Proposal) (*repository.Accepted, error)
 	// Repository gives access to the history.
@@ -78,41 +78,36 @@
 
 // get answers the document in force, or one of the history.
 func (a *API) get(w http.ResponseWriter, r *http.Request) (any, error) {
-	gen, raw, err := a.read(r)
+	gen, packed, err := a.read(r)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := packed.Document()
 	if err != nil {
 		return nil, err
 	}
-	hash := config.HashOf(raw)
 	if r.URL.Query().Get(edge.QueryEffective) == "true" {
-		raw, err = effective(raw)
-		if err != nil {
-			return nil, err
-		}
+		config.SetDefaults(doc)
+	}
+	raw, err := config.Encode(doc)
+	if err != nil {
+		return nil, err
 	}
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(gen), 10)))
-	return &edge.ConfigAnswer{Generation: uint64(gen), Hash: hexHash(hash), Document: raw}, nil
+	return &edge.ConfigAnswer{Generation: uint64(gen), Hash: hexHash(packed.Hash), Document: raw}, nil
 }
 
-func (a *API) read(r *http.Request) (config.Generation, []byte, error) {
+func (a *API) read(r *http.Request) (config.Generation, *repository.Packed, error) {
 	text := r.URL.Query().Get(edge.QueryGeneration)
 	if text == "" {
-		return a.documents.Encoded()
+		return a.documents.Written()
 	}
 	gen, err := parseGeneration(edge.QueryGeneration, text)
 	if err != nil {
 		return 0, nil, err
 	}
-	raw, err := a.documents.Repository().Generation(r.Context(), gen)
-	return gen, raw, err
-}
-
-func effective(raw []byte) ([]byte, error) {
-	doc, err := config.ParseStored(raw)
-	if err != nil {
-		return nil, err
-	}
-	config.SetDefaults(doc)
-	return config.Encode(doc)
+	packed, err := a.documents.Repository().Generation(r.Context(), gen)
+	return gen, packed, err
 }
 
 // validate answers the faults of a document.
@@ -129,11 +124,11 @@
 	if err != nil {
 		return nil, err
 	}
-	gen, raw, err := a.read(r)
+	gen, packed, err := a.read(r)
 	if err != nil {
 		return nil, err
 	}
-	inForce, err := config.ParseStored(raw)
+	inForce, err := packed.Document()
 	if err != nil {
 		return nil, err
 	}
