membership: less to send and to look through

Cause: BenchmarkFleet at 300 members: 6,729 B/s a daemon, at most 22,252, for new links sent the whole table when the ring moved, notes named members in full, and each event looked through the table.

Change: a new link takes the peer to have the table and heals by hashes; notes use short ids; region notes come every 2 s; the table is looked through only when it changed.

--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// fleetShape is a fleet for the benchmark. Members are spread evenly.
+type fleetShape struct {
+	members, regions, zones int
+}
+
+// BenchmarkFleet measures what membership costs a daemon of a steady fleet, as
+// a function of its size: bytes of frames in and out per second, the most of
+// any one daemon, and processor time including the codec. A new generation of
+// the document is adopted by all every 15 seconds, and one daemon restarts.
+func BenchmarkFleet(b *testing.B) {
+	shapes := []fleetShape{{10, 3, 6}, {30, 3, 6}, {100, 4, 9}, {300, 6, 14}, {700, 9, 21}, {1400, 9, 21}}
+	for _, shape := range shapes {
+		b.Run(fmt.Sprintf("members=%d", shape.members), func(b *testing.B) {
+			for b.Loop() {
+				s := grow(b, shape)
+				measureFleet(b, s, shape)
+			}
+		})
+	}
+}
+
+// grow makes a fleet whose members know each other already.
+func grow(b *testing.B, shape fleetShape) *sim {
+	s := newSim(b, uint64(shape.members))
+	var records []Record
+	for i := range shape.members {
+		zone := i % shape.zones
+		records = append(records, s.record(fmt.Sprintf("r%d", zone%shape.regions), fmt.Sprintf("z%02d", zone), i))
+	}
+	for _, r := range records {
+		s.add(r)
+	}
+	answer := &JoinAnswer{Name: "table", Records: records}
+	for _, name := range s.order {
+		s.do(name, s.nodes[name].Joined(s.now, answer))
+	}
+	s.latency = func(from, to string) time.Duration {
+		if from[:2] != to[:2] {
+			return 3 * simStep
+		}
+		return simStep
+	}
+	s.run(5 * time.Second)
+	return s
+}
+
+func measureFleet(b *testing.B, s *sim, shape fleetShape) {
+	const generations, interval = 2, 15 * time.Second
+	s.measure = true
+	start := time.Now()
+	for g := range generations {
+		for _, name := range s.order {
+			s.do(name, s.nodes[name].SetGeneration(s.now, uint64(g+1), 1))
+		}
+		s.run(interval / 2)
+		if g == 0 {
+			s.crash(s.order[0])
+		}
+		s.run(interval / 2)
+	}
+	elapsed := time.Since(start)
+	seconds := (generations * interval).Seconds()
+	var rates []float64
+	total := 0.0
+	for _, name := range s.order {
+		rate := float64(s.bytesOut[name]+s.bytesIn[name]) / seconds
+		rates = append(rates, rate)
+		total += rate
+	}
+	slices.Sort(rates)
+	n := float64(shape.members)
+	b.ReportMetric(total/n, "B/s/daemon")
+	b.ReportMetric(rates[len(rates)-1], "B/s/max")
+	b.ReportMetric(float64(s.messages)/seconds/n, "messages/s/daemon")
+	b.ReportMetric(100*elapsed.Seconds()/seconds/n, "%core/daemon")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -54,8 +54,9 @@
 	last    time.Time // of the last event
 
 	table   map[string]*entry
-	version uint64 // rises with each change of the table
-	digest  uint64 // of all records
+	byID    map[uint32]*entry // by short ID
+	version uint64            // rises with each change of the table
+	digest  uint64            // of all records
 	regions map[string]*regionState
 	links   map[string]*linkState
 
@@ -87,6 +88,7 @@
 		started: now,
 		last:    now,
 		table:   make(map[string]*entry),
+		byID:    make(map[uint32]*entry),
 		regions: make(map[string]*regionState),
 		links:   make(map[string]*linkState),
 		derived: make(map[string]State),
@@ -163,6 +165,7 @@
 // it came from.
 func (m *Machine) touchRecord(e *entry, source *linkState) {
 	m.version++
+	m.byID[e.shortID()] = e
 	e.recordVersion = m.version
 	e.recordSource = source
 	m.topologyStale = true
@@ -179,6 +182,7 @@
 // changeSelf applies a change that this daemon makes to its own record.
 func (m *Machine) changeSelf(now time.Time, change func(*Record)) {
 	m.digest ^= m.self.Record.digest()
+	delete(m.byID, m.self.shortID())
 	change(&m.self.Record)
 	m.self.Seq++
 	m.digest ^= m.self.Record.digest()
@@ -271,6 +275,7 @@
 func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
 	address := e.PeerAddress
 	m.digest ^= e.Record.digest()
+	delete(m.byID, e.shortID())
 	generation, hash := r.Generation, r.Hash
 	if e.Incarnation == r.Incarnation && e.Generation > generation {
 		generation, hash = e.Generation, e.Hash
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -230,7 +230,7 @@
 	s.crash("r0-z0-1")
 	s.run(10 * time.Second)
 	s.do("r0-z0-0", m.Receive(s.now, "r0-z0-1", &Heartbeat{
-		Epoch: old.Incarnation, Incarnation: old.Incarnation,
+		Epoch:   old.Incarnation,
 		Records: []Record{{Name: "r0-z0-1", Region: "r0", Incarnation: old.Incarnation, Seq: 99}},
 	}))
 	if got := s.state("r0-z0-0", "r0-z0-1"); got != Gone {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -4,15 +4,15 @@
 // sender's own state, what it last heard of the receiver, and what changed in
 // its table since the receiver's last acknowledgment.
 type Heartbeat struct {
-	Epoch       uint64 // first incarnation of the sender's process; versions count within it
-	Incarnation uint64
-	Generation  uint64 // of the document that the sender has in force
-	Hash        uint64 // of that document
-	TableHash   uint64 // of the sender's records
+	Epoch      uint64 // first incarnation of the sender's process; versions count within it
+	Renewed    uint64 // how far the sender's incarnation is above Epoch
+	Generation uint64 // of the document that the sender has in force
+	Hash       uint64 // of that document
+	TableHash  uint32 // of the sender's records
 
 	HeardMS uint32 // how long ago the sender last heard the receiver; neverHeard if not
 
-	AckEpoch uint64 // epoch of the receiver to which Ack belongs
+	AckEpoch uint32 // lower bits of the receiver's epoch to which Ack belongs
 	Ack      uint64 // version of the receiver's table up to which the sender has all changes
 	Base     uint64 // the changes below are those after this version of the sender's table
 	Version  uint64 // ... and up to this one
@@ -25,14 +25,17 @@
 	Heard []Sign   // members that the receiver asked about and the sender heard lately
 }
 
+// Incarnation returns the sender's incarnation.
+func (h *Heartbeat) Incarnation() uint64 { return h.Epoch + h.Renewed }
+
 // neverHeard is the HeardMS of a sender that has not heard the receiver.
 const neverHeard = 1<<32 - 1
 
-// Note tells the generation that a member of the sender's region has in force.
+// Note tells which members of the sender's region have a generation in force,
+// by their short IDs.
 type Note struct {
-	Name        string
-	Incarnation uint64
-	Generation  uint64
+	Generation uint64
+	Members    []uint32
 }
 
 // RegionNote is what the relays of a region say of it.
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -7,6 +7,7 @@
 type Options struct {
 	HeartbeatInterval time.Duration // between heartbeats to a neighbor in the region
 	RelayInterval     time.Duration // between heartbeats of relays to other regions
+	RegionInterval    time.Duration // between the notes of a region
 	TickInterval      time.Duration // between looks at the timers
 	AskAfter          time.Duration // without a neighbor's heartbeat, others are asked about it
 	SuspectAfter      time.Duration // ... it is suspect
@@ -26,11 +27,12 @@
 const (
 	defaultHeartbeatInterval = 400 * time.Millisecond
 	defaultRelayInterval     = time.Second
+	defaultRegionInterval    = 2 * time.Second
 	defaultTickInterval      = 100 * time.Millisecond
 	defaultAskAfter          = 700 * time.Millisecond
 	defaultSuspectAfter      = time.Second
 	defaultGoneAfter         = 3 * time.Second
-	defaultRegionAfter       = 5 * time.Second
+	defaultRegionAfter       = 7 * time.Second
 	defaultForgetAfter       = 10 * time.Minute
 	defaultTombstoneAfter    = 15 * time.Minute
 	defaultPauseAfter        = time.Second
@@ -51,6 +53,7 @@
 func (o *Options) setDefaults() {
 	orDefault(&o.HeartbeatInterval, defaultHeartbeatInterval)
 	orDefault(&o.RelayInterval, defaultRelayInterval)
+	orDefault(&o.RegionInterval, defaultRegionInterval)
 	orDefault(&o.TickInterval, defaultTickInterval)
 	orDefault(&o.AskAfter, defaultAskAfter)
 	orDefault(&o.SuspectAfter, defaultSuspectAfter)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -70,6 +70,12 @@
 // digestPrime is an odd constant with bits all over.
 const digestPrime = 0x9e3779b97f4a7c15
 
+// shortID stands for a member in notes. Two of one region have the same one
+// with a chance of some millionths; the regions' summaries then set it right.
+func (r *Record) shortID() uint32 {
+	return uint32((xxhash.Sum64String(r.Name) ^ r.Incarnation) * digestPrime >> 32)
+}
+
 // incarnationStep separates the incarnations of one VM name. The lower bits
 // are random, so that two processes with the same clock differ.
 const incarnationStep = 1 << 16
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -42,7 +42,7 @@
 	if !t.relay || m.phase == PhaseJoining || now.Before(m.nextNote) {
 		return
 	}
-	m.nextNote = now.Add(m.opts.RelayInterval)
+	m.nextNote = now.Add(m.opts.RegionInterval)
 	r := m.region(m.self.Region)
 	r.Beat = max(r.Beat+1, uint64(now.UnixMilli()))
 	r.Generation, r.Except = m.summarize()
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -42,6 +42,8 @@
 	oneWay   map[string]int // "observer/peer" → reports
 	highest  map[string]uint64
 	bytesOut map[string]int
+	bytesIn  map[string]int
+	messages int // received
 	measure  bool
 }
 
@@ -51,7 +53,7 @@
 		t: t, now: start, start: start, random: rand.New(rand.NewPCG(seed, seed)),
 		nodes: make(map[string]*Machine), paused: make(map[string]bool),
 		awake: make(map[string]int), renewed: make(map[string]int), oneWay: make(map[string]int),
-		highest: make(map[string]uint64), bytesOut: make(map[string]int),
+		highest: make(map[string]uint64), bytesOut: make(map[string]int), bytesIn: make(map[string]int),
 	}
 	s.latency = func(string, string) time.Duration { return simStep }
 	s.opts.setDefaults()
@@ -165,7 +167,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case SendHeartbeat:
-			s.count(name, a.Heartbeat)
+			s.count(name, a.To, a.Heartbeat)
 			s.post(parcel{from: name, to: a.To, hb: a.Heartbeat})
 		case CallJoin:
 			to := a.Candidate.Name
@@ -189,7 +191,7 @@
 // frameOverhead is what the peer network adds to a payload, in bytes.
 const frameOverhead = 14
 
-func (s *sim) count(name string, hb *Heartbeat) {
+func (s *sim) count(from, to string, hb *Heartbeat) {
 	if !s.measure {
 		return
 	}
@@ -201,7 +203,9 @@
 	if err := peer.Decode(raw, &back); err != nil {
 		s.t.Fatal(err)
 	}
-	s.bytesOut[name] += len(raw) + frameOverhead
+	s.bytesOut[from] += len(raw) + frameOverhead
+	s.bytesIn[to] += len(raw) + frameOverhead
+	s.messages++
 }
 
 // state returns what an observer believes of a member; Gone if it is not in
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -32,25 +32,33 @@
 func (m *Machine) link(peer string) *linkState {
 	l, ok := m.links[peer]
 	if !ok {
-		l = &linkState{peer: peer}
-		m.links[peer] = l
+		l = m.newLink(peer)
 	}
 	return l
 }
 
+// newLink starts the exchange with a peer. It is taken to have the records
+// that are here, as it has after it joined; compareTables finds out if not.
+func (m *Machine) newLink(peer string) *linkState {
+	l := &linkState{peer: peer, skip: m.version, patience: healAfter}
+	m.links[peer] = l
+	return l
+}
+
 // Receive takes in a heartbeat.
 func (m *Machine) Receive(now time.Time, from string, hb *Heartbeat) []Action {
 	m.begin(now)
 	if m.phase == PhaseLeft || from == m.self.Name {
 		return m.end()
 	}
-	if e := m.table[from]; e != nil && hb.Incarnation < e.Incarnation {
+	if e := m.table[from]; e != nil && hb.Incarnation() < e.Incarnation {
 		return m.end() // of a process that is no more
 	}
 	l := m.link(from)
 	if l.epoch != hb.Epoch {
-		m.links[from] = &linkState{peer: from, epoch: hb.Epoch, since: l.since, due: now}
-		l = m.links[from]
+		since := l.since
+		l = m.newLink(from)
+		l.epoch, l.since = hb.Epoch, since
 	}
 	l.heard, l.everHeard = now, true
 	m.takeAck(l, hb)
@@ -67,7 +75,7 @@
 }
 
 func (m *Machine) takeAck(l *linkState, hb *Heartbeat) {
-	if hb.AckEpoch == m.epoch && hb.Ack > l.acked && hb.Ack <= m.version {
+	if hb.AckEpoch == uint32(m.epoch) && hb.Ack > l.acked && hb.Ack <= m.version {
 		l.acked = hb.Ack
 	}
 }
@@ -79,8 +87,10 @@
 		m.merge(&hb.Records[i], l, now)
 	}
 	for _, n := range hb.Notes {
-		if e := m.table[n.Name]; e != nil && !e.Gone {
-			m.mergeGeneration(e, n.Incarnation, n.Generation, 0, l)
+		for _, id := range n.Members {
+			if e := m.byID[id]; e != nil && !e.Gone {
+				m.mergeGeneration(e, e.Incarnation, n.Generation, 0, l)
+			}
 		}
 	}
 	for i := range hb.Regions {
@@ -98,11 +108,11 @@
 		m.meet(l, now)
 		return
 	}
-	if e.Incarnation != hb.Incarnation {
+	if e.Incarnation != hb.Incarnation() {
 		return
 	}
 	e.sign = now
-	m.mergeGeneration(e, hb.Incarnation, hb.Generation, hb.Hash, l)
+	m.mergeGeneration(e, hb.Incarnation(), hb.Generation, hb.Hash, l)
 	if e.Generation == hb.Generation && e.Hash != hb.Hash {
 		e.Hash = hb.Hash
 		m.viewStale = true
@@ -122,20 +132,20 @@
 
 // healAfter is how many heartbeats in a row may show another table before all
 // of it is sent again. It doubles each time.
-const healAfter = 64
+const healAfter = 8
 
 // compareTables skips records that the peer has, as equal hashes show, and
 // sends all again when the tables stay different.
 func (m *Machine) compareTables(l *linkState, hb *Heartbeat) {
-	if hb.TableHash == m.digest {
+	if hb.TableHash == uint32(m.digest) {
 		l.skip = m.version
 		l.different, l.patience = 0, healAfter
 		return
 	}
 	l.different++
-	if l.different > max(l.patience, healAfter) {
+	if l.different > l.patience {
 		l.acked, l.skip = 0, 0
-		l.different, l.patience = 0, 2*max(l.patience, healAfter)
+		l.different, l.patience = 0, 2*l.patience
 	}
 }
 
@@ -220,15 +230,15 @@
 
 func (m *Machine) send(l *linkState, now time.Time) {
 	hb := &Heartbeat{
-		Epoch:       m.epoch,
-		Incarnation: m.self.Incarnation,
-		Generation:  m.self.Generation,
-		Hash:        m.self.Hash,
-		TableHash:   m.digest,
-		HeardMS:     neverHeard,
-		AckEpoch:    l.epoch,
-		Ack:         l.merged,
-		Base:        l.acked,
+		Epoch:      m.epoch,
+		Renewed:    m.self.Incarnation - m.epoch,
+		Generation: m.self.Generation,
+		Hash:       m.self.Hash,
+		TableHash:  uint32(m.digest),
+		HeardMS:    neverHeard,
+		AckEpoch:   uint32(l.epoch),
+		Ack:        l.merged,
+		Base:       l.acked,
 	}
 	if l.everHeard {
 		hb.HeardMS = uint32(now.Sub(l.heard).Milliseconds())
@@ -268,13 +278,24 @@
 		case c.region != nil:
 			hb.Regions = append(hb.Regions, c.region.RegionNote)
 		case c.note:
-			hb.Notes = append(hb.Notes, Note{c.entry.Name, c.entry.Incarnation, c.entry.Generation})
+			hb.addNote(&c.entry.Record)
 		default:
 			hb.Records = append(hb.Records, c.entry.Record)
 		}
 	}
 }
 
+// addNote adds the generation of a member.
+func (h *Heartbeat) addNote(r *Record) {
+	for i := range h.Notes {
+		if h.Notes[i].Generation == r.Generation {
+			h.Notes[i].Members = append(h.Notes[i].Members, r.shortID())
+			return
+		}
+	}
+	h.Notes = append(h.Notes, Note{r.Generation, []uint32{r.shortID()}})
+}
+
 // change is one changed item of the table.
 type change struct {
 	version uint64
