--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -40,6 +40,7 @@
 	Instant    bool    // targets take no time
 	KeepLogs   bool    // keep each try and execution, for the check of promises
 	Direct     bool    // no emulated network: plain connections without delays and faults
+	TokenFile  string  // operators' token of all VMs; may be empty
 	LogTo      io.Writer
 	LogLevel   logrus.Level
 }
@@ -61,6 +62,9 @@
 	plan     plan
 	platform *standin.Server
 
+	applying   sync.Mutex // guards generation
+	generation config.Generation
+
 	mu     sync.Mutex
 	events []Event
 }
@@ -136,16 +140,28 @@
 	if err := c.startTargets(); err != nil {
 		return err
 	}
-	if err := c.applyDocument(ctx); err != nil {
+	if err := c.Apply(ctx, func(*config.Document) {}); err != nil {
 		return err
 	}
 	return c.startVMs(ctx)
 }
 
-func (c *Cluster) applyDocument(ctx context.Context) error {
+// Apply changes the document in force, as an operator would.
+func (c *Cluster) Apply(ctx context.Context, change func(*config.Document)) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	doc, err := config.Clone(c.Document)
+	if err != nil {
+		return trace.Wrap(err, "copy the document")
+	}
+	change(doc)
 	repo := repository.New(c.Store, kernel.SystemClock{})
-	_, err := repo.Apply(ctx, repository.Proposal{Document: c.Document, Author: "bench", Comment: "first document"})
-	return trace.Wrap(err, "store the document")
+	accepted, err := repo.Apply(ctx, repository.Proposal{Document: doc, Base: c.generation, Author: "bench"})
+	if err != nil {
+		return trace.Wrap(err, "store the document")
+	}
+	c.Document, c.generation = doc, accepted.Record.Generation
+	return nil
 }
 
 func (c *Cluster) startVMs(ctx context.Context) error {
@@ -155,7 +171,7 @@
 		c.VMs = append(c.VMs, c.newVM(i+1, z))
 	}
 	for _, vm := range c.VMs {
-		if err := c.listVM(ctx, vm); err != nil {
+		if err := c.listVM(vm); err != nil {
 			return err
 		}
 	}
@@ -185,6 +201,7 @@
 		},
 		Platform: settings.Platform{URL: c.platform.URL(), TimeoutMS: platformTimeoutMS, CallsPerSecond: platformCallsPerSecond},
 		Peers:    settings.Peers{Seeds: []string{hostPort(c.plan.ip(groupVM, 1), portPeers), hostPort(c.plan.ip(groupVM, 2), portPeers)}},
+		Operator: settings.Operator{TokenFile: c.opts.TokenFile},
 		Log:      settings.Log{Format: telemetry.FormatText, Level: c.opts.LogLevel.String()},
 	}
 	return &VM{Host: host, Settings: s, cluster: c}
