membership: look through the table only when it changed

Change: the versions of the last change of a record and of a generation are kept, so that an event without news looks at no member.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -41,6 +41,10 @@
 	sign          time.Time  // last sign of life: heard, told by others, or a newer Seq
 }
 
+// newest holds the versions of the table at which a record and a generation
+// last changed.
+type newest struct{ record, note uint64 }
+
 // Machine is the membership protocol of one daemon: it takes events with the
 // time and returns actions. It does no I/O and is not safe for concurrent use.
 type Machine struct {
@@ -57,6 +61,7 @@
 	byID    map[uint32]*entry // by short ID
 	version uint64            // rises with each change of the table
 	digest  uint64            // of all records
+	news    newest
 	regions map[string]*regionState
 	links   map[string]*linkState
 
@@ -166,7 +171,7 @@
 func (m *Machine) touchRecord(e *entry, source *linkState) {
 	m.version++
 	m.byID[e.shortID()] = e
-	e.recordVersion = m.version
+	e.recordVersion, m.news.record = m.version, m.version
 	e.recordSource = source
 	m.topologyStale = true
 	m.viewStale = true
@@ -174,7 +179,7 @@
 
 func (m *Machine) touchNote(e *entry, source *linkState) {
 	m.version++
-	e.noteVersion = m.version
+	e.noteVersion, m.news.note = m.version, m.version
 	e.noteSource = source
 	m.viewStale = true
 }
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -200,7 +201,7 @@
 		return true
 	}
 	known := max(l.acked, l.skip)
-	if known >= m.version {
+	if known >= m.news.record {
 		return false
 	}
 	for _, e := range m.table {
@@ -306,6 +307,21 @@
 
 func (m *Machine) changedSince(l *linkState) []change {
 	var out []change
+	if max(m.news.record, m.news.note) > l.acked {
+		out = m.changedMembers(l)
+	}
+	for _, r := range m.regions {
+		if r.version > l.acked && r.source != l && r.Beat > 0 {
+			out = append(out, change{version: r.version, region: r})
+		}
+	}
+	slices.SortFunc(out, func(a, b change) int { return cmp.Compare(a.version, b.version) })
+	return out
+}
+
+// changedMembers returns the changed records, and for a peer of the region the
+// changed generations.
+func (m *Machine) changedMembers(l *linkState) (out []change) {
 	local := m.isLocal(l.peer)
 	for _, e := range m.table {
 		if e.recordVersion > max(l.acked, l.skip) && e.recordSource != l {
@@ -315,17 +331,6 @@
 			out = append(out, change{version: e.noteVersion, entry: e, note: true})
 		}
 	}
-	for _, r := range m.regions {
-		if r.version > l.acked && r.source != l && r.Beat > 0 {
-			out = append(out, change{version: r.version, region: r})
-		}
-	}
-	slices.SortFunc(out, func(a, b change) int {
-		if a.version < b.version {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
