--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -41,6 +41,10 @@
 	sign          time.Time  // last sign of life: heard, told by others, or a newer Seq
 }
 
+// newest holds the versions of the table at which a record and a generation
+// last changed.
+type newest struct{ record, note uint64 }
+
 // Machine is the membership protocol of one daemon: it takes events with the
 // time and returns actions. It does no I/O and is not safe for concurrent use.
 type Machine struct {
@@ -54,8 +58,10 @@
 	last    time.Time // of the last event
 
 	table   map[string]*entry
-	version uint64 // rises with each change of the table
-	digest  uint64 // of all records
+	byID    map[uint32]*entry // by short ID
+	version uint64            // rises with each change of the table
+	digest  uint64            // of all records
+	news    newest
 	regions map[string]*regionState
 	links   map[string]*linkState
 
@@ -87,6 +93,7 @@
 		started: now,
 		last:    now,
 		table:   make(map[string]*entry),
+		byID:    make(map[uint32]*entry),
 		regions: make(map[string]*regionState),
 		links:   make(map[string]*linkState),
 		derived: make(map[string]State),
@@ -163,7 +170,8 @@
 // it came from.
 func (m *Machine) touchRecord(e *entry, source *linkState) {
 	m.version++
-	e.recordVersion = m.version
+	m.byID[e.shortID()] = e
+	e.recordVersion, m.news.record = m.version, m.version
 	e.recordSource = source
 	m.topologyStale = true
 	m.viewStale = true
@@ -171,7 +179,7 @@
 
 func (m *Machine) touchNote(e *entry, source *linkState) {
 	m.version++
-	e.noteVersion = m.version
+	e.noteVersion, m.news.note = m.version, m.version
 	e.noteSource = source
 	m.viewStale = true
 }
@@ -179,6 +187,7 @@
 // changeSelf applies a change that this daemon makes to its own record.
 func (m *Machine) changeSelf(now time.Time, change func(*Record)) {
 	m.digest ^= m.self.Record.digest()
+	delete(m.byID, m.self.shortID())
 	change(&m.self.Record)
 	m.self.Seq++
 	m.digest ^= m.self.Record.digest()
@@ -271,6 +280,7 @@
 func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
 	address := e.PeerAddress
 	m.digest ^= e.Record.digest()
+	delete(m.byID, e.shortID())
 	generation, hash := r.Generation, r.Hash
 	if e.Incarnation == r.Incarnation && e.Generation > generation {
 		generation, hash = e.Generation, e.Hash
