Stand-in caller notes the key as it is sent; a passed deadline is told in time

Callers that wait as long as they said heard nothing, since the daemon's deadline was their own. Change: the note holds the whole key; the daemon keeps a twentieth of the timeout, 200 ms at most, for the last answer.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -122,8 +122,14 @@
 	return nil
 }
 
-// timeout is what the caller asks, or the route's or class's default.
+// timeout is how long the request may take: what the caller asks, or the
+// route's or class's default, less what the last answer needs on its way.
 func (x *exchange) timeout() time.Duration {
+	t := x.wholeTimeout()
+	return t - min(t/marginFraction, maxMargin)
+}
+
+func (x *exchange) wholeTimeout() time.Duration {
 	ms, err := strconv.ParseInt(first(x.r.Header, edge.HeaderTimeoutMS), 10, 64)
 	if err == nil && ms > 0 {
 		return min(time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond, maxTimeout)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -114,8 +114,10 @@
 	return h.deps.Locator.Locate(addr.Addr().Unmap())
 }
 
-// deadline bounds for what callers ask.
+// Bounds of requests' timeouts.
 const (
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = 10 * time.Minute
+	marginFraction = 20 // of a timeout is kept to tell the caller that it has passed
+	maxMargin      = 200 * time.Millisecond
 )
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -116,3 +116,13 @@
 		t.Errorf("%d permits are held, released with %+v", b.admission.held, b.admission.released)
 	}
 }
+
+// The caller hears that the deadline has passed before it gives up itself.
+func TestDeadlineIsToldBeforeTheCallerGivesUp(t *testing.T) {
+	b := newBench(t, oneAttempt(silent(t).address), nil, telemetry.Discard())
+	b.client.Timeout = time.Second
+	resp, _, err := b.call(t, "POST", "/svc/a", nil, edge.HeaderTimeoutMS, "1000")
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(edge.HeaderOutcome) != "unknown" {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -25,6 +25,14 @@
 	bodyHash uint64
 }
 
+// wholeKey is the idempotency key as it is sent: the ticket is its head.
+func (r *request) wholeKey() string {
+	if r.key == "" || r.ticket == "" {
+		return r.key
+	}
+	return r.ticket + edge.KeySeparator + r.key
+}
+
 // mayRetry reports whether what was told allows another try.
 func (r *request) mayRetry(told Told) bool {
 	switch told {
@@ -47,9 +55,14 @@
 
 // try sends the request once and notes what came of it.
 func (c *Caller) try(ctx context.Context, req *request, vm edge.LookupVM) (Note, time.Duration) {
+	if !req.sent {
+		// Every try sends the same key, so that the first VM's ticket, or its
+		// lack of one, stays with the request.
+		req.sent, req.ticket = true, vm.Ticket
+	}
 	note := Note{
 		RequestID:  req.id,
-		Key:        req.key,
+		Key:        req.wholeKey(),
 		Shape:      req.shape.Name,
 		Service:    req.shape.Service,
 		Class:      req.shape.Class,
@@ -62,11 +75,6 @@
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
-	if !req.sent {
-		// Every try sends the same key, so that the first VM's ticket, or its
-		// lack of one, stays with the request.
-		req.sent, req.ticket = true, vm.Ticket
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
 	wait, err := c.exchange(ctx, req, vm.Address, &note)
@@ -122,11 +130,8 @@
 	httpReq.ContentLength = req.shape.BodyBytes
 	httpReq.Header.Set(edge.HeaderRequestID, req.id)
 	httpReq.Header.Set(edge.HeaderTimeoutMS, strconv.FormatInt(c.opts.Timeout.Milliseconds(), 10))
-	switch {
-	case req.key != "" && req.ticket != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.ticket+edge.KeySeparator+req.key)
-	case req.key != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.key)
+	if key := req.wholeKey(); key != "" {
+		httpReq.Header.Set(edge.HeaderIdempotencyKey, key)
 	}
 	return httpReq, nil
 }
