Request path: hedges for repeatable requests, within the retry budget

Change: a second attempt starts when the first answer's head is late; the first good head wins, the other is cancelled and gives back by itself. attempt.go is split.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,14 +1,10 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,7 +24,13 @@
 // attempt is one try at one target.
 type attempt struct {
 	x        *exchange
+	parent   context.Context // of the request
 	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	number   int      // 1 is the first one of the request
+	exclude  []string // targets that were tried
+	hedged   bool     // it is the second attempt of a hedge
+	hedge    *hedge   // nil when there is none
 	permit   admission.Permit
 	target   *config.TargetIndex
 	conn     *targetconn.Conn
@@ -41,36 +43,67 @@
 	released bool
 }
 
-// attempt makes one attempt and gives back what it held.
+func (x *exchange) newAttempt(parent context.Context, number int, exclude []string) *attempt {
+	a := &attempt{x: x, parent: parent, number: number, exclude: exclude, inFlight: -1}
+	a.ctx, a.cancel = context.WithCancelCause(parent)
+	return a
+}
+
+// attempt makes one attempt, or a hedged pair, and gives back what it held.
 func (x *exchange) attempt(ctx context.Context) attemptEnd {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	a := &attempt{x: x, ctx: ctx, inFlight: -1}
-	end := a.run(cancel)
-	if a.target != nil {
-		end.Peer = a.target.Name
+	a := x.newAttempt(ctx, x.dispatch.attempts, x.tried)
+	defer a.cancel(nil)
+	end := a.head()
+	x.noteTried(a)
+	if a.hedge != nil {
+		if second, secondEnd := a.hedge.join(end.Fault); second != nil {
+			a.lose(&end)
+			x.dispatch.hedged(end)
+			defer second.cancel(nil)
+			x.noteTried(second)
+			a, end = second, secondEnd
+		}
+	}
+	if end.Fault == FaultNone {
+		end = a.relay()
 	}
-	a.giveBack(&end)
+	a.finish(&end)
 	return end
 }
 
-func (a *attempt) run(cancel context.CancelCauseFunc) attemptEnd {
+func (x *exchange) noteTried(a *attempt) {
+	if a.target != nil {
+		x.tried = append(x.tried, a.target.Name)
+	}
+}
+
+// head takes the attempt up to the checked head of the answer.
+func (a *attempt) head() attemptEnd {
 	if end := a.admit(); end.Fault != FaultNone {
 		return end
 	}
 	if end := a.connect(); end.Fault != FaultNone {
 		return end
 	}
-	a.watch = a.x.newWatchdog(cancel, a.target.Name)
-	defer a.watch.stop()
+	a.watch = a.newWatchdog()
 	if end := a.send(); end.Fault != FaultNone {
 		return end
 	}
-	defer a.resp.Body.Close()
-	if end := a.check(); end.Fault != FaultNone {
-		return end
+	return a.check()
+}
+
+// finish gives back what the attempt held.
+func (a *attempt) finish(end *attemptEnd) {
+	if a.watch != nil {
+		a.watch.stop()
+	}
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
 	}
-	return a.relay()
+	if a.target != nil {
+		end.Peer = a.target.Name
+	}
+	a.giveBack(end)
 }
 
 func (a *attempt) admit() attemptEnd {
@@ -83,15 +116,14 @@
 		CallerRegion: x.region,
 		Bytes:        max(x.r.ContentLength, 0),
 		Deadline:     x.deadline,
-		Exclude:      x.tried,
-		Retry:        x.dispatch.attempts > 1,
+		Exclude:      a.exclude,
+		Retry:        a.number > 1,
 	})
 	if err != nil {
 		return attemptEnd{Step: outcome.StepAdmit, Fault: a.faultOr(FaultRefused), Err: err}
 	}
 	a.permit = permit
 	a.target = permit.Target()
-	x.tried = append(x.tried, a.target.Name)
 	return attemptEnd{}
 }
 
@@ -114,17 +146,12 @@
 	return attemptEnd{}
 }
 
-// connectionShare returns how many of a target's connections this VM may have,
-// so that all VMs together keep the target's limit.
-func connectionShare(s *config.Snapshot, t *config.TargetIndex) int {
-	return t.Connections / max(s.Document.Fleet.MaxVMs, 1)
-}
-
 // send sends the request and waits for the answer's head.
 func (a *attempt) send() attemptEnd {
 	req := a.outgoing()
 	a.sentAt = a.x.h.deps.Clock.Now()
 	a.watch.start(a.stream != nil)
+	a.armHedge()
 	resp, err := a.conn.RoundTrip(req)
 	if err != nil {
 		return a.sendFailed(err)
@@ -167,57 +194,6 @@
 	end.Err = err
 }
 
-// outgoing makes the request to the target. The caller's header map is used as
-// it is for the first attempt and copied for further ones, as the connection
-// of an earlier one may still read it.
-func (a *attempt) outgoing() *http.Request {
-	x := a.x
-	header := x.r.Header
-	if x.dispatch.attempts > 1 {
-		header = header.Clone()
-	}
-	left := x.deadline.Sub(x.h.deps.Clock.Now()).Milliseconds()
-	setOne(header, edge.HeaderTargetRequestID, x.id)
-	setOne(header, edge.HeaderTargetDeadlineMS, strconv.FormatInt(max(left, 1), 10))
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // none is added by the library
-	}
-	req := &http.Request{
-		Method:     x.r.Method,
-		URL:        a.url(),
-		Host:       x.r.Host,
-		Header:     header,
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-		Body:       http.NoBody,
-	}
-	switch {
-	case x.stream != nil:
-		a.stream = x.stream
-		a.stream.watch = a.watch
-		req.Body = a.stream
-		req.ContentLength = x.r.ContentLength
-		req.Trailer = x.r.Trailer
-	case len(x.body) > 0:
-		req.Body = io.NopCloser(bytes.NewReader(x.body))
-		req.ContentLength = int64(len(x.body))
-	}
-	return req.WithContext(a.ctx)
-}
-
-func (a *attempt) url() *url.URL {
-	from := a.x.r.URL
-	return &url.URL{
-		Scheme:     "http",
-		Host:       a.target.Address,
-		Path:       from.Path,
-		RawPath:    from.RawPath,
-		RawQuery:   from.RawQuery,
-		ForceQuery: from.ForceQuery,
-	}
-}
-
 // check looks at the answer's head before a byte goes to the caller.
 func (a *attempt) check() attemptEnd {
 	h := a.resp.Header
@@ -255,7 +231,7 @@
 		return end
 	}
 	end.Fault = FaultUnavailable
-	if a.x.dispatch.mayRetry(end) && a.x.h.budget.available(a.target.Name) {
+	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.h.budget.available(a.target.Name) {
 		return end
 	}
 	return attemptEnd{}
@@ -342,14 +318,14 @@
 
 // newWatchdog returns the watchdog of an attempt. While another attempt is
 // allowed, half of what is left of the deadline is kept for it.
-func (x *exchange) newWatchdog(cancel context.CancelCauseFunc, target string) *watchdog {
-	left := x.deadline.Sub(x.h.deps.Clock.Now())
-	stream := x.stream
+func (a *attempt) newWatchdog() *watchdog {
+	x := a.x
+	stream, target := x.stream, a.target.Name
 	silent := attemptEnd{Step: outcome.StepWait, Fault: FaultSilent, Sent: true, Consumed: stream != nil}
-	mayRetry := x.dispatch.mayRetry(silent)
+	mayRetry := !a.hedged && x.dispatch.mayRetry(silent)
 	return &watchdog{
-		cancel:      cancel,
-		firstByte:   left / 2,
+		cancel:      a.cancel,
+		firstByte:   x.deadline.Sub(x.h.deps.Clock.Now()) / 2,
 		idle:        x.snap.Document.Limits.IdleTimeoutMS.Duration(),
 		giveUp:      func() bool { return mayRetry && x.h.budget.available(target) },
 		callerWaits: func() bool { return stream != nil && stream.waiting.Load() },
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -108,6 +108,14 @@
 // begin notes that an attempt starts.
 func (d *dispatch) begin() { d.attempts++ }
 
+// hedged notes the end of a first attempt whose hedge goes on in its place.
+func (d *dispatch) hedged(first attemptEnd) {
+	d.attempts++
+	if first.Sent && first.Fault != FaultShed {
+		d.mayRun = true
+	}
+}
+
 // end decides after an attempt.
 func (d *dispatch) end(a attemptEnd, now time.Time) decision {
 	if a.Fault == FaultNone {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -17,6 +17,7 @@
 	set     *metrics.Set
 	latency sync.Map // seriesKey -> *metrics.Histogram
 	retries *metrics.Counter
+	hedges  *metrics.Counter
 	ended   sync.Map // endKey -> *metrics.Counter
 }
 
@@ -26,7 +27,11 @@
 }
 
 func newSeriesCache(set *metrics.Set) *seriesCache {
-	return &seriesCache{set: set, retries: set.GetOrCreateCounter("masticturn_retries_total")}
+	return &seriesCache{
+		set:     set,
+		retries: set.GetOrCreateCounter("masticturn_retries_total"),
+		hedges:  set.GetOrCreateCounter("masticturn_hedges_total"),
+	}
 }
 
 // duration returns the histogram of the time from a request's head to its end.
