bench retries and uploads; targets check uploaded bodies themselves

Cause: hashing 500 bodies of 20 MB on the caller's side before sending them cost more than the path. Change: a target compares a body with the content of the seed in its query, as callers do with answers; the hashes are gone. In the broken-forwarder test the crossed answer is made on the way back, since a request altered on the way there now counts as a lost upload too; the test asks for the same counter alone.

--- a/internal/bench/cluster/targets.go
+++ b/internal/bench/cluster/targets.go
@@ -46,9 +46,9 @@
 func (c *Cluster) startTarget(svc *config.Service, doc *config.Target, region, ip string) error {
 	gauge := standin.NewGauge(doc.Slots)
 	c.Regions[region].AddCapacity(doc.Slots)
-	service := svc.ServiceMS.Duration()
+	service, cold := svc.ServiceMS.Duration(), c.Document.Steering.ColdMS.Duration()
 	if c.opts.Instant {
-		service = 0
+		service, cold = 0, 0
 	}
 	started, err := target.Start(target.Options{
 		Name:       doc.Name,
@@ -58,7 +58,7 @@
 		Service:    service,
 		Sigma:      c.opts.Sigma,
 		ColdFactor: c.opts.ColdFactor,
-		ColdFor:    c.Document.Steering.ColdMS.Duration(),
+		ColdFor:    cold,
 		Seed:       c.opts.Seed + uint64(len(c.Targets)),
 		Log:        c.Log,
 		Gauges:     []*standin.Gauge{gauge, c.Regions[region]},
--- a/internal/bench/local.go
+++ b/internal/bench/local.go
@@ -8,6 +8,7 @@
 
 // Names in the document of one VM and some targets in one availability zone.
 const (
+	localRegion  = "here"
 	localService = "local"
 	localPath    = "/local/item"
 	localClass   = "all"
@@ -21,7 +22,7 @@
 	doc := &config.Document{
 		Deployment: "local",
 		Fleet:      config.Fleet{MaxVMs: 1, MaxVMsPerRegion: 1},
-		Regions:    []config.Region{{Name: "here", Zones: []string{"here-a"}}},
+		Regions:    []config.Region{{Name: localRegion, Zones: []string{"here-a"}}},
 		Classes:    []config.Class{{Name: localClass, Weight: 1, MaxWaitMS: 2000, TimeoutMS: 5000}},
 		Services: []config.Service{{
 			Name:       localService,
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"masticturn/internal/bench/cluster"
+	"masticturn/internal/config"
 	"masticturn/internal/standin/caller"
 	"masticturn/internal/standin/promise"
 )
@@ -77,9 +78,13 @@
 	return report, nil
 }
 
-func localCluster(ctx context.Context, start cluster.StartDaemon, keepLogs bool) (*cluster.Cluster, error) {
+func localCluster(ctx context.Context, start cluster.StartDaemon, keepLogs bool, changes ...func(*config.Document)) (*cluster.Cluster, error) {
+	doc := localDocument()
+	for _, change := range changes {
+		change(doc)
+	}
 	return cluster.New(ctx, cluster.Options{
-		Document: localDocument(),
+		Document: doc,
 		Start:    start,
 		VMs:      1,
 		Direct:   true,
--- a/internal/command/bench_scenarios.go
+++ b/internal/command/bench_scenarios.go
@@ -139,3 +139,31 @@
 		&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "`SEED` of the load"},
 		&cli.StringFlag{Name: flagTrace, Usage: "print what happened to this request `ID`"})
 }
+
+func newBenchRetries() *cli.Command {
+	return scenario("retries", "attempts per request while half of the targets fail",
+		func(ctx context.Context, c *cli.Command) (scenarioResult, error) {
+			doc, err := exampleDocument(c)
+			if err != nil {
+				return scenarioResult{}, err
+			}
+			r, err := bench.Retries(ctx, bench.RetriesOptions{Document: doc, Start: bench.StartDaemon, Seed: c.Uint64(flagSeed)})
+			if err != nil {
+				return scenarioResult{}, err
+			}
+			return scenarioResult{r, r.BrokenPromises}, nil
+		},
+		deploymentFlag(),
+		&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "`SEED` of the load"})
+}
+
+func newBenchUploads() *cli.Command {
+	return scenario("uploads", "memory of one daemon with many large uploads at once",
+		func(ctx context.Context, c *cli.Command) (scenarioResult, error) {
+			r, err := bench.Uploads(ctx, bench.UploadsOptions{Start: bench.StartDaemon})
+			if err != nil {
+				return scenarioResult{}, err
+			}
+			return scenarioResult{r, r.BrokenPromises}, nil
+		})
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"masticturn/internal/edge"
-	"masticturn/internal/standin"
 )
 
 // Shape is one kind of request in a caller's mix.
@@ -130,6 +129,19 @@
 	}
 }
 
+// RunAtOnce sends a number of requests at once and waits for all.
+func (c *Caller) RunAtOnce(ctx context.Context, count int) {
+	defer c.pool.closeIdle("")
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := range count {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(c.opts.Seed, uint64(n)))
+			c.request(ctx, c.pick(random.Float64()), n, random.Uint64(), time.Now())
+		})
+	}
+}
+
 // RunClosed sends requests one after the other from each of a number of
 // workers until the context ends, and returns how many were sent.
 func (c *Caller) RunClosed(ctx context.Context, workers int) int {
@@ -207,9 +219,6 @@
 	if shape.Keyed {
 		req.key = fmt.Sprintf("%s-k%d", c.opts.Name, number)
 	}
-	if shape.BodyBytes > 0 {
-		req.bodyHash = standin.ContentHash(seed, shape.BodyBytes)
-	}
 	told := ToldNotRun // nothing was sent yet
 	for attempt := range c.opts.MaxTries {
 		vm, err := c.chooseVM(ctx, req, attempt)
--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -42,7 +42,6 @@
 	VM         string
 	Repeatable bool // may be run twice without a key
 	BodyBytes  int64
-	BodyHash   uint64
 	Started    time.Time
 	Ended      time.Time
 	Told       Told
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -15,12 +15,11 @@
 
 // request is one request over all its tries.
 type request struct {
-	shape    *Shape
-	id       string // of the present try
-	key      string
-	ticket   string // of the VM that the key was first sent to
-	seed     uint64
-	bodyHash uint64
+	shape  *Shape
+	id     string // of the present try
+	key    string
+	ticket string // of the VM that the key was first sent to
+	seed   uint64
 }
 
 // mayRetry reports whether what was told allows another try.
@@ -56,7 +55,6 @@
 		VM:         vm.Name,
 		Repeatable: req.shape.Repeatable,
 		BodyBytes:  req.shape.BodyBytes,
-		BodyHash:   req.bodyHash,
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
--- a/internal/standin/content.go
+++ b/internal/standin/content.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"sync"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Query parameters by which a caller asks a target for an answer whose
@@ -62,13 +60,6 @@
 // ContentReader returns the first n bytes of a seed's stream.
 func ContentReader(seed uint64, n int64) io.Reader { return io.LimitReader(NewContent(seed), n) }
 
-// ContentHash returns the xxhash of the first n bytes of a seed's stream.
-func ContentHash(seed uint64, n int64) uint64 {
-	h := xxhash.New()
-	Copy(h, ContentReader(seed, n))
-	return h.Sum64()
-}
-
 // buffers holds buffers of contentBuffer bytes.
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, contentBuffer)
@@ -94,32 +85,42 @@
 	ErrLong    = errors.New("content is too long")
 )
 
-// CheckContent reads r to its end and compares it with the first n bytes of a
-// seed's stream. Errors of r itself are returned as they are.
-func CheckContent(r io.Reader, seed uint64, n int64) error {
+// MatchContent reads r to its end and compares it with the beginning of a
+// seed's stream. It returns the number of bytes read and whether all of them
+// matched. The error is that of r.
+func MatchContent(r io.Reader, seed uint64) (total int64, match bool, err error) {
 	want := NewContent(seed)
 	got, expected := takeBuffer(), takeBuffer()
 	defer giveBuffer(got)
 	defer giveBuffer(expected)
-	var total int64
+	match = true
 	for {
 		k, err := r.Read(*got)
 		want.Read((*expected)[:k])
-		if !bytes.Equal((*got)[:k], (*expected)[:k]) {
-			return fmt.Errorf("%w: within %d bytes after byte %d", ErrForeign, k, total)
-		}
+		match = match && bytes.Equal((*got)[:k], (*expected)[:k])
 		total += int64(k)
-		if total > n {
-			return fmt.Errorf("%w: %d bytes of %d", ErrLong, total, n)
-		}
 		if errors.Is(err, io.EOF) {
-			break
+			return total, match, nil
 		}
 		if err != nil {
-			return err
+			return total, match, err
 		}
 	}
-	if total < n {
+}
+
+// CheckContent reads r to its end and compares it with the first n bytes of a
+// seed's stream. Errors of r itself are returned as they are, unless what came
+// before was foreign already.
+func CheckContent(r io.Reader, seed uint64, n int64) error {
+	total, match, err := MatchContent(r, seed)
+	switch {
+	case !match:
+		return fmt.Errorf("%w: within %d bytes", ErrForeign, total)
+	case err != nil:
+		return err
+	case total > n:
+		return fmt.Errorf("%w: %d bytes of %d", ErrLong, total, n)
+	case total < n:
 		return fmt.Errorf("%w: %d bytes of %d", ErrShort, total, n)
 	}
 	return nil
--- a/internal/standin/promise/promise.go
+++ b/internal/standin/promise/promise.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		done = true
-		if r.BodyBytes == n.BodyBytes && (n.BodyBytes == 0 || r.BodyHash == n.BodyHash) {
+		if r.BodyBytes == n.BodyBytes && r.BodyOwn {
 			return
 		}
 	}
--- a/internal/standin/promise/promise_test.go
+++ b/internal/standin/promise/promise_test.go
@@ -51,10 +51,6 @@
 		w.Header().Set(edge.HeaderRequestID, r.Header.Get(edge.HeaderRequestID))
 		io.Copy(w, standin.ContentReader(seed, n))
 		return
-	case promise.Crossed:
-		query := r.URL.Query()
-		query.Set(standin.QueryContent, "1")
-		r.URL.RawQuery = query.Encode()
 	}
 	status, answer, err := f.forward(r, body)
 	switch {
@@ -64,6 +60,8 @@
 		w.Header().Set(edge.HeaderOutcome, "not-run")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case f.broken == promise.Crossed:
+		io.ReadFull(standin.NewContent(1), answer)
 	case f.broken == promise.PartialAsWhole:
 		answer = answer[:len(answer)/2]
 	case err != nil:
--- a/internal/standin/target/log.go
+++ b/internal/standin/target/log.go
@@ -35,7 +35,7 @@
 	Started   time.Time // zero: never run
 	Finished  time.Time
 	BodyBytes int64
-	BodyHash  uint64
+	BodyOwn   bool // the body is the content of the seed in its query
 	Ending    Ending
 	Fault     Fault // injected
 }
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"masticturn/internal/edge"
 	"masticturn/internal/standin"
 )
@@ -58,7 +56,7 @@
 	}
 	leave := sync.OnceFunc(t.leave)
 	defer leave()
-	t.run(ctx, r, record, service)
+	t.run(ctx, r, record, q.seed, service)
 	t.answerHead(w, r)
 	if fault != NoFault {
 		leave() // a faulty answer may take forever; the work is done
@@ -154,11 +152,10 @@
 
 // run reads the body and spends the service time. It returns when the request
 // ran to its end; otherwise it cuts the connection.
-func (t *Target) run(ctx context.Context, r *http.Request, record *Record, service time.Duration) {
+func (t *Target) run(ctx context.Context, r *http.Request, record *Record, seed uint64, service time.Duration) {
 	t.opts.Log.update(func() { record.Started = time.Now() })
-	hash := xxhash.New()
-	n, err := standin.Copy(hash, r.Body)
-	t.opts.Log.update(func() { record.BodyBytes, record.BodyHash = n, hash.Sum64() })
+	n, own, err := standin.MatchContent(r.Body, seed)
+	t.opts.Log.update(func() { record.BodyBytes, record.BodyOwn = n, own })
 	if err != nil {
 		t.finish(record, Broken)
 		panic(http.ErrAbortHandler)
