--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -10,9 +10,18 @@
 
 func newBench() *cli.Command {
 	return &cli.Command{
-		Name:     "bench",
-		Usage:    "measure this program with stand-ins on loopback",
-		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchRetries(), newBenchUploads(), newBenchCapacity()},
+		Name:  "bench",
+		Usage: "measure this program with stand-ins on loopback",
+		Commands: []*cli.Command{
+			newBenchPath(),
+			newBenchLookup(),
+			newBenchFaults(),
+			newBenchDrains(),
+			newBenchRetries(),
+			newBenchUploads(),
+			newBenchSteering(),
+			newBenchCapacity(),
+		},
 	}
 }
 
