--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -12,7 +12,7 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure this program with stand-ins on loopback",
-		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchSteering(), newBenchCapacity()},
+		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchSteering(), newBenchConfig(), newBenchCapacity()},
 	}
 }
 
--- a/internal/lookup/service.go
+++ b/internal/lookup/service.go
@@ -112,6 +112,15 @@
 	return nil
 }
 
+// tableOf returns the table of a document: that of the last one when the
+// client blocks are the same.
+func (s *Service) tableOf(snap *config.Snapshot, last *tableState) *Table {
+	if last != nil && last.snap.BlocksHash == snap.BlocksHash {
+		return last.table
+	}
+	return NewTable(snap.Document.ClientBlocks, s.deps.Home)
+}
+
 // refresh swaps in an empty cache when the document or a member's fitness to
 // be named changed, and a new table when the document changed.
 func (s *Service) refresh() {
@@ -122,7 +131,7 @@
 		return
 	}
 	if old := s.table.Load(); old == nil || old.snap != snap {
-		s.table.Store(&tableState{snap: snap, table: NewTable(snap.Document.ClientBlocks, s.deps.Home)})
+		s.table.Store(&tableState{snap: snap, table: s.tableOf(snap, old)})
 	}
 	roster := NewRoster(s.deps.Members.View())
 	current := roster.fingerprint()
