--- a/internal/idempotency/issue.go
+++ b/internal/idempotency/issue.go
@@ -9,7 +9,8 @@
 func (k *Keys) issue() Ticket { return Ticket{k.deps.Self, k.now()} }
 
 // Subscribe makes f be called when Ticket would return new tickets, so that
-// answers made from older ones are made again. It must be called before Start.
+// answers made from older ones are made again. f may be called from several
+// goroutines at once. Subscribe must be called before Start.
 func (k *Keys) Subscribe(f func()) { k.changed = append(k.changed, f) }
 
 // Ticket returns a ticket of the named instance, or "" while none is known;
@@ -37,6 +38,10 @@
 	answer, err := k.callOnce(context.Background(), who.VM, &ownerRequest{Op: opTicket, Incarnation: who.Incarnation})
 	t, ok := ParseKey(answer.Ticket + keySeparator + "-")
 	ok = ok && err == nil && t.Instance == who
+	if !ok && notify {
+		// Let the answers be made again, and ask again by that.
+		time.Sleep(ticketRetry)
+	}
 	k.mu.Lock()
 	delete(k.asking, who)
 	if ok {
@@ -45,7 +50,7 @@
 		delete(k.tickets, who)
 	}
 	k.mu.Unlock()
-	if ok && notify {
+	if notify {
 		k.notify()
 	}
 }
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -353,3 +354,36 @@
 		})
 	}
 }
+
+func TestTicketsOfOthersComeWithinTheirLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		a, b := f.start("a"), f.start("b")
+		b1 := b.deps.Self
+		var answer atomic.Value
+		var over atomic.Bool
+		a.Subscribe(func() {
+			if !over.Load() {
+				answer.Store(a.Ticket(b1.VM, b1.Incarnation))
+			}
+		})
+		f.hub.Cut("a", "b")
+		if got := a.Ticket(b1.VM, b1.Incarnation); got != "" {
+			t.Errorf("a ticket of a VM that could not be asked: %q", got)
+		}
+		time.Sleep(5 * time.Second)
+		f.hub.Heal()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got, ok := ParseKey(answer.Load().(string) + keySeparator + "own"); !ok || got.Instance != b1 {
+			t.Errorf("got %q, want a ticket of %v", answer.Load(), b1)
+		}
+		over.Store(true)
+		f.start("b")
+		a.renewAll()
+		if got := a.Ticket(b1.VM, b1.Incarnation); got != "" {
+			t.Errorf("a ticket of an instance that is gone: %q", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
