--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -10,6 +10,7 @@
 
 func newBench() *cli.Command {
 	return &cli.Command{
+<<<<<<< HEAD
 		Name:  "bench",
 		Usage: "measure this program with stand-ins on loopback",
 		Commands: []*cli.Command{
@@ -22,6 +23,11 @@
 			newBenchSteering(),
 			newBenchCapacity(),
 		},
+=======
+		Name:     "bench",
+		Usage:    "measure this program with stand-ins on loopback",
+		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchSteering(), newBenchConfig(), newBenchCapacity()},
+>>>>>>> config
 	}
 }
 
