--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -10,7 +10,6 @@
 
 func newBench() *cli.Command {
 	return &cli.Command{
-<<<<<<< HEAD
 		Name:  "bench",
 		Usage: "measure this program with stand-ins on loopback",
 		Commands: []*cli.Command{
@@ -21,13 +20,9 @@
 			newBenchRetries(),
 			newBenchUploads(),
 			newBenchSteering(),
+			newBenchConfig(),
 			newBenchCapacity(),
 		},
-=======
-		Name:     "bench",
-		Usage:    "measure this program with stand-ins on loopback",
-		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchSteering(), newBenchConfig(), newBenchCapacity()},
->>>>>>> config
 	}
 }
 
