--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -65,8 +65,10 @@
 	s := newSim(t, 5)
 	s.fleet(2, 2, 2)
 	s.lose = lossy([2]string{"r0-z0-0", "r0-z1-0"})
-	s.run(10 * time.Second)
-	s.wantAll(Alive)
+	for range 100 {
+		s.run(s.opts.TickInterval)
+		s.wantAll(Alive)
+	}
 	if s.oneWay["r0-z0-0/r0-z1-0"] != 1 {
 		t.Error("the sender does not know that it is not heard")
 	}
@@ -174,6 +176,9 @@
 	s.fleet(2, 1, 2)
 	far := func(name string) bool { return name[:2] == "r1" }
 	s.lose = func(from, to string) bool { return far(from) != far(to) }
+	for _, m := range s.nodes {
+		m.SetCandidates(nil) // nobody helps: not the seeds, not the list
+	}
 	s.run(s.opts.ForgetAfter + time.Minute)
 	if n := len(s.nodes["r0-z0-0"].View().Members); n != 2 {
 		t.Errorf("the view holds %d members, want the own region's", n)
@@ -242,13 +247,81 @@
 	s := newSim(t, 14)
 	s.fleet(1, 2, 2)
 	m := s.nodes["r0-z0-0"]
+	other := s.nodes["r0-z0-1"].Incarnation()
 	for range 100 {
 		s.now = s.now.Add(10 * time.Millisecond)
 		s.do("r0-z0-0", m.Receive(s.now, "r0-z0-1", &Heartbeat{
+			Epoch:   other,
 			Records: []Record{{Name: "r0-z0-0", Incarnation: m.Incarnation() + 1}},
 		}))
 	}
-	if n := s.renewed["r0-z0-0"]; n > 2 {
+	if n := s.renewed["r0-z0-0"]; n == 0 || n > 2 {
 		t.Errorf("%d incarnations in a second", n)
 	}
 }
+
+func TestStaleAcksCountForNothing(t *testing.T) {
+	s := newSim(t, 15)
+	s.fleet(1, 2, 2)
+	m, peer := s.nodes["r0-z0-0"], s.nodes["r0-z0-1"]
+	l := m.links["r0-z0-1"]
+	m.SetGeneration(s.now, 1, 1)
+	acked, merged := l.acked, l.merged
+	m.Receive(s.now, "r0-z0-1", &Heartbeat{Epoch: peer.epoch, AckEpoch: uint32(m.epoch) + 1, Ack: m.version})
+	if l.acked != acked {
+		t.Error("an acknowledgment of another process was taken")
+	}
+	m.Receive(s.now, "r0-z0-1", &Heartbeat{Epoch: peer.epoch, Base: merged + 5, Version: merged + 9})
+	if l.merged != merged {
+		t.Error("changes after a gap were acknowledged")
+	}
+	m.Receive(s.now, "r0-z0-1", &Heartbeat{Epoch: peer.epoch - 1})
+	if m.links["r0-z0-1"].epoch != peer.epoch {
+		t.Error("a message of an earlier process was taken")
+	}
+}
+
+func TestLongPauseTakesAHigherIncarnationAtOnce(t *testing.T) {
+	s := newSim(t, 16)
+	s.fleet(1, 1, 3)
+	m := s.nodes["r0-z0-0"]
+	before := m.Incarnation()
+	m.Tick(s.now.Add(s.opts.GoneAfter))
+	if m.Incarnation() <= before {
+		t.Error("the incarnation that the others gave up is kept")
+	}
+}
+
+func TestUnknownSenderIsAskedForItsTable(t *testing.T) {
+	s := newSim(t, 17)
+	s.fleet(1, 1, 2)
+	asked := false
+	for _, a := range s.nodes["r0-z0-0"].Receive(s.now, "stranger", &Heartbeat{Epoch: 1}) {
+		if c, ok := a.(CallJoin); ok && c.Candidate.Name == "stranger" {
+			asked = true
+		}
+	}
+	if !asked {
+		t.Error("not asked")
+	}
+}
+
+func TestNewNeighborsAreGivenTime(t *testing.T) {
+	s := newSim(t, 18)
+	s.fleet(1, 2, 15)
+	s.latency = func(string, string) time.Duration { return s.opts.TickInterval + 2*simStep }
+	s.run(5 * time.Second)
+	for _, name := range []string{"r0-z0-3", "r0-z0-7", "r0-z1-4"} {
+		s.crash(name)
+	}
+	for range 50 {
+		s.run(s.opts.TickInterval)
+		for _, a := range s.order {
+			for _, b := range s.order {
+				if s.state(a, b) != Alive {
+					t.Fatalf("%s sees %s %v", a, b, s.state(a, b))
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/property_test.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// fixed returns parameters with a fixed seed.
+func fixed(tests int) *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(20260101)
+	p.MinSuccessfulTests = tests
+	return p
+}
+
+// trouble lets random faults come for a while, alone and together.
+func trouble(s *sim, random *rand.Rand) {
+	pick := func() string { return s.order[random.IntN(len(s.order))] }
+	for range 6 {
+		a, b := pick(), pick()
+		switch random.IntN(7) {
+		case 0:
+			s.lose = lossy([2]string{a, b})
+		case 1:
+			s.lose = func(from, to string) bool { return (from == a) != (to == a) }
+		case 2:
+			s.lose = func(from, to string) bool { return from[:2] != to[:2] }
+		case 3:
+			s.paused[a] = !s.paused[a]
+		case 4:
+			s.double = random.Float64()
+		case 5:
+			if a != "r1-z0-0" && a != "r0-z1-0" {
+				restart(s, a, -time.Duration(random.IntN(3))*time.Hour)
+			}
+		case 6:
+			s.lose = func(string, string) bool { return s.random.Float64() < 0.3 }
+		}
+		s.run(time.Duration(random.IntN(6000)) * time.Millisecond)
+	}
+	s.lose, s.double = nil, 0
+	clear(s.paused)
+}
+
+// TestViewsConverge: whatever faults came, once they are over all members see
+// each other alive. The simulation checks on its way that no incarnation goes
+// back and that nobody who is gone comes back within one incarnation.
+func TestViewsConverge(t *testing.T) {
+	properties := gopter.NewProperties(fixed(40))
+	properties.Property("views converge after faults", prop.ForAll(func(seed uint64) bool {
+		s := newSim(t, seed)
+		s.fleet(2, 2, 2)
+		trouble(s, rand.New(rand.NewPCG(seed, 2)))
+		s.run(20 * time.Second)
+		s.wantAll(Alive)
+		return !t.Failed()
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// records generates records of one member.
+func records() gopter.Gen {
+	return gen.SliceOfN(6, gen.UInt64Range(0, 1<<10)).Map(func(bits []uint64) []Record {
+		var out []Record
+		for _, b := range bits {
+			out = append(out, Record{
+				Name: "x", Region: "r", Incarnation: b & 3, Seq: b >> 2 & 3, Suspect: b>>4&1 == 1, Gone: b>>5&3 == 3,
+			})
+		}
+		return out
+	})
+}
+
+// TestMergeOrderDoesNotMatter: records merged in any order, and more than
+// once, give the same table.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	merged := func(records []Record, order []int) Record {
+		now := time.Unix(0, 0)
+		m := NewMachine(Record{Name: "self", Region: "r", Incarnation: 1}, Options{}, rand.New(rand.NewPCG(1, 1)), now)
+		for _, i := range order {
+			m.merge(&records[i], nil, now)
+		}
+		return m.table["x"].Record
+	}
+	properties := gopter.NewProperties(fixed(500))
+	properties.Property("merge is a join", prop.ForAll(func(records []Record, seed uint64) bool {
+		order := rand.New(rand.NewPCG(seed, 1)).Perm(len(records))
+		straight := merged(records, []int{0, 1, 2, 3, 4, 5})
+		return straight == merged(records, order) && straight == merged(records, append(order, order...))
+	}, records(), gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// TestNeighborsAreMutualAndNear: neighbors are mutual, and a change reaches
+// all members of a region in few hops.
+func TestNeighborsAreMutualAndNear(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10, 11, 12, 67, 155, 300} {
+		var ring []*entry
+		for i := range n {
+			ring = append(ring, &entry{Record: Record{Name: string(rune('A' + i))}})
+		}
+		neighbors := make(map[string][]string)
+		for _, e := range ring {
+			neighbors[e.Name] = neighborsOf(e.Name, ring, defaultMeshSize)
+		}
+		reached := map[string]bool{ring[0].Name: true}
+		hops := 0
+		for ; len(reached) < n && hops < 10; hops++ {
+			for name := range maps.Clone(reached) {
+				for _, other := range neighbors[name] {
+					reached[other] = true
+				}
+			}
+		}
+		if hops > 6 || len(neighbors[ring[0].Name]) > 12 {
+			t.Errorf("%d members: %d hops over %d neighbors", n, hops, len(neighbors[ring[0].Name]))
+		}
+		for name, list := range neighbors {
+			for _, other := range list {
+				if !slices.Contains(neighbors[other], name) || other == name {
+					t.Errorf("%d members: %q has neighbor %q but not the other way", n, name, other)
+				}
+			}
+		}
+	}
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -44,6 +44,9 @@
 	bytesOut map[string]int
 	bytesIn  map[string]int
 	messages int // received
+	keep     bool
+	kept     []parcel                     // to be sent again later
+	gone     map[string]map[string]uint64 // by observer: incarnations seen gone
 	measure  bool
 }
 
@@ -53,7 +56,7 @@
 		t: t, now: start, start: start, random: rand.New(rand.NewPCG(seed, seed)),
 		nodes: make(map[string]*Machine), paused: make(map[string]bool),
 		awake: make(map[string]int), renewed: make(map[string]int), oneWay: make(map[string]int),
-		highest: make(map[string]uint64), bytesOut: make(map[string]int), bytesIn: make(map[string]int),
+		highest: make(map[string]uint64), bytesOut: make(map[string]int), bytesIn: make(map[string]int), gone: make(map[string]map[string]uint64),
 	}
 	s.latency = func(string, string) time.Duration { return simStep }
 	s.opts.setDefaults()
@@ -156,6 +159,9 @@
 		return
 	}
 	p.due = s.now.Add(s.latency(p.from, p.to))
+	if s.keep {
+		s.kept = append(s.kept, p)
+	}
 	s.parcels = append(s.parcels, p)
 	if s.random.Float64() < s.double {
 		s.parcels = append(s.parcels, p)
@@ -185,6 +191,26 @@
 			s.t.Errorf("%s: incarnation %d after %d", name, m.Incarnation(), s.highest[name])
 		}
 		s.highest[name] = m.Incarnation()
+		if !s.measure {
+			s.checkGone(name, m)
+		}
+	}
+}
+
+// checkGone checks that nobody who is gone comes back within one incarnation.
+func (s *sim) checkGone(name string, m *Machine) {
+	seen := s.gone[name]
+	if seen == nil {
+		seen = make(map[string]uint64)
+		s.gone[name] = seen
+	}
+	for _, e := range m.table {
+		switch {
+		case e.Gone:
+			seen[e.Name] = e.Incarnation
+		case seen[e.Name] >= e.Incarnation:
+			s.t.Errorf("%s: %s came back in incarnation %d", name, e.Name, e.Incarnation)
+		}
 	}
 }
 
