admission: a process passes a slot on to its next request; prefer targets of the zone

Cause: between two requests a slot was idle for the way to the broker and back, so that 95% load was overload. A free slot in the caller VM's zone goes first.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -75,7 +75,9 @@
 	item     *steering.Item
 	target   string
 	shifted  bool
-	number   uint64 // 0: taken over from a predecessor
+	local    bool   // the target is in this region
+	number   uint64 // 0: not given by this broker
+	passed   uint64 // number of the pass by which the process took it over; 0: none
 	since    time.Time
 	deadline time.Time
 }
@@ -87,6 +89,10 @@
 	heard       time.Time // of the last inventory, or put later to ask again
 	given       uint64    // Number of the last slot given
 	slots       map[uint64]*slot
+	held        int      // slots given
+	passes      []uint64 // asks that may take slots over, as told last
+	passVersion uint64
+	passed      uint64 // slots that the process has passed on, as known
 }
 
 // broker gives out the slots of one service in one region. It does no I/O and
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -68,6 +68,14 @@
 	if h == nil || h.incarnation != r.From.Incarnation {
 		return
 	}
+	if b.missedPass(h, r) {
+		b.askInventory(r.From)
+		return
+	}
+	if r.Next.Seq != 0 {
+		b.pass(h, r, now)
+		return
+	}
 	s := h.slots[r.Seq]
 	if s == nil {
 		return
@@ -92,6 +100,7 @@
 		b.core.pool.Cancel(s.item, now)
 		return
 	}
+	h.held--
 	b.core.release(s.target, now.Sub(s.since), r, now)
 	b.deliver(now)
 }
@@ -131,6 +140,7 @@
 	}
 	h.inventory = inv.Seq
 	h.heard = now
+	h.passed = max(h.passed, inv.Passed)
 	listed := make(map[uint64]bool, len(inv.Held))
 	for _, held := range inv.Held {
 		listed[held.Seq] = true
@@ -143,7 +153,7 @@
 		delete(b.awaited, inv.From.VM)
 	}
 	for seq, s := range h.slots {
-		if s.step == SlotGiven && !listed[seq] && s.number <= number {
+		if s.step == SlotGiven && !listed[seq] && s.number <= number && s.passed <= inv.Passed {
 			b.free(h, seq, s, unusedResult, now)
 		}
 	}
@@ -169,6 +179,7 @@
 		return
 	}
 	b.core.pool.Restore(t)
+	h.held++
 	h.slots[held.Seq] = &slot{
 		request:  steering.Request{Key: steering.Key{Holder: from.VM, Incarnation: from.Incarnation, Seq: held.Seq}},
 		step:     SlotGiven,
@@ -193,13 +204,16 @@
 			continue
 		}
 		h.given++
+		h.held++
 		s.step = SlotGiven
 		s.number = h.given
 		s.target = d.Target.Name
 		s.shifted = d.Shifted
+		s.local = d.Target.Region == b.scope.Region
 		s.since = now
 		b.sendDecision(h, s)
 	}
+	b.updatePasses()
 }
 
 func (b *broker) sendDecision(h *holder, s *slot) {
@@ -211,6 +225,7 @@
 		Number:  s.number,
 		Target:  s.target,
 		Shifted: s.shifted,
+		Local:   s.local,
 	})
 }
 
--- a/internal/admission/brokered.go
+++ b/internal/admission/brokered.go
@@ -37,6 +37,7 @@
 	handle(b, peer.KindRelease, func(m *release) scope { return m.Scope })
 	handle(b, peer.KindDecision, func(m *decision) scope { return m.Scope })
 	handle(b, peer.KindInventory, func(m *inventory) scope { return m.Scope })
+	handle(b, peer.KindPass, func(m *passList) scope { return m.Scope })
 	handle(b, peer.KindDemand, func(m *demandMessage) scope { return m.Scope })
 	handle(b, peer.KindGrant, func(m *grantMessage) scope { return m.Scope })
 	return b
--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -48,6 +48,7 @@
 	sent     time.Time
 	target   string
 	shifted  bool
+	local    bool          // the target is in the broker's region
 	refused  decision      // when ended without a slot
 	done     chan struct{} // closed when a slot is held or refused
 }
@@ -67,6 +68,10 @@
 	id      brokerID // term of the last answer
 	seen    uint64   // highest Number of that term
 	told    uint64   // seen, as told by the last inventory
+	passes  []uint64 // asks that may take over slots, by the broker's last list
+	passAt  uint64   // version of that list
+	passed  uint64   // slots passed on so far
+	run     int      // of them, since one was given back
 	invSeq  uint64
 	invSent time.Time
 	changed bool // since the last inventory
@@ -128,6 +133,7 @@
 		k.step = AskHeld
 		k.target = d.Target
 		k.shifted = d.Shifted
+		k.local = d.Local
 		close(k.done)
 	}
 }
@@ -150,6 +156,7 @@
 		}
 		c.id = d.Broker
 		c.seen, c.told = 0, 0
+		c.passes, c.passAt = nil, 0
 	}
 	c.changed = true
 	c.seen = max(c.seen, d.Number)
@@ -159,7 +166,7 @@
 // giveBack returns a slot that no request waits for.
 func (c *client) giveBack(d *decision) {
 	if d.Target != "" {
-		c.post(d.Broker.VM, peer.KindRelease, &release{Scope: c.scope, From: c.self, Seq: d.Seq, Unused: true})
+		c.post(d.Broker.VM, peer.KindRelease, c.unused(d.Seq))
 	}
 }
 
@@ -172,12 +179,23 @@
 }
 
 // release gives a held slot back.
-func (c *client) release(k *call, r Result) {
+func (c *client) release(k *call, r Result, now time.Time) {
 	if k.step != AskHeld {
 		return
 	}
 	c.forget(k)
-	c.post(c.broker, peer.KindRelease, &release{Scope: c.scope, From: c.self, Seq: k.ask.Seq, Result: wireResult(r)})
+	msg := &release{Scope: c.scope, From: c.self, Seq: k.ask.Seq, Result: wireResult(r)}
+	if next := c.nextFor(k, r); next != nil {
+		c.passOn(next, k.target)
+		msg.Next = heldSlot{Seq: next.ask.Seq, Target: k.target, Left: next.deadline.Sub(now)}
+	}
+	msg.Passed = c.passed
+	c.post(c.broker, peer.KindRelease, msg)
+}
+
+// unused returns the message that nothing was sent under an ask.
+func (c *client) unused(seq uint64) *release {
+	return &release{Scope: c.scope, From: c.self, Seq: seq, Unused: true, Passed: c.passed}
 }
 
 // cancel takes an ask back. It reports false when it has been answered.
@@ -186,7 +204,7 @@
 		return false
 	}
 	c.forget(k)
-	c.post(c.broker, peer.KindRelease, &release{Scope: c.scope, From: c.self, Seq: k.ask.Seq, Unused: true})
+	c.post(c.broker, peer.KindRelease, c.unused(k.ask.Seq))
 	return true
 }
 
@@ -203,7 +221,7 @@
 			continue
 		}
 		if !now.Before(k.giveUp) {
-			c.post(c.broker, peer.KindRelease, &release{Scope: c.scope, From: c.self, Seq: seq, Unused: true})
+			c.post(c.broker, peer.KindRelease, c.unused(seq))
 			c.end(seq, k, decision{Reason: reasonSilent, RetryAfter: silentRetryAfter})
 			continue
 		}
@@ -219,7 +237,7 @@
 // inventory tells the broker what is held.
 func (c *client) inventory(now time.Time) {
 	c.invSeq++
-	inv := &inventory{Scope: c.scope, From: c.self, Seq: c.invSeq, Broker: c.id, Number: c.seen}
+	inv := &inventory{Scope: c.scope, From: c.self, Seq: c.invSeq, Broker: c.id, Number: c.seen, Passed: c.passed}
 	for seq, k := range c.calls {
 		if k.step == AskHeld {
 			inv.Held = append(inv.Held, heldSlot{Seq: seq, Target: k.target, Left: k.deadline.Sub(now)})
@@ -239,6 +257,7 @@
 		return
 	}
 	c.broker = vm
+	c.passes = nil
 	c.inventory(now)
 	for _, k := range c.unanswered() {
 		delete(c.calls, k.ask.Seq)
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -63,6 +63,7 @@
 	Number     uint64 // rises with each slot that the broker gives to the process
 	Target     string // empty: refused
 	Shifted    bool
+	Local      bool // the target is in the broker's region
 	RetryAfter time.Duration
 	Reason     steering.Reason
 }
@@ -74,6 +75,18 @@
 	Seq    uint64
 	Unused bool // nothing was sent to the target
 	Result wireResult
+	Next   heldSlot // ask that has taken the slot over; Seq 0: none
+	Passed uint64   // number of slots that the process has passed on so far, this one included
+}
+
+// passList tells a process which of its asks may take over the next slots that
+// it would give back, in order (peer.KindPass). It replaces earlier lists.
+type passList struct {
+	Scope   scope
+	Broker  brokerID
+	To      process
+	Version uint64
+	Seqs    []uint64
 }
 
 // wireResult is a Result between processes.
@@ -95,6 +108,7 @@
 	Seq    uint64   // rises with each inventory of the process
 	Broker brokerID // whose Number is meant
 	Number uint64   // highest Number that was seen; slots up to it that are not listed are not held
+	Passed uint64   // number of slots passed on; likewise
 	Held   []heldSlot
 }
 
--- a/internal/admission/station.go
+++ b/internal/admission/station.go
@@ -99,8 +99,12 @@
 
 // handle takes a message in, from this process or another one.
 func (s *station) handle(body any, now time.Time) {
-	if d, ok := body.(*decision); ok {
-		s.client.decided(d, now)
+	switch m := body.(type) {
+	case *decision:
+		s.client.decided(m, now)
+		return
+	case *passList:
+		s.client.allowed(m)
 		return
 	}
 	if s.broker == nil {
@@ -176,7 +180,7 @@
 func (s *station) permit(k *call) (Permit, error) {
 	t := s.deps.Config.Current().Target(k.target)
 	if t == nil {
-		s.do(func(time.Time) { s.client.release(k, unusedResult) })
+		s.do(func(now time.Time) { s.client.release(k, unusedResult, now) })
 		return nil, notRun(string(reasonTargetGone), silentRetryAfter)
 	}
 	return &brokeredPermit{station: s, call: k, target: t}, nil
@@ -206,6 +210,6 @@
 func (p *brokeredPermit) Release(r Result) {
 	p.once.Do(func() {
 		observe(p.station.deps.Targets, p.target.Name, r)
-		p.station.do(func(time.Time) { p.station.client.release(p.call, r) })
+		p.station.do(func(now time.Time) { p.station.client.release(p.call, r, now) })
 	})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,7 @@
 	KindDemand    Kind = 43 // admission: a region tells its demand
 	KindDecision  Kind = 44 // admission: a broker's answer to KindPermit
 	KindInventory Kind = 45 // admission: tells a broker what is held
+	KindPass      Kind = 46 // admission: a broker allows slots to be passed on
 
 	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
 )
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -199,6 +199,23 @@
 	p.dispatch()
 }
 
+// Pass takes a waiting request out that has been given the slot of another
+// request of its holder at t, which held it for held. it is nil when the
+// request does not wait.
+func (p *Pool) Pass(t *Target, it *Item, held time.Duration, now time.Time) {
+	p.now = now
+	if held > 0 {
+		p.observe(t, held)
+	}
+	if it != nil {
+		p.queue.Taken(it)
+	}
+}
+
+// Next calls f for the requests that will get slots next, most of them at
+// most, until it returns false.
+func (p *Pool) Next(most int, f func(*Request) bool) { p.queue.Next(most, f) }
+
 func (p *Pool) observe(t *Target, held time.Duration) {
 	if r := p.remoteByGroup(t.group); r != nil {
 		if link := p.cfg.Links[r.Region]; link != nil {
--- a/internal/steering/pool_targets.go
+++ b/internal/steering/pool_targets.go
@@ -129,8 +129,9 @@
 	t.pos = -1
 }
 
-// least returns a least loaded free target, one in the given zone on ties;
-// nil when none is free or all free ones are excluded.
+// least returns a least loaded free target of the given zone, or, when it has
+// none, of all zones: a free slot is as good as any other, but for the way to
+// it. It is nil when none is free or all free ones are excluded.
 func (g *Group) least(zone string, exclude []string, rng *rand.Rand) *Target {
 	var best *Target
 	for i := range g.zones {
@@ -138,7 +139,10 @@
 		if t == nil {
 			continue
 		}
-		if best == nil || t.level < best.level || (t.level == best.level && t.Zone == zone) {
+		if t.Zone == zone {
+			return t
+		}
+		if best == nil || t.level < best.level {
 			best = t
 		}
 	}
--- a/internal/steering/queue.go
+++ b/internal/steering/queue.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// Next calls f for the requests that will be dequeued next by priority, of the
+// first backlogged class only and most of them in order, until f returns false
+// or most have been seen.
+func (q *Queue) Next(most int, f func(*Request) bool) {
+	for _, c := range q.classes {
+		if c.len == 0 {
+			continue
+		}
+		for _, fl := range c.flows {
+			for it := fl.head; it != nil && most > 0; it = it.next {
+				most--
+				if !f(it.Request) {
+					return
+				}
+			}
+		}
+		return
+	}
+}
+
+// Taken removes an item that was served without Pop; it counts as a dequeue.
+func (q *Queue) Taken(it *Item) {
+	if it.flow != nil {
+		q.accrue()
+	}
+	q.Remove(it)
+}
+
 // Expired returns the next request whose time in the queue is over, removed;
 // nil when there is none. Within a tenant's line the oldest are tested first.
 func (q *Queue) Expired(now time.Time) *Item {
