--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -43,7 +43,7 @@
 		},
 		{
 			Name:     idempotency.ServiceName,
-			Requires: []string{peer.ServiceName, storeName, confsync.ServiceName},
+			Requires: []string{peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName},
 			New:      d.newKeys,
 		},
 		{
@@ -198,11 +198,12 @@
 	var err error
 	need(k, peer.ServiceName, &w.network, &err)
 	need(k, storeName, &w.store, &err)
+	need(k, membership.ServiceName, &w.members, &err)
 	need(k, confsync.ServiceName, &w.config, &err)
 	if err != nil {
 		return nil, err
 	}
-	return idempotency.NewKeys(idempotency.Deps{
+	keys, err := idempotency.NewKeys(idempotency.Deps{
 		Self:    idempotency.Instance{VM: d.settings.VM.Name, Incarnation: d.incarnation},
 		Store:   w.store,
 		Network: w.network,
@@ -211,6 +212,11 @@
 		Logger:  d.opts.Logger,
 		Metrics: d.opts.Metrics,
 	})
+	if err != nil {
+		return nil, err
+	}
+	w.members.Subscribe(keys.Follow)
+	return keys, nil
 }
 
 func (d *Daemon) newLookup(k *kernel.Kernel) (kernel.Service, error) {
--- a/internal/idempotency/issue.go
+++ b/internal/idempotency/issue.go
@@ -3,8 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"masticturn/internal/membership"
 )
 
+// prefetchAll is the size up to which tickets of all members are fetched ahead;
+// in a larger fleet those of the own region are.
+const prefetchAll = 64
+
 // issue returns a ticket of this instance.
 func (k *Keys) issue() Ticket { return Ticket{k.deps.Self, k.now()} }
 
@@ -25,34 +31,78 @@
 	if t, ok := k.tickets[who]; ok {
 		return t.String()
 	}
-	if !k.asking[who] && k.deps.Network != nil {
-		k.asking[who] = true
-		go k.fetch(who, true)
-	}
+	k.startFetch(who)
 	return ""
 }
 
-// fetch asks another instance for a ticket. One that does not answer loses its
-// ticket, so that no key is bound to it.
-func (k *Keys) fetch(who Instance, notify bool) {
-	answer, err := k.callOnce(context.Background(), who.VM, &ownerRequest{Op: opTicket, Incarnation: who.Incarnation})
-	t, ok := ParseKey(answer.Ticket + keySeparator + "-")
-	ok = ok && err == nil && t.Instance == who
-	if !ok && notify {
-		// Let the answers be made again, and ask again by that.
+// Follow fetches tickets of the members ahead, before look-ups name them, and
+// forgets those of instances that are gone.
+func (k *Keys) Follow(v *membership.View) {
+	wanted := make(map[Instance]bool)
+	self, _ := v.Member(k.deps.Self.VM)
+	for _, m := range v.Members {
+		near := len(v.Members) <= prefetchAll || m.Region == self.Region
+		if near && m.Name != k.deps.Self.VM && m.State == membership.Alive {
+			wanted[Instance{m.Name, m.Incarnation}] = true
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wanted = wanted
+	for who := range wanted {
+		if _, ok := k.tickets[who]; !ok {
+			k.startFetch(who)
+		}
+	}
+	for who := range k.tickets {
+		m, ok := v.Member(who.VM)
+		if !ok || m.Incarnation != who.Incarnation {
+			delete(k.tickets, who)
+		}
+	}
+}
+
+// startFetch asks for a ticket, once at a time. It is called with mu held.
+func (k *Keys) startFetch(who Instance) {
+	if k.asking[who] || k.deps.Network == nil {
+		return
+	}
+	k.asking[who] = true
+	go k.fetch(who)
+}
+
+// fetch asks for a ticket until there is one or none is wanted any more. In
+// the end answers are made again, which may ask for it again.
+func (k *Keys) fetch(who Instance) {
+	for !k.fetchOnce(who) {
 		time.Sleep(ticketRetry)
+		k.mu.Lock()
+		wanted := k.wanted[who]
+		k.mu.Unlock()
+		if !wanted {
+			break
+		}
 	}
 	k.mu.Lock()
 	delete(k.asking, who)
+	k.mu.Unlock()
+	k.notify()
+}
+
+// fetchOnce asks another instance for a ticket. One that does not answer loses
+// its ticket, so that no key is bound to it.
+func (k *Keys) fetchOnce(who Instance) bool {
+	answer, err := k.callOnce(context.Background(), who.VM, &ownerRequest{Op: opTicket, Incarnation: who.Incarnation})
+	t, ok := ParseKey(answer.Ticket + keySeparator + "-")
+	ok = ok && err == nil && t.Instance == who
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if ok {
 		k.tickets[who] = t
 	} else {
 		delete(k.tickets, who)
 	}
-	k.mu.Unlock()
-	if notify {
-		k.notify()
-	}
+	return ok
 }
 
 func (k *Keys) notify() {
@@ -83,7 +133,7 @@
 	}
 	k.mu.Unlock()
 	for _, who := range known {
-		k.fetch(who, false)
+		k.fetchOnce(who)
 	}
 	k.notify()
 }
--- a/internal/idempotency/keys.go
+++ b/internal/idempotency/keys.go
@@ -57,6 +57,7 @@
 	abandoned *tokenSet           // tokens whose claim may still take effect, never to run; guarded by mu
 	tickets   map[Instance]Ticket // of other instances; guarded by mu
 	asking    map[Instance]bool   // tickets being fetched; guarded by mu
+	wanted    map[Instance]bool   // members whose tickets are fetched until they come; guarded by mu
 	changed   []func()            // called when there are new tickets; set before Start
 }
 
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -16,6 +16,7 @@
 
 	"masticturn/internal/config"
 	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
 	"masticturn/internal/outcome"
 	"masticturn/internal/peer/peertest"
 	"masticturn/internal/platform"
@@ -387,3 +388,33 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+func TestTicketsOfMembersAreFetchedAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		a, b, c := f.start("a"), f.start("b"), f.start("c")
+		view := func(members ...*Keys) *membership.View {
+			v := &membership.View{Self: "a"}
+			for _, k := range members {
+				v.Members = append(v.Members, membership.Member{Name: k.deps.Self.VM, Incarnation: k.deps.Self.Incarnation})
+			}
+			return v
+		}
+		f.hub.Cut("a", "b")
+		a.Follow(view(a, b, c))
+		time.Sleep(10 * time.Second)
+		f.hub.Heal()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		for _, k := range []*Keys{b, c} {
+			if got := a.Ticket(k.deps.Self.VM, k.deps.Self.Incarnation); got == "" {
+				t.Errorf("no ticket of %s", k.deps.Self.VM)
+			}
+		}
+		a.Follow(view(a, c))
+		if n := len(a.tickets); n != 1 {
+			t.Errorf("%d tickets are kept, want that of the one member", n)
+		}
+		time.Sleep(time.Minute)
+	})
+}
