--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -46,14 +46,15 @@
 	if errors.As(err, &exit) {
 		return exit.code
 	}
-	if trace.IsBadParameter(err) {
+	var unknownCommand cli.ExitCoder // our own actions return none
+	if errors.As(err, &unknownCommand) || trace.IsBadParameter(err) {
 		return ExitUsage
 	}
 	return ExitFailed
 }
 
 func newRoot(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "masticturn",
 		Usage:                 "global traffic steering",
 		Description:           "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or document, 3 a bench or the demo saw a broken promise.",
@@ -62,9 +63,6 @@
 		Writer:                stdout,
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError(err)
-		},
 		Commands: []*cli.Command{
 			newServe(),
 			newDemo(),
@@ -78,6 +76,19 @@
 			newVersion(),
 		},
 	}
+	setUsageErrors(root)
+	return root
+}
+
+// setUsageErrors gives a command and all below it the exit code for wrong
+// arguments.
+func setUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usageError(err)
+	}
+	for _, sub := range c.Commands {
+		setUsageErrors(sub)
+	}
 }
 
 const flagJSON = "json"
