bench faults: keys sent to two VMs at once, and callers without tickets

A tenth of the keyed requests go to two VMs at the same time under one key; every third caller ignores tickets, so that its keys are claimed at the platform.

--- a/internal/bench/cluster/callers.go
+++ b/internal/bench/cluster/callers.go
@@ -9,24 +9,29 @@
 )
 
 // Callers returns a caller for each availability zone, all with the same
-// shapes; rate is that of all of them together.
-func (c *Cluster) Callers(opts caller.Options) []*caller.Caller {
+// shapes; the rate is that of all of them together. Changes are made to the
+// options of each caller, by its number.
+func (c *Cluster) Callers(opts caller.Options, changes ...func(number int, opts *caller.Options)) []*caller.Caller {
 	zones := zonesOf(c.Document)
+	opts.Rate /= float64(len(zones))
 	var callers []*caller.Caller
 	for i, z := range zones {
-		callers = append(callers, c.callerOf(i, z, opts, opts.Rate/float64(len(zones))))
+		own := opts
+		for _, change := range changes {
+			change(i, &own)
+		}
+		callers = append(callers, c.callerOf(i, z, own))
 	}
 	return callers
 }
 
 // callerOf returns the caller of one availability zone. It asks the VMs of
 // all zones for look-ups, its own zone's first.
-func (c *Cluster) callerOf(index int, z zone, opts caller.Options, rate float64) *caller.Caller {
+func (c *Cluster) callerOf(index int, z zone, opts caller.Options) *caller.Caller {
 	host := c.callerHost(index, z)
 	c.Network.Add(host)
 	opts.Name = opts.Prefix + host.Name
 	opts.LocalAddress = host.IP
-	opts.Rate = rate
 	opts.Seed = c.opts.Seed + uint64(index)
 	opts.Notes = c.Notes
 	opts.Dial = c.dialer(host)
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -32,6 +32,8 @@
 	defaultFaultLoad     = 28 * time.Second
 	faultTries           = 3
 	faultPatience        = 4 * time.Second
+	faultDoubles         = 0.1  // of the keyed requests are sent to two VMs at once
+	ticketless           = 3    // every so many callers one ignores tickets
 	faultMaxAge          = 1000 // milliseconds that a look-up may be cached, so that drains fit
 	loadMargin           = 1.05 // more requests than asked for, since arrivals vary
 	startTimeout         = 20 * time.Second
@@ -106,11 +108,12 @@
 		return nil, trace.Wrap(err)
 	}
 	callers := c.Callers(caller.Options{
-		Shapes:   Mix(snapshot),
-		Rate:     loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
-		MaxTries: faultTries,
-		Timeout:  faultPatience,
-	})
+		Shapes:     Mix(snapshot),
+		Rate:       loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
+		MaxTries:   faultTries,
+		Timeout:    faultPatience,
+		DoubleRate: faultDoubles,
+	}, withoutTickets)
 	j := newInjector(c, opts.Seed)
 	done := make(chan struct{})
 	go func() {
@@ -124,6 +127,10 @@
 	return faultsReport(c, j, opts, time.Since(started)), nil
 }
 
+// withoutTickets makes some callers ignore tickets, so that their keys are
+// claimed at the platform.
+func withoutTickets(number int, opts *caller.Options) { opts.NoTicket = number%ticketless == 0 }
+
 func startFaults(ctx context.Context, opts FaultsOptions) (*cluster.Cluster, error) {
 	doc, err := config.Clone(opts.Document)
 	if err != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -42,6 +42,8 @@
 	MaxOpen      int           // requests open at once; beyond it they are counted, not sent
 	MaxTries     int           // tries of a request at different VMs; at least 1
 	Timeout      time.Duration // how long the caller waits for one try
+	NoTicket     bool          // keys are sent without the tickets of look-ups
+	DoubleRate   float64       // fraction of the keyed requests that are sent to two VMs at once
 	Seed         uint64
 	Notes        *Notes
 	// Dial opens connections; nil means a plain net.Dialer bound to LocalAddress.
@@ -219,6 +221,11 @@
 	if shape.Keyed {
 		req.key = fmt.Sprintf("%s-k%d", c.opts.Name, number)
 	}
+	var double sync.WaitGroup
+	defer double.Wait()
+	if shape.Keyed && c.doubled(seed) {
+		c.sendDouble(ctx, req, number, &double)
+	}
 	told := ToldNotRun // nothing was sent yet
 	for attempt := range c.opts.MaxTries {
 		vm, err := c.chooseVM(ctx, req, attempt)
@@ -236,6 +243,29 @@
 	c.opts.Notes.addRequest(ClassKey{shape.Service, shape.Class}, told, time.Since(planned))
 }
 
+// doubled tells whether the keyed request with a seed is sent to two VMs.
+func (c *Caller) doubled(seed uint64) bool {
+	const parts = 1 << 16
+	return float64(seed%parts) < c.opts.DoubleRate*parts
+}
+
+// sendDouble sends a copy of a request, under the same key, to the VM next in
+// the look-up's order, and does not wait for it.
+func (c *Caller) sendDouble(ctx context.Context, req *request, number int, group *sync.WaitGroup) {
+	first, err := c.chooseVM(ctx, req, 0)
+	if err != nil {
+		return
+	}
+	second, err := c.chooseVM(ctx, req, 1)
+	if err != nil {
+		return
+	}
+	req.takeTicket(first, c.opts.NoTicket)
+	double := *req
+	double.id = fmt.Sprintf("%s-%d-d", c.opts.Name, number)
+	group.Go(func() { c.try(ctx, &double, second) })
+}
+
 // worse combines what earlier tries told with the last one: after an unknown
 // try, a later one that was not run leaves the request unknown.
 func worse(before, last Told) Told {
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+func TestDoublesGoToTwoVMsUnderOneKey(t *testing.T) {
+	for _, noTicket := range []bool{false, true} {
+		v := newVMs(t, "answered")
+		notes := NewNotes(true)
+		c := New(Options{
+			Name: "c", Entries: v.addresses, Notes: notes, Timeout: time.Second, DoubleRate: 1, NoTicket: noTicket,
+			Shapes: []Shape{{Service: "s", Path: "/s/x", Method: http.MethodPost, BodyBytes: 5, AnswerBytes: 10, Keyed: true, Weight: 1}},
+		})
+		c.RunCount(context.Background(), 1)
+		sent := v.sent()
+		if len(sent) != 2 || v.at[0] == v.at[1] || len(notes.Tries()) != 2 {
+			t.Fatalf("%d sent to %v, %d noted", len(sent), v.at, len(notes.Tries()))
+		}
+		key := sent[0].Get(edge.HeaderIdempotencyKey)
+		if key != sent[1].Get(edge.HeaderIdempotencyKey) || strings.Contains(key, "ticket") == noTicket {
+			t.Fatalf("keys %q and %q", key, sent[1].Get(edge.HeaderIdempotencyKey))
+		}
+		if r := notes.Results()[0]; r.Requests != 1 {
+			t.Fatalf("a double counted as a request: %+v", r)
+		}
+	}
+}
+
 func TestLookupsAreCachedForTheirAge(t *testing.T) {
 	v := newVMs(t, "answered")
 	v.call(Shape{Method: http.MethodGet}, 5)
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -24,6 +24,18 @@
 	seed   uint64
 }
 
+// takeTicket makes the ticket of the first VM part of the key. Every try sends
+// the same key, so that the ticket, or the lack of one, stays with the request.
+func (r *request) takeTicket(vm edge.LookupVM, without bool) {
+	if r.sent {
+		return
+	}
+	r.sent = true
+	if !without {
+		r.ticket = vm.Ticket
+	}
+}
+
 // mayRetry reports whether what was told allows another try.
 func (r *request) mayRetry(told Told) bool {
 	switch told {
@@ -60,11 +72,7 @@
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
-	if !req.sent {
-		// Every try sends the same key, so that the first VM's ticket, or its
-		// lack of one, stays with the request.
-		req.sent, req.ticket = true, vm.Ticket
-	}
+	req.takeTicket(vm, c.opts.NoTicket)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
 	wait, err := c.exchange(ctx, req, vm.Address, &note)
