Platform: claims leave a quarter of the budget to the other calls

Cause: claims of keys without tickets follow the callers' load. Change: claims take from a budget of three quarters first. The test fails without it (checked). Bench: scenarios start with warm targets, which are cold after a restart only.

--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -38,6 +38,7 @@
 	QueueLimit int     // requests that may wait inside a target
 	ColdFactor float64 // how much slower a cold target is
 	Instant    bool    // targets take no time and start warm
+	Warm       bool    // targets are warm at first, and cold after a restart
 	KeepLogs   bool    // keep each try and execution, for the check of promises
 	Direct     bool    // no emulated network: plain connections without delays and faults
 	TokenFile  string  // operators' token of all VMs; may be empty
--- a/internal/bench/cluster/targets.go
+++ b/internal/bench/cluster/targets.go
@@ -59,6 +59,7 @@
 		Sigma:      c.opts.Sigma,
 		ColdFactor: c.opts.ColdFactor,
 		ColdFor:    cold,
+		Warm:       c.opts.Warm,
 		Seed:       c.opts.Seed + uint64(len(c.Targets)),
 		Log:        c.Log,
 		Gauges:     []*standin.Gauge{gauge, c.Regions[region]},
--- a/internal/bench/drains.go
+++ b/internal/bench/drains.go
@@ -88,6 +88,7 @@
 		Seed:       opts.Seed,
 		Sigma:      cluster.DefaultSigma,
 		QueueLimit: cluster.DefaultQueueLimit,
+		Warm:       true,
 		KeepLogs:   true,
 	})
 	if err != nil {
--- a/internal/bench/retries.go
+++ b/internal/bench/retries.go
@@ -59,6 +59,7 @@
 		Seed:       opts.Seed,
 		Sigma:      cluster.DefaultSigma,
 		QueueLimit: cluster.DefaultQueueLimit,
+		Warm:       true,
 		KeepLogs:   true,
 	})
 	if err != nil {
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -49,9 +49,7 @@
 }
 
 func (c *Client) within(ctx context.Context, cl call) (answer, error) {
-	budgetCtx, cancelBudget := context.WithTimeout(ctx, c.opts.Timeout)
-	defer cancelBudget()
-	if err := c.limiter.Wait(budgetCtx); err != nil {
+	if err := c.waitForBudget(ctx, cl); err != nil {
 		return answer{}, c.fail(cl, ErrUnavailable, fmt.Errorf("%w: %w", errOverBudget, err))
 	}
 	timeout := c.opts.Timeout
@@ -63,6 +61,19 @@
 	return c.send(ctx, cl)
 }
 
+// waitForBudget waits for the call's share of the budget, at most for the
+// timeout of a call; it fails at once when that will not do.
+func (c *Client) waitForBudget(ctx context.Context, cl call) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	if cl.kind == KindClaim {
+		if err := c.claims.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return c.limiter.Wait(ctx)
+}
+
 func (c *Client) send(ctx context.Context, cl call) (answer, error) {
 	req, err := cl.request.Request()
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -28,6 +28,10 @@
 	DefaultWatchTimeout   = time.Second
 	DefaultCallsPerSecond = 20.0
 
+	// claimShare is the part of the budget that claims of idempotency keys may
+	// use. They follow the callers' load; the rest stays for the others.
+	claimShare = 0.75
+
 	maxIdleConnections = 4
 	idleTimeout        = 10 * time.Second
 	maxAnswerBytes     = 64 << 20 // of a list or watch
@@ -55,7 +59,8 @@
 	base    *sling.Sling
 	reads   *http.Client
 	writes  *http.Client
-	limiter *rate.Limiter
+	limiter *rate.Limiter // of all calls
+	claims  *rate.Limiter // of the claims among them
 	metrics callMetrics
 	health  healthNote
 }
@@ -82,7 +87,8 @@
 		base:    sling.New().Base(opts.URL),
 		reads:   &http.Client{Transport: newReadTransport(opts), CheckRedirect: noRedirect},
 		writes:  &http.Client{Transport: newWriteTransport(opts), CheckRedirect: noRedirect},
-		limiter: rate.NewLimiter(rate.Limit(opts.CallsPerSecond), max(1, int(opts.CallsPerSecond))),
+		limiter: newLimiter(opts.CallsPerSecond),
+		claims:  newLimiter(claimShare * opts.CallsPerSecond),
 		metrics: callMetrics{set: opts.Metrics},
 	}, nil
 }
@@ -102,6 +108,11 @@
 	}
 }
 
+// newLimiter allows bursts of one second.
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
 func newReadTransport(opts ClientOptions) *http.Transport {
 	return &http.Transport{
 		DialContext:         opts.Dial,
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -329,6 +330,31 @@
 	}
 }
 
+// TestClaimsLeaveBudgetForOthers fills the queue of claims that wait for their
+// budget; a watch must not wait behind them.
+func TestClaimsLeaveBudgetForOthers(t *testing.T) {
+	const perSecond, claims = 8, 40
+	r := newRig(t, platform.ClientOptions{CallsPerSecond: perSecond, WatchTimeout: time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, claims)
+	var group errgroup.Group
+	for i := range claims {
+		group.Go(func() error {
+			if _, err := r.client.Create(ctx, platform.KindClaim, fmt.Sprint(i), nil); err != nil {
+				failed <- err
+			}
+			return nil
+		})
+	}
+	wantCode(t, <-failed, platform.ErrUnavailable) // the first that the queue has no place for
+	watchCtx, cancelWatch := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancelWatch()
+	_, _, err := r.client.Watch(watchCtx, kind, 0)
+	wantCode(t, err, nil)
+	cancel()
+	group.Wait()
+}
+
 func TestBadURL(t *testing.T) {
 	for _, url := range []string{"", "localhost:80", "ftp://x", "http://"} {
 		if _, err := platform.NewClient(platform.ClientOptions{URL: url}); err == nil {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -28,6 +28,7 @@
 	Sigma      float64          // shape of the log-normal distribution of that time
 	ColdFactor float64          // how much longer a request takes on a cold target; below 1 counts as 1
 	ColdFor    time.Duration    // how long after its start a target is cold; the factor falls linearly
+	Warm       bool             // not cold at the first start
 	Seed       uint64           // of service times and faults
 	Log        *Log             // may be nil
 	Gauges     []*standin.Gauge // offered concurrency is added to each
@@ -65,7 +66,13 @@
 		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		address: opts.Address,
 	}
-	return t, t.Restart()
+	if err := t.Restart(); err != nil {
+		return nil, err
+	}
+	if opts.Warm {
+		t.warm()
+	}
+	return t, nil
 }
 
 // Restart listens again after Kill, on the same address, with cold caches.
@@ -83,6 +90,13 @@
 	return nil
 }
 
+// warm ends the cold time at once.
+func (t *Target) warm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.warmSince = time.Now()
+}
+
 // Kill cuts all connections and stops listening, without a warning.
 func (t *Target) Kill() error {
 	t.mu.Lock()
