--- a/internal/bench/configfaults.go
+++ b/internal/bench/configfaults.go
@@ -16,23 +16,25 @@
 	name    string
 	mode    standinplatform.Mode
 	latency time.Duration
+	deaf    bool // watches and most reads fail, so that peers must spread what is accepted
 	lasts   time.Duration
 }
 
 // configPhases follow each other, over and over.
 var configPhases = []configPhase{
-	{"normal", standinplatform.Normal, 0, 2 * time.Second},
-	{"slow", standinplatform.Normal, 150 * time.Millisecond, 3 * time.Second},
-	{"refuses", standinplatform.Refuse, 0, 1500 * time.Millisecond},
-	{"normal", standinplatform.Normal, 0, 2 * time.Second},
-	{"silent", standinplatform.Silent, 0, 1500 * time.Millisecond},
-	{"cuts", standinplatform.Cut, 0, 1500 * time.Millisecond},
+	{name: "normal", lasts: 2 * time.Second},
+	{name: "slow", latency: 150 * time.Millisecond, lasts: 3 * time.Second},
+	{name: "refuses", mode: standinplatform.Refuse, lasts: 1500 * time.Millisecond},
+	{name: "deaf", deaf: true, lasts: 3 * time.Second},
+	{name: "silent", mode: standinplatform.Silent, lasts: 1500 * time.Millisecond},
+	{name: "cuts", mode: standinplatform.Cut, lasts: 1500 * time.Millisecond},
 }
 
 // Chances and times of the faults.
 const (
 	configLostAnswer   = 0.10 // of a write of the head
 	configLostRequest  = 0.05
+	configDeafRead     = 0.7 // reads that fail while the store is deaf
 	configRestartEvery = 1500 * time.Millisecond
 	configDownFor      = 500 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 	random   *rand.Rand
 	lost     int // answers or requests of writes
 	restarts int
+	deaf     bool
 	phases   map[string]int
 }
 
@@ -65,13 +68,24 @@
 	c.fleet.handler.SetLatency(0)
 }
 
-// hook loses some writes of the head, on their way or on the way back.
+// hook chooses the fault of a call for the document.
 func (c *configFaults) hook(_ context.Context, call platformtest.Call) platformtest.Fault {
-	if call.Kind != platform.KindConfig || !call.Op.Writes() {
+	if call.Kind != platform.KindConfig {
 		return platformtest.FaultNone
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if call.Op.Writes() {
+		return c.writeFault()
+	}
+	if c.deaf && (call.Op == platform.OpWatch || c.random.Float64() < configDeafRead) {
+		return platformtest.FaultUnavailable
+	}
+	return platformtest.FaultNone
+}
+
+// writeFault loses some writes, on their way or on the way back.
+func (c *configFaults) writeFault() platformtest.Fault {
 	chance := c.random.Float64()
 	switch {
 	case chance < configLostAnswer:
@@ -91,6 +105,7 @@
 		c.fleet.handler.SetLatency(p.latency)
 		c.mu.Lock()
 		c.phases[p.name]++
+		c.deaf = p.deaf
 		c.mu.Unlock()
 		pause(ctx, p.lasts)
 	}
