--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -35,14 +35,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewServer(operator.Deps{
+	var server *operator.Server
+	server = operator.NewServer(operator.Deps{
 		Listener:  d.listeners.operators,
 		TokenFile: d.settings.Operator.TokenFile,
+		TLS:       d.settings.Operator.TLS,
 		Ready:     o.ready,
-		Mounts:    d.mounts(&o),
+		Mounts:    d.mounts(&o, func(token string) bool { return server.CheckToken(token) }),
 		Metrics:   d.opts.Metrics,
 		Logger:    d.opts.Logger,
-	}), nil
+	})
+	return server, nil
 }
 
 // ready returns nil when callers may be sent here, else why not.
@@ -54,7 +57,7 @@
 }
 
 // mounts lists what is served on the operators' listener behind the token.
-func (d *Daemon) mounts(o *operated) []operator.Mount {
+func (d *Daemon) mounts(o *operated, checkToken func(string) bool) []operator.Mount {
 	documents := configapi.New(o.sync, o.members).Handler()
 	health, _ := o.store.(statusapi.StoreHealth) // a store given by a test has none
 	state := statusapi.New(statusapi.Deps{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log"
@@ -21,6 +22,7 @@
 
 	"masticturn/internal/edge"
 	"masticturn/internal/kernel"
+	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
 )
 
@@ -52,6 +54,7 @@
 type Deps struct {
 	Listener  net.Listener
 	TokenFile string // empty: nothing behind the token is served
+	TLS       settings.TLS
 	Ready     func() error
 	Mounts    []Mount
 	Metrics   *metrics.Set
@@ -65,6 +68,7 @@
 	hasToken bool
 	refusals *rate.Limiter
 	server   *http.Server
+	cert     *certificate // nil without TLS
 }
 
 var _ kernel.Service = (*Server)(nil)
@@ -74,8 +78,15 @@
 	return &Server{deps: deps, refusals: rate.NewLimiter(refusalsPerSecond, refusalBurst)}
 }
 
-// Provision implements kernel.Service: it reads the token.
+// Provision implements kernel.Service: it reads the token and the keys.
 func (s *Server) Provision(*kernel.Kernel) error {
+	if s.deps.TLS.Enabled() {
+		cert, err := newCertificate(s.deps.TLS, s.deps.Logger)
+		if err != nil {
+			return trace.Wrap(err, "operator.tls")
+		}
+		s.cert = cert
+	}
 	if s.deps.TokenFile == "" {
 		return nil
 	}
@@ -102,8 +113,12 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
+	listener := s.deps.Listener
+	if s.cert != nil {
+		listener = tls.NewListener(listener, s.cert.config())
+	}
 	go func() {
-		if err := s.server.Serve(s.deps.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.deps.Logger.Log(eventListenerFailed, telemetry.Err(err))
 		}
 	}()
