--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -11,8 +11,10 @@
 	"masticturn/internal/membership"
 	"masticturn/internal/operator"
 	"masticturn/internal/operator/configapi"
+	"masticturn/internal/operator/console"
 	"masticturn/internal/operator/statusapi"
 	"masticturn/internal/platform"
+	"masticturn/internal/steering"
 )
 
 // operated are the services that operators see.
@@ -58,9 +60,9 @@
 
 // mounts lists what is served on the operators' listener behind the token.
 func (d *Daemon) mounts(o *operated, checkToken func(string) bool) []operator.Mount {
-	documents := configapi.New(o.sync, o.members).Handler()
+	documents := configapi.New(o.sync, o.members)
 	health, _ := o.store.(statusapi.StoreHealth) // a store given by a test has none
-	state := statusapi.New(statusapi.Deps{
+	status := statusapi.New(statusapi.Deps{
 		VM:       d.settings.VM,
 		Clock:    d.opts.Clock,
 		Config:   o.sync,
@@ -71,11 +73,32 @@
 		InFlight: o.callers.InFlight,
 		Draining: d.draining,
 		Drain:    d.RequestDrain,
-	}).Handler()
+	})
+	forms := console.New(console.Deps{
+		Documents:  o.sync,
+		History:    console.StoredHistory{Repository: o.sync.Repository()},
+		CheckToken: checkToken,
+		InForce:    documents.InForce,
+		Status:     status.Status,
+		Policies:   policyNames(),
+		Clock:      d.opts.Clock,
+		Logger:     d.opts.Logger,
+	})
+	api, state := documents.Handler(), status.Handler()
 	return []operator.Mount{
-		{Pattern: edge.PathOperatorConfig, Handler: documents},
-		{Pattern: edge.PathOperatorConfig + "/", Handler: documents},
+		{Pattern: edge.PathConsole, Handler: forms.Handler(), OwnLogin: true},
+		{Pattern: edge.PathOperatorConfig, Handler: api},
+		{Pattern: edge.PathOperatorConfig + "/", Handler: api},
 		{Pattern: edge.PathOperatorStatus, Handler: state},
 		{Pattern: edge.PathOperatorDrain, Handler: state},
 	}
 }
+
+// policyNames lists the policies of target choice.
+func policyNames() []string {
+	var names []string
+	for _, p := range steering.Policies() {
+		names = append(names, string(p))
+	}
+	return names
+}
