--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// wholeKey is the idempotency key as it is sent: the ticket is its head.
+func (r *request) wholeKey() string {
+	if r.key == "" || r.ticket == "" {
+		return r.key
+	}
+	return r.ticket + edge.KeySeparator + r.key
+}
+
 // mayRetry reports whether what was told allows another try.
 func (r *request) mayRetry(told Told) bool {
 	switch told {
@@ -58,9 +66,10 @@
 
 // try sends the request once and notes what came of it.
 func (c *Caller) try(ctx context.Context, req *request, vm edge.LookupVM) (Note, time.Duration) {
+	req.takeTicket(vm, c.opts.NoTicket)
 	note := Note{
 		RequestID:  req.id,
-		Key:        req.key,
+		Key:        req.wholeKey(),
 		Shape:      req.shape.Name,
 		Service:    req.shape.Service,
 		Class:      req.shape.Class,
@@ -72,7 +81,6 @@
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
-	req.takeTicket(vm, c.opts.NoTicket)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
 	wait, err := c.exchange(ctx, req, vm.Address, &note)
@@ -128,11 +136,8 @@
 	httpReq.ContentLength = req.shape.BodyBytes
 	httpReq.Header.Set(edge.HeaderRequestID, req.id)
 	httpReq.Header.Set(edge.HeaderTimeoutMS, strconv.FormatInt(c.opts.Timeout.Milliseconds(), 10))
-	switch {
-	case req.key != "" && req.ticket != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.ticket+edge.KeySeparator+req.key)
-	case req.key != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.key)
+	if key := req.wholeKey(); key != "" {
+		httpReq.Header.Set(edge.HeaderIdempotencyKey, key)
 	}
 	return httpReq, nil
 }
