--- a/internal/bench/steering_check.go
+++ b/internal/bench/steering_check.go
@@ -20,7 +20,6 @@
 	sent     map[string][]time.Time // tries of the callers, by region, in order
 	arrivals []steeringArrival      // at the targets, in order
 	first    string                 // class of the highest priority
-	tries    []caller.Note
 }
 
 // steeringArrival is a request that reached a target.
@@ -33,7 +32,7 @@
 }
 
 func newSteeringCheck(l *steeringLoad, tries []caller.Note, records []target.Record) *steeringCheck {
-	c := &steeringCheck{load: l, sent: make(map[string][]time.Time), tries: tries}
+	c := &steeringCheck{load: l, sent: make(map[string][]time.Time)}
 	regionOfZone := make(map[string]string)
 	for _, r := range l.cluster.Document.Regions {
 		for _, z := range r.Zones {
@@ -212,7 +211,7 @@
 }
 
 // series returns the steps of the run after the warm-up.
-func (c *steeringCheck) series() []SteeringPoint {
+func (c *steeringCheck) series(requests []caller.Note) []SteeringPoint {
 	from := c.load.began.Add(c.load.sc.warm)
 	steps := int((c.load.sc.total() - c.load.sc.warm) / seriesStep)
 	points := make([]SteeringPoint, steps)
@@ -221,8 +220,8 @@
 		i := int(at.Sub(from) / seriesStep)
 		return i, !at.Before(from) && i < steps
 	}
-	for i := range c.tries {
-		n := &c.tries[i]
+	for i := range requests {
+		n := &requests[i]
 		step, ok := index(n.Started)
 		if !ok {
 			continue
--- a/internal/bench/steering_report.go
+++ b/internal/bench/steering_report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -66,20 +67,21 @@
 func newSteeringRun(l *steeringLoad, policy steering.PolicyName) *SteeringRun {
 	tries := l.cluster.Notes.Tries()
 	check := newSteeringCheck(l, tries, l.cluster.Log.Records())
+	requests := requestsOf(tries)
 	run := &SteeringRun{
 		Policy:   policy,
 		Seconds:  time.Since(l.began).Seconds(),
 		Attempts: len(check.arrivals),
 		Overruns: l.cluster.Notes.Overruns(),
 		Promises: l.cluster.Check(),
-		Classes:  steeringClasses(l, tries),
+		Classes:  steeringClasses(l, requests),
 	}
 	run.CapExceeded = check.capExceeded()
 	run.RegionOverloaded, run.TargetFull = check.overloaded()
 	run.Shifted = check.shifted()
 	run.ShareShifted = float64(run.Shifted) / float64(max(1, run.Attempts))
 	run.Regions = check.regions()
-	run.Series = check.series()
+	run.Series = check.series(requests)
 	run.SettleMS = settleTime(run.Series, l.sc.event)
 	run.Reversals = reversals(run.Series)
 	return run
@@ -87,21 +89,21 @@
 
 func (l *steeringLoad) measured(at time.Time) bool { return !at.Before(l.began.Add(l.sc.warm)) }
 
-func steeringClasses(l *steeringLoad, tries []caller.Note) []SteeringClass {
+func steeringClasses(l *steeringLoad, requests []caller.Note) []SteeringClass {
 	classes := slices.Clone(l.cluster.Document.Classes)
 	slices.SortFunc(classes, func(a, b classOf) int { return cmp.Compare(a.Priority, b.Priority) })
 	var out []SteeringClass
 	for _, c := range classes {
-		out = append(out, steeringClass(l, tries, c.Name))
+		out = append(out, steeringClass(l, requests, c.Name))
 	}
 	return out
 }
 
-func steeringClass(l *steeringLoad, tries []caller.Note, class string) SteeringClass {
+func steeringClass(l *steeringLoad, requests []caller.Note, class string) SteeringClass {
 	r := SteeringClass{Class: class}
 	latency := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-	for i := range tries {
-		n := &tries[i]
+	for i := range requests {
+		n := &requests[i]
 		if n.Class != class || !l.measured(n.Started) {
 			continue
 		}
@@ -123,6 +125,26 @@
 	return r
 }
 
+// requestsOf joins the tries of each request: it starts with the first one
+// and ends, with what was told, with the last one.
+func requestsOf(tries []caller.Note) []caller.Note {
+	sorted := slices.Clone(tries)
+	slices.SortFunc(sorted, func(a, b caller.Note) int { return a.Started.Compare(b.Started) })
+	index := make(map[string]int)
+	var out []caller.Note
+	for _, n := range sorted {
+		id := n.RequestID[:strings.LastIndexByte(n.RequestID, '-')]
+		at, known := index[id]
+		if !known {
+			index[id] = len(out)
+			out = append(out, n)
+			continue
+		}
+		out[at].Told, out[at].Ended = n.Told, n.Ended
+	}
+	return out
+}
+
 // Steps of the series, and what counts as settled and as a turn.
 const (
 	seriesStep   = 500 * time.Millisecond
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -165,8 +165,8 @@
 		p.grant(r)
 		return nil
 	}
-	wait := p.ExpectedWait(r.Class, now)
-	if p.placeElsewhere(r, wait) {
+	wait := max(p.ExpectedWait(r.Class, now), p.capWait(r))
+	if !p.yields(r) && p.placeElsewhere(r, wait) {
 		p.grant(r)
 		return nil
 	}
--- a/internal/steering/pool_place.go
+++ b/internal/steering/pool_place.go
@@ -117,6 +117,43 @@
 	return true
 }
 
+// yields reports whether waiting requests go before r wherever it is placed:
+// while this region has no slots, or may not serve r's callers.
+func (p *Pool) yields(r *Request) bool {
+	_, ok := p.capFor(r, p.cfg.Region)
+	return (p.local.limit == 0 || !ok) && p.queue.AheadOfRegion(r.Class, r.CallerRegion) > 0
+}
+
+// capWait returns how long the shift caps make a request wait behind those of
+// its caller's region; 0 when it may be served without a cap.
+func (p *Pool) capWait(r *Request) time.Duration {
+	home := r.CallerRegion == "" || r.CallerRegion == p.cfg.Region
+	if home && p.local.limit > 0 {
+		return 0
+	}
+	perSecond := 0.0
+	if p.local.limit > 0 {
+		perSecond += p.capPerSecond(r.CallerRegion, p.cfg.Region)
+	}
+	for _, rem := range p.remotes {
+		if !p.now.Before(rem.validUntil) && !rem.static {
+			continue
+		}
+		if rem.Region == r.CallerRegion {
+			return 0
+		}
+		perSecond += p.capPerSecond(r.CallerRegion, rem.Region)
+	}
+	return drainTime(p.queue.AheadOfRegion(r.Class, r.CallerRegion)+1, perSecond)
+}
+
+func (p *Pool) capPerSecond(from, to string) float64 {
+	if c := p.caps[CapKey{from, to}]; c != nil {
+		return c.PerSecond(p.now)
+	}
+	return 0
+}
+
 // capFor returns the cap that a request served in region counts against, nil
 // when that is no shift; ok is false when the cap is reached or not set.
 func (p *Pool) capFor(r *Request, region string) (cap *ShiftCap, ok bool) {
--- a/internal/steering/pool_shed.go
+++ b/internal/steering/pool_shed.go
@@ -64,13 +64,12 @@
 // refuse decides a request with the advice to come back when the queue before
 // it has drained.
 func (p *Pool) refuse(r *Request, reason Reason) {
-	p.decisions = append(p.decisions, Decision{Request: r, Reason: reason, RetryAfter: p.RetryAfter(r.Class)})
+	p.decisions = append(p.decisions, Decision{Request: r, Reason: reason, RetryAfter: p.RetryAfter(r)})
 }
 
-// RetryAfter returns how long the requests that now go before the class take
-// to drain.
-func (p *Pool) RetryAfter(class string) time.Duration {
-	wait := p.ExpectedWait(class, p.now)
+// RetryAfter returns how long the requests that now go before r take to drain.
+func (p *Pool) RetryAfter(r *Request) time.Duration {
+	wait := max(p.ExpectedWait(r.Class, p.now), p.capWait(r))
 	if wait >= maxWait {
 		return noTargetRetryAfter
 	}
--- a/internal/steering/queue.go
+++ b/internal/steering/queue.go
@@ -48,14 +48,18 @@
 	share  float64 // guaranteed part of the dequeues
 	credit float64 // dequeues owed
 	flows  []*flow // backlogged tenants
-	all    map[string]*flow
+	all    map[flowKey]*flow
 	vtime  float64
 	len    int
 }
 
-// flow is the waiting line of one tenant in one class.
+// flowKey names a waiting line. Callers of different regions wait apart, since
+// a shift cap may hold up those of one region only.
+type flowKey struct{ tenant, region string }
+
+// flow is the waiting line of one tenant's callers of one region in one class.
 type flow struct {
-	tenant     string
+	key        flowKey
 	weight     float64
 	finish     float64 // virtual finish time of the last dequeue
 	head, tail *Item
@@ -72,7 +76,7 @@
 	q := &Queue{byName: make(map[string]*classQueue), tenants: tenants}
 	for _, s := range specs {
 		s.Weight = max(s.Weight, 1)
-		c := &classQueue{spec: s, all: make(map[string]*flow)}
+		c := &classQueue{spec: s, all: make(map[flowKey]*flow)}
 		q.insertClass(c)
 		q.weightSum += float64(s.Weight)
 	}
@@ -116,10 +120,26 @@
 	return n
 }
 
+// AheadOfRegion is Ahead among the callers of one region.
+func (q *Queue) AheadOfRegion(name, region string) int {
+	n := 0
+	for _, c := range q.classes {
+		for _, f := range c.flows {
+			if f.key.region == region {
+				n += f.len
+			}
+		}
+		if c.spec.Name == name {
+			break
+		}
+	}
+	return n
+}
+
 // Push appends a request. A class that is not known joins the last one.
 func (q *Queue) Push(r *Request, now time.Time) *Item {
 	c := q.class(r.Class)
-	f := c.flow(r.Tenant, q.tenants)
+	f := c.flow(flowKey{r.Tenant, r.CallerRegion}, q.tenants)
 	it := &Item{Request: r, Enqueued: now, expires: r.Deadline, class: c, flow: f}
 	if c.spec.MaxWait > 0 && now.Add(c.spec.MaxWait).Before(it.expires) {
 		it.expires = now.Add(c.spec.MaxWait)
@@ -275,12 +295,12 @@
 	return q.classes[len(q.classes)-1]
 }
 
-func (c *classQueue) flow(tenant string, weights map[string]int) *flow {
-	if f := c.all[tenant]; f != nil {
+func (c *classQueue) flow(key flowKey, weights map[string]int) *flow {
+	if f := c.all[key]; f != nil {
 		return f
 	}
-	f := &flow{tenant: tenant, weight: float64(max(weights[tenant], 1)), finish: c.vtime}
-	c.all[tenant] = f
+	f := &flow{key: key, weight: float64(max(weights[key.tenant], 1)), finish: c.vtime}
+	c.all[key] = f
 	return f
 }
 
@@ -307,7 +327,7 @@
 		}
 	}
 	if len(c.all) > maxIdleFlows {
-		delete(c.all, f.tenant)
+		delete(c.all, f.key)
 	}
 }
 
--- a/internal/steering/shiftcap.go
+++ b/internal/steering/shiftcap.go
@@ -84,6 +84,12 @@
 	return c.shiftedNow() < c.owed
 }
 
+// PerSecond returns the shifts a second that the cap allows at present.
+func (c *ShiftCap) PerSecond(now time.Time) float64 {
+	c.advance(now)
+	return float64(c.budget) / (c.limits.Window / capBuckets).Seconds()
+}
+
 // Fraction returns the shifted requests of the last window per request that
 // was counted in the window before it.
 func (c *ShiftCap) Fraction(now time.Time) float64 {
