--- a/internal/bench/steering.go
+++ b/internal/bench/steering.go
@@ -183,7 +183,7 @@
 	}
 	perZone := part.load * l.capacity(r.Name) / float64(len(r.Zones))
 	made := l.cluster.Callers(caller.Options{
-		Name:     part.name,
+		Prefix:   part.name,
 		Shapes:   steeringShapes(l.cluster.Document),
 		Rate:     perZone * float64(zones),
 		MaxTries: l.sc.tries,
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/confsync"
+	"masticturn/internal/drain"
 	"masticturn/internal/forward"
+	"masticturn/internal/idempotency"
 	"masticturn/internal/kernel"
 	"masticturn/internal/lookup"
 	"masticturn/internal/measure"
@@ -41,9 +41,14 @@
 			Requires: []string{peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName},
 			New:      d.newMeasure,
 		},
+		{
+			Name:     idempotency.ServiceName,
+			Requires: []string{peer.ServiceName, storeName, confsync.ServiceName},
+			New:      d.newKeys,
+		},
 		{
 			Name:     lookup.ServiceName,
-			Requires: []string{membership.ServiceName, confsync.ServiceName},
+			Requires: []string{membership.ServiceName, confsync.ServiceName, idempotency.ServiceName},
 			New:      d.newLookup,
 		},
 		{
@@ -53,14 +58,20 @@
 		},
 		{
 			Name:     forward.ServiceName,
-			Requires: []string{confsync.ServiceName, measure.ServiceName, lookup.ServiceName, admission.ServiceName},
+			Requires: []string{confsync.ServiceName, measure.ServiceName, idempotency.ServiceName, lookup.ServiceName, admission.ServiceName},
 			New:      d.newForward,
 		},
 		{
 			Name:     operator.ServiceName,
-			Requires: []string{confsync.ServiceName, membership.ServiceName},
+			Requires: []string{storeName, membership.ServiceName, confsync.ServiceName, measure.ServiceName, forward.ServiceName},
 			New:      d.newOperator,
 		},
+		{
+			// Required by none and requiring the last ones: it is drained first.
+			Name:     drain.ServiceName,
+			Requires: []string{membership.ServiceName, confsync.ServiceName, forward.ServiceName, operator.ServiceName},
+			New:      d.newDrain,
+		},
 	}
 }
 
@@ -182,20 +193,45 @@
 	}), nil
 }
 
+func (d *Daemon) newKeys(k *kernel.Kernel) (kernel.Service, error) {
+	var w wiring
+	var err error
+	need(k, peer.ServiceName, &w.network, &err)
+	need(k, storeName, &w.store, &err)
+	need(k, confsync.ServiceName, &w.config, &err)
+	if err != nil {
+		return nil, err
+	}
+	return idempotency.NewKeys(idempotency.Deps{
+		Self:    idempotency.Instance{VM: d.settings.VM.Name, Incarnation: d.incarnation},
+		Store:   w.store,
+		Network: w.network,
+		Config:  w.config,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
+		Metrics: d.opts.Metrics,
+	})
+}
+
 func (d *Daemon) newLookup(k *kernel.Kernel) (kernel.Service, error) {
 	var w wiring
 	var err error
 	need(k, membership.ServiceName, &w.members, &err)
+	var keys *idempotency.Keys
 	need(k, confsync.ServiceName, &w.config, &err)
+	need(k, idempotency.ServiceName, &keys, &err)
 	if err != nil {
 		return nil, err
 	}
-	return lookup.NewService(lookup.Deps{
+	s := lookup.NewService(lookup.Deps{
 		Config:  w.config,
 		Members: w.members,
 		Home:    lookup.Place{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
+		Tickets: keys,
 		Metrics: d.opts.Metrics,
-	}), nil
+	})
+	keys.Subscribe(s.Renew)
+	return s, nil
 }
 
 func (d *Daemon) newAdmission(k *kernel.Kernel) (kernel.Service, error) {
@@ -225,6 +261,8 @@
 	var err error
 	var places *lookup.Service
 	var admitter admission.Admitter
+	var keys *idempotency.Keys
+	need(k, idempotency.ServiceName, &keys, &err)
 	need(k, confsync.ServiceName, &w.config, &err)
 	need(k, measure.ServiceName, &w.targets, &err)
 	need(k, lookup.ServiceName, &places, &err)
@@ -237,6 +275,7 @@
 		Admission: admitter,
 		Locator:   places,
 		Measure:   w.targets,
+		Keys:      keys,
 		Dial:      d.opts.Dial,
 		Logger:    d.opts.Logger,
 		Metrics:   d.opts.Metrics,
@@ -252,25 +291,21 @@
 	}), nil
 }
 
-func (d *Daemon) newOperator(k *kernel.Kernel) (kernel.Service, error) {
-	var members *membership.Service
-	var sync *confsync.Service
+func (d *Daemon) newDrain(k *kernel.Kernel) (kernel.Service, error) {
+	var w wiring
 	var err error
-	need(k, membership.ServiceName, &members, &err)
-	need(k, confsync.ServiceName, &sync, &err)
+	var callers *forward.Service
+	need(k, membership.ServiceName, &w.members, &err)
+	need(k, confsync.ServiceName, &w.config, &err)
+	need(k, forward.ServiceName, &callers, &err)
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewServer(operator.Deps{
-		Listener:  d.listeners.operators,
-		TokenFile: d.settings.Operator.TokenFile,
-		Ready: func() error {
-			if !members.Ready() {
-				return trace.ConnectionProblem(nil, "this daemon has not joined the others yet")
-			}
-			return sync.Ready()
-		},
-		Metrics: d.opts.Metrics,
+	return drain.NewService(drain.Deps{
+		Members: w.members,
+		Callers: callers,
+		Config:  w.config,
+		Clock:   d.opts.Clock,
 		Logger:  d.opts.Logger,
 	}), nil
 }
--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -42,13 +42,13 @@
 	VM         string
 	Repeatable bool // may be run twice without a key
 	BodyBytes  int64
-	BodyHash   uint64
 	Started    time.Time
 	Ended      time.Time
 	Told       Told
 	Status     int
 	Replayed   bool // a recorded answer
 	GaveUp     bool // the caller's own patience ended
+	Refused    bool // no connection could be opened
 	Content    Content
 	Step       string // told on errors
 	Peer       string // told on errors
