--- a/internal/bench/steering_scenarios.go
+++ b/internal/bench/steering_scenarios.go
@@ -71,7 +71,7 @@
 	return []steeringScenario{
 		{name: "steady", load: 0.8, warm: steeringWarm, event: steeringEvent},
 		{name: "surge", load: 0.2, warm: steeringWarm, event: surgeSteps * time.Second, after: 2 * time.Second, parts: surgeParts},
-		eventScenario("region-loss", 0.5, 3, loseRegion, regainRegion),
+		regionLoss(),
 		eventScenario("zone-loss", 0.5, 3, loseZone, regainZone),
 		withParts(eventScenario("partition", 0.4, 1, partition, heal), partitionedLoad),
 		withParts(squeezed(), squeezedLoad),
@@ -116,6 +116,14 @@
 	}
 }
 
+// regionLoss lasts longer than others: a region that is silent as a whole is
+// given up late, since it may be cut off only.
+func regionLoss() steeringScenario {
+	s := eventScenario("region-loss", 0.5, 3, loseRegion, regainRegion)
+	s.warm, s.event, s.after = 2*time.Second, 12*time.Second, 4*time.Second
+	return s
+}
+
 // withParts gives the event's region another load than the others.
 func withParts(s steeringScenario, eventLoad float64) steeringScenario {
 	s.parts = func(eventRegion bool, load float64) []loadPart {
