--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -8,6 +8,7 @@
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
 	"masticturn/internal/steering"
+	"masticturn/internal/telemetry"
 )
 
 // BrokerStep is a step of a broker's term.
@@ -163,6 +164,7 @@
 func (b *broker) begin(now time.Time) {
 	b.step = BrokerRecovering
 	b.began = now
+	b.core.note(eventTermBegan)
 	b.granter.Recover(creditTTL+creditMargin, now)
 	b.core.pool.Freeze(now.Add(recoverLongest))
 	b.awaited = make(map[string]bool)
@@ -231,6 +233,7 @@
 // another process may have been broker meanwhile.
 func (b *broker) resume(now time.Time) {
 	b.id.Term++
+	b.core.note(eventBrokerPaused)
 	for region, g := range b.grantees {
 		g.Drop()
 		b.core.pool.SetCredits(steering.Credits{Region: region}, b.spec)
@@ -259,6 +262,9 @@
 // serve ends the recovery.
 func (b *broker) serve() {
 	b.step = BrokerServing
+	b.core.note(eventBrokerServes,
+		telemetry.Value(fieldComplete, b.complete),
+		telemetry.Value(fieldTook, b.last.Sub(b.began).Milliseconds()))
 	b.core.pool.Freeze(time.Time{})
 	b.core.pool.Tick(b.last)
 }
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -7,6 +7,7 @@
 	"masticturn/internal/measure"
 	"masticturn/internal/outcome"
 	"masticturn/internal/steering"
+	"masticturn/internal/telemetry"
 )
 
 // refreshEvery is how often the limits of targets are derived anew when
@@ -32,6 +33,7 @@
 	left      map[string]time.Time // by target, until when it counts as leaving
 	withheld  func(t *steering.Target, usable int) int
 	view      *measure.View // the last one seen
+	notes     []note        // to be logged
 	viewed    uint64
 	refreshed time.Time
 }
@@ -151,10 +153,22 @@
 	default:
 		if c.ejector.Observe(t.Name, r.succeeded(), c.pool.InFlight(), now) {
 			c.pool.SetLimit(t, 0)
+			c.note(eventTargetEjected, telemetry.Value(fieldTarget, t.Name))
 		}
 	}
 }
 
+func (c *core) note(e *telemetry.Event, fields ...telemetry.Field) {
+	c.notes = append(c.notes, note{e, fields})
+}
+
+// takeNotes returns what is to be logged.
+func (c *core) takeNotes() []note {
+	notes := c.notes
+	c.notes = nil
+	return notes
+}
+
 // succeeded reports whether the target did its work.
 func (r Result) succeeded() bool {
 	return r.Outcome == outcome.Answered && r.Status < statusServerError
--- a/internal/admission/local.go
+++ b/internal/admission/local.go
@@ -10,6 +10,7 @@
 	"masticturn/internal/config"
 	"masticturn/internal/outcome"
 	"masticturn/internal/steering"
+	"masticturn/internal/telemetry"
 )
 
 // tickEvery is how often queues are looked at for requests that wait too long.
@@ -29,6 +30,8 @@
 
 // localPool is the pool of one service.
 type localPool struct {
+	service  string
+	logger   *telemetry.Logger
 	mu       sync.Mutex
 	core     *core
 	snapshot *config.Snapshot
@@ -124,6 +127,8 @@
 	}
 	now := l.deps.Clock.Now()
 	p := &localPool{
+		service:  svc.Name,
+		logger:   l.deps.Logger,
 		core:     newCore(s, svc, l.poolConfig(s, svc), now),
 		snapshot: s,
 		waiters:  make(map[*steering.Request]*waiter),
@@ -159,7 +164,7 @@
 	if s == p.snapshot {
 		return
 	}
-	svc := s.Service(p.serviceName())
+	svc := s.Service(p.service)
 	if svc == nil {
 		return
 	}
@@ -171,15 +176,11 @@
 	}
 }
 
-func (p *localPool) serviceName() string {
-	for _, t := range p.core.targets {
-		return t.Service
-	}
-	return ""
-}
-
 // deliver hands out the pool's decisions.
 func (p *localPool) deliver() {
+	for _, n := range p.core.takeNotes() {
+		n.log(p.logger, p.service)
+	}
 	for _, d := range p.core.pool.TakeDecisions() {
 		w := p.waiters[d.Request]
 		delete(p.waiters, d.Request)
--- a/internal/admission/station.go
+++ b/internal/admission/station.go
@@ -133,6 +133,11 @@
 	s.follow(now)
 	f(now)
 	s.route(now)
+	if s.broker != nil {
+		for _, n := range s.broker.core.takeNotes() {
+			n.log(s.deps.Logger, s.scope.Service)
+		}
+	}
 }
 
 func (s *station) tick() {
