steering: own successes outweigh probes; a new broker knows its limits from the start

Cause: measured. With all load and health endpoints silent, targets that answered were taken for down and 45% of the first class was refused. A new broker refused what waited, since it had not yet derived its targets' limits, and since a freeze counted in full as expected wait. Change: an own success of the last 2 s outweighs a probe that finds a target down; while most slots are believed down one target after the other is tried. Limits are derived when a term begins. Of several regions the one that can take a request now is chosen.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -132,6 +132,7 @@
 	id       brokerID
 	snapshot *config.Snapshot
 	members  *membership.View
+	targets  *measure.View
 	settled  time.Time // not to serve before: the view of a new process may lack members
 	now      time.Time
 }
@@ -155,6 +156,7 @@
 	terms := steering.CreditTerms{TTL: creditTTL, Margin: creditMargin, MaxRun: longestRun(p.snapshot, p.scope.Service)}
 	b.granter = steering.NewGranter(terms, 0, p.now)
 	b.core.withheld = b.withheld
+	b.core.refresh(p.targets, p.now)
 	b.begin(p.now)
 	return b
 }
@@ -266,6 +268,7 @@
 		telemetry.Value(fieldComplete, b.complete),
 		telemetry.Value(fieldTook, b.last.Sub(b.began).Milliseconds()))
 	b.core.pool.Freeze(time.Time{})
+	b.core.refreshNow(b.last)
 	b.core.pool.Tick(b.last)
 }
 
@@ -323,7 +326,7 @@
 func (b *broker) withheld(t *steering.Target, usable int) int {
 	held := b.granter.Held(t.Name)
 	kept := usable - b.splitShare(usable)
-	if !b.complete && b.last.Sub(b.began) < unexplainedFor {
+	if b.step == BrokerServing && !b.complete && b.last.Sub(b.began) < unexplainedFor {
 		kept = max(kept, t.Reported()-t.InFlight()-held)
 	}
 	return held + kept
--- a/internal/admission/cluster_test.go
+++ b/internal/admission/cluster_test.go
@@ -197,6 +197,12 @@
 	}
 }
 
+func (c *cluster) isDown(target string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets[target].down
+}
+
 // run takes a slot at a target; false when it is full.
 func (c *cluster) run(target string) bool {
 	c.mu.Lock()
@@ -278,6 +284,10 @@
 	}
 	name := p.Target().Name
 	time.Sleep(way)
+	if c.isDown(name) {
+		p.Release(Result{Outcome: outcome.NotRun, Step: outcome.StepConnect, InFlight: -1})
+		return false
+	}
 	if !c.run(name) {
 		time.Sleep(way)
 		p.Release(Result{Outcome: outcome.NotRun, Step: outcome.StepReceive, Status: 503, ShedByPeer: true, InFlight: -1})
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -27,6 +27,9 @@
 type core struct {
 	pool      *steering.Pool
 	ejector   *steering.Ejector
+	evidence  *steering.Evidence
+	trials    steering.Trials
+	trial     string // target that is tried although it is believed down
 	caution   steering.Caution
 	targets   map[string]*config.TargetIndex
 	paused    map[string]time.Time // by target, end of the pause after a shed
@@ -40,11 +43,12 @@
 
 func newCore(s *config.Snapshot, svc *config.ServiceIndex, cfg steering.PoolConfig, now time.Time) *core {
 	c := &core{
-		pool:    steering.NewPool(cfg, now),
-		ejector: steering.NewEjector(),
-		paused:  make(map[string]time.Time),
-		left:    make(map[string]time.Time),
-		view:    &measure.View{},
+		pool:     steering.NewPool(cfg, now),
+		ejector:  steering.NewEjector(),
+		evidence: steering.NewEvidence(),
+		paused:   make(map[string]time.Time),
+		left:     make(map[string]time.Time),
+		view:     &measure.View{},
 	}
 	c.setTargets(s, svc)
 	return c
@@ -56,6 +60,7 @@
 	pool, items := c.pool.Reconfigure(cfg, now)
 	c.pool = pool
 	c.setTargets(s, svc)
+	c.refreshNow(now)
 	return items
 }
 
@@ -64,6 +69,7 @@
 	c.viewed, c.refreshed = 0, time.Time{}
 	for name := range c.targets {
 		c.ejector.SetSlots(name, 0)
+		c.evidence.Forget(name)
 	}
 	c.targets = make(map[string]*config.TargetIndex, len(svc.AllTargets))
 	for _, t := range svc.AllTargets {
@@ -94,9 +100,33 @@
 func (c *core) refreshNow(now time.Time) {
 	c.refreshed = now
 	view := c.view
+	c.chooseTrial(now)
 	c.pool.EachTarget(func(t *steering.Target) { c.limit(t, view.Target(t.Name), now) })
 }
 
+// chooseTrial chooses the target to try while probes find most slots down.
+func (c *core) chooseTrial(now time.Time) {
+	var down []string
+	slots, all := 0, 0
+	for _, t := range c.pool.Local() {
+		all += t.Slots
+		s := c.view.Target(t.Name)
+		if s.Health != measure.Down {
+			continue
+		}
+		slots += t.Slots
+		if c.evidence.Weigh(t.Name, s, 0, t.Slots, now) == 0 {
+			down = append(down, t.Name)
+		}
+	}
+	c.trial = c.trials.Next(down, steering.MostDown(slots, all), now)
+	n := 0
+	if c.trial != "" {
+		n = steering.TrialSlots
+	}
+	c.pool.SetTrials(n)
+}
+
 func (c *core) limit(t *steering.Target, s measure.TargetState, now time.Time) {
 	idx := c.targets[t.Name]
 	if idx == nil {
@@ -104,6 +134,12 @@
 	}
 	t.SetReported(steering.ReportedLoad(s, c.caution, now))
 	usable := steering.UsableSlots(t.Slots, idx.Leaving, s, c.caution, now)
+	if !idx.Leaving {
+		usable = c.evidence.Weigh(t.Name, s, usable, t.Slots, now)
+		if t.Name == c.trial {
+			usable = max(usable, steering.TrialSlots)
+		}
+	}
 	if c.ejector.Ejected(t.Name, now) || during(c.left, t.Name, now) {
 		usable = 0
 	}
@@ -151,6 +187,7 @@
 		c.paused[t.Name] = now.Add(shedPause)
 		c.pool.SetLimit(t, min(t.Limit(), max(1, t.InFlight()-1)))
 	default:
+		c.evidence.Observe(t.Name, r.succeeded(), now)
 		if c.ejector.Observe(t.Name, r.succeeded(), c.pool.InFlight(), now) {
 			c.pool.SetLimit(t, 0)
 			c.note(eventTargetEjected, telemetry.Value(fieldTarget, t.Name))
--- a/internal/admission/faults_test.go
+++ b/internal/admission/faults_test.go
@@ -143,7 +143,10 @@
 		if got := share(results, "east", "read", 4*second, total); got < 0.999 {
 			t.Errorf("after the change of brokers %.4f of the first class were answered", got)
 		}
-		t.Logf("during the change %.3f of the first class were answered", share(results, "east", "read", 3*second, 4*second))
+		// A third of the callers use the VM that crashes.
+		if got := share(results, "east", "read", 3*second, 4*second); got < 0.85 {
+			t.Errorf("during the change %.3f of the first class were answered", got)
+		}
 	})
 }
 
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -94,7 +94,7 @@
 		v.broker = nil
 	case v.broker == nil:
 		v.terms++
-		v.broker = newBroker(brokerParams{scope: s, id: brokerID{self, v.terms}, snapshot: m.snapshot, members: v.view, now: m.now})
+		v.broker = newBroker(brokerParams{scope: s, id: brokerID{self, v.terms}, snapshot: m.snapshot, members: v.view, targets: &measure.View{}, now: m.now})
 	default:
 		v.broker.setMembers(v.view, m.now)
 	}
--- a/internal/admission/station.go
+++ b/internal/admission/station.go
@@ -67,7 +67,7 @@
 		s.terms++
 		s.broker = newBroker(brokerParams{
 			scope: s.scope, id: brokerID{self, s.terms}, snapshot: s.snapshot,
-			members: v, settled: s.settled, now: now,
+			members: v, targets: s.deps.Targets.View(), settled: s.settled, now: now,
 		})
 	default:
 		s.broker.setMembers(v, now)
--- a/internal/steering/decisions_test.go
+++ b/internal/steering/decisions_test.go
@@ -172,3 +172,56 @@
 		}
 	}
 }
+
+func TestOwnOutcomesOutweighProbes(t *testing.T) {
+	now := epoch.Add(time.Hour)
+	down := measure.TargetState{Health: measure.Down, MeasuredAt: now}
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	tests := []struct {
+		name             string
+		success, failure time.Time
+		want             int
+	}{
+		{"no outcomes", time.Time{}, time.Time{}, 0},
+		{"a success just now", ago(time.Second), time.Time{}, 4},
+		{"a success long ago", ago(time.Minute), time.Time{}, 0},
+		{"a failure after the success", ago(time.Second), ago(time.Millisecond), 0},
+	}
+	for _, tt := range tests {
+		e := NewEvidence()
+		if !tt.success.IsZero() {
+			e.Observe("t", true, tt.success)
+		}
+		if !tt.failure.IsZero() {
+			e.Observe("t", false, tt.failure)
+		}
+		if got := e.Weigh("t", down, 0, 4, now); got != tt.want {
+			t.Errorf("%s: %d slots, want %d", tt.name, got, tt.want)
+		}
+	}
+	draining := measure.TargetState{Health: measure.Draining, MeasuredAt: now}
+	e := NewEvidence()
+	e.Observe("t", true, now)
+	if got := e.Weigh("t", draining, 0, 4, now); got != 0 {
+		t.Errorf("a leaving target got %d slots", got)
+	}
+}
+
+func TestTrialsTakeTurns(t *testing.T) {
+	var trials Trials
+	down := []string{"a", "b"}
+	var got string
+	for range 4 {
+		got += trials.Next(down, true, epoch)
+		got += trials.Next(down, true, epoch.Add(trialEvery/2))
+		epoch := epoch.Add(trialEvery)
+		got += trials.Next(down, true, epoch)
+		trials = Trials{}
+	}
+	if got != "aabaabaabaab" {
+		t.Errorf("turns %s", got)
+	}
+	if trials.Next(down, false, epoch) != "" || trials.Next(nil, true, epoch) != "" {
+		t.Error("a trial while few are down, or with none to try")
+	}
+}
--- a/internal/steering/health.go
+++ b/internal/steering/health.go
@@ -12,9 +12,9 @@
 	Cold  time.Duration // steering.cold_ms
 }
 
-// trialSlots is how many requests at a time may try a target that was last
-// seen down, once that view is old.
-const trialSlots = 1
+// TrialSlots is how many requests at a time may try a target that is believed
+// down.
+const TrialSlots = 1
 
 // UsableSlots returns how many of a target's slots may be used by belief s
 // about it: none while it leaves or is down, some while it is cold, and never
@@ -29,7 +29,7 @@
 		if Allowed(InputTargetHealth, band).Believe {
 			return 0
 		}
-		return min(slots, trialSlots)
+		return min(slots, TrialSlots)
 	case measure.Cold:
 		return SlowStartSlots(slots, now.Sub(s.ColdSince), c.Cold)
 	}
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -96,6 +96,7 @@
 	chosen    placement
 
 	frozenUntil time.Time
+	trials      int     // usable slots that are trials
 	utilisation float64 // of this region, smoothed over utilisationWindow
 	smoothed    time.Time
 }
@@ -240,6 +241,13 @@
 	}
 }
 
+// SetTrials tells how many of this region's usable slots are trials of targets
+// that are believed down: nothing is expected of them.
+func (p *Pool) SetTrials(n int) { p.trials = n }
+
+// solid returns the usable slots of this region that can be counted on.
+func (p *Pool) solid() int { return max(0, p.local.limit-p.trials) }
+
 // Tick refuses requests whose time in the queue is over, and dispatches what
 // the passing of time has made possible.
 func (p *Pool) Tick(now time.Time) {
--- a/internal/steering/pool_place.go
+++ b/internal/steering/pool_place.go
@@ -53,10 +53,10 @@
 	return false
 }
 
-// placeElsewhere chooses the region with the greatest advantage over waiting
-// here for so long.
+// placeElsewhere chooses, of the regions that can take the request now, the
+// one with the greatest advantage over waiting here for so long.
 func (p *Pool) placeElsewhere(r *Request, wait time.Duration) bool {
-	var best *remote
+	var best placement
 	var most time.Duration
 	i := p.classIndex(r.Class)
 	for _, rem := range p.remotes {
@@ -65,17 +65,18 @@
 		}
 		adv := p.advantage(rem, i, wait)
 		on := rem.shift[i].Update(adv, p.band(), p.now) && adv > -p.band()
-		if on && (best == nil || adv > most) {
-			best, most = rem, adv
+		if on && (best.target == nil || adv > most) && p.placeAt(rem, r) {
+			best, most = p.chosen, adv
 		}
 	}
-	return best != nil && p.placeAt(best, r)
+	p.chosen = best
+	return best.target != nil
 }
 
 // advantage compares serving a request of a class at rem with waiting here.
 // Headroom counts the more the later the class goes: what can wait moves first.
 func (p *Pool) advantage(rem *remote, class int, wait time.Duration) time.Duration {
-	if p.local.limit == 0 {
+	if p.solid() == 0 {
 		wait = maxWait
 	}
 	here := Place{Wait: wait, Service: p.service.Mean(), Utilisation: p.utilisation}
@@ -121,18 +122,18 @@
 // while this region has no slots, or may not serve r's callers.
 func (p *Pool) yields(r *Request) bool {
 	_, ok := p.capFor(r, p.cfg.Region)
-	return (p.local.limit == 0 || !ok) && p.queue.AheadOfRegion(r.Class, r.CallerRegion) > 0
+	return (p.solid() == 0 || !ok) && p.queue.AheadOfRegion(r.Class, r.CallerRegion) > 0
 }
 
 // capWait returns how long the shift caps make a request wait behind those of
 // its caller's region; 0 when it may be served without a cap.
 func (p *Pool) capWait(r *Request) time.Duration {
 	home := r.CallerRegion == "" || r.CallerRegion == p.cfg.Region
-	if home && p.local.limit > 0 {
+	if home && p.solid() > 0 {
 		return 0
 	}
 	perSecond := 0.0
-	if p.local.limit > 0 {
+	if p.solid() > 0 {
 		perSecond += p.capPerSecond(r.CallerRegion, p.cfg.Region)
 	}
 	for _, rem := range p.remotes {
--- a/internal/steering/pool_remote.go
+++ b/internal/steering/pool_remote.go
@@ -89,7 +89,7 @@
 		arrivals += p.rates[i].PerSecond(now)
 	}
 	run := (rem.service.Mean() + 2*p.oneWay(region)).Seconds()
-	excess := arrivals - float64(p.local.limit)/p.service.Mean().Seconds()
+	excess := arrivals - float64(p.solid())/p.service.Mean().Seconds()
 	need := (max(0, excess)*run + float64(p.queue.Len())) / float64(max(others, 1))
 	need = max(need, wantSpare*float64(rem.inFlight))
 	return int(math.Ceil(min(need, arrivals*fraction*run))) + wantLeast
@@ -135,7 +135,7 @@
 // less the headroom it keeps, less what runs and waits here. held is what
 // counts as used by others, which the limits leave out.
 func (p *Pool) Budget(held int) int {
-	usable := p.local.limit + held
+	usable := p.solid() + held
 	keep := int(math.Ceil(p.cfg.Comparison.HeadroomKeep * float64(usable)))
 	return max(0, usable-keep-p.local.inFlight-p.queue.Len())
 }
--- a/internal/steering/pool_shed.go
+++ b/internal/steering/pool_shed.go
@@ -10,15 +10,19 @@
 	noTargetRetryAfter = time.Second
 )
 
+// expectedFreeze bounds what a freeze adds to the expected wait: most end long
+// before they must.
+const expectedFreeze = 100 * time.Millisecond
+
 // ExpectedWait returns how long a request of the class that arrives now waits.
 func (p *Pool) ExpectedWait(class string, now time.Time) time.Duration {
-	frozen := max(0, p.frozenUntil.Sub(now))
+	frozen := min(max(0, p.frozenUntil.Sub(now)), expectedFreeze)
 	wait := p.drain(class, now).ExpectedWait(p.queue.Ahead(class)+1, p.queue.LenClass(class)+1)
 	return min(wait, maxWait) + frozen
 }
 
 func (p *Pool) drain(class string, now time.Time) DrainEstimate {
-	d := DrainEstimate{Slots: p.local.limit, ServiceTime: p.service.Mean()}
+	d := DrainEstimate{Slots: p.solid(), ServiceTime: p.service.Mean()}
 	if d.Slots == 0 {
 		d.Slots, d.ServiceTime = p.creditDrain(now)
 	}
@@ -47,7 +51,7 @@
 // tooLate reports whether a request with this expected wait would not be
 // answered in time.
 func (p *Pool) tooLate(r *Request, wait time.Duration) (Reason, bool) {
-	if p.local.limit == 0 && wait >= maxWait {
+	if p.solid() == 0 && wait >= maxWait {
 		return ReasonNoTarget, true
 	}
 	c := p.queue.class(r.Class)
