--- a/internal/admission/station.go
+++ b/internal/admission/station.go
@@ -67,7 +67,7 @@
 		s.terms++
 		s.broker = newBroker(brokerParams{
 			scope: s.scope, id: brokerID{self, s.terms}, snapshot: s.snapshot,
-			members: v, settled: s.settled, now: now,
+			members: v, targets: s.deps.Targets.View(), settled: s.settled, now: now,
 		})
 	default:
 		s.broker.setMembers(v, now)
@@ -133,6 +133,11 @@
 	s.follow(now)
 	f(now)
 	s.route(now)
+	if s.broker != nil {
+		for _, n := range s.broker.core.takeNotes() {
+			n.log(s.deps.Logger, s.scope.Service)
+		}
+	}
 }
 
 func (s *station) tick() {
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -24,6 +24,18 @@
 	seed   uint64
 }
 
+// takeTicket makes the ticket of the first VM part of the key. Every try sends
+// the same key, so that the ticket, or the lack of one, stays with the request.
+func (r *request) takeTicket(vm edge.LookupVM, without bool) {
+	if r.sent {
+		return
+	}
+	r.sent = true
+	if !without {
+		r.ticket = vm.Ticket
+	}
+}
+
 // wholeKey is the idempotency key as it is sent: the ticket is its head.
 func (r *request) wholeKey() string {
 	if r.key == "" || r.ticket == "" {
@@ -54,11 +66,7 @@
 
 // try sends the request once and notes what came of it.
 func (c *Caller) try(ctx context.Context, req *request, vm edge.LookupVM) (Note, time.Duration) {
-	if !req.sent {
-		// Every try sends the same key, so that the first VM's ticket, or its
-		// lack of one, stays with the request.
-		req.sent, req.ticket = true, vm.Ticket
-	}
+	req.takeTicket(vm, c.opts.NoTicket)
 	note := Note{
 		RequestID:  req.id,
 		Key:        req.wholeKey(),
