--- /dev/null
+++ b/internal/forward/load_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"masticturn/internal/config"
+	"masticturn/internal/edge"
+	"masticturn/internal/measure"
+	"masticturn/internal/telemetry"
+)
+
+// observer keeps what it hears.
+type observer struct{ heard []measure.Observation }
+
+func (o *observer) Observe(ob measure.Observation) { o.heard = append(o.heard, ob) }
+
+func TestTargetsOwnWordIsPassedOn(t *testing.T) {
+	tests := []struct {
+		name   string
+		header map[string]string
+		status int
+		want   []measure.Observation
+	}{
+		{"load only", map[string]string{edge.HeaderTargetLoad: "2/4"}, http.StatusOK, nil},
+		{
+			"draining",
+			map[string]string{edge.HeaderTargetDraining: "1", edge.HeaderTargetLoad: "2/4"},
+			http.StatusOK,
+			[]measure.Observation{{Target: "targeta", Draining: true, InFlight: 2, Slots: 4}},
+		},
+		{
+			"shed",
+			map[string]string{edge.HeaderTargetNotRun: "1", edge.HeaderTargetLoad: "x/4"},
+			http.StatusServiceUnavailable,
+			[]measure.Observation{{Target: "targeta", Shed: true, InFlight: -1}},
+		},
+	}
+	for _, tt := range tests {
+		address := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+			for name, value := range tt.header {
+				w.Header().Set(name, value)
+			}
+			w.WriteHeader(tt.status)
+		})
+		b := newBench(t, oneAttempt(address), nil, telemetry.Discard())
+		o := &observer{}
+		b.handler.deps.Measure = o
+		if _, _, err := b.call(t, "GET", "/svc/a", nil); err != nil {
+			t.Fatal(err)
+		}
+		_ = b.heldPermits()
+		if len(o.heard) != len(tt.want) || len(tt.want) == 1 && o.heard[0] != tt.want[0] {
+			t.Errorf("%s: heard %+v, want %+v", tt.name, o.heard, tt.want)
+		}
+		got := b.admission.released[0]
+		if got.Draining != (tt.header[edge.HeaderTargetDraining] == "1") || got.ShedByPeer != (tt.status != http.StatusOK) {
+			t.Errorf("%s: released with %+v", tt.name, got)
+		}
+	}
+}
+
+// The shares of all VMs never add up to more than a target's limit.
+func TestConnectionSharesAddUp(t *testing.T) {
+	for _, vms := range []int{1, 3, 10, 12, 361, 1400} {
+		for _, connections := range []int{0, 1, 35, 360} {
+			doc := document("127.0.0.1:1")
+			doc.Fleet.MaxVMs = vms
+			doc.Services[0].Targets[0].Connections = connections
+			snap, err := config.NewSnapshot(1, doc)
+			if err != nil {
+				t.Fatal(err)
+			}
+			share := connectionShare(snap, snap.Target("targeta"))
+			if share*vms > connections || (share+1)*vms <= connections {
+				t.Errorf("%d VMs, %d connections: share %d", vms, connections, share)
+			}
+		}
+	}
+}
+
+// A target without a connection left for this VM costs nothing but another try.
+func TestNoConnectionLeftIsNotRun(t *testing.T) {
+	doc := document("127.0.0.1:1")
+	doc.Services[0].Targets[0].Connections = 0
+	b := newBench(t, doc, nil, telemetry.Discard())
+	resp, _, err := b.call(t, "POST", "/svc/a", nil)
+	if err != nil || resp.Header.Get(edge.HeaderOutcome) != "not-run" || resp.Header.Get(edge.HeaderStep) != "connect" {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +96,61 @@
 		}
 	}
 }
+
+// Answers of all shapes arrive as they were sent.
+func TestAnswersOfAllShapes(t *testing.T) {
+	large := strings.Repeat("y", 3*bufferBytes+1)
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/svc/empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "/svc/unchanged":
+			w.Header().Set("Etag", `"1"`)
+			w.WriteHeader(http.StatusNotModified)
+		case "/svc/chunked":
+			for range 3 {
+				_, _ = io.WriteString(w, "piece ")
+				_ = http.NewResponseController(w).Flush()
+			}
+		case "/svc/length":
+			w.Header().Set("Content-Length", strconv.Itoa(len(large)))
+			_, _ = io.WriteString(w, large)
+		case "/svc/trailer":
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, large)
+			w.Header().Set("X-Sum", "42")
+		case "/svc/error":
+			http.Error(w, "no such ship", http.StatusNotFound)
+		}
+	})
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	tests := []struct {
+		method, path string
+		status       int
+		body, length string
+		trailer      string
+	}{
+		{"GET", "empty", http.StatusNoContent, "", "", ""},
+		{"GET", "unchanged", http.StatusNotModified, "", "", ""},
+		{"GET", "chunked", http.StatusOK, "piece piece piece ", "", ""},
+		{"GET", "length", http.StatusOK, large, strconv.Itoa(len(large)), ""},
+		{"HEAD", "length", http.StatusOK, "", strconv.Itoa(len(large)), ""},
+		{"HEAD", "chunked", http.StatusOK, "", "", ""},
+		{"GET", "trailer", http.StatusOK, large, "", "42"},
+		{"GET", "error", http.StatusNotFound, "no such ship\n", "13", ""},
+	}
+	for _, tt := range tests {
+		for range 2 { // on a new and on a used connection
+			resp, body, err := b.call(t, tt.method, "/svc/"+tt.path, nil)
+			if err != nil {
+				t.Fatal(tt.path, err)
+			}
+			if resp.StatusCode != tt.status || body != tt.body || resp.Header.Get("Content-Length") != tt.length {
+				t.Errorf("%s %s: got %d, %d bytes, %v", tt.method, tt.path, resp.StatusCode, len(body), resp.Header)
+			}
+			if got := resp.Trailer.Get("X-Sum"); got != tt.trailer || resp.Header.Get(edge.HeaderOutcome) != "answered" {
+				t.Errorf("%s %s: trailer %q, header %v", tt.method, tt.path, got, resp.Header)
+			}
+		}
+	}
+}
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -126,3 +127,27 @@
 		t.Errorf("got %v, %v", resp, err)
 	}
 }
+
+// A caller that stops reading loses its answer, not others their slot.
+func TestCallerThatStopsReadingFreesTheSlot(t *testing.T) {
+	address := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1073741824")
+		_, _ = io.Copy(w, endless{})
+	})
+	doc := document(address)
+	doc.Limits.IdleTimeoutMS = 100
+	doc.Classes[0].TimeoutMS = 600_000
+	b := newBench(t, doc, nil, telemetry.Discard())
+	conn, err := net.Dial("tcp", b.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := io.ReadFull(conn, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
