Request path: a caller that is gone must not close a connection that went back to the pool

Cause: after an answer was read whole and its connection was given back, a failed write to the caller closed that connection, which another request may have been using: it was cut. Change: the attempt lets go of the connection when the answer has been received. The test fails without the change (checked).

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -106,9 +106,11 @@
 	return attemptEnd{}
 }
 
-// received notes that the answer was read to its clean end.
+// received notes that the answer was read to its clean end. The connection may
+// carry another exchange from now on, whatever becomes of this answer.
 func (a *attempt) received() {
 	a.conn.Keep()
+	a.conn = nil
 	a.release(&attemptEnd{})
 }
 
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +152,33 @@
 		t.Errorf("%d permits are still held", n)
 	}
 }
+
+// brokenWriter is the connection of a caller that is gone.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error)        { return 0, io.ErrClosedPipe }
+func (brokenWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// A connection whose answer was read to its end belongs to the pool: that the
+// caller could not be told must not close it under another request.
+func TestCallerThatIsGoneLeavesTheTargetsConnectionAlone(t *testing.T) {
+	target := newScripted(t)
+	target.set(whole(okAnswer))
+	b := newBench(t, document(target.address), nil, telemetry.Discard())
+	func() {
+		defer func() {
+			if r := recover(); r != http.ErrAbortHandler {
+				t.Errorf("recovered %v, want an aborted connection", r)
+			}
+		}()
+		r := httptest.NewRequest("GET", "/svc/a", nil)
+		b.handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, r)
+	}()
+	dropped := b.handler.deps.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total")
+	if n := dropped.Get(); n != 0 {
+		t.Errorf("%d connections were closed", n)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
