Callers: a key that no VM may have seen is made anew for the next VM

Cause: when the first VM of a cached look-up is gone, a key with its ticket stays unknown at all others, though nothing was sent.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -261,6 +261,7 @@
 		return
 	}
 	req.takeTicket(first, c.opts.NoTicket)
+	req.sent = true // whatever becomes of the first try, the key is out
 	double := *req
 	double.id = fmt.Sprintf("%s-%d-d", c.opts.Name, number)
 	group.Go(func() { c.try(ctx, &double, second) })
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -170,6 +171,27 @@
 	}
 }
 
+// A key that no VM may have seen is made anew for the VM that is tried next.
+func TestUnsentKeyTakesTheTicketOfTheNextVM(t *testing.T) {
+	v := newVMs(t, "unknown", "answered")
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.addresses = append([]string{gone.Addr().String()}, v.addresses...)
+	gone.Close()
+	v.call(Shape{Method: http.MethodPost, BodyBytes: 5, Keyed: true}, 1)
+	sent := v.sent()
+	if len(sent) != 2 {
+		t.Fatalf("%d tries arrived, want 2", len(sent))
+	}
+	for i, h := range sent {
+		if ticket, _, _ := strings.Cut(h.Get(edge.HeaderIdempotencyKey), edge.KeySeparator); ticket != "ticket-1" {
+			t.Errorf("try %d carries the ticket %q, want that of the first VM that was reached", i, ticket)
+		}
+	}
+}
+
 func TestLookupsAreCachedForTheirAge(t *testing.T) {
 	v := newVMs(t, "answered")
 	v.call(Shape{Method: http.MethodGet}, 5)
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -20,17 +20,18 @@
 	id     string // of the present try
 	key    string
 	ticket string // of the VM that the key was first sent to
-	sent   bool   // a try was made
+	sent   bool   // a try found a connection, so that a VM may have seen the key
 	seed   uint64
 }
 
-// takeTicket makes the ticket of the first VM part of the key. Every try sends
-// the same key, so that the ticket, or the lack of one, stays with the request.
+// takeTicket makes the ticket of the first VM that is reached part of the key.
+// Once the key may have been seen every try sends the same one, so that the
+// ticket, or the lack of one, stays with the request.
 func (r *request) takeTicket(vm edge.LookupVM, without bool) {
 	if r.sent {
 		return
 	}
-	r.sent = true
+	r.ticket = ""
 	if !without {
 		r.ticket = vm.Ticket
 	}
@@ -100,6 +101,7 @@
 		note.Told, note.Refused = ToldNotRun, true // nothing was sent
 		return retryPause, err
 	}
+	req.sent = true
 	httpReq, err := c.build(ctx, req, address)
 	if err != nil {
 		return retryPause, err
