--- a/internal/forward/callers_test.go
+++ b/internal/forward/callers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,9 +16,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
 	"masticturn/internal/kernel"
+	"masticturn/internal/outcome"
 	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
 )
@@ -249,3 +252,38 @@
 		t.Errorf("the upload was answered with %q, want %s", got, want)
 	}
 }
+
+// refusing is an admission that gives up at once.
+type refusing struct{ calls atomic.Int32 }
+
+func (a *refusing) Acquire(context.Context, *admission.Request) (admission.Permit, error) {
+	a.calls.Add(1)
+	return nil, &outcome.Error{Outcome: outcome.NotRun, Step: outcome.StepAdmit, Reason: "full", RetryAfter: 1500 * time.Millisecond}
+}
+
+// What admission has given up is told at once, with its advice, and not tried
+// again; without a document nothing is tried at all.
+func TestGivenUpIsToldAtOnce(t *testing.T) {
+	c := &changingConfig{}
+	a := &refusing{}
+	h := NewHandler(Deps{
+		Config: c, Admission: a, Locator: c, Measure: c, Logger: telemetry.Discard(),
+		Metrics: metrics.NewSet(), VM: settings.VM{Name: "vm1"}, Clock: kernel.SystemClock{},
+	})
+	tests := []struct {
+		step, retryAfter string
+		calls            int32
+	}{{"parse", "1", 0}, {"admit", "2", 1}}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", "/svc/a", nil))
+		got := w.Result().Header
+		if w.Code != http.StatusServiceUnavailable || got.Get(edge.HeaderOutcome) != "not-run" || got.Get(edge.HeaderStep) != tt.step {
+			t.Errorf("%s: got %d %v", tt.step, w.Code, got)
+		}
+		if got.Get("Retry-After") != tt.retryAfter || a.calls.Load() != tt.calls {
+			t.Errorf("%s: Retry-After %q after %d calls", tt.step, got.Get("Retry-After"), a.calls.Load())
+		}
+		c.set(t, document("127.0.0.1:1"))
+	}
+}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -18,9 +18,6 @@
 	reused   bool
 }
 
-// Reused reports whether the connection carried an exchange before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // RoundTrip sends the request once and returns the answer's head.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
 	return c.client.RoundTrip(req)
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -112,7 +112,7 @@
 	if n := conns.Load(); n != 1 {
 		t.Errorf("%d connections were opened, want 1", n)
 	}
-	if c := get(t, p, target, 2, UseFresh); c.Reused() {
+	if c := get(t, p, target, 2, UseFresh); c.reused {
 		t.Error("a fresh connection was asked for")
 	}
 }
@@ -145,7 +145,7 @@
 			p := newPools(t)
 			for range 20 {
 				c := get(t, p, target, 100, UseAny)
-				if c.Reused() {
+				if c.reused {
 					t.Fatal("the connection was reused")
 				}
 				if _, err := exchange(t.Context(), c, "GET"); err != nil {
@@ -249,7 +249,7 @@
 	c.Keep()
 	waitIdle(t, p, target, 1)
 	p.Suspect(target)
-	if c = get(t, p, target, 2, UseAny); c.Reused() {
+	if c = get(t, p, target, 2, UseAny); c.reused {
 		t.Error("a suspect connection was reused")
 	}
 }
