--- a/internal/bench/faultplan.go
+++ b/internal/bench/faultplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -62,15 +63,18 @@
 	faultMargin = 4 * time.Second // before the load's end, so that all is healed then
 )
 
+// FaultKinds returns all kinds of faults.
+func FaultKinds() []FaultKind { return slices.Clone(faultKinds[:]) }
+
 // planFaults draws the faults of a load: single ones and pairs. Each kind
 // comes once before any comes again, in an order of the seed's own.
-func planFaults(seed uint64, load time.Duration) []plannedFault {
+func planFaults(seed uint64, load time.Duration, kinds []FaultKind) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var plan []plannedFault
 	var deck []FaultKind
 	draw := func(at time.Duration) {
 		if len(deck) == 0 {
-			deck = append(deck, faultKinds[:]...)
+			deck = append(deck, kinds...)
 			random.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
 		}
 		plan = append(plan, plannedFault{
--- a/internal/bench/faultplan_test.go
+++ b/internal/bench/faultplan_test.go
@@ -8,11 +8,11 @@
 
 func TestPlanFollowsItsSeedAndHasEachKind(t *testing.T) {
 	const load = 28 * time.Second
-	plan := planFaults(1, load)
-	if !reflect.DeepEqual(plan, planFaults(1, load)) {
+	plan := planFaults(1, load, FaultKinds())
+	if !reflect.DeepEqual(plan, planFaults(1, load, FaultKinds())) {
 		t.Error("the same seed gave another plan")
 	}
-	if reflect.DeepEqual(plan, planFaults(2, load)) {
+	if reflect.DeepEqual(plan, planFaults(2, load, FaultKinds())) {
 		t.Error("another seed gave the same plan")
 	}
 	kinds := make(map[FaultKind]int)
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -22,6 +22,8 @@
 	Requests int           // at least so many are sent
 	Load     time.Duration // over which they arrive
 	VMs      int
+	Kinds    []FaultKind            // of the faults; none: all
+	Shapes   []caller.Shape         // of the requests; none: those of Mix
 	Trace    string                 // id of a request to trace; may be empty
 	Cluster  func(*cluster.Options) // changes the cluster's options; may be nil
 }
@@ -46,6 +48,9 @@
 	if o.Load == 0 {
 		o.Load = defaultFaultLoad
 	}
+	if len(o.Kinds) == 0 {
+		o.Kinds = FaultKinds()
+	}
 }
 
 // FaultCount tells how often a kind of fault was caused.
@@ -103,22 +108,15 @@
 		return nil, err
 	}
 	defer c.Close()
-	snapshot, err := config.NewSnapshot(1, c.Document)
+	callers, err := faultCallers(c, opts)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	callers := c.Callers(caller.Options{
-		Shapes:     Mix(snapshot),
-		Rate:       loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
-		MaxTries:   faultTries,
-		Timeout:    faultPatience,
-		DoubleRate: faultDoubles,
-	}, withoutTickets)
 	j := newInjector(c, opts.Seed)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		j.run(ctx, planFaults(opts.Seed, opts.Load))
+		j.run(ctx, planFaults(opts.Seed, opts.Load, opts.Kinds))
 	}()
 	loadCtx, cancel := context.WithTimeout(ctx, opts.Load)
 	defer cancel()
@@ -127,6 +125,24 @@
 	return faultsReport(c, j, opts, time.Since(started)), nil
 }
 
+func faultCallers(c *cluster.Cluster, opts FaultsOptions) ([]*caller.Caller, error) {
+	shapes := opts.Shapes
+	if len(shapes) == 0 {
+		snapshot, err := config.NewSnapshot(1, c.Document)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		shapes = Mix(snapshot)
+	}
+	return c.Callers(caller.Options{
+		Shapes:     shapes,
+		Rate:       loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
+		MaxTries:   faultTries,
+		Timeout:    faultPatience,
+		DoubleRate: faultDoubles,
+	}, withoutTickets), nil
+}
+
 // withoutTickets makes some callers ignore tickets, so that their keys are
 // claimed at the platform.
 func withoutTickets(number int, opts *caller.Options) { opts.NoTicket = number%ticketless == 0 }
--- a/internal/bench/summary.go
+++ b/internal/bench/summary.go
@@ -31,6 +31,8 @@
 	Step   string      `json:"step,omitempty"`
 	Detail string      `json:"detail,omitempty"`
 	Count  int         `json:"count"`
+	// Example is the id of one of the tries.
+	Example string `json:"example"`
 }
 
 // maxReasons bounds the reasons in a report; the most frequent are kept.
@@ -39,14 +41,17 @@
 // reasons counts why tries were not answered.
 func reasons(tries []caller.Note) []ReasonCount {
 	counts := make(map[ReasonCount]int)
+	examples := make(map[ReasonCount]string)
 	for _, n := range tries {
 		if n.Told != caller.ToldAnswered {
-			counts[ReasonCount{Told: n.Told, Class: n.Class, Step: n.Step, Detail: n.Detail}]++
+			r := ReasonCount{Told: n.Told, Class: n.Class, Step: n.Step, Detail: n.Detail}
+			counts[r]++
+			examples[r] = n.RequestID
 		}
 	}
 	all := make([]ReasonCount, 0, len(counts))
 	for r, n := range counts {
-		r.Count = n
+		r.Count, r.Example = n, examples[r]
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b ReasonCount) int {
