--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -8,6 +8,7 @@
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
 	"masticturn/internal/steering"
+	"masticturn/internal/telemetry"
 )
 
 // BrokerStep is a step of a broker's term.
@@ -131,6 +132,7 @@
 	id       brokerID
 	snapshot *config.Snapshot
 	members  *membership.View
+	targets  *measure.View
 	settled  time.Time // not to serve before: the view of a new process may lack members
 	now      time.Time
 }
@@ -154,6 +156,7 @@
 	terms := steering.CreditTerms{TTL: creditTTL, Margin: creditMargin, MaxRun: longestRun(p.snapshot, p.scope.Service)}
 	b.granter = steering.NewGranter(terms, 0, p.now)
 	b.core.withheld = b.withheld
+	b.core.refresh(p.targets, p.now)
 	b.begin(p.now)
 	return b
 }
@@ -163,6 +166,7 @@
 func (b *broker) begin(now time.Time) {
 	b.step = BrokerRecovering
 	b.began = now
+	b.core.note(eventTermBegan)
 	b.granter.Recover(creditTTL+creditMargin, now)
 	b.core.pool.Freeze(now.Add(recoverLongest))
 	b.awaited = make(map[string]bool)
@@ -231,6 +235,7 @@
 // another process may have been broker meanwhile.
 func (b *broker) resume(now time.Time) {
 	b.id.Term++
+	b.core.note(eventBrokerPaused)
 	for region, g := range b.grantees {
 		g.Drop()
 		b.core.pool.SetCredits(steering.Credits{Region: region}, b.spec)
@@ -259,7 +264,11 @@
 // serve ends the recovery.
 func (b *broker) serve() {
 	b.step = BrokerServing
+	b.core.note(eventBrokerServes,
+		telemetry.Value(fieldComplete, b.complete),
+		telemetry.Value(fieldTook, b.last.Sub(b.began).Milliseconds()))
 	b.core.pool.Freeze(time.Time{})
+	b.core.refreshNow(b.last)
 	b.core.pool.Tick(b.last)
 }
 
@@ -317,7 +326,7 @@
 func (b *broker) withheld(t *steering.Target, usable int) int {
 	held := b.granter.Held(t.Name)
 	kept := usable - b.splitShare(usable)
-	if !b.complete && b.last.Sub(b.began) < unexplainedFor {
+	if b.step == BrokerServing && !b.complete && b.last.Sub(b.began) < unexplainedFor {
 		kept = max(kept, t.Reported()-t.InFlight()-held)
 	}
 	return held + kept
