--- a/internal/bench/drains.go
+++ b/internal/bench/drains.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,7 @@
 	slowUploadBytes = 2 << 20
 	drainsAt        = 5 * time.Second // uploads are in flight by then
 	signsFor        = 6 * time.Second // a sign is watched for so long: twice its quiet time
+	busyOver        = 3 * time.Second // over which the busiest targets are chosen
 	vmsDrained      = 2
 	drainPatience   = 60 * time.Second
 )
@@ -100,6 +103,9 @@
 		return nil, trace.Wrap(err)
 	}
 	d := &drains{cluster: c, opts: opts, quiet: c.Document.Drain.TargetQuietMS.Duration()}
+	for _, svc := range c.Document.Services {
+		d.services = append(d.services, svc.Name)
+	}
 	d.run(ctx, snapshot)
 	d.countUploads()
 	report := &DrainsReport{
@@ -122,6 +128,8 @@
 	opts    DrainsOptions
 	quiet   time.Duration // after which a leaving target must get nothing new
 
+	services []string // names, in the document's order
+
 	mu      sync.Mutex
 	vms     []VMDrain
 	targets []TargetLeave
@@ -134,8 +142,8 @@
 	group.Go(func() { cluster.RunCallers(loadCtx, d.callers(snapshot)) })
 	group.Go(func() { cluster.RunCallers(loadCtx, d.uploaders(snapshot)) })
 	time.Sleep(drainsAt)
-	for i := range vmsDrained {
-		group.Go(func() { d.drainVM(ctx, d.cluster.VMs[i]) })
+	for _, vm := range d.busiestVMs() {
+		group.Go(func() { d.drainVM(ctx, vm) })
 	}
 	d.leaveTargets(ctx)
 	group.Wait()
@@ -192,16 +200,15 @@
 	d.cluster.Note(cluster.StoreUp, "", "", "")
 }
 
-// leaveBy lets one target leave by each of the signs, all at once, each of
-// another service or place.
+// leaveBy lets one target leave by each of the signs, all at once. The signs
+// go to the busiest target of each service, since only a target that gets work
+// can show that it gets none.
 func (d *drains) leaveBy(ctx context.Context, storeDown bool, signs ...LeaveSign) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	busiest := d.busiestTargets()
 	for i, sign := range signs {
-		t := d.cluster.Targets[(i*targetStep)%len(d.cluster.Targets)]
-		if storeDown {
-			t = d.cluster.Targets[(i*targetStep+1)%len(d.cluster.Targets)]
-		}
+		t := busiest[i%len(busiest)]
 		group.Go(func() {
 			leave := d.leave(ctx, t, sign)
 			leave.StoreDown = storeDown
@@ -212,6 +219,49 @@
 	}
 }
 
+// busiestVMs returns the VMs that served most over the last time, of
+// different regions.
+func (d *drains) busiestVMs() []*cluster.VM {
+	since := time.Now().Add(-busyOver)
+	work := make(map[string]int)
+	for _, n := range d.cluster.Notes.Tries() {
+		if n.Started.After(since) {
+			work[n.VM]++
+		}
+	}
+	vms := slices.Clone(d.cluster.VMs)
+	slices.SortStableFunc(vms, func(a, b *cluster.VM) int { return cmp.Compare(work[b.Host.Name], work[a.Host.Name]) })
+	regions := make(map[string]bool)
+	var chosen []*cluster.VM
+	for _, vm := range vms {
+		if region := vm.Settings.VM.Region; !regions[region] && len(chosen) < vmsDrained {
+			regions[region] = true
+			chosen = append(chosen, vm)
+		}
+	}
+	return chosen
+}
+
+// busiestTargets returns the busiest target of each service over the last
+// time, the services in the document's order.
+func (d *drains) busiestTargets() []*cluster.Target {
+	since := time.Now().Add(-busyOver)
+	work := make(map[string]int)
+	for _, r := range d.cluster.Log.Records() {
+		if r.Arrived.After(since) {
+			work[r.Target]++
+		}
+	}
+	var busiest []*cluster.Target
+	for _, svc := range d.services {
+		targets := d.cluster.Services[svc]
+		busiest = append(busiest, slices.MaxFunc(targets, func(a, b *cluster.Target) int {
+			return cmp.Compare(work[a.Name()], work[b.Name()])
+		}))
+	}
+	return busiest
+}
+
 // countUploads counts the slow uploads that each drain met.
 func (d *drains) countUploads() {
 	for _, n := range d.cluster.Notes.Tries() {
--- a/internal/bench/leaving.go
+++ b/internal/bench/leaving.go
@@ -46,10 +46,13 @@
 	until := time.Now()
 	d.cluster.Note(cluster.TargetReturns, "", t.Name(), string(sign))
 	err = trace.NewAggregate(err, d.give(ctx, t, sign, false))
-	result.Error = describe(err)
 	for _, r := range d.cluster.Log.Records() {
 		result.count(&r, at, until, d.quiet)
 	}
+	if result.Before == 0 {
+		err = trace.NewAggregate(err, trace.BadParameter("the target had no work before the sign, which shows nothing"))
+	}
+	result.Error = describe(err)
 	return result
 }
 
