steering: slow start is waived while there are no more warm slots than cold ones

Ruled out: the brokers' recovery (over after 1 s; the wait lasted 5 s). Change: slow start only applies while warm targets can take the work.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -31,6 +31,7 @@
 	trials    steering.Trials
 	trial     string // target that is tried although it is believed down
 	caution   steering.Caution
+	cold      time.Duration // steering.cold_ms
 	targets   map[string]*config.TargetIndex
 	paused    map[string]time.Time // by target, end of the pause after a shed
 	left      map[string]time.Time // by target, until when it counts as leaving
@@ -66,6 +67,7 @@
 
 func (c *core) setTargets(s *config.Snapshot, svc *config.ServiceIndex) {
 	c.caution = cautionOf(s.Document)
+	c.cold = c.caution.Cold
 	c.viewed, c.refreshed = 0, time.Time{}
 	for name := range c.targets {
 		c.ejector.SetSlots(name, 0)
@@ -101,9 +103,28 @@
 	c.refreshed = now
 	view := c.view
 	c.chooseTrial(now)
+	c.caution.Cold = c.slowStart()
 	c.pool.EachTarget(func(t *steering.Target) { c.limit(t, view.Target(t.Name), now) })
 }
 
+// slowStart returns how long cold targets are started slowly, 0 while slow
+// start is waived.
+func (c *core) slowStart() time.Duration {
+	cold, warm := 0, 0
+	for _, t := range c.pool.Local() {
+		switch c.view.Target(t.Name).Health {
+		case measure.Cold:
+			cold += t.Slots
+		case measure.Healthy, measure.Unmeasured:
+			warm += t.Slots
+		}
+	}
+	if steering.WaivesSlowStart(cold, warm) {
+		return 0
+	}
+	return c.cold
+}
+
 // chooseTrial chooses the target to try while probes find most slots down.
 func (c *core) chooseTrial(now time.Time) {
 	var down []string
--- a/internal/steering/slowstart.go
+++ b/internal/steering/slowstart.go
@@ -14,3 +14,8 @@
 	part := float64(max(elapsed, 0)) / float64(duration)
 	return max(1, min(slots, 1+int(part*float64(slots-1))))
 }
+
+// WaivesSlowStart reports whether slow start is waived. While no more slots
+// are warm than cold, the work held back from cold targets has nowhere to go:
+// it would wait while slots are free, and the targets would warm up later.
+func WaivesSlowStart(cold, warm int) bool { return cold >= warm }
