peer: tests that notice what they guard

23 changes that break peer or console were tried on a scratch copy; three were not noticed: acknowledgments not counted (endless pings on an idle connection), the bound of a connection's own queue, and the tie-break of two dials at once (in memory both ends attach in the same order by chance). Each has a test now that fails under its change. Membership: two members cut from each other only, and a crash in a tiny region that is cut off. Operators' listener: at most 256 connections, and a write timeout.

--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -323,3 +323,37 @@
 		}
 	}
 }
+
+// Two members of a region without others cannot ask anybody, but their
+// suspicions go around by the other regions, and so do the refutations.
+func TestTwoCutFromEachOtherOnly(t *testing.T) {
+	s := newSim(t, 19)
+	s.fleet(3, 2, 1)
+	s.lose = lossy([2]string{"r0-z0-0", "r0-z1-0"}, [2]string{"r0-z1-0", "r0-z0-0"})
+	for range 300 {
+		s.run(s.opts.TickInterval)
+		for _, name := range s.order {
+			if s.state(name, "r0-z0-0") == Gone || s.state(name, "r0-z1-0") == Gone {
+				t.Fatalf("%v: %s holds a live member for gone", s.now.Sub(s.start), name)
+			}
+		}
+	}
+	if len(s.renewed) != 0 {
+		t.Errorf("renewed: %v", s.renewed)
+	}
+}
+
+// A region of two, cut off from all others, keeps the silent one as suspect.
+func TestCrashInATinyRegionCutOff(t *testing.T) {
+	s := newSim(t, 20)
+	s.fleet(3, 2, 1)
+	s.lose = func(from, to string) bool { return (from[:2] == "r0") != (to[:2] == "r0") }
+	s.crash("r0-z1-0")
+	s.run(time.Minute)
+	if got := s.state("r0-z0-0", "r0-z1-0"); got != Suspect {
+		t.Errorf("got %v", got)
+	}
+	s.lose = nil
+	s.run(10 * time.Second)
+	s.wantSeen("r0-z1-0", Gone)
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
+	"golang.org/x/net/netutil"
 	"golang.org/x/time/rate"
 
 	"masticturn/internal/edge"
@@ -33,6 +34,8 @@
 const (
 	readHeaderTimeout  = 5 * time.Second
 	readTimeout        = 30 * time.Second
+	writeTimeout       = 60 * time.Second
+	maxConnections     = 256
 	idleTimeout        = 60 * time.Second
 	maxHeaderBytes     = 16 << 10
 	maxBodyBytes       = 64 << 20 // a document with many client blocks
@@ -109,11 +112,12 @@
 		Handler:           http.MaxBytesHandler(s.handler(), maxBodyBytes),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
-	listener := s.deps.Listener
+	listener := netutil.LimitListener(s.deps.Listener, maxConnections)
 	if s.cert != nil {
 		listener = tls.NewListener(listener, s.cert.config())
 	}
--- a/internal/peer/pipe_test.go
+++ b/internal/peer/pipe_test.go
@@ -13,7 +13,8 @@
 type pipes struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	conns     []*pipeConn // dialing ends, in order
+	conns     []*pipeConn   // dialing ends, in order
+	delay     time.Duration // of a dial
 }
 
 func newPipes() *pipes { return &pipes{listeners: make(map[string]*pipeListener)} }
@@ -79,6 +80,7 @@
 	if l == nil {
 		return nil, net.UnknownNetworkError(address)
 	}
+	time.Sleep(p.delay)
 	a, b := net.Pipe()
 	near, far := &pipeConn{Conn: a}, &pipeConn{Conn: b}
 	near.other, far.other = far, near
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -223,6 +223,44 @@
 	})
 }
 
+func TestQueueOfAStuckConnectionIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipes()
+		l := p.listen("b") // says hello, and reads nothing more
+		a := p.start(t, "a", func(o *Options) { o.MaxQueueBytes = 1000 })
+		defer stopAll(a)
+		a.SetAddress("b", "b")
+		go func() {
+			conn, _ := l.Accept()
+			_, _ = readFrame(bufio.NewReaderSize(conn, frameBytes), maxHelloBytes)
+			payload, _ := Encode(&hello{Version: protocolVersion, VM: "b"})
+			_, _ = conn.Write(appendFrame(nil, frameHello, 0, 0, 0, payload))
+		}()
+		_ = a.Send("b", KindRelease, &message{})
+		synctest.Wait()
+		var err error
+		for range 100 {
+			err = errors.Join(err, a.Send("b", KindRelease, &message{Text: "some text"}))
+		}
+		if l := a.link("b"); l.current == nil || !errors.Is(err, ErrQueueFull) {
+			t.Errorf("connected %v, got %v; want a full queue of a connection", l.current != nil, err)
+		}
+	})
+}
+
+func TestIdleConnectionIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, a, b, stop := pairOf(t, nil)
+		defer stop()
+		_ = ask(a, "b", KindPermit, time.Second)
+		time.Sleep(defaultIdleTimeout / 2)
+		pings := a.meters.out[KindPing].Get() + b.meters.out[KindPing].Get()
+		if pings > 2*frameBytes {
+			t.Errorf("%d bytes of pings on an idle connection", pings)
+		}
+	})
+}
+
 func TestBackoffBoundsDials(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPipes()
@@ -269,8 +307,9 @@
 
 func TestBothDialAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, a, b, stop := pairOf(t, nil)
+		p, a, b, stop := pairOf(t, nil)
 		defer stop()
+		p.delay = 10 * time.Millisecond
 		errs := make(chan error, 2)
 		go func() { errs <- ask(a, "b", KindPermit, time.Second) }()
 		go func() { errs <- ask(b, "a", KindPermit, time.Second) }()
@@ -278,6 +317,9 @@
 			t.Fatal(err)
 		}
 		synctest.Wait()
+		if p.dials() != 2 {
+			t.Fatalf("%d dials, want that both dialed", p.dials())
+		}
 		for range 200 {
 			_ = ask(a, "b", KindPermit, time.Second)
 			_ = ask(b, "a", KindPermit, time.Second)
@@ -359,3 +401,29 @@
 		}
 	})
 }
+
+// TestBothEndsPreferTheSameConnection: whichever of two connections comes
+// last at each end, both ends keep the same one.
+func TestBothEndsPreferTheSameConnection(t *testing.T) {
+	now := time.Now()
+	keepsOwn := func(vm, remote string, ownIsNewer bool) bool {
+		l := newLink(&TCP{opts: Options{VM: vm, DialTimeout: time.Second}}, remote, "")
+		own, other := &conn{remote: remote, dialed: true, since: now}, &conn{remote: remote, since: now}
+		newer := other
+		l.current = own
+		if ownIsNewer {
+			newer, l.current = own, other
+		}
+		return l.prefers(newer) == ownIsNewer
+	}
+	for _, newer := range []bool{true, false} {
+		if !keepsOwn("a", "b", newer) || keepsOwn("b", "a", newer) {
+			t.Errorf("own newer %v: the connection that a dialed is not kept by both", newer)
+		}
+	}
+	l := newLink(&TCP{opts: Options{VM: "a", DialTimeout: time.Second}}, "b", "")
+	l.current = &conn{remote: "b", dialed: true, since: now}
+	if !l.prefers(&conn{remote: "b", since: now.Add(time.Minute)}) {
+		t.Error("a peer that dials again later is not followed")
+	}
+}
