--- a/internal/steering/pool_remote.go
+++ b/internal/steering/pool_remote.go
@@ -131,13 +131,19 @@
 	return out
 }
 
+// budgetSpread is how many standard deviations of its own concurrency a region
+// keeps free, by the square root rule of queues with many slots.
+const budgetSpread = 2
+
 // Budget returns how many slots this region can do without: what is usable,
-// less the headroom it keeps, less what runs and waits here. held is what
+// less what it uses itself, smoothed or at present, and less the headroom it
+// keeps, which is never less than the spread of its own use. held is what
 // counts as used by others, which the limits leave out.
 func (p *Pool) Budget(held int) int {
-	usable := p.solid() + held
-	keep := int(math.Ceil(p.cfg.Comparison.HeadroomKeep * float64(usable)))
-	return max(0, usable-keep-p.local.inFlight-p.queue.Len())
+	usable := float64(p.solid() + held)
+	own := max(p.utilisation*float64(p.solid()), float64(p.local.inFlight))
+	keep := max(p.cfg.Comparison.HeadroomKeep*usable, budgetSpread*math.Sqrt(own))
+	return max(0, int(usable-own-keep)-p.queue.Len())
 }
 
 // Changes returns how often the choice whether to shift has changed, over all
