--- a/internal/bench/steering_check.go
+++ b/internal/bench/steering_check.go
@@ -44,10 +44,12 @@
 		regionOfTarget[t.Name()] = t.Region
 	}
 	callerRegion := func(id string) string {
-		// name[+part]-number-try
+		// [part+]name-number-try
 		name := id[:max(0, strings.LastIndexByte(id, '-'))]
 		name = name[:max(0, strings.LastIndexByte(name, '-'))]
-		name, _, _ = strings.Cut(name, "+")
+		if _, rest, found := strings.Cut(name, partSeparator); found {
+			name = rest
+		}
 		return regionOfZone[name]
 	}
 	for i := range tries {
--- a/internal/bench/steering_scenarios.go
+++ b/internal/bench/steering_scenarios.go
@@ -31,6 +31,9 @@
 	parts    func(eventRegion bool, load float64) []loadPart
 }
 
+// partSeparator ends the name of a part in names of callers.
+const partSeparator = "+"
+
 // loadPart is a part of a region's load that begins some time after the
 // others.
 type loadPart struct {
@@ -145,7 +148,7 @@
 	}
 	for i := 1; i < surgeFactor; i++ {
 		after := steeringWarm + time.Duration(i)*time.Second*surgeSteps/surgeFactor
-		parts = append(parts, loadPart{name: fmt.Sprintf("+%d", i), load: load, after: after})
+		parts = append(parts, loadPart{name: fmt.Sprintf("%d%s", i, partSeparator), load: load, after: after})
 	}
 	return parts
 }
