--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -31,6 +31,15 @@
 	Release(Result)
 }
 
+// Checked is implemented by permits that can be lost while they are held.
+type Checked interface {
+	// Valid reports whether the slot is still held. It is to be asked just
+	// before the first byte is sent to the target; after false the permit is
+	// released, nothing is sent, and another one acquired. A process that was
+	// paused may have lost its slots to others.
+	Valid() bool
+}
+
 // Result tells what a dispatch showed of the target.
 type Result struct {
 	Outcome    outcome.Outcome
--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -119,6 +119,7 @@
 	silent    map[string]time.Time
 	holders   map[string]*holder
 	requests  map[*steering.Request]*slot
+	passing   bool // some process may have been allowed to pass slots on
 	granter   *steering.Granter
 	grantees  map[string]*steering.Grantee
 	asked     time.Time // last demands
--- a/internal/admission/broker_pass.go
+++ b/internal/admission/broker_pass.go
@@ -23,9 +23,10 @@
 // of the class that goes next, among the first passDepth. A process is told
 // anew when it may not use what it was told any more, or has used up half.
 func (b *broker) updatePasses() {
-	if b.step != BrokerServing {
+	if b.step != BrokerServing || (b.core.pool.Waiting() == 0 && !b.passing) {
 		return
 	}
+	b.passing = b.core.pool.Waiting() > 0
 	next := make(map[string][]uint64)
 	b.core.pool.Next(passDepth, func(r *steering.Request) bool {
 		if r.CallerRegion == "" || r.CallerRegion == b.scope.Region {
--- a/internal/admission/broker_test.go
+++ b/internal/admission/broker_test.go
@@ -48,3 +48,27 @@
 		t.Logf("%d requests, p50 %v p99 %v", len(results), quantile(results, "read", 0.5), quantile(results, "read", 0.99))
 	})
 }
+
+func TestPermitIsVoidAfterAPause(t *testing.T) {
+	runCluster(t, testDocument("broker", 1), 2, func(t *testing.T, c *cluster) {
+		vm := c.vms["east-vm1"]
+		p, err := vm.admitter.Acquire(t.Context(), testRequest(vm.deps, "read", time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		checked := p.(Checked)
+		time.Sleep(2 * pauseLimit)
+		if !checked.Valid() {
+			t.Error("void although the process ran")
+		}
+		vm.stop()
+		<-vm.done
+		time.Sleep(2 * pauseLimit)
+		for range 2 {
+			if checked.Valid() {
+				t.Error("valid after the process stood still")
+			}
+		}
+		p.Release(answered)
+	})
+}
--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -51,6 +51,7 @@
 	local    bool          // the target is in the broker's region
 	refused  decision      // when ended without a slot
 	done     chan struct{} // closed when a slot is held or refused
+	pauses   uint64        // of the process when it asked
 }
 
 // client asks the broker of one scope for slots, for one process. It does no
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -425,3 +425,67 @@
 		t.Errorf("%d of %d checks were of brokers that did not know all holders", partial, checks)
 	}
 }
+
+// steps lists the steps that are present in the model.
+func (m *brokerModel) steps() map[string]bool {
+	present := make(map[string]bool)
+	for _, v := range m.vms {
+		for _, k := range v.client.calls {
+			present["ask "+k.step.String()] = true
+		}
+		if v.client.seq > uint64(len(v.client.calls)) {
+			present["ask "+AskEnded.String()] = true
+		}
+		if v.broker == nil {
+			continue
+		}
+		present["broker "+v.broker.step.String()] = true
+		for _, h := range v.broker.holders {
+			for _, s := range h.slots {
+				present["slot "+s.step.String()] = true
+			}
+		}
+	}
+	return present
+}
+
+// TestBrokerModelReachesEveryStepUnderEveryFault shows that the walks of the
+// model cause each fault at each step.
+func TestBrokerModelReachesEveryStepUnderEveryFault(t *testing.T) {
+	faults := []string{"deliver-later", "deliver-doubled", "lose", "restart", "crash", "pause", "see"}
+	total := 0
+	for _, e := range modelEvents {
+		total += e.weight
+	}
+	hit := make(map[string]bool)
+	for seed := range uint64(300) {
+		m := newBrokerModel(seed)
+		for range modelSteps {
+			before, n := m.steps(), len(m.path)
+			m.step(modelEvents, total)
+			if len(m.path) == n {
+				continue
+			}
+			for step := range before {
+				hit[m.path[n]+" at "+step] = true
+			}
+		}
+	}
+	var steps []string
+	for _, s := range BrokerSteps() {
+		steps = append(steps, "broker "+s.String())
+	}
+	for _, s := range SlotSteps() {
+		steps = append(steps, "slot "+s.String())
+	}
+	for _, s := range AskSteps() {
+		steps = append(steps, "ask "+s.String())
+	}
+	for _, fault := range faults {
+		for _, step := range steps {
+			if !hit[fault+" at "+step] {
+				t.Errorf("%s at %s is never reached", fault, step)
+			}
+		}
+	}
+}
--- a/internal/admission/station.go
+++ b/internal/admission/station.go
@@ -24,6 +24,8 @@
 	client   *client
 	broker   *broker // nil while another VM is broker
 	terms    uint64
+	last     time.Time // of the last event
+	pauses   uint64    // times that nothing ran for pauseLimit
 }
 
 func newStation(deps Deps, m *meter, service string, settled time.Time) *station {
@@ -130,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
+	s.noticePause(now)
 	s.follow(now)
 	f(now)
 	s.route(now)
@@ -140,6 +143,15 @@
 	}
 }
 
+// noticePause counts the times that this process did not run; it is ticked far
+// more often than pauseLimit.
+func (s *station) noticePause(now time.Time) {
+	if !s.last.IsZero() && now.Sub(s.last) > pauseLimit {
+		s.pauses++
+	}
+	s.last = now
+}
+
 func (s *station) tick() {
 	s.do(func(now time.Time) {
 		s.client.tick(now)
@@ -157,7 +169,10 @@
 func (s *station) acquire(ctx context.Context, r *Request) (Permit, error) {
 	start := s.deps.Clock.Now()
 	k := newCall(r, s.deps.VM.Zone, start)
-	s.do(func(now time.Time) { s.client.acquire(k, now) })
+	s.do(func(now time.Time) {
+		k.pauses = s.pauses
+		s.client.acquire(k, now)
+	})
 	select {
 	case <-k.done:
 	case <-ctx.Done():
@@ -191,6 +206,12 @@
 	return &brokeredPermit{station: s, call: k, target: t}, nil
 }
 
+// pausesSoFar counts the pauses, the one that may be ending included.
+func (s *station) pausesSoFar() (n uint64) {
+	s.do(func(time.Time) { n = s.pauses })
+	return n
+}
+
 // reasonTargetGone is the reason when the document in force has lost the
 // target that was given.
 const reasonTargetGone = "the target has left the document"
@@ -203,7 +224,13 @@
 	once    sync.Once
 }
 
-var _ Permit = (*brokeredPermit)(nil)
+var (
+	_ Permit  = (*brokeredPermit)(nil)
+	_ Checked = (*brokeredPermit)(nil)
+)
+
+// Valid implements Checked.
+func (p *brokeredPermit) Valid() bool { return p.station.pausesSoFar() == p.call.pauses }
 
 // Target implements Permit.
 func (p *brokeredPermit) Target() *config.TargetIndex { return p.target }
--- a/internal/steering/credit_model_test.go
+++ b/internal/steering/credit_model_test.go
@@ -22,6 +22,8 @@
 	modelWalks  = 20000
 	modelSteps  = 60
 	modelTick   = time.Second
+	// modelRestarts is how often granter and grantee restart in one run.
+	modelRestarts = 2
 )
 
 var modelTerms = CreditTerms{TTL: modelTTL * modelTick, MaxRun: modelMaxRun * modelTick}
@@ -30,15 +32,15 @@
 const modelRecovery = (modelTTL + modelMaxRun) * modelTick
 
 type creditModel struct {
-	now       time.Time
-	granter   *Granter
-	grantee   *Grantee
-	inc       uint64
-	own       int // permits of the granter's own requests
-	running   []modelRun
-	demands   []Demand
-	grants    []Grant
-	restarted bool // a restart or pause has been spent
+	now      time.Time
+	granter  *Granter
+	grantee  *Grantee
+	inc      uint64
+	own      int // permits of the granter's own requests
+	running  []modelRun
+	demands  []Demand
+	grants   []Grant
+	restarts int // of granter and grantee so far
 }
 
 // modelRun is a request that runs at the target.
@@ -171,19 +173,19 @@
 		return true
 	}},
 	{"restart-grantee", func(m *creditModel) bool {
-		if m.restarted {
+		if m.restarts == modelRestarts {
 			return false
 		}
-		m.restarted = true
+		m.restarts++
 		m.grantee = &Grantee{}
 		m.inc++
 		return true
 	}},
 	{"restart-granter", func(m *creditModel) bool {
-		if m.restarted {
+		if m.restarts == modelRestarts {
 			return false
 		}
-		m.restarted = true
+		m.restarts++
 		m.own = 0
 		m.granter = NewGranter(modelTerms, modelRecovery, m.now)
 		return true
@@ -238,7 +240,7 @@
 func (m *creditModel) key() string {
 	var b strings.Builder
 	at := func(t time.Time) int64 { return int64(max(t.Sub(m.now), -modelTick) / modelTick) }
-	fmt.Fprint(&b, at(m.granter.ready), m.own, m.running, m.inc, m.restarted, m.demands, m.grants, "|")
+	fmt.Fprint(&b, at(m.granter.ready), m.own, m.running, m.inc, m.restarts, m.demands, m.grants, "|")
 	g := m.grantee
 	fmt.Fprint(&b, g.seq, g.acting, g.slots, at(g.expires))
 	for _, s := range g.sent {
@@ -321,3 +323,37 @@
 		}
 	}
 }
+
+// TestCreditModelReachesEveryStepUnderEveryFault shows that the walks cause
+// each fault at each step of granter and grantee.
+func TestCreditModelReachesEveryStepUnderEveryFault(t *testing.T) {
+	faults := []string{
+		"answer-later", "answer-doubled", "lose-demand", "adopt-later", "adopt-doubled", "lose-grant",
+		"restart-grantee", "restart-granter", "tick",
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	hit := make(map[string]bool)
+	for range 5000 {
+		m := newCreditModel()
+		for range modelSteps {
+			granter, grantee := m.granter.Step(m.now), m.grantee.Step(m.now)
+			e := creditEvents[rng.IntN(len(creditEvents))]
+			if e.do(m) {
+				hit[e.name+" at granter "+granter.String()] = true
+				hit[e.name+" at grantee "+grantee.String()] = true
+			}
+		}
+	}
+	for _, fault := range faults {
+		for _, s := range GranterSteps() {
+			if !hit[fault+" at granter "+s.String()] {
+				t.Errorf("%s at granter %v is never reached", fault, s)
+			}
+		}
+		for _, s := range GranteeSteps() {
+			if !hit[fault+" at grantee "+s.String()] {
+				t.Errorf("%s at grantee %v is never reached", fault, s)
+			}
+		}
+	}
+}
