--- a/internal/admission/broker_pass.go
+++ b/internal/admission/broker_pass.go
@@ -102,7 +102,7 @@
 		b.free(h, r.Next.Seq, y, unusedResult, now)
 	}
 	delete(h.slots, r.Seq)
-	b.core.learn(t, r.Result.result(), now)
+	b.core.learn(t, r.From.VM, r.Result.result(), now)
 	b.core.pool.Pass(t, item, now.Sub(x.since), now)
 	h.slots[r.Next.Seq] = &slot{
 		request:  steering.Request{Key: steering.Key{Holder: r.From.VM, Incarnation: r.From.Incarnation, Seq: r.Next.Seq}},
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -101,7 +101,7 @@
 		return
 	}
 	h.held--
-	b.core.release(s.target, now.Sub(s.since), r, now)
+	b.core.release(s.target, s.request.Key.Holder, now.Sub(s.since), r, now)
 	b.deliver(now)
 }
 
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -162,13 +162,13 @@
 	return ok
 }
 
-// release gives a slot back and learns from what the dispatch showed.
-func (c *core) release(target string, held time.Duration, r Result, now time.Time) {
+// release gives a slot back and learns from what the dispatch of a VM showed.
+func (c *core) release(target, vm string, held time.Duration, r Result, now time.Time) {
 	t := c.pool.Target(target)
 	if t == nil {
 		return
 	}
-	c.learn(t, r, now)
+	c.learn(t, vm, r, now)
 	if !r.usedSlot() {
 		held = 0
 	}
@@ -177,7 +177,7 @@
 
 // learn takes the outcome into the target's record before the slot is free
 // again, so that a failing target is not chosen for the next request.
-func (c *core) learn(t *steering.Target, r Result, now time.Time) {
+func (c *core) learn(t *steering.Target, vm string, r Result, now time.Time) {
 	switch {
 	case r.Canceled:
 	case r.Draining:
@@ -188,7 +188,7 @@
 		c.pool.SetLimit(t, min(t.Limit(), max(1, t.InFlight()-1)))
 	default:
 		c.evidence.Observe(t.Name, r.succeeded(), now)
-		if c.ejector.Observe(t.Name, r.succeeded(), c.pool.InFlight(), now) {
+		if c.ejector.Observe(t.Name, vm, r.succeeded(), c.pool.InFlight(), now) {
 			c.pool.SetLimit(t, 0)
 			c.note(eventTargetEjected, telemetry.Value(fieldTarget, t.Name))
 		}
--- a/internal/admission/local.go
+++ b/internal/admission/local.go
@@ -257,7 +257,7 @@
 		now := p.local.deps.Clock.Now()
 		p.pool.mu.Lock()
 		defer p.pool.mu.Unlock()
-		p.pool.core.release(p.target.Name, now.Sub(p.since), r, now)
+		p.pool.core.release(p.target.Name, p.local.deps.VM.Name, now.Sub(p.since), r, now)
 		p.pool.deliver()
 	})
 }
--- a/internal/steering/ejection.go
+++ b/internal/steering/ejection.go
@@ -4,7 +4,8 @@
 
 // Bounds of ejection.
 const (
-	ejectAfter      = 5                // failures in a row that eject a target
+	ejectAfter      = 5                // failures in a row, of more than one VM, that eject a target
+	ejectAfterAlone = 10               // failures in a row of one VM, whose own network may be at fault
 	ejectFailures   = 0.5              // part of failed outcomes that ejects a target
 	ejectMinCount   = 10               // outcomes before that part counts
 	ejectSmoothing  = 0.1              // weight of a new outcome in the part
@@ -18,8 +19,8 @@
 // These outcomes outweigh what a target reports about itself.
 //
 // Property (panic rule): the slots of the ejected targets are never more than
-// half of all slots, and an ejection that would leave fewer slots than permits
-// are out is not done.
+// half of all slots, and a target that still answers some requests is not
+// ejected when fewer slots than there are permits out would be left.
 type Ejector struct {
 	records map[string]*ejectRecord
 	total   int // slots of all targets
@@ -28,6 +29,8 @@
 type ejectRecord struct {
 	slots    int
 	inRow    int
+	vm       string // of the last failure
+	several  bool   // the failures in a row are of more than one VM
 	count    int
 	failures float64
 	until    time.Time
@@ -52,19 +55,22 @@
 	}
 }
 
-// Observe takes in an outcome; inUse is how many permits of all targets are
-// out. It reports whether the target was ejected by it.
-func (e *Ejector) Observe(target string, ok bool, inUse int, now time.Time) bool {
+// Observe takes in an outcome of a VM; inUse is how many permits of all targets
+// are out. It reports whether the target was ejected by it.
+func (e *Ejector) Observe(target, vm string, ok bool, inUse int, now time.Time) bool {
 	r := e.records[target]
 	if r == nil {
 		return false
 	}
-	r.observe(ok)
+	r.observe(vm, ok)
 	if !r.bad() || now.Before(r.until) {
 		return false
 	}
 	ejected := e.EjectedSlots(now) + r.slots
-	if float64(ejected) > maxEjectedSlots*float64(e.total) || e.total-ejected < inUse {
+	if float64(ejected) > maxEjectedSlots*float64(e.total) {
+		return false
+	}
+	if !r.failsAll() && e.total-ejected < inUse {
 		return false
 	}
 	r.eject(now)
@@ -88,19 +94,26 @@
 	return n
 }
 
-func (r *ejectRecord) observe(ok bool) {
+func (r *ejectRecord) observe(vm string, ok bool) {
 	r.count++
 	if ok {
-		r.inRow = 0
+		r.inRow, r.several, r.vm = 0, false, ""
 		r.failures -= ejectSmoothing * r.failures
 		return
 	}
+	r.several = r.several || (r.inRow > 0 && r.vm != vm)
+	r.vm = vm
 	r.inRow++
 	r.failures += ejectSmoothing * (1 - r.failures)
 }
 
+// failsAll reports whether nothing succeeds any more.
+func (r *ejectRecord) failsAll() bool {
+	return r.inRow >= ejectAfterAlone || (r.several && r.inRow >= ejectAfter)
+}
+
 func (r *ejectRecord) bad() bool {
-	return r.inRow >= ejectAfter || (r.count >= ejectMinCount && r.failures > ejectFailures)
+	return r.failsAll() || (r.count >= ejectMinCount && r.failures > ejectFailures)
 }
 
 func (r *ejectRecord) eject(now time.Time) {
@@ -111,5 +124,5 @@
 	}
 	r.last = now
 	r.until = now.Add(r.length)
-	r.inRow, r.count, r.failures = 0, 0, 0
+	r.inRow, r.several, r.count, r.failures = 0, false, 0, 0
 }
