--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -31,6 +31,7 @@
 	trials    steering.Trials
 	trial     string // target that is tried although it is believed down
 	caution   steering.Caution
+	cold      time.Duration // steering.cold_ms
 	targets   map[string]*config.TargetIndex
 	paused    map[string]time.Time // by target, end of the pause after a shed
 	left      map[string]time.Time // by target, until when it counts as leaving
@@ -66,6 +67,7 @@
 
 func (c *core) setTargets(s *config.Snapshot, svc *config.ServiceIndex) {
 	c.caution = cautionOf(s.Document)
+	c.cold = c.caution.Cold
 	c.viewed, c.refreshed = 0, time.Time{}
 	for name := range c.targets {
 		c.ejector.SetSlots(name, 0)
@@ -101,9 +103,28 @@
 	c.refreshed = now
 	view := c.view
 	c.chooseTrial(now)
+	c.caution.Cold = c.slowStart()
 	c.pool.EachTarget(func(t *steering.Target) { c.limit(t, view.Target(t.Name), now) })
 }
 
+// slowStart returns how long cold targets are started slowly, 0 while slow
+// start is waived.
+func (c *core) slowStart() time.Duration {
+	cold, warm := 0, 0
+	for _, t := range c.pool.Local() {
+		switch c.view.Target(t.Name).Health {
+		case measure.Cold:
+			cold += t.Slots
+		case measure.Healthy, measure.Unmeasured:
+			warm += t.Slots
+		}
+	}
+	if steering.WaivesSlowStart(cold, warm) {
+		return 0
+	}
+	return c.cold
+}
+
 // chooseTrial chooses the target to try while probes find most slots down.
 func (c *core) chooseTrial(now time.Time) {
 	var down []string
@@ -162,13 +183,13 @@
 	return ok
 }
 
-// release gives a slot back and learns from what the dispatch showed.
-func (c *core) release(target string, held time.Duration, r Result, now time.Time) {
+// release gives a slot back and learns from what the dispatch of a VM showed.
+func (c *core) release(target, vm string, held time.Duration, r Result, now time.Time) {
 	t := c.pool.Target(target)
 	if t == nil {
 		return
 	}
-	c.learn(t, r, now)
+	c.learn(t, vm, r, now)
 	if !r.usedSlot() {
 		held = 0
 	}
@@ -177,7 +198,7 @@
 
 // learn takes the outcome into the target's record before the slot is free
 // again, so that a failing target is not chosen for the next request.
-func (c *core) learn(t *steering.Target, r Result, now time.Time) {
+func (c *core) learn(t *steering.Target, vm string, r Result, now time.Time) {
 	switch {
 	case r.Canceled:
 	case r.Draining:
@@ -188,7 +209,7 @@
 		c.pool.SetLimit(t, min(t.Limit(), max(1, t.InFlight()-1)))
 	default:
 		c.evidence.Observe(t.Name, r.succeeded(), now)
-		if c.ejector.Observe(t.Name, r.succeeded(), c.pool.InFlight(), now) {
+		if c.ejector.Observe(t.Name, vm, r.succeeded(), c.pool.InFlight(), now) {
 			c.pool.SetLimit(t, 0)
 			c.note(eventTargetEjected, telemetry.Value(fieldTarget, t.Name))
 		}
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -126,3 +128,57 @@
 		t.Errorf("got %v, %v", resp, err)
 	}
 }
+
+// A caller that stops reading loses its answer, not others their slot.
+func TestCallerThatStopsReadingFreesTheSlot(t *testing.T) {
+	address := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1073741824")
+		_, _ = io.Copy(w, endless{})
+	})
+	doc := document(address)
+	doc.Limits.IdleTimeoutMS = 100
+	doc.Classes[0].TimeoutMS = 600_000
+	b := newBench(t, doc, nil, telemetry.Discard())
+	conn, err := net.Dial("tcp", b.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := io.ReadFull(conn, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
+
+// brokenWriter is the connection of a caller that is gone.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error)        { return 0, io.ErrClosedPipe }
+func (brokenWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// A connection whose answer was read to its end belongs to the pool: that the
+// caller could not be told must not close it under another request.
+func TestCallerThatIsGoneLeavesTheTargetsConnectionAlone(t *testing.T) {
+	target := newScripted(t)
+	target.set(whole(okAnswer))
+	b := newBench(t, document(target.address), nil, telemetry.Discard())
+	func() {
+		defer func() {
+			if r := recover(); r != http.ErrAbortHandler {
+				t.Errorf("recovered %v, want an aborted connection", r)
+			}
+		}()
+		r := httptest.NewRequest("GET", "/svc/a", nil)
+		b.handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, r)
+	}()
+	dropped := b.handler.deps.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total")
+	if n := dropped.Get(); n != 0 {
+		t.Errorf("%d connections were closed", n)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
