--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -8,6 +8,7 @@
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
 	"masticturn/internal/steering"
+	"masticturn/internal/telemetry"
 )
 
 // BrokerStep is a step of a broker's term.
@@ -75,7 +76,9 @@
 	item     *steering.Item
 	target   string
 	shifted  bool
-	number   uint64 // 0: taken over from a predecessor
+	local    bool   // the target is in this region
+	number   uint64 // 0: not given by this broker
+	passed   uint64 // number of the pass by which the process took it over; 0: none
 	since    time.Time
 	deadline time.Time
 }
@@ -87,6 +90,10 @@
 	heard       time.Time // of the last inventory, or put later to ask again
 	given       uint64    // Number of the last slot given
 	slots       map[uint64]*slot
+	held        int      // slots given
+	passes      []uint64 // asks that may take slots over, as told last
+	passVersion uint64
+	passed      uint64 // slots that the process has passed on, as known
 }
 
 // broker gives out the slots of one service in one region. It does no I/O and
@@ -125,6 +132,7 @@
 	id       brokerID
 	snapshot *config.Snapshot
 	members  *membership.View
+	targets  *measure.View
 	settled  time.Time // not to serve before: the view of a new process may lack members
 	now      time.Time
 }
@@ -148,6 +156,7 @@
 	terms := steering.CreditTerms{TTL: creditTTL, Margin: creditMargin, MaxRun: longestRun(p.snapshot, p.scope.Service)}
 	b.granter = steering.NewGranter(terms, 0, p.now)
 	b.core.withheld = b.withheld
+	b.core.refresh(p.targets, p.now)
 	b.begin(p.now)
 	return b
 }
@@ -157,6 +166,7 @@
 func (b *broker) begin(now time.Time) {
 	b.step = BrokerRecovering
 	b.began = now
+	b.core.note(eventTermBegan)
 	b.granter.Recover(creditTTL+creditMargin, now)
 	b.core.pool.Freeze(now.Add(recoverLongest))
 	b.awaited = make(map[string]bool)
@@ -225,6 +235,7 @@
 // another process may have been broker meanwhile.
 func (b *broker) resume(now time.Time) {
 	b.id.Term++
+	b.core.note(eventBrokerPaused)
 	for region, g := range b.grantees {
 		g.Drop()
 		b.core.pool.SetCredits(steering.Credits{Region: region}, b.spec)
@@ -253,7 +264,11 @@
 // serve ends the recovery.
 func (b *broker) serve() {
 	b.step = BrokerServing
+	b.core.note(eventBrokerServes,
+		telemetry.Value(fieldComplete, b.complete),
+		telemetry.Value(fieldTook, b.last.Sub(b.began).Milliseconds()))
 	b.core.pool.Freeze(time.Time{})
+	b.core.refreshNow(b.last)
 	b.core.pool.Tick(b.last)
 }
 
@@ -311,7 +326,7 @@
 func (b *broker) withheld(t *steering.Target, usable int) int {
 	held := b.granter.Held(t.Name)
 	kept := usable - b.splitShare(usable)
-	if !b.complete && b.last.Sub(b.began) < unexplainedFor {
+	if b.step == BrokerServing && !b.complete && b.last.Sub(b.began) < unexplainedFor {
 		kept = max(kept, t.Reported()-t.InFlight()-held)
 	}
 	return held + kept
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -10,9 +10,19 @@
 
 func newBench() *cli.Command {
 	return &cli.Command{
-		Name:     "bench",
-		Usage:    "measure this program with stand-ins on loopback",
-		Commands: []*cli.Command{newBenchPath(), newBenchLookup(), newBenchFaults(), newBenchDrains(), newBenchSteering(), newBenchConfig(), newBenchCapacity()},
+		Name:  "bench",
+		Usage: "measure this program with stand-ins on loopback",
+		Commands: []*cli.Command{
+			newBenchPath(),
+			newBenchLookup(),
+			newBenchFaults(),
+			newBenchDrains(),
+			newBenchRetries(),
+			newBenchUploads(),
+			newBenchSteering(),
+			newBenchConfig(),
+			newBenchCapacity(),
+		},
 	}
 }
 
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -96,6 +96,7 @@
 	chosen    placement
 
 	frozenUntil time.Time
+	trials      int     // usable slots that are trials
 	utilisation float64 // of this region, smoothed over utilisationWindow
 	smoothed    time.Time
 }
@@ -165,8 +166,8 @@
 		p.grant(r)
 		return nil
 	}
-	wait := p.ExpectedWait(r.Class, now)
-	if p.placeElsewhere(r, wait) {
+	wait := max(p.ExpectedWait(r.Class, now), p.capWait(r))
+	if !p.yields(r) && p.placeElsewhere(r, wait) {
 		p.grant(r)
 		return nil
 	}
@@ -199,6 +200,23 @@
 	p.dispatch()
 }
 
+// Pass takes a waiting request out that has been given the slot of another
+// request of its holder at t, which held it for held. it is nil when the
+// request does not wait.
+func (p *Pool) Pass(t *Target, it *Item, held time.Duration, now time.Time) {
+	p.now = now
+	if held > 0 {
+		p.observe(t, held)
+	}
+	if it != nil {
+		p.queue.Taken(it)
+	}
+}
+
+// Next calls f for the requests that will get slots next, most of them at
+// most, until it returns false.
+func (p *Pool) Next(most int, f func(*Request) bool) { p.queue.Next(most, f) }
+
 func (p *Pool) observe(t *Target, held time.Duration) {
 	if r := p.remoteByGroup(t.group); r != nil {
 		if link := p.cfg.Links[r.Region]; link != nil {
@@ -223,6 +241,13 @@
 	}
 }
 
+// SetTrials tells how many of this region's usable slots are trials of targets
+// that are believed down: nothing is expected of them.
+func (p *Pool) SetTrials(n int) { p.trials = n }
+
+// solid returns the usable slots of this region that can be counted on.
+func (p *Pool) solid() int { return max(0, p.local.limit-p.trials) }
+
 // Tick refuses requests whose time in the queue is over, and dispatches what
 // the passing of time has made possible.
 func (p *Pool) Tick(now time.Time) {
