--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -35,13 +35,15 @@
 	inbox  chan frame
 
 	received atomic.Uint32 // frames received that count for acks
+	acked    atomic.Uint32 // frames that the peer has received
+	progress atomic.Bool   // acked rose, or frames began to wait for acks, since the last check
+	used     atomic.Bool   // messages went either way since the last check
 
 	// Guarded by link.mu.
 	out          []byte // frames to write
 	spare        []byte // buffer for the next out
 	writing      bool
 	sent         uint32 // frames queued that count for acks
-	acked        uint32 // frames that the peer has received
 	unackedSince time.Time
 	pinged       bool // a ping is on the way
 	pending      int  // calls that wait for answers from here
@@ -127,7 +129,7 @@
 		c.expectAcks(1)
 	}
 	if isMessage(typ) {
-		c.lastUse = time.Now()
+		c.used.Store(true)
 	}
 	c.signal()
 	return nil
@@ -144,8 +146,8 @@
 }
 
 func (c *conn) expectAcks(frames uint32) {
-	if c.sent == c.acked {
-		c.unackedSince = time.Now()
+	if c.sent == c.acked.Load() {
+		c.progress.Store(true)
 	}
 	c.sent += frames
 }
@@ -205,18 +207,20 @@
 	}
 }
 
+// limitEvery is how many frames are taken together from the rate limiter.
+const limitEvery = 64
+
 // read reads frames until an error.
 func (c *conn) read() error {
 	t := c.link.net
-	limiter := rate.NewLimiter(rate.Limit(t.opts.FramesPerSecond), t.opts.FramesPerSecond)
-	var acked uint32
-	for {
+	limiter := rate.NewLimiter(rate.Limit(t.opts.FramesPerSecond), t.opts.FramesPerSecond+limitEvery)
+	for n := 1; ; n++ {
 		f, err := readFrame(c.sess.reader, t.opts.MaxFrameBytes)
 		if err != nil {
 			return closeCause(err)
 		}
-		if !limiter.Allow() {
-			if err := limiter.Wait(c.ctx); err != nil {
+		if n%limitEvery == 0 {
+			if err := limiter.WaitN(c.ctx, limitEvery); err != nil {
 				return ErrClosed
 			}
 		}
@@ -224,9 +228,9 @@
 		if f.typ != framePong {
 			c.received.Add(1)
 		}
-		if int32(f.ack-acked) > 0 {
-			acked = f.ack
-			c.noteAck(acked)
+		if int32(f.ack-c.acked.Load()) > 0 {
+			c.acked.Store(f.ack)
+			c.progress.Store(true)
 		}
 		if err := c.dispatch(f); err != nil {
 			return err
@@ -242,18 +246,10 @@
 	return err
 }
 
-func (c *conn) noteAck(acked uint32) {
-	c.link.mu.Lock()
-	defer c.link.mu.Unlock()
-	c.acked = acked
-	c.pinged = false
-	c.unackedSince = time.Now()
-}
-
 // dispatch hands a frame on; it never blocks.
 func (c *conn) dispatch(f frame) error {
 	if isMessage(f.typ) {
-		c.touch()
+		c.used.Store(true)
 	}
 	switch f.typ {
 	case frameSend:
@@ -278,12 +274,6 @@
 	return nil
 }
 
-func (c *conn) touch() {
-	c.link.mu.Lock()
-	defer c.link.mu.Unlock()
-	c.lastUse = time.Now()
-}
-
 func (c *conn) receiveSend(f frame) {
 	select {
 	case c.inbox <- f:
@@ -347,10 +337,16 @@
 // check is the regular look at a connection; an error closes it. link.mu is
 // held.
 func (c *conn) check(now time.Time, paused time.Duration) error {
+	if c.used.Swap(false) {
+		c.lastUse = now
+	}
 	if paused > sweepInterval {
 		c.unackedSince = c.unackedSince.Add(paused)
 	}
-	if c.sent != c.acked {
+	if c.progress.Swap(false) {
+		c.unackedSince, c.pinged = now, false
+	}
+	if c.sent != c.acked.Load() {
 		if err := c.checkSilence(now.Sub(c.unackedSince)); err != nil {
 			return err
 		}
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -148,7 +148,8 @@
 		l := a.link("b")
 		l.mu.Lock()
 		c := l.current
-		c.sent, c.unackedSince = c.acked+1, time.Now()
+		c.sent, c.unackedSince = c.acked.Load()+1, time.Now()
+		c.progress.Store(false)
 		later := time.Now().Add(time.Minute)
 		err := c.check(later, time.Minute)
 		l.mu.Unlock()
