Idempotency: answers too large for a message between VMs are not sent

Cause: recorded_answer_bytes may exceed what a peer frame takes, and a malformed frame costs its connection. Change: above 512 KB the answer stays where it is; others are told that it is not kept.

--- a/internal/idempotency/ledger_test.go
+++ b/internal/idempotency/ledger_test.go
@@ -114,3 +114,22 @@
 		}
 	}
 }
+
+// An answer that is too large for a message is not sent, and never breaks the
+// connection between two VMs.
+func TestLargeAnswersStayAtTheirInstance(t *testing.T) {
+	large := &Answer{Body: make([]byte, carriedBytes+1)}
+	small := &Answer{Body: make([]byte, carriedBytes)}
+	if got := reply(VerdictReplay, large); got.Verdict != VerdictDropped || got.Answer != nil {
+		t.Errorf("large: got verdict %d, answer %v", got.Verdict, got.Answer != nil)
+	}
+	if got := reply(VerdictReplay, small); got.Verdict != VerdictReplay || got.Answer != small {
+		t.Errorf("small: got verdict %d", got.Verdict)
+	}
+	if got := reply(VerdictMismatch, small); got.Answer != nil {
+		t.Error("an answer went out with a verdict that needs none")
+	}
+	if carried(large) != nil || carried(small) != small {
+		t.Error("the wrong answers are carried")
+	}
+}
--- a/internal/idempotency/messages.go
+++ b/internal/idempotency/messages.go
@@ -34,3 +34,26 @@
 	Answer  *Answer `msgpack:"a,omitempty"`
 	Ticket  string  `msgpack:"t,omitempty"`
 }
+
+// carriedBytes is the largest answer that goes from instance to instance. A
+// frame of the peer network takes more.
+const carriedBytes = 512 << 10
+
+// carried returns the answer if it can go to another instance, else nil.
+func carried(a *Answer) *Answer {
+	if a == nil || a.Size() > carriedBytes {
+		return nil
+	}
+	return a
+}
+
+// reply makes the answer to another instance.
+func reply(v Verdict, a *Answer) *ownerAnswer {
+	if v != VerdictReplay {
+		return &ownerAnswer{Verdict: v}
+	}
+	if carried(a) == nil {
+		return &ownerAnswer{Verdict: VerdictDropped}
+	}
+	return &ownerAnswer{Verdict: v, Answer: a}
+}
--- a/internal/idempotency/remote.go
+++ b/internal/idempotency/remote.go
@@ -78,7 +78,7 @@
 func (r *remoteRun) Finish(o outcome.Outcome, a *Answer) {
 	r.k.inBackground(func(ctx context.Context) {
 		_, _ = r.k.call(ctx, r.owner.VM, &ownerRequest{
-			Op: opFinish, Incarnation: r.owner.Incarnation, Key: r.key, Token: r.token, Outcome: o, Answer: a,
+			Op: opFinish, Incarnation: r.owner.Incarnation, Key: r.key, Token: r.token, Outcome: o, Answer: carried(a),
 		})
 	})
 }
@@ -104,11 +104,10 @@
 		return k.ask(&req), nil
 	}
 	v, e := k.ledger.claim(k.now(), req.Key, req.Token, req.Fingerprint, req.Issued, k.bounds())
-	answer := &ownerAnswer{Verdict: v}
-	if v == VerdictReplay {
-		answer.Answer = e.answer
+	if e == nil {
+		return reply(v, nil), nil
 	}
-	return answer, nil
+	return reply(v, e.answer), nil
 }
 
 // ask tells what became of a run of this instance that is claimed in the
@@ -124,6 +123,5 @@
 	if e == nil || e.token != req.Token {
 		return &ownerAnswer{Verdict: VerdictLost}
 	}
-	v := e.verdict("", req.Fingerprint)
-	return &ownerAnswer{Verdict: v, Answer: e.answer}
+	return reply(e.verdict("", req.Fingerprint), e.answer)
 }
