forward: a fleet larger than a target's connections still gets through

Cause: the share of a VM is connections over VMs, 0 at 1,400 VMs and 360 connections, so that every request would be told 'not run' at connect. Change: where the share is 0 a connection lasts for one exchange, as permits keep the exchanges of all VMs within the target's slots, which are fewer than its connections. A test counts connections; it fails when they are kept.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,6 +34,7 @@
 	permit   admission.Permit
 	target   *config.TargetIndex
 	conn     *targetconn.Conn
+	keep     bool // the connection may be kept after the exchange
 	watch    *watchdog
 	stream   *upload
 	resp     *http.Response
@@ -137,7 +138,9 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, connectTimeout)
 	defer cancel()
-	conn, err := a.x.h.conns.Get(ctx, a.target, connectionShare(a.x.snap, a.target), use)
+	rule := connectionRuleOf(a.x.snap, a.target)
+	a.keep = rule.keep
+	conn, err := a.x.h.conns.Get(ctx, a.target, rule.limit, use)
 	if err != nil {
 		return attemptEnd{Step: outcome.StepConnect, Fault: a.faultOr(FaultRefused), Err: err}
 	}
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 
 	"masticturn/internal/config"
@@ -79,6 +80,32 @@
 	}
 }
 
+// In a fleet larger than a target's connections a VM holds one during an
+// exchange only.
+func TestLargeFleetKeepsNoConnections(t *testing.T) {
+	const requests = 20
+	var mu sync.Mutex
+	connections := make(map[string]bool)
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		connections[r.RemoteAddr] = true
+	})
+	doc := document(address)
+	doc.Fleet.MaxVMs = 1400
+	b := newBench(t, doc, nil, telemetry.Discard())
+	for range requests {
+		if resp, _, err := b.call(t, "GET", "/svc/a", nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(connections) != requests {
+		t.Errorf("%d connections for %d requests", len(connections), requests)
+	}
+}
+
 // A target without a connection left for this VM costs nothing but another try.
 func TestNoConnectionLeftIsNotRun(t *testing.T) {
 	doc := document("127.0.0.1:1")
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -17,6 +17,27 @@
 	return t.Connections / max(s.Document.Fleet.MaxVMs, 1)
 }
 
+// connectionRule bounds this VM's connections to one target.
+type connectionRule struct {
+	limit int
+	keep  bool // a connection may be kept after its exchange
+}
+
+// connectionRuleOf keeps a target's limit over all VMs. Where each VM has a
+// share of at least one connection, it may keep its connections. In a larger
+// fleet a connection lasts for one exchange: permits then bound the
+// connections of all VMs by the target's slots, which are fewer than the
+// connections it takes.
+func connectionRuleOf(s *config.Snapshot, t *config.TargetIndex) connectionRule {
+	if share := connectionShare(s, t); share > 0 {
+		return connectionRule{limit: share, keep: true}
+	}
+	if t.Connections < t.Slots {
+		return connectionRule{}
+	}
+	return connectionRule{limit: t.Slots}
+}
+
 // outgoing makes the request to the target. The caller's header map is used as
 // it is for the first attempt and copied for further ones, as the connection
 // of an earlier one may still read it.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -107,9 +107,14 @@
 }
 
 // received notes that the answer was read to its clean end. The connection may
-// carry another exchange from now on, whatever becomes of this answer.
+// carry another exchange from now on, whatever becomes of this answer, where
+// this VM may keep one.
 func (a *attempt) received() {
-	a.conn.Keep()
+	if a.keep {
+		a.conn.Keep()
+	} else {
+		a.conn.Drop()
+	}
 	a.conn = nil
 	a.release(&attemptEnd{})
 }
