--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -201,13 +201,25 @@
 			Operators: hostPort(ip, portOperators),
 		},
 		Platform: settings.Platform{URL: c.platform.URL(), TimeoutMS: platformTimeoutMS, CallsPerSecond: platformCallsPerSecond},
-		Peers:    settings.Peers{Seeds: []string{hostPort(c.plan.ip(groupVM, 1), portPeers), hostPort(c.plan.ip(groupVM, 2), portPeers)}},
+		Peers:    settings.Peers{Seeds: c.seeds()},
 		Operator: settings.Operator{TokenFile: c.opts.TokenFile},
 		Log:      settings.Log{Format: telemetry.FormatText, Level: c.opts.LogLevel.String()},
 	}
 	return &VM{Host: host, Settings: s, cluster: c}
 }
 
+// seeds returns the peer addresses of the first VMs.
+func (c *Cluster) seeds() []string {
+	var seeds []string
+	for i := range min(seedVMs, c.opts.VMs) {
+		seeds = append(seeds, hostPort(c.plan.ip(groupVM, i+1), portPeers))
+	}
+	return seeds
+}
+
+// seedVMs is the number of VMs that the others know from their settings.
+const seedVMs = 2
+
 // Settings of the daemons' platform client, as in settings files.
 const (
 	platformTimeoutMS      = 1000
