--- a/internal/bench/cluster/event_test.go
+++ b/internal/bench/cluster/event_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +71,30 @@
 		t.Fatalf("trace:\n%s", got)
 	}
 }
+
+func TestOverConnectedTargetsAreNamed(t *testing.T) {
+	started, err := target.Start(target.Options{Name: "t", Slots: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer started.Kill()
+	c := &Cluster{Targets: []*Target{{Target: started, Limit: 1}}}
+	for range 2 {
+		if names := c.OverConnected(); len(names) != 0 {
+			t.Fatalf("%v have too many connections", names)
+		}
+		conn, err := net.Dial("tcp", started.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		for before := time.Now(); started.HighConnections() == 0 && time.Since(before) < time.Minute; {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for before := time.Now(); len(c.OverConnected()) == 0; time.Sleep(time.Millisecond) {
+		if time.Since(before) > time.Minute {
+			t.Fatal("two connections to a target that takes one were not noticed")
+		}
+	}
+}
--- a/internal/bench/cluster/targets.go
+++ b/internal/bench/cluster/targets.go
@@ -21,6 +21,7 @@
 	Service string
 	Region  string
 	Slots   int
+	Limit   int            // connections it takes, over all VMs
 	Gauge   *standin.Gauge // concurrency offered to it alone
 }
 
@@ -73,6 +74,7 @@
 		Service: svc.Name,
 		Region:  region,
 		Slots:   doc.Slots,
+		Limit:   doc.Connections,
 		Gauge:   gauge,
 	}
 	c.Network.Add(t.Host)
@@ -81,6 +83,18 @@
 	return nil
 }
 
+// OverConnected returns the targets that had more connections open at once
+// than they take.
+func (c *Cluster) OverConnected() []string {
+	var names []string
+	for _, t := range c.Targets {
+		if t.HighConnections() > t.Limit {
+			names = append(names, t.Name())
+		}
+	}
+	return names
+}
+
 // KillTarget ends a target at once; its slots no longer count as capacity.
 func (c *Cluster) KillTarget(t *Target) error {
 	c.note(Event{What: TargetKilled, Target: t.Name()})
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -69,7 +69,8 @@
 	Attempts       int            `json:"attempts"` // requests that reached targets
 	Tries          int            `json:"tries"`    // sent by callers
 	Faults         []FaultCount   `json:"faults"`
-	Errors         []string       `json:"errors,omitempty"` // of causing and healing faults
+	Errors         []string       `json:"errors,omitempty"`         // of causing and healing faults
+	OverConnected  []string       `json:"over_connected,omitempty"` // targets with more connections open than they take
 	Promises       promise.Report `json:"promises"`
 	BrokenPromises int            `json:"broken_promises"`
 	Traces         []RequestTrace `json:"traces,omitempty"` // of the request asked for, and of some broken promises
@@ -190,7 +191,8 @@
 	for _, err := range j.errs {
 		r.Errors = append(r.Errors, err.Error())
 	}
-	r.BrokenPromises = r.Promises.Total
+	r.OverConnected = c.OverConnected()
+	r.BrokenPromises = r.Promises.Total + len(r.OverConnected)
 	r.Traces = tracesOf(c, opts.Trace, r.Promises.Examples)
 	return r
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -52,6 +52,7 @@
 	faults    []Fault
 	faultRate float64
 	cutPlan   CutPlan
+	highConns int // before the last restart
 }
 
 // Start starts a target.
@@ -101,9 +102,17 @@
 func (t *Target) Kill() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.highConns = max(t.highConns, t.server.HighConnections())
 	return t.server.Close()
 }
 
+// HighConnections returns the most connections that were open at once.
+func (t *Target) HighConnections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.highConns, t.server.HighConnections())
+}
+
 // Address returns host:port.
 func (t *Target) Address() string {
 	t.mu.Lock()
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -204,6 +205,28 @@
 	}
 }
 
+func TestHighConnectionsOutliveARestart(t *testing.T) {
+	tg := start(t, Options{})
+	const count = 3
+	for range count {
+		conn, err := net.Dial("tcp", tg.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	for tg.HighConnections() < count {
+		time.Sleep(time.Millisecond)
+	}
+	tg.Kill()
+	if err := tg.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if high := tg.HighConnections(); high != count {
+		t.Fatalf("high = %d", high)
+	}
+}
+
 func TestServiceTimeHasItsMean(t *testing.T) {
 	const draws = 20_000
 	tg := start(t, Options{Service: 10 * time.Millisecond, Sigma: 0.5})
