--- a/internal/confsync/spread_test.go
+++ b/internal/confsync/spread_test.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"masticturn/internal/config/repository"
 	"masticturn/internal/peer/peertest"
 	"masticturn/internal/platform"
+	"masticturn/internal/platform/platformtest"
 )
 
 // perRegion makes trees of more than one level.
@@ -57,6 +59,20 @@
 			time.AfterFunc(time.Second, func() { f.hub.SetFault(all, "vm-05", peertest.Fault{}) })
 			return f.apply(f.daemons[0])
 		}},
+		{"all watches fail, the applier dies at once", func(f *fleet) config.Generation {
+			f.deafen()
+			return f.put(1)
+		}},
+		{"all watches hang", func(f *fleet) config.Generation {
+			f.store.SetHook(func(ctx context.Context, c platformtest.Call) platformtest.Fault {
+				if c.Op == platform.OpWatch {
+					<-ctx.Done()
+				}
+				return platformtest.FaultNone
+			})
+			time.Sleep(2 * time.Second) // until watches are begun anew
+			return f.apply(f.daemons[0])
+		}},
 		{"a daemon restarts, reads are stale", func(f *fleet) config.Generation {
 			f.store.Freeze()
 			gen := f.apply(f.daemons[0])
