config: warnings for what is allowed but probably not meant

Cause: a cap above what its link carries, a service whose targets all leave and routes that leave requests unmatched passed without a word; refusing them would keep an operator from squeezing a link before the caps are changed. Change: Advise returns warnings; the API's validate and config validate show them.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -21,6 +21,9 @@
 			if err := config.Validate(doc); err != nil {
 				t.Fatal(err)
 			}
+			if warnings, err := config.Advise(doc); err != nil || len(warnings) > 0 {
+				t.Errorf("warnings %v, %v", warnings, err)
+			}
 			checkSizes(t, doc)
 		})
 	}
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -79,12 +79,24 @@
 			if err != nil {
 				return usageError(err)
 			}
+			if err := printWarnings(c.Root().ErrWriter, doc); err != nil {
+				return err
+			}
 			_, err = fmt.Fprintln(c.Root().Writer, "valid")
 			return err
 		},
 	}
 }
 
+// printWarnings prints what is allowed in a document, but probably not meant.
+func printWarnings(w io.Writer, doc *config.Document) error {
+	warnings, err := config.Advise(doc)
+	for _, f := range warnings {
+		fmt.Fprintf(w, "warning: %s: got %s; expected: %s\n", f.Path, f.Value, f.Allowed)
+	}
+	return err
+}
+
 func newConfigSchema() *cli.Command {
 	return &cli.Command{
 		Name:  "schema",
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -70,6 +70,11 @@
 	Line    int    `json:"line,omitempty"`
 }
 
+// ConfigValid is the answer to a valid document.
+type ConfigValid struct {
+	Warnings []ConfigFault `json:"warnings"` // allowed, but probably not meant
+}
+
 // ConfigChange is one difference between two documents.
 type ConfigChange struct {
 	Kind    string `json:"kind"` // added, removed, modified, moved
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -51,10 +51,12 @@
 	return answer, c.do(ctx, req, answer)
 }
 
-// Validate returns nil for a valid document, else an *edge.OperatorError with
-// its faults.
-func (c *Client) Validate(ctx context.Context, document []byte) error {
-	return c.do(ctx, c.base.New().Post(edge.PathOperatorValidate).Body(bytes.NewReader(document)), &struct{}{})
+// Validate returns the warnings about a valid document. The error is an
+// *edge.OperatorError with the faults of an invalid one.
+func (c *Client) Validate(ctx context.Context, document []byte) (*edge.ConfigValid, error) {
+	answer := &edge.ConfigValid{}
+	req := c.base.New().Post(edge.PathOperatorValidate).Body(bytes.NewReader(document))
+	return answer, c.do(ctx, req, answer)
 }
 
 // Diff returns the difference of a document to the one in force.
--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -153,11 +153,18 @@
 
 func TestErrorsSayWhatToDo(t *testing.T) {
 	t.Run("faults", func(t *testing.T) {
-		err := newRig(t).Validate(t.Context(), []byte(`{"deployment": "x", "color": 1}`))
+		_, err := newRig(t).Validate(t.Context(), []byte(`{"deployment": "x", "color": 1}`))
 		if e := operatorError(t, err); e.Code != edge.CodeInvalid || e.Faults[0].Path != "color" || e.Faults[0].Line != 1 {
 			t.Errorf("got %+v", e)
 		}
 	})
+	t.Run("warnings", func(t *testing.T) {
+		squeezed := bytes.ReplaceAll(estiba(), []byte(`"requests_per_second": 2000`), []byte(`"requests_per_second": 20`))
+		valid, err := newRig(t).Validate(t.Context(), squeezed)
+		if err != nil || len(valid.Warnings) == 0 {
+			t.Errorf("got %+v, %v", valid, err)
+		}
+	})
 	t.Run("conflict", func(t *testing.T) {
 		r := newRig(t)
 		r.mustApply(t, 0, estiba())
--- a/internal/operator/configapi/api.go
+++ b/internal/operator/configapi/api.go
@@ -110,12 +110,14 @@
 	return gen, packed, err
 }
 
-// validate answers the faults of a document.
+// validate answers the faults of a document, or the warnings of a valid one.
 func (a *API) validate(w http.ResponseWriter, r *http.Request) (any, error) {
-	if _, err := readDocument(w, r); err != nil {
+	doc, err := readDocument(w, r)
+	if err != nil {
 		return nil, err
 	}
-	return struct{}{}, nil
+	warnings, err := config.Advise(doc)
+	return &edge.ConfigValid{Warnings: faults(warnings)}, err
 }
 
 // diff answers the difference of a valid document to the one in force.
