--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -71,11 +71,7 @@
 			if err != nil {
 				return err
 			}
-			doc, err := config.Parse(raw)
-			if err == nil {
-				config.SetDefaults(doc)
-				err = config.Validate(doc)
-			}
+			doc, err := config.Check(raw)
 			if err != nil {
 				return usageError(err)
 			}
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -64,7 +64,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := Parse([]byte(tt.text))
+			_, err := Check([]byte(tt.text))
 			if f := faultsOf(t, err); !strings.Contains(f[0].String(), tt.word) {
 				t.Errorf("got %v, want %q", f[0], tt.word)
 			}
@@ -72,6 +72,31 @@
 	}
 }
 
+// TestCheckReportsShapeAndRulesTogether has an unknown field beside faults
+// that only the rules see.
+func TestCheckReportsShapeAndRulesTogether(t *testing.T) {
+	text := `{
+	"color": 1,
+	"deployment": "x",
+	"regions": [
+		{"name": "r", "zones": ["a"]},
+		{"name": "r",
+			"zones": []}
+	],
+}`
+	want := map[string]int{"color": 2, "regions[1].name": 6, "regions[1].zones": 7, "classes": 1}
+	_, err := Check([]byte(text))
+	got := make(map[string]int)
+	for _, f := range faultsOf(t, err) {
+		got[f.Path] = f.Line
+	}
+	for path, line := range want {
+		if got[path] != line {
+			t.Errorf("%s: line %d, want %d", path, got[path], line)
+		}
+	}
+}
+
 func TestDepthIgnoresStringsAndComments(t *testing.T) {
 	text := `{"a[[\"[": "[[[", // [[[
 	/* {{{ */ "b": [1]}`
@@ -95,11 +120,11 @@
 	f.Add([]byte(`{"services": [{"targets": [{"address": "127.0.0.1:80"}]}]}`))
 	f.Add([]byte("{\"a\\\"//\": \"/*\"}"))
 	f.Fuzz(func(t *testing.T, text []byte) {
+		_, _ = Check(text)
 		doc, err := Parse(text)
 		if err != nil {
 			return
 		}
-		_ = Validate(doc)
 		raw, err := Encode(doc)
 		if err != nil {
 			t.Fatalf("a parsed document cannot be encoded: %v", err)
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"reflect"
 	"strconv"
@@ -105,7 +104,7 @@
 		Path:    path,
 		Value:   describe(v),
 		Allowed: allowed,
-		Line:    1 + bytes.Count(s.raw[:min(v.StartOffset, len(s.raw))], []byte("\n")),
+		Line:    lineAt(s.raw, v.StartOffset),
 	})
 }
 
@@ -116,7 +115,7 @@
 	case *hujson.Array:
 		return "a list"
 	}
-	return string(bytes.TrimSpace(v.Value.(hujson.Literal)))
+	return strings.TrimSpace(string(v.Value.(hujson.Literal)))
 }
 
 func join(path, name string) string {
--- a/internal/operator/configapi/api.go
+++ b/internal/operator/configapi/api.go
@@ -228,11 +228,7 @@
 	if err != nil {
 		return nil, trace.BadParameter("read document: %v", err)
 	}
-	doc, err := config.Parse(raw)
-	if err != nil {
-		return nil, err
-	}
-	return doc, config.Validate(doc)
+	return config.Check(raw)
 }
 
 func parseGeneration(name, text string) (config.Generation, error) {
