membership: former neighbors fall silent, less is sent twice

Two daemons that had been neighbors went on answering each other for good; and changes were sent again before their acknowledgment could have come.

Change: a heartbeat says whether the receiver is one of the sender's partners, and only such are answered; what is on the way is sent again only when its acknowledgment is late; notes of regions use short ids. A daemon that was cut off gives its suspects all their time to refute when it hears others again: TestDaemonCutOffJudgesNobody failed without that once acknowledgments came differently; the fault was there before, hidden by their order.

TestFormerNeighborsFallSilent fails without the first change.

--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -35,7 +35,7 @@
 	m.digest ^= e.Record.digest()
 	verdict(&e.Record)
 	m.digest ^= e.Record.digest()
-	e.changed = now
+	e.changed, e.suspectSince = now, now
 	m.touchRecord(e, nil)
 }
 
@@ -91,17 +91,19 @@
 // judgeGone ends members of the own region that were suspect for too long.
 // Members of other regions are judged by those regions: a region that is cut
 // off is suspect, not gone. A daemon that hears less than half of those it
-// should hear takes itself for cut off and judges nobody.
+// should hear takes itself for cut off and judges nobody; when it hears them
+// again, the suspects have all their time to refute.
 func (m *Machine) judgeGone(t *topology, now time.Time) {
 	patience := m.opts.GoneAfter - m.opts.SuspectAfter
+	isolated := m.isolated(t, now)
 	for _, e := range t.ring {
-		if !e.Suspect || e.Gone || now.Sub(e.changed) < patience {
-			continue
-		}
-		if m.isolated(t, now) {
-			return
+		switch {
+		case !e.Suspect || e.Gone:
+		case isolated:
+			e.suspectSince = now
+		case now.Sub(e.suspectSince) >= patience:
+			m.judge(e, now, func(r *Record) { r.Gone = true })
 		}
-		m.judge(e, now, func(r *Record) { r.Gone = true })
 	}
 }
 
@@ -134,7 +136,7 @@
 		if e == m.self {
 			continue
 		}
-		region := m.regions[e.Region]
+		region := m.regions[e.region]
 		lost := e.Region != m.self.Region && region != nil && now.Sub(region.heard) > m.opts.ForgetAfter
 		if e.Gone && now.Sub(e.changed) > m.opts.TombstoneAfter || lost {
 			m.forget(name, e, lost)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -33,11 +33,13 @@
 // entry is one member in the table.
 type entry struct {
 	Record
+	region        uint32     // ID of its region
 	recordVersion uint64     // of the table, when the record last changed
 	noteVersion   uint64     // of the table, when the generation last changed
 	recordSource  *linkState // where the record came from; nil: from here
 	noteSource    *linkState // where the generation came from
 	changed       time.Time  // when the state last changed
+	suspectSince  time.Time  // start of the time in which a suspicion may be refuted
 	reported      State
 	isReported    bool      // reported holds the state that was reported last
 	sign          time.Time // last sign of life: heard, told by others, or a newer Seq
@@ -64,7 +66,7 @@
 	version uint64            // rises with each change of the table
 	digest  uint64            // of all records
 	news    newest
-	regions map[string]*regionState
+	regions map[uint32]*regionState
 	links   map[string]*linkState
 
 	topology      topology
@@ -97,10 +99,10 @@
 		last:    now,
 		table:   make(map[string]*entry),
 		byID:    make(map[uint32]*entry),
-		regions: make(map[string]*regionState),
+		regions: make(map[uint32]*regionState),
 		links:   make(map[string]*linkState),
 	}
-	m.self = &entry{Record: self, changed: now, sign: now}
+	m.self = &entry{Record: self, region: regionID(self.Region), changed: now, sign: now}
 	m.table[self.Name] = m.self
 	m.digest = self.digest()
 	m.touchRecord(m.self, nil)
@@ -147,7 +149,7 @@
 	m.act(ReportAwake{Away: away})
 	for _, e := range m.table {
 		e.sign = now
-		e.changed = e.changed.Add(away)
+		e.suspectSince = now
 	}
 	for _, l := range m.links {
 		l.heard = now
@@ -274,12 +276,12 @@
 }
 
 func (m *Machine) add(r *Record, source *linkState, now time.Time) {
-	e := &entry{Record: *r, changed: now, sign: now}
+	e := &entry{Record: *r, region: regionID(r.Region), changed: now, suspectSince: now, sign: now}
 	m.table[r.Name] = e
 	m.digest ^= r.digest()
 	m.touchRecord(e, source)
 	m.learnAddress(e, "")
-	m.noteRegionSeen(r.Region, now)
+	m.noteRegionSeen(e.region, now)
 }
 
 func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
@@ -293,9 +295,9 @@
 	if !r.Suspect && !r.Gone {
 		e.sign = now
 	}
-	e.Record = *r
+	e.Record, e.region = *r, regionID(r.Region)
 	e.Generation, e.Hash = generation, hash
-	e.changed = now
+	e.changed, e.suspectSince = now, now
 	m.digest ^= e.Record.digest()
 	m.touchRecord(e, source)
 	m.learnAddress(e, address)
@@ -371,7 +373,7 @@
 func (m *Machine) derive(e *entry) State {
 	s := e.state()
 	if s == Alive && e.Region != m.self.Region {
-		if r := m.regions[e.Region]; r != nil && r.silent {
+		if r := m.regions[e.region]; r != nil && r.silent {
 			return Suspect
 		}
 	}
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -357,3 +357,24 @@
 	s.run(10 * time.Second)
 	s.wantSeen("r0-z1-0", Gone)
 }
+
+// Daemons that are no longer neighbors must not keep each other's heartbeats
+// going.
+func TestFormerNeighborsFallSilent(t *testing.T) {
+	s := newSim(t, 21)
+	s.fleet(1, 2, 15)
+	for _, name := range []string{"r0-z0-3", "r0-z0-7", "r0-z1-4"} {
+		s.crash(name)
+	}
+	s.run(15 * time.Second)
+	s.measure = true
+	s.run(10 * time.Second)
+	most := 0.0
+	for _, name := range s.order {
+		perTarget := 10 * time.Second.Seconds() / s.opts.HeartbeatInterval.Seconds() / (1 - jitterFraction)
+		most += perTarget * float64(len(s.nodes[name].currentTopology().targets))
+	}
+	if float64(s.messages) > 1.1*most {
+		t.Errorf("%d heartbeats, want at most %.0f", s.messages, most)
+	}
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -10,6 +10,7 @@
 	Hash       uint64 // of that document
 	TableHash  uint32 // of the sender's records
 
+	Wanted  bool   // the receiver is one of those that the sender exchanges heartbeats with
 	HeardMS uint32 // how long ago the sender last heard the receiver; neverHeard if not
 
 	AckEpoch uint32 // lower bits of the receiver's epoch to which Ack belongs
@@ -40,10 +41,10 @@
 
 // RegionNote is what the relays of a region say of it.
 type RegionNote struct {
-	Region     string
+	Region     uint32   // ID of the region
 	Beat       uint64   // rises with each note
 	Generation uint64   // that all members have in force or surpass
-	Except     []string // but these
+	Except     []uint32 // but these, by their short IDs
 }
 
 // Sign is a sign of life of a member that the sender heard itself.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -76,6 +76,9 @@
 	return uint32((xxhash.Sum64String(r.Name) ^ r.Incarnation) * digestPrime >> 32)
 }
 
+// regionID stands for a region in notes.
+func regionID(region string) uint32 { return uint32(xxhash.Sum64String(region)) }
+
 // incarnationStep separates the incarnations of one VM name. The lower bits
 // are random, so that two processes with the same clock differ.
 const incarnationStep = 1 << 16
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -18,18 +18,18 @@
 	source  *linkState
 }
 
-func (m *Machine) region(name string) *regionState {
-	r, ok := m.regions[name]
+func (m *Machine) region(id uint32) *regionState {
+	r, ok := m.regions[id]
 	if !ok {
-		r = &regionState{RegionNote: RegionNote{Region: name}}
-		m.regions[name] = r
+		r = &regionState{RegionNote: RegionNote{Region: id}}
+		m.regions[id] = r
 	}
 	return r
 }
 
 // noteRegionSeen starts the timer of a region when its first member is known.
-func (m *Machine) noteRegionSeen(name string, now time.Time) {
-	if r := m.region(name); r.heard.IsZero() {
+func (m *Machine) noteRegionSeen(id uint32, now time.Time) {
+	if r := m.region(id); r.heard.IsZero() {
 		r.heard = now
 	}
 }
@@ -42,12 +42,12 @@
 	if m.phase == PhaseJoining || !m.currentTopology().relay {
 		return
 	}
-	r := m.region(m.self.Region)
+	r := m.region(m.self.region)
 	early := m.news.note > r.version && now.Sub(r.changed) >= m.opts.RegionInterval/earlyNotes
 	if now.Before(m.nextNote) && !early {
 		return
 	}
-	note := RegionNote{Region: m.self.Region, Beat: max(r.Beat+1, uint64(now.UnixMilli()))}
+	note := RegionNote{Region: m.self.region, Beat: max(r.Beat+1, uint64(now.Unix()))}
 	note.Generation, note.Except = m.summarize()
 	if now.Before(m.nextNote) && note.sameAs(&r.RegionNote) {
 		return
@@ -77,23 +77,20 @@
 
 // summarize returns the highest generation that all members of the own region
 // but few have in force.
-func (m *Machine) summarize() (generation uint64, except []string) {
+func (m *Machine) summarize() (generation uint64, except []uint32) {
 	lowest := m.self.Generation
-	for _, e := range m.table {
-		if e.Region == m.self.Region && !e.Gone {
-			generation = max(generation, e.Generation)
-			lowest = min(lowest, e.Generation)
-		}
+	for _, e := range m.currentTopology().ring {
+		generation = max(generation, e.Generation)
+		lowest = min(lowest, e.Generation)
 	}
-	for name, e := range m.table {
-		if e.Region == m.self.Region && !e.Gone && e.Generation < generation {
-			except = append(except, name)
+	for _, e := range m.currentTopology().ring {
+		if e.Generation < generation {
+			except = append(except, e.shortID())
 		}
 	}
 	if len(except) > maxExceptions {
 		return lowest, nil
 	}
-	slices.Sort(except)
 	return generation, except
 }
 
@@ -108,11 +105,11 @@
 		r.silent = false
 		m.viewStale, m.statesStale = true, true
 	}
-	if n.Region == m.self.Region {
+	if n.Region == m.self.region {
 		return
 	}
-	for name, e := range m.table {
-		if e.Region == n.Region && !e.Gone && e.Generation < n.Generation && !slices.Contains(n.Except, name) {
+	for _, e := range m.table {
+		if e.region == n.Region && !e.Gone && e.Generation < n.Generation && !slices.Contains(n.Except, e.shortID()) {
 			e.Generation, e.Hash = n.Generation, 0
 			m.viewLater = true
 		}
@@ -121,8 +118,8 @@
 
 // detectRegions marks the regions that are not heard of.
 func (m *Machine) detectRegions(now time.Time) {
-	for name, r := range m.regions {
-		silent := name != m.self.Region && now.Sub(r.heard) >= m.opts.RegionAfter
+	for id, r := range m.regions {
+		silent := id != m.self.region && now.Sub(r.heard) >= m.opts.RegionAfter
 		if silent != r.silent {
 			r.silent = silent
 			m.viewStale, m.statesStale = true, true
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -9,21 +9,24 @@
 
 // linkState is what is known of the exchange with one other daemon.
 type linkState struct {
-	peer      string
-	epoch     uint64 // of the peer's process
-	heard     time.Time
-	everHeard bool
-	sent      time.Time
-	since     time.Time // first heartbeat sent
-	due       time.Time // of the next heartbeat
-	acked     uint64    // version of the own table that the peer has
-	skip      uint64    // records up to this version are with the peer, by its table hash
-	merged    uint64    // version of the peer's table that is merged here
-	oneWay    bool      // it is heard, but does not hear this daemon
-	asks      []string  // members it asks about
-	met       time.Time // when it was last asked for its table
-	different int       // heartbeats in a row that showed another table
-	patience  int       // how many of them are borne
+	peer        string
+	epoch       uint64 // of the peer's process
+	heard       time.Time
+	everHeard   bool
+	sent        time.Time
+	since       time.Time // first heartbeat sent
+	due         time.Time // of the next heartbeat
+	acked       uint64    // version of the own table that the peer has
+	flying      uint64    // version up to which changes are on the way
+	flyingSince time.Time // when the oldest of them was sent, at most
+	wanted      bool      // the peer holds this daemon for a partner
+	skip        uint64    // records up to this version are with the peer, by its table hash
+	merged      uint64    // version of the peer's table that is merged here
+	oneWay      bool      // it is heard, but does not hear this daemon
+	asks        []string  // members it asks about
+	met         time.Time // when it was last asked for its table
+	different   int       // heartbeats in a row that showed another table
+	patience    int       // how many of them are borne
 }
 
 // urgentGap is the least time between two heartbeats to one daemon when there
@@ -61,8 +64,8 @@
 		l = m.newLink(from)
 		l.epoch, l.since = hb.Epoch, since
 	}
-	l.heard, l.everHeard = now, true
-	m.takeAck(l, hb)
+	l.heard, l.everHeard, l.wanted = now, true, hb.Wanted
+	m.takeAck(l, hb, now)
 	m.takeChanges(l, hb, now)
 	m.takeSender(l, hb, now)
 	m.takeSigns(hb, now)
@@ -75,9 +78,10 @@
 	return m.end()
 }
 
-func (m *Machine) takeAck(l *linkState, hb *Heartbeat) {
+func (m *Machine) takeAck(l *linkState, hb *Heartbeat, now time.Time) {
 	if hb.AckEpoch == uint32(m.epoch) && hb.Ack > l.acked && hb.Ack <= m.version {
 		l.acked = hb.Ack
+		l.flyingSince = now
 	}
 }
 
@@ -145,7 +149,7 @@
 	}
 	l.different++
 	if l.different > l.patience {
-		l.acked, l.skip = 0, 0
+		l.acked, l.skip, l.flying = 0, 0, 0
 		l.different, l.patience = 0, 2*l.patience
 	}
 }
@@ -177,7 +181,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.links)) {
 		l := m.links[name]
-		active := l.everHeard && now.Sub(l.heard) <= m.activeFor()
+		active := l.wanted && now.Sub(l.heard) <= m.activeFor()
 		if active && !slices.Contains(t.targets, name) && m.isDue(l, now) {
 			m.send(l, now)
 		}
@@ -244,7 +248,8 @@
 		HeardMS:    neverHeard,
 		AckEpoch:   uint32(l.epoch),
 		Ack:        l.merged,
-		Base:       l.acked,
+		Base:       m.sendFrom(l, now),
+		Wanted:     slices.Contains(m.currentTopology().targets, l.peer),
 	}
 	if l.everHeard {
 		hb.HeardMS = uint32(now.Sub(l.heard).Milliseconds())
@@ -259,6 +264,21 @@
 	m.act(SendHeartbeat{To: l.peer, Heartbeat: hb})
 }
 
+// resendIntervals is after how many heartbeats without an acknowledgment
+// changes are sent again.
+const resendIntervals = 2
+
+// sendFrom returns the version after which changes are to be sent: what is on
+// the way is not sent again before its acknowledgment is late.
+func (m *Machine) sendFrom(l *linkState, now time.Time) uint64 {
+	late := now.Sub(l.flyingSince) > resendIntervals*m.interval(l.peer)
+	if l.flying > l.acked && !late {
+		return l.flying
+	}
+	l.flyingSince = now
+	return l.acked
+}
+
 // jitterFraction is how much an interval may be shorter, so that heartbeats of
 // daemons do not fall into step.
 const jitterFraction = 0.1
@@ -271,14 +291,15 @@
 // acknowledgment, oldest first, up to the bound.
 func (m *Machine) addChanges(hb *Heartbeat, l *linkState) {
 	hb.Version = m.version
-	if l.acked >= m.version {
+	if hb.Base >= m.version {
 		return
 	}
-	changed := m.changedSince(l)
+	changed := m.changedSince(l, hb.Base)
 	if len(changed) > m.opts.MaxRecords {
 		changed = changed[:m.opts.MaxRecords]
 		hb.Version = changed[len(changed)-1].version
 	}
+	l.flying = hb.Version
 	for _, c := range changed {
 		switch {
 		case c.region != nil:
@@ -310,13 +331,13 @@
 	region  *regionState
 }
 
-func (m *Machine) changedSince(l *linkState) []change {
+func (m *Machine) changedSince(l *linkState, from uint64) []change {
 	var out []change
-	if max(m.news.record, m.news.note) > l.acked {
-		out = m.changedMembers(l)
+	if max(m.news.record, m.news.note) > from {
+		out = m.changedMembers(l, from)
 	}
 	for _, r := range m.regions {
-		if r.version > l.acked && r.source != l && r.Beat > 0 {
+		if r.version > from && r.source != l && r.Beat > 0 {
 			out = append(out, change{version: r.version, region: r})
 		}
 	}
@@ -326,13 +347,13 @@
 
 // changedMembers returns the changed records, and for a peer of the region the
 // changed generations.
-func (m *Machine) changedMembers(l *linkState) (out []change) {
+func (m *Machine) changedMembers(l *linkState, from uint64) (out []change) {
 	local := m.isLocal(l.peer)
 	for _, e := range m.table {
-		if e.recordVersion > max(l.acked, l.skip) && e.recordSource != l {
+		if e.recordVersion > max(from, l.skip) && e.recordSource != l {
 			out = append(out, change{version: e.recordVersion, entry: e})
 		}
-		if local && e.noteVersion > l.acked && e.noteSource != l && e.Region == m.self.Region {
+		if local && e.noteVersion > from && e.noteSource != l && e.Region == m.self.Region {
 			out = append(out, change{version: e.noteVersion, entry: e, note: true})
 		}
 	}
