--- /dev/null
+++ b/internal/membership/derive.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+)
+
+// View returns the view of the members. It is the same value until something
+// changes.
+func (m *Machine) View() *View {
+	if m.view != nil && !m.viewStale {
+		return m.view
+	}
+	m.viewStale = false
+	v := &View{Self: m.self.Name, Version: 1}
+	if m.view != nil {
+		v.Version = m.view.Version + 1
+	}
+	v.Members = make([]Member, 0, len(m.table))
+	for _, e := range m.table {
+		if !e.Gone || e == m.self {
+			v.Members = append(v.Members, m.member(e))
+		}
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	m.view = v
+	return v
+}
+
+func (m *Machine) member(e *entry) Member {
+	return Member{
+		Name: e.Name, Zone: e.Zone, Region: e.Region,
+		PeerAddress: e.PeerAddress, CallerAddress: e.CallerAddress,
+		Incarnation: e.Incarnation, State: m.derive(e), Generation: e.Generation, Hash: e.Hash,
+	}
+}
+
+// derive returns the state of a member: that of its record, but suspect when
+// its region is not heard of.
+func (m *Machine) derive(e *entry) State {
+	s := e.state()
+	if s == Alive && e.Region != m.self.Region {
+		if r := m.regions[e.region]; r != nil && r.silent {
+			return Suspect
+		}
+	}
+	return s
+}
+
+// reportStates reports the members whose state changed.
+func (m *Machine) reportStates() {
+	if !m.statesStale {
+		return
+	}
+	m.statesStale = false
+	for name, e := range m.table {
+		s := m.derive(e)
+		if !e.isReported || e.reported != s {
+			e.reported, e.isReported = s, true
+			m.act(ReportState{Name: name, State: s})
+		}
+	}
+}
