--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -27,6 +27,8 @@
 	return []group{
 		{"look-up", lookupSlopes},
 		{"measurement", measureSlopes},
+		{roleGrants, grantSlopes},
+		{roleMembership, membershipSlopes},
 		{roleConfiguration, configurationSlopes},
 	}
 }
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// WithDefaults returns the options with defaults in place of zero values.
+func (o Options) WithDefaults() Options {
+	o.setDefaults()
+	return o
+}
+
 func (o *Options) setDefaults() {
 	orDefault(&o.HeartbeatInterval, defaultHeartbeatInterval)
 	orDefault(&o.RelayInterval, defaultRelayInterval)
