--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -230,7 +230,7 @@
 func (c *Cluster) Close() error {
 	var errs []error
 	for _, vm := range c.VMs {
-		vm.stop()
+		errs = append(errs, vm.stop())
 	}
 	for _, t := range c.Targets {
 		errs = append(errs, t.Kill())
--- a/internal/bench/cluster/vm.go
+++ b/internal/bench/cluster/vm.go
@@ -56,10 +56,14 @@
 	v.cluster.Network.Up(v.Host)
 	set := metrics.NewSet()
 	logger := telemetry.NewLogger(v.cluster.opts.LogTo, telemetry.FormatText, v.cluster.opts.LogLevel, v.Host.Name)
-	daemon, err := v.cluster.opts.Start(ctx, v.Settings, DaemonDeps{
-		Dial:    v.cluster.dialer(v.Host),
-		Metrics: set,
-		Logger:  logger,
+	var daemon Daemon
+	err := bounded("start", startBound, func() (err error) {
+		daemon, err = v.cluster.opts.Start(ctx, v.Settings, DaemonDeps{
+			Dial:    v.cluster.dialer(v.Host),
+			Metrics: set,
+			Logger:  logger,
+		})
+		return err
 	})
 	if err != nil {
 		return trace.Wrap(err, "start %s", v.Host.Name)
@@ -114,35 +118,52 @@
 }
 
 // Kill ends the daemon at once, with all its connections.
-func (v *VM) Kill() {
+func (v *VM) Kill() error {
 	d := v.take()
 	if d == nil {
-		return
+		return nil
 	}
 	v.cluster.note(Event{What: VMKilled, VM: v.Host.Name})
 	v.cluster.Network.Down(v.Host)
-	d.Kill()
+	err := v.kill(d)
 	v.cluster.unlistAfter(v, unlistLag)
+	return err
+}
+
+func (v *VM) kill(d Daemon) error {
+	err := bounded("kill", killBound, func() error {
+		d.Kill()
+		return nil
+	})
+	return trace.Wrap(err, "kill %s", v.Host.Name)
 }
 
-// Drain stops the daemon as planned and returns when it has ended.
+// Drain stops the daemon as planned and returns when it has ended. What is
+// left when the context ends is cut.
 func (v *VM) Drain(ctx context.Context) error {
 	d := v.take()
 	if d == nil {
 		return nil
 	}
 	v.cluster.note(Event{What: VMDrains, VM: v.Host.Name})
-	err := d.Drain(ctx)
+	limit := drainBound
+	if deadline, ok := ctx.Deadline(); ok {
+		limit += time.Until(deadline)
+	} else {
+		limit += v.cluster.Document.Drain.GraceMS.Duration()
+	}
+	err := bounded("drain", limit, func() error { return d.Drain(ctx) })
 	v.cluster.note(Event{What: VMDrained, VM: v.Host.Name})
 	v.cluster.unlistAfter(v, unlistLag)
 	return trace.Wrap(err, "drain %s", v.Host.Name)
 }
 
 // stop ends the daemon without a record.
-func (v *VM) stop() {
+func (v *VM) stop() error {
 	if d := v.take(); d != nil {
-		d.Kill()
+		return v.kill(d)
 	}
+	return nil
 }
 
 // Isolate holds back everything from and to the VM, as if it were paused; its
--- a/internal/bench/faultrun.go
+++ b/internal/bench/faultrun.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/edge"
 	"masticturn/internal/platform/platformtest"
@@ -25,6 +27,7 @@
 	lossShare        = 0.4  // of the writes of a platform that loses them
 	maxCutBytes      = 4096 // after which a connection is cut
 	slowStore        = 400 * time.Millisecond
+	drainTime        = 18 * time.Second // look-up's age, a caller's patience, and that of the VM with a silent caller
 )
 
 // injector causes the faults of a plan in a cluster.
@@ -108,6 +111,14 @@
 	}
 }
 
+// drainWithin stops a VM as planned, for which the requests of this scenario
+// leave enough time.
+func drainWithin(ctx context.Context, vm *cluster.VM) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	return vm.Drain(ctx)
+}
+
 func (j *injector) causeAtVM(ctx context.Context, f plannedFault) {
 	var names []string
 	for _, vm := range j.cluster.VMs {
@@ -122,14 +133,13 @@
 	var err error
 	switch f.kind {
 	case FaultVMDeath:
-		vm.Kill()
+		err = vm.Kill()
 		time.Sleep(f.lasts)
-		err = vm.Start(ctx)
+		err = trace.NewAggregate(err, vm.Start(ctx))
 	case FaultVMDrain:
-		if err = vm.Drain(ctx); err == nil {
-			time.Sleep(f.lasts)
-			err = vm.Start(ctx)
-		}
+		err = drainWithin(ctx, vm)
+		time.Sleep(f.lasts)
+		err = trace.NewAggregate(err, vm.Start(ctx))
 	case FaultVMIsolated:
 		vm.Isolate()
 		time.Sleep(f.lasts)
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -36,6 +36,7 @@
 	faultPatience        = 4 * time.Second
 	faultDoubles         = 0.1  // of the keyed requests are sent to two VMs at once
 	ticketless           = 4    // every so many callers one ignores tickets
+	faultIdle            = 5000 // milliseconds that a VM waits for a silent caller
 	faultMaxAge          = 1000 // milliseconds that a look-up may be cached, so that drains fit
 	loadMargin           = 1.05 // more requests than asked for, since arrivals vary
 	startTimeout         = 20 * time.Second
@@ -154,6 +155,7 @@
 		return nil, trace.Wrap(err)
 	}
 	doc.Lookup.MaxAgeMS = faultMaxAge
+	doc.Limits.IdleTimeoutMS = faultIdle
 	clusterOpts := cluster.Options{
 		Document:   doc,
 		Start:      opts.Start,
