confsync: ask only who may have the document, with a wait that doubles

Cause: a member that told of a higher generation and then could not be reached made every daemon ask every other one, several times a second, until the member was forgotten; each answer carried a document that was not needed. Change: only members that advertise more are asked once a daemon has started; the wait doubles up to 5 s after all were asked in vain; who asks says what it has, and gets no piece of anything older.

--- a/internal/confsync/calls.go
+++ b/internal/confsync/calls.go
@@ -151,12 +151,17 @@
 func (h *held) piece(m *fetchMessage) *fetchAnswer {
 	whole := h.section(m.Section)
 	a := &fetchAnswer{Notice: h.notice(), Total: len(whole)}
-	if (m.Generation == 0 || m.Generation == a.Notice.Generation) && m.Offset >= 0 && m.Offset < len(whole) {
+	if m.wants(a.Notice.Generation) && m.Offset >= 0 && m.Offset < len(whole) {
 		a.Piece = whole[m.Offset:min(m.Offset+maxPieceBytes, len(whole))]
 	}
 	return a
 }
 
+// wants reports whether a piece of a generation is to be sent.
+func (m *fetchMessage) wants(gen uint64) bool {
+	return gen > m.Have && (m.Generation == 0 || m.Generation == gen)
+}
+
 // fetch asks a peer for its document for the core.
 func (s *Service) fetch(from string) {
 	s.counts.fetches.Inc()
@@ -174,7 +179,7 @@
 // fetchDocument collects a peer's document, without client blocks that are in
 // force here. It returns a notice alone when there is nothing newer to fetch.
 func (s *Service) fetchDocument(from string) (*wireDocument, error) {
-	first, err := s.fetchPiece(from, &fetchMessage{})
+	first, err := s.fetchPiece(from, &fetchMessage{Have: uint64(s.current.Load().generation())})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -20,7 +20,10 @@
 	// fetchDelay is how long a daemon that hears of a higher generation waits
 	// for a push before it fetches; up to as much again is added at random.
 	fetchDelay = 100 * time.Millisecond
-	fetchRetry = 200 * time.Millisecond
+	// fetchRetry is the wait after a peer that did not help. It doubles, up to
+	// maxFetchRetry, each time all have been asked in vain.
+	fetchRetry    = 200 * time.Millisecond
+	maxFetchRetry = 5 * time.Second
 
 	// readInterval is how often a watcher reads the head besides watching, in
 	// case a watch has lost track.
@@ -156,7 +159,8 @@
 func (c *core) wakeUp(now time.Time) {
 	c.log(eventAway, telemetry.Value("seconds", now.Sub(c.lastTick).Seconds()))
 	c.storeTried, c.storeHeard, c.peerHeard, c.ready = false, false, false, false
-	c.fetch.asked, c.fetch.tried = nil, 0
+	c.fetch.startOver()
+	c.fetch.tried = 0
 	c.since = now
 	if c.watch.step == WatchPausing || c.watch.step == WatchIdle {
 		c.startRead()
@@ -192,7 +196,7 @@
 		return false // only its generation and hash came
 	}
 	c.cur = d
-	c.fetch.asked = nil
+	c.fetch.startOver()
 	c.relay.reset(d.generation(), c.lastTick)
 	c.emit(publish{d})
 	c.log(eventAdopted, telemetry.GenerationOf(uint64(d.generation())), telemetry.Value("from", from.String()))
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -113,6 +114,38 @@
 	}
 }
 
+// TestPeerThatCannotHelpIsAskedSeldom has a member that told of a higher
+// generation and never answers again.
+func TestPeerThatCannotHelpIsAskedSeldom(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newCore(member(0), 1)
+	c.onStart(now)
+	c.adopt(testHeld(5, 50), fromStore, "")
+	c.ready = true
+	view := &membership.View{Version: 1}
+	for i := range 50 {
+		view.Members = append(view.Members, member(i))
+		view.Members[i].Generation = 5
+	}
+	view.Members[7].Generation = 6
+	c.onView(now, view)
+	asked := make(map[string]int)
+	for range 600 {
+		now = now.Add(tickInterval)
+		c.onTick(now)
+		for _, a := range c.take() {
+			if f, ok := a.(fetchFrom); ok {
+				asked[f.peer]++
+				c.onFetched(now, nil, errors.New("no answer"))
+			}
+		}
+	}
+	const most = 20 // in a minute: five while the wait doubles, then one in 5 s
+	if n := asked[member(7).Name]; n < 5 || n > most || len(asked) > 1 {
+		t.Errorf("asked %v", asked)
+	}
+}
+
 // TestUnknownHashIsNoDispute has a member whose generation alone is known.
 func TestUnknownHashIsNoDispute(t *testing.T) {
 	c := newCore(member(1), 1)
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -30,6 +30,7 @@
 	step    FetchStep
 	startAt time.Time       // end of FetchPending
 	asked   map[string]bool // peers asked for the generation wanted, or since start
+	rounds  int             // times that all who might have it were asked in vain
 	tried   int             // calls answered or failed since start or pause
 	peer    string          // peer being asked
 
@@ -38,6 +39,18 @@
 	hintRoot string // root for which it was passed on; "" when it came from another region
 }
 
+// startOver forgets who was asked.
+func (f *fetchState) startOver() {
+	f.asked = nil
+	f.rounds = 0
+}
+
+// retryWait is the wait after a peer that did not help.
+func (f *fetchState) retryWait() time.Duration {
+	const doublings = 8 // enough to reach the bound
+	return min(fetchRetry<<min(f.rounds, doublings), maxFetchRetry)
+}
+
 // others returns the members besides this daemon.
 func (c *core) others() []membership.Member {
 	var out []membership.Member
@@ -82,8 +95,13 @@
 	if c.knowsHigher() {
 		return true
 	}
-	starting := !c.ready && !c.peerHeard && (c.cur == nil || c.fetch.tried < enoughPeers)
-	return starting && len(c.others()) > 0
+	return c.starting() && len(c.others()) > 0
+}
+
+// starting reports whether this daemon still has to hear of any peer's
+// document.
+func (c *core) starting() bool {
+	return !c.ready && !c.peerHeard && (c.cur == nil || c.fetch.tried < enoughPeers)
 }
 
 // findDisputes looks for members with another document of the generation in
@@ -103,14 +121,15 @@
 	}
 	if !c.wantsFetch() {
 		c.fetch.step = FetchIdle
-		c.fetch.asked = nil
+		c.fetch.startOver()
 		return
 	}
 	target := c.nextToAsk()
 	if target == "" {
-		c.fetch.asked = nil // start over with the first
+		c.fetch.asked = nil // begin again with the first
 		c.fetch.hintGen = 0
-		c.fetch.startAt = now.Add(fetchRetry)
+		c.fetch.startAt = now.Add(c.fetch.retryWait())
+		c.fetch.rounds++
 		return
 	}
 	c.fetch.step = FetchAsking
@@ -129,7 +148,7 @@
 	candidates := c.others()
 	for i := range candidates {
 		m := &candidates[i]
-		if c.fetch.asked[m.Name] || m.State == membership.Gone {
+		if c.fetch.asked[m.Name] || !c.mayHelp(m) {
 			continue
 		}
 		if best == nil || c.before(m, best) {
@@ -142,6 +161,12 @@
 	return best.Name
 }
 
+// mayHelp reports whether a member has what is wanted. A daemon that has just
+// started asks any, since it may not have heard of their generations yet.
+func (c *core) mayHelp(m *membership.Member) bool {
+	return c.starting() || config.Generation(m.Generation) > c.cur.generation()
+}
+
 func (c *core) before(a, b *membership.Member) bool {
 	if a.Generation != b.Generation {
 		return a.Generation > b.Generation
@@ -178,7 +203,7 @@
 	}
 	if !c.wantsFetch() {
 		c.fetch.step = FetchIdle
-		c.fetch.asked = nil
+		c.fetch.startOver()
 	}
 	c.checkReady()
 }
--- a/internal/confsync/messages.go
+++ b/internal/confsync/messages.go
@@ -40,7 +40,8 @@
 type fetchMessage struct {
 	Generation uint64 // of the document wanted; 0: the one in force
 	Section    section
-	Offset     int // where the piece begins
+	Offset     int    // where the piece begins
+	Have       uint64 // generation in force at the asking daemon; no piece is sent of one that is not higher
 }
 
 // fetchAnswer answers fetchMessage. Its notice has generation 0 when the peer
