bench report: runs of the steering scenarios as a page with plots

Cause: what bench steering prints is figures only; headroom and shifts over time, and older runs, could not be seen beside each other. Change: bench.SteeringRun keeps the use of each region and the shifts by windows of each cap; package bench/report draws them (gonum plot, html/template) and bench report runs scenarios and writes page, SVG files and JSON files.

--- a/internal/bench/steering.go
+++ b/internal/bench/steering.go
@@ -64,9 +64,7 @@
 			return nil, trace.Wrap(err, "scenario %s under policy %s", sc.name, policy)
 		}
 		report.Runs = append(report.Runs, *run)
-		if policy == steering.PolicyBroker {
-			report.BrokenPromises += run.CapExceeded + run.RegionOverloaded + run.Promises.Total
-		}
+		report.BrokenPromises += Broken(run)
 	}
 	return report, nil
 }
--- a/internal/bench/steering_check.go
+++ b/internal/bench/steering_check.go
@@ -93,12 +93,7 @@
 	exceeded := 0
 	for i := range c.load.cluster.Document.ShiftCaps {
 		capOf := &c.load.cluster.Document.ShiftCaps[i]
-		var at []time.Time
-		for j := range c.arrivals {
-			if c.arrivals[j].from == capOf.From && c.arrivals[j].to == capOf.To {
-				at = append(at, c.arrivals[j].at)
-			}
-		}
+		at := c.shiftsOf(capOf)
 		worst := 0
 		for k := range capAlignments {
 			offset := capOf.WindowMS.Duration() * time.Duration(k) / capAlignments
@@ -109,6 +104,17 @@
 	return exceeded
 }
 
+// shiftsOf returns when arrivals came that a cap bounds, in order.
+func (c *steeringCheck) shiftsOf(capOf *config.ShiftCap) []time.Time {
+	var at []time.Time
+	for i := range c.arrivals {
+		if c.arrivals[i].from == capOf.From && c.arrivals[i].to == capOf.To {
+			at = append(at, c.arrivals[i].at)
+		}
+	}
+	return at
+}
+
 func (c *steeringCheck) beyondCap(capOf *config.ShiftCap, shifts []time.Time, offset time.Duration) int {
 	window := capOf.WindowMS.Duration()
 	beyond := 0
--- a/internal/bench/steering_report.go
+++ b/internal/bench/steering_report.go
@@ -31,6 +31,9 @@
 	Overruns         int                 `json:"overruns"`  // not sent, because callers had too many open
 	Promises         promise.Report      `json:"promises"`
 	Series           []SteeringPoint     `json:"series"`
+	EventMS          int64               `json:"event_ms"` // length of the event, which begins with the end of the warm-up
+	Use              []SteeringUse       `json:"use"`      // by region
+	Shifts           []SteeringShift     `json:"shifts"`   // by cap
 }
 
 // SteeringClass is what became of the requests of a class.
@@ -82,6 +85,9 @@
 	run.ShareShifted = float64(run.Shifted) / float64(max(1, run.Attempts))
 	run.Regions = check.regions()
 	run.Series = check.series(requests)
+	run.EventMS = l.sc.event.Milliseconds()
+	run.Use = check.use()
+	run.Shifts = check.shifts()
 	run.SettleMS = settleTime(run.Series, l.sc.event)
 	run.Reversals = reversals(run.Series)
 	return run
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -20,6 +20,7 @@
 			newBenchRetries(),
 			newBenchUploads(),
 			newBenchSteering(),
+			newBenchReport(),
 			newBenchConfig(),
 			newBenchCapacity(),
 		},
