--- a/internal/bench/faultplan.go
+++ b/internal/bench/faultplan.go
@@ -71,20 +71,20 @@
 func planFaults(seed uint64, load time.Duration, kinds []FaultKind) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var plan []plannedFault
-	var deck []FaultKind
+	var left []FaultKind
 	draw := func(at time.Duration) {
-		if len(deck) == 0 {
-			deck = append(deck, kinds...)
-			random.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
+		if len(left) == 0 {
+			left = append(left, kinds...)
+			random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
 		}
 		plan = append(plan, plannedFault{
 			at:     at,
 			lasts:  minLasting + time.Duration(random.Int64N(int64(maxLasting-minLasting))),
-			kind:   deck[0],
+			kind:   left[0],
 			first:  random.IntN(1 << 16),
 			second: random.IntN(1 << 16),
 		})
-		deck = deck[1:]
+		left = left[1:]
 	}
 	for at := firstFault; at < load-faultMargin; at += faultEvery {
 		draw(at)
--- a/internal/bench/faults_test.go
+++ b/internal/bench/faults_test.go
@@ -9,7 +9,7 @@
 	"masticturn/internal/config"
 )
 
-// TestFaultsBreakNoPromise runs whole daemons under a short storm of faults,
+// TestFaultsBreakNoPromise runs whole daemons under faults for a short time,
 // without those kinds whose promises have a time limit, which a busy machine
 // could miss.
 func TestFaultsBreakNoPromise(t *testing.T) {
--- a/internal/standin/caller/note.go
+++ b/internal/standin/caller/note.go
@@ -27,7 +27,7 @@
 	ContentNone    Content = ""        // there was no answer to check
 	ContentWhole   Content = "whole"   // whole and its own
 	ContentPartial Content = "partial" // given as whole, but too short or too long
-	ContentForeign Content = "foreign" // somebody else's
+	ContentForeign Content = "foreign" // that of another request
 )
 
 // Note is one try of a request as its caller saw it.
--- a/internal/standin/network/queue.go
+++ b/internal/standin/network/queue.go
@@ -179,7 +179,7 @@
 	return nil
 }
 
-// deadline is a deadline that can be moved while somebody waits for it.
+// deadline is a deadline that can be moved while it is waited for.
 type deadline struct {
 	mu      sync.Mutex
 	timer   *time.Timer
--- a/internal/standin/promise/promise.go
+++ b/internal/standin/promise/promise.go
@@ -19,7 +19,7 @@
 	ExecutedTwice  Kind = "executed_twice"   // a request that may not be repeated was run more than once
 	FalseNotRun    Kind = "false_not_run"    // the caller was told 'not run', but it was run
 	PartialAsWhole Kind = "partial_as_whole" // a part of an answer was given as the whole
-	Crossed        Kind = "crossed"          // the answer was to somebody else's request
+	Crossed        Kind = "crossed"          // the answer was to another request
 	AnsweredUnrun  Kind = "answered_unrun"   // the caller was told 'answered', but no target ran it
 	LostUpload     Kind = "lost_upload"      // the caller was told 'answered', but the body did not arrive whole
 	CutByDrain     Kind = "cut_by_drain"     // a planned stop of a VM cut the request
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -25,7 +25,7 @@
 	WrongLength        // announces more bytes than it sends, then is silent
 	Trickle            // sends the answer in small pieces with pauses
 	HeadersOnly        // sends the head of the answer, then is silent
-	Crossed            // sends the whole answer to somebody else's request
+	Crossed            // sends the whole answer to another request
 	Doubled            // sends the answer twice
 	Late               // runs it, answers long after
 	faultCount
@@ -53,8 +53,8 @@
 	tricklePause = 5 * time.Millisecond
 	lateBy       = 3 * time.Second
 	missingBytes = 10                 // that WrongLength announces and never sends
-	foreignSeed  = 0x5eed_0f_07_4e75  // flips a seed into somebody else's
-	foreignID    = "somebody-elses-0" // request id of a crossed answer
+	foreignSeed  = 0xffff              // flips a seed into that of another request
+	foreignID    = "another-request-0" // request id of a crossed answer
 )
 
 // swallow is a request that gets no answer: the connection stays open until
