--- a/internal/drain/machine.go
+++ b/internal/drain/machine.go
@@ -63,6 +63,8 @@
 	step   Step
 	linger time.Time // until when look-ups may name this VM
 	report time.Time
+	last   time.Time // of the last tick
+	settle time.Time // until when requests that waited during a pause of the process may begin
 }
 
 func newMachine(t times) *machine { return &machine{times: t, step: StepServing} }
@@ -80,6 +82,7 @@
 		return []action{actionTell}
 	case e.kind == eventTold && m.step == StepLeaving:
 		m.step = StepLingering
+		m.last = now
 		m.linger = now.Add(m.times.spread + m.times.maxAge)
 		return []action{actionCloseConnections}
 	case e.kind == eventTick:
@@ -96,11 +99,21 @@
 	return []action{actionEnd}
 }
 
+// noticePause sets when requests that callers sent while the process stood
+// still, and that wait in its sockets, must have begun.
+func (m *machine) noticePause(now time.Time) {
+	if !m.last.IsZero() && now.Sub(m.last) > pauseLimit {
+		m.settle = now.Add(settleTime)
+	}
+	m.last = now
+}
+
 func (m *machine) tick(e event, now time.Time) []action {
+	m.noticePause(now)
 	if m.step == StepLingering && !now.Before(m.linger) {
 		m.step = StepFinishing
 	}
-	if m.step == StepFinishing && e.inFlight == 0 {
+	if m.step == StepFinishing && e.inFlight == 0 && !now.Before(m.settle) {
 		m.step = StepEnded
 		return []action{actionEnd}
 	}
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -19,6 +19,8 @@
 	tellTimeout = 5 * time.Second        // neighbors that are cut off are not waited for longer
 	spreadTime  = 4 * time.Second        // some heartbeats, within a region and between regions
 	tickTime    = 100 * time.Millisecond // between looks at what is in flight
+	pauseLimit  = 5 * tickTime           // between two looks; longer, and the process stood still
+	settleTime  = time.Second            // after a pause, for requests that waited to begin
 )
 
 // Members tells the other VMs.
