--- a/internal/bench/report/figures.go
+++ b/internal/bench/report/figures.go
@@ -23,7 +23,9 @@
 	points  *table // all points of the plot; nil where the table has them
 }
 
+// table is figures by rows; the first cell of a row names it.
 type table struct {
+	Name    string
 	Columns []string
 	Rows    []row
 }
@@ -83,7 +85,7 @@
 		name:    "latency",
 		title:   "Latency by class",
 		note:    "Milliseconds from the start of a request's first try until its answer, of the requests answered after the warm-up. The axis of latency is logarithmic.",
-		table:   table{Columns: []string{"Class", "Series", "p50, ms", "p99, ms", "p99.9, ms", "Answered"}},
+		table:   table{Name: "Latency by class", Columns: []string{"Class", "Series", "p50, ms", "p99, ms", "p99.9, ms", "Answered"}},
 		drawing: drawing{legend: labelsOf(all)},
 	}
 	classes := union(all, classNames)
@@ -116,10 +118,24 @@
 
 // Labels of axes.
 const (
-	timeLabel  = "seconds since the event began"
+	timeLabel  = "seconds since the warm-up"
 	shareLabel = "percent"
 )
 
+const marksNote = " Vertical lines: the event begins and ends."
+
+// eventMarks returns when the event begins and ends. The series of a scenario
+// may differ in it, when several policies were run at once.
+func eventMarks(all []series) []float64 {
+	marks := []float64{0}
+	for i := range all {
+		if end := seconds(all[i].EventMS); !slices.Contains(marks, end) {
+			marks = append(marks, end)
+		}
+	}
+	return marks
+}
+
 func regionNames(r *bench.SteeringRun) []string {
 	var out []string
 	for i := range r.Use {
@@ -132,14 +148,14 @@
 	f := figure{
 		name:    "headroom",
 		title:   "Headroom by region",
-		note:    "Percent of a region's slots that were free, as means over steps of half a second; slots of lost targets count as free. Below 0, requests waited for slots inside of targets. Least and mean are of the time after the warm-up.",
-		table:   table{Columns: []string{"Region", "Series", "Slots", "Mean, %", "Least, %"}},
-		points:  &table{Columns: []string{"Region", "Series", "Seconds: headroom in %"}},
+		note:    "Percent of a region's slots that were free, as means over steps of half a second; slots of lost targets count as free. Below 0, requests waited for slots inside of targets. Least and mean are of the time after the warm-up." + marksNote,
+		table:   table{Name: "Headroom by region", Columns: []string{"Region", "Series", "Slots", "Mean, %", "Least, %"}},
+		points:  &table{Name: "All points of headroom", Columns: []string{"Region", "Series", "Seconds: headroom in %"}},
 		drawing: drawing{legend: labelsOf(all)},
 	}
 	regions := union(all, regionNames)
 	for _, region := range regions {
-		p := panel{title: region, x: timeLabel, y: shareLabel, high: percent}
+		p := panel{title: region, x: timeLabel, y: shareLabel, high: percent, marks: eventMarks(all)}
 		for i := range all {
 			for _, use := range all[i].Use {
 				if use.Region == region {
@@ -203,23 +219,24 @@
 		name:    "shed",
 		title:   "Shed by class",
 		note:    "Percent of the requests sent after the warm-up that callers were told were not run. Unknown: callers were told that the outcome is unknown, or nothing.",
-		table:   table{Columns: []string{"Class", "Series", "Requests", "Not run", "Not run, %", "Unknown"}},
+		table:   table{Name: "Shed by class", Columns: []string{"Class", "Series", "Requests", "Not run", "Not run, %", "Unknown"}},
 		drawing: drawing{legend: labelsOf(all)},
 	}
 	classes := union(all, classNames)
 	p := panel{title: "Requests not run", y: shareLabel, high: 1, labels: classes}
 	for i := range all {
-		l := line{series: i, bars: true}
-		for at, class := range classes {
+		p.lines = append(p.lines, line{series: i, bars: true})
+	}
+	for at, class := range classes {
+		for i := range all {
 			c, ok := classOf(all[i].SteeringRun, class)
 			if !ok {
 				continue
 			}
 			shed := percent * float64(c.NotRun) / float64(max(1, c.Requests))
-			l.xys = append(l.xys, plotter.XY{X: float64(at) + offset(i, len(all)), Y: shed})
+			p.lines[i].xys = append(p.lines[i].xys, plotter.XY{X: float64(at) + offset(i, len(all)), Y: shed})
 			f.table.add(class, all[i].label, strconv.Itoa(c.Requests), strconv.Itoa(c.NotRun), share(shed), strconv.Itoa(c.Unknown))
 		}
-		p.lines = append(p.lines, l)
 	}
 	f.drawing.panels = []panel{p}
 	f.summary = fmt.Sprintf("Share of requests not run of %d classes, one bar for each of %d series; the figures are in the table below.", len(classes), len(all))
--- a/internal/bench/report/page.go
+++ b/internal/bench/report/page.go
@@ -138,7 +138,7 @@
 // checks tells for each series what must always hold. A row is bad when the
 // policy broker broke something; the others are there to compare with.
 func checks(all []series) table {
-	t := table{Columns: []string{"Series", "Beyond a cap", "Region overloaded", "Target full", "Promises broken", "Attempts", "Shifted, %", "Settled after, ms", "Reversals", "Not sent"}}
+	t := table{Name: "Checks", Columns: []string{"Series", "Beyond a cap", "Region overloaded", "Target full", "Promises broken", "Attempts", "Shifted, %", "Settled after, ms", "Reversals", "Not sent"}}
 	for i := range all {
 		s := all[i].SteeringRun
 		t.Rows = append(t.Rows, row{
--- a/internal/bench/report/plot.go
+++ b/internal/bench/report/plot.go
@@ -16,16 +16,17 @@
 
 // Sizes of plots, in points.
 const (
-	plotWidth   = 480
+	plotWidth   = 420
 	panelHeight = 190
 	legendRow   = 18
-	legendText  = 12
+	legendText  = 13
 	titleText   = 14
-	axisText    = 12
+	axisText    = 13
 	panelGap    = 14
 	lineWidth   = 1.6
 	glyphRadius = 2.6
 	boundWidth  = 1.2
+	markWidth   = 0.8
 	swatchWidth = 34
 )
 
@@ -43,6 +44,7 @@
 
 var (
 	boundColor = color.RGBA{R: 0xb3, G: 0x16, B: 0x1b, A: 0xff}
+	markColor  = color.RGBA{R: 0x57, G: 0x60, B: 0x6a, A: 0xff}
 	gridColor  = color.RGBA{R: 0xdd, G: 0xe1, B: 0xe6, A: 0xff}
 )
 
@@ -62,6 +64,7 @@
 	high   float64
 	lines  []line
 	bounds []bound
+	marks  []float64 // of x, each shown by a vertical line
 }
 
 // line is the values of one series. A gap in it is a line of its own.
@@ -178,7 +181,20 @@
 		out.Add(level)
 	}
 	p.setRanges(out)
-	return out, nil
+	return out, p.addMarks(out)
+}
+
+// addMarks draws the marks over the whole height, which is set already.
+func (p panel) addMarks(out *plot.Plot) error {
+	for _, x := range p.marks {
+		mark, err := plotter.NewLine(plotter.XYs{{X: x, Y: out.Y.Min}, {X: x, Y: out.Y.Max}})
+		if err != nil {
+			return trace.Wrap(err, "drawing a mark")
+		}
+		mark.LineStyle = draw.LineStyle{Color: markColor, Width: markWidth}
+		out.Add(mark)
+	}
+	return nil
 }
 
 // barSpace is the part of the room of an x label that its bars take.
@@ -233,7 +249,8 @@
 		out.X.Min, out.X.Max = -labelMargin, float64(len(p.labels)-1)+labelMargin
 	}
 	if !p.log {
-		out.Y.Min, out.Y.Max = math.Min(p.low, out.Y.Min), math.Max(p.high, out.Y.Max)
+		out.Y.Min = roundedTo(math.Floor, math.Min(p.low, out.Y.Min))
+		out.Y.Max = roundedTo(math.Ceil, math.Max(p.high, out.Y.Max))
 		return
 	}
 	out.Y.Scale = plot.LogScale{}
@@ -242,6 +259,13 @@
 	out.Y.Min, out.Y.Max = low, high
 }
 
+// rangeStep is what the ends of ranges are multiples of.
+const rangeStep = 10
+
+func roundedTo(round func(float64) float64, v float64) float64 {
+	return rangeStep * round(v/rangeStep)
+}
+
 // logRange returns the powers of ten around all values.
 func (p panel) logRange() (low, high float64) {
 	low, high = math.Inf(1), math.Inf(-1)
--- a/internal/bench/report/run.go
+++ b/internal/bench/report/run.go
@@ -68,13 +68,14 @@
 
 // FileName returns a name for the run's file that tells when it began.
 func (r *Run) FileName() string {
-	return fmt.Sprintf("%s-%s-%s.json", r.Began.UTC().Format("20060102T150405Z"), r.Result.Deployment, r.Result.Scenario)
+	return fmt.Sprintf("%s-%s-%s.json", r.Began.UTC().Format("20060102T150405Z"), slug(r.Result.Deployment), slug(r.Result.Scenario))
 }
 
 // label names the run and its date.
-func (r *Run) label() string { return r.Name + ", " + date(r.Began) }
+func (r *Run) label() string { return r.Name + " " + date(r.Began) }
 
-func date(at time.Time) string { return at.UTC().Format("2006-01-02 15:04:05 UTC") }
+// date writes a time in UTC, as the page says.
+func date(at time.Time) string { return at.UTC().Format(time.DateTime) }
 
 // section is the runs of one scenario on one deployment.
 type section struct {
--- a/internal/bench/report/shifts.go
+++ b/internal/bench/report/shifts.go
@@ -21,9 +21,9 @@
 	f := figure{
 		name:    "shifts",
 		title:   "Shifted share against the cap",
-		note:    "Percent of the requests that a region's callers sent in one window of the cap, shifted to the other region in the next window. The windows here begin with the load; the check also looks at other alignments. Most is over all windows, those of the warm-up included.",
-		table:   table{Columns: []string{"From, to", "Series", "Cap, %", "Most, %", "Shifted", "Windows above"}},
-		points:  &table{Columns: []string{"From, to", "Series", "Seconds: share in %"}},
+		note:    "Percent of the requests that a region's callers sent in one window of the cap, shifted to the other region in the next window. The windows here begin with the load; the check also looks at other alignments. Most is over all windows, those of the warm-up included." + marksNote,
+		table:   table{Name: "Shifted share against the cap", Columns: []string{"From, to", "Series", "Cap, %", "Most, %", "Shifted", "Windows above"}},
+		points:  &table{Name: "All points of shifts", Columns: []string{"From, to", "Series", "Seconds: share in %"}},
 		drawing: drawing{legend: labelsOf(all)},
 	}
 	var unused []string
@@ -57,7 +57,7 @@
 
 // capPanel returns the lines of the series that shifted anything, and the cap.
 func capPanel(all []series, key capKey) panel {
-	p := panel{title: key.String(), x: timeLabel, y: shareLabel}
+	p := panel{title: key.String(), x: timeLabel, y: shareLabel, marks: eventMarks(all)}
 	for i := range all {
 		for _, s := range all[i].Shifts {
 			if key != (capKey{s.From, s.To}) || shiftedIn(s) == 0 {
--- a/internal/command/bench_report.go
+++ b/internal/command/bench_report.go
@@ -57,6 +57,7 @@
 	policies []steering.PolicyName
 	out      string
 	report   report.Report
+	beside   []*report.Run
 	broken   int
 }
 
@@ -119,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	r.report.Runs = append(r.report.Runs, run)
+	r.beside = append(r.beside, run)
 	return nil
 }
 
@@ -156,8 +157,8 @@
 		Policies: r.policies,
 		Seed:     r.cmd.Uint64(flagSeed),
 	})
-	if ctx.Err() != nil {
-		err = trace.LimitExceeded("not run to its end: --%s was over", flagTimeout)
+	if ctx.Err() != nil { // what was measured until then is of a part of the scenario
+		err = trace.LimitExceeded("not run to its end: %v (--%s %v)", ctx.Err(), flagTimeout, r.cmd.Duration(flagTimeout))
 	}
 	if err != nil {
 		r.skip(one, err)
@@ -200,6 +201,7 @@
 // write writes the page and the plots.
 func (r *reportRunner) write() error {
 	r.report.Written = time.Now()
+	r.report.Runs = append(r.report.Runs, r.beside...)
 	var page bytes.Buffer
 	plots, err := r.report.Write(&page)
 	if err != nil {
