daemon: a module's requirements are looked up in one place

Change: the names that a module requires are resolved once; constructors get them typed. Behaviour is the same.

--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"masticturn/internal/admission"
-	"masticturn/internal/config"
 	"masticturn/internal/confsync"
 	"masticturn/internal/drain"
 	"masticturn/internal/forward"
@@ -24,75 +23,80 @@
 // modules lists the services of a daemon. Each finds what it requires by name.
 func (d *Daemon) modules() []kernel.Module {
 	return []kernel.Module{
-		{Name: storeName, New: d.newStore},
-		{Name: peer.ServiceName, New: d.newNetwork},
-		{
-			Name:     membership.ServiceName,
-			Requires: []string{peer.ServiceName, storeName},
-			New:      d.newMembership,
-		},
-		{
-			Name:     confsync.ServiceName,
-			Requires: []string{peer.ServiceName, storeName, membership.ServiceName},
-			New:      d.newConfsync,
-		},
-		{
-			Name:     measure.ServiceName,
-			Requires: []string{peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName},
-			New:      d.newMeasure,
-		},
-		{
-			Name:     idempotency.ServiceName,
-			Requires: []string{peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName},
-			New:      d.newKeys,
-		},
-		{
-			Name:     lookup.ServiceName,
-			Requires: []string{membership.ServiceName, confsync.ServiceName, idempotency.ServiceName},
-			New:      d.newLookup,
-		},
-		{
-			Name:     admission.ServiceName,
-			Requires: []string{peer.ServiceName, membership.ServiceName, confsync.ServiceName, measure.ServiceName},
-			New:      d.newAdmission,
-		},
-		{
-			Name:     forward.ServiceName,
-			Requires: []string{confsync.ServiceName, measure.ServiceName, idempotency.ServiceName, lookup.ServiceName, admission.ServiceName},
-			New:      d.newForward,
-		},
-		{
-			Name:     operator.ServiceName,
-			Requires: []string{storeName, membership.ServiceName, confsync.ServiceName, measure.ServiceName, forward.ServiceName},
-			New:      d.newOperator,
-		},
-		{
-			// Required by none and requiring the last ones: it is drained first.
-			Name:     drain.ServiceName,
-			Requires: []string{membership.ServiceName, confsync.ServiceName, forward.ServiceName, operator.ServiceName},
-			New:      d.newDrain,
-		},
+		module(storeName, d.newStore),
+		module(peer.ServiceName, d.newNetwork),
+		module(membership.ServiceName, d.newMembership, peer.ServiceName, storeName),
+		module(confsync.ServiceName, d.newConfsync, peer.ServiceName, storeName, membership.ServiceName),
+		module(measure.ServiceName, d.newMeasure, peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName),
+		module(idempotency.ServiceName, d.newKeys, peer.ServiceName, storeName, membership.ServiceName, confsync.ServiceName),
+		module(lookup.ServiceName, d.newLookup, membership.ServiceName, confsync.ServiceName, idempotency.ServiceName),
+		module(admission.ServiceName, d.newAdmission, peer.ServiceName, membership.ServiceName, confsync.ServiceName, measure.ServiceName),
+		module(forward.ServiceName, d.newForward, confsync.ServiceName, measure.ServiceName, idempotency.ServiceName, lookup.ServiceName, admission.ServiceName),
+		module(operator.ServiceName, d.newOperator, storeName, membership.ServiceName, confsync.ServiceName, measure.ServiceName, forward.ServiceName),
+		// Required by none and requiring the last ones: it is drained first.
+		module(drain.ServiceName, d.newDrain, membership.ServiceName, confsync.ServiceName, forward.ServiceName, operator.ServiceName),
 	}
 }
 
-// wiring are the services that most others need.
+// wiring are the services that a module requires; those it does not require
+// are nil.
 type wiring struct {
-	store   platform.Store
-	network peer.Network
-	members *membership.Service
-	config  config.Source
-	targets measure.Source
+	store    platform.Store
+	network  peer.Network
+	members  *membership.Service
+	config   *confsync.Service
+	targets  measure.Source
+	keys     *idempotency.Keys
+	places   *lookup.Service
+	admitter admission.Admitter
+	callers  *forward.Service
 }
 
-// need looks one service up and keeps the first error of several.
-func need[T any](k *kernel.Kernel, name string, into *T, err *error) {
-	if *err != nil {
-		return
+// module describes a service that is built from the services it requires.
+func module(name string, build func(w *wiring) (kernel.Service, error), requires ...string) kernel.Module {
+	return kernel.Module{Name: name, Requires: requires, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		w := &wiring{}
+		for _, need := range requires {
+			if err := w.find(k, need); err != nil {
+				return nil, err
+			}
+		}
+		return build(w)
+	}}
+}
+
+// find looks a service up by its name.
+func (w *wiring) find(k *kernel.Kernel, name string) error {
+	switch name {
+	case storeName:
+		return find(k, name, &w.store)
+	case peer.ServiceName:
+		return find(k, name, &w.network)
+	case membership.ServiceName:
+		return find(k, name, &w.members)
+	case confsync.ServiceName:
+		return find(k, name, &w.config)
+	case measure.ServiceName:
+		return find(k, name, &w.targets)
+	case idempotency.ServiceName:
+		return find(k, name, &w.keys)
+	case lookup.ServiceName:
+		return find(k, name, &w.places)
+	case admission.ServiceName:
+		return find(k, name, &w.admitter)
+	case forward.ServiceName:
+		return find(k, name, &w.callers)
 	}
-	*into, *err = kernel.Lookup[T](k, name)
+	return nil // required for the order only
+}
+
+func find[T any](k *kernel.Kernel, name string, into *T) error {
+	s, err := kernel.Lookup[T](k, name)
+	*into = s
+	return err
 }
 
-func (d *Daemon) newStore(*kernel.Kernel) (kernel.Service, error) {
+func (d *Daemon) newStore(*wiring) (kernel.Service, error) {
 	if d.opts.Store != nil {
 		return &givenStore{Store: d.opts.Store}, nil
 	}
@@ -106,7 +110,7 @@
 	})
 }
 
-func (d *Daemon) newNetwork(*kernel.Kernel) (kernel.Service, error) {
+func (d *Daemon) newNetwork(*wiring) (kernel.Service, error) {
 	return peer.NewTCP(peer.Options{
 		VM:          d.settings.VM.Name,
 		Incarnation: d.incarnation,
@@ -130,14 +134,7 @@
 	}
 }
 
-func (d *Daemon) newMembership(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, peer.ServiceName, &w.network, &err)
-	need(k, storeName, &w.store, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newMembership(w *wiring) (kernel.Service, error) {
 	return membership.NewService(membership.Config{
 		Self:    d.self(),
 		Seeds:   d.settings.Peers.Seeds,
@@ -148,15 +145,7 @@
 	}), nil
 }
 
-func (d *Daemon) newConfsync(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, peer.ServiceName, &w.network, &err)
-	need(k, storeName, &w.store, &err)
-	need(k, membership.ServiceName, &w.members, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newConfsync(w *wiring) (kernel.Service, error) {
 	return confsync.NewService(confsync.Deps{
 		Self:      d.self(),
 		Store:     w.store,
@@ -169,16 +158,7 @@
 	}), nil
 }
 
-func (d *Daemon) newMeasure(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, peer.ServiceName, &w.network, &err)
-	need(k, storeName, &w.store, &err)
-	need(k, membership.ServiceName, &w.members, &err)
-	need(k, confsync.ServiceName, &w.config, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newMeasure(w *wiring) (kernel.Service, error) {
 	return measure.NewService(measure.Deps{
 		Config:  w.config,
 		Members: w.members,
@@ -193,16 +173,7 @@
 	}), nil
 }
 
-func (d *Daemon) newKeys(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, peer.ServiceName, &w.network, &err)
-	need(k, storeName, &w.store, &err)
-	need(k, membership.ServiceName, &w.members, &err)
-	need(k, confsync.ServiceName, &w.config, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newKeys(w *wiring) (kernel.Service, error) {
 	keys, err := idempotency.NewKeys(idempotency.Deps{
 		Self:    idempotency.Instance{VM: d.settings.VM.Name, Incarnation: d.incarnation},
 		Store:   w.store,
@@ -219,37 +190,19 @@
 	return keys, nil
 }
 
-func (d *Daemon) newLookup(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, membership.ServiceName, &w.members, &err)
-	var keys *idempotency.Keys
-	need(k, confsync.ServiceName, &w.config, &err)
-	need(k, idempotency.ServiceName, &keys, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newLookup(w *wiring) (kernel.Service, error) {
 	s := lookup.NewService(lookup.Deps{
 		Config:  w.config,
 		Members: w.members,
 		Home:    lookup.Place{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
-		Tickets: keys,
+		Tickets: w.keys,
 		Metrics: d.opts.Metrics,
 	})
-	keys.Subscribe(s.Renew)
+	w.keys.Subscribe(s.Renew)
 	return s, nil
 }
 
-func (d *Daemon) newAdmission(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	need(k, peer.ServiceName, &w.network, &err)
-	need(k, membership.ServiceName, &w.members, &err)
-	need(k, confsync.ServiceName, &w.config, &err)
-	need(k, measure.ServiceName, &w.targets, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newAdmission(w *wiring) (kernel.Service, error) {
 	return admission.NewService(admission.Deps{
 		Config:  w.config,
 		Members: w.members,
@@ -262,26 +215,13 @@
 	}), nil
 }
 
-func (d *Daemon) newForward(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	var places *lookup.Service
-	var admitter admission.Admitter
-	var keys *idempotency.Keys
-	need(k, idempotency.ServiceName, &keys, &err)
-	need(k, confsync.ServiceName, &w.config, &err)
-	need(k, measure.ServiceName, &w.targets, &err)
-	need(k, lookup.ServiceName, &places, &err)
-	need(k, admission.ServiceName, &admitter, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newForward(w *wiring) (kernel.Service, error) {
 	handler := forward.NewHandler(forward.Deps{
 		Config:    w.config,
-		Admission: admitter,
-		Locator:   places,
+		Admission: w.admitter,
+		Locator:   w.places,
 		Measure:   w.targets,
-		Keys:      keys,
+		Keys:      w.keys,
 		Dial:      d.opts.Dial,
 		Logger:    d.opts.Logger,
 		Metrics:   d.opts.Metrics,
@@ -290,26 +230,17 @@
 	})
 	return forward.NewService(forward.ServiceDeps{
 		Handler:  handler,
-		Lookup:   places,
+		Lookup:   w.places,
 		Listener: d.listeners.callers,
 		Config:   w.config,
 		Logger:   d.opts.Logger,
 	}), nil
 }
 
-func (d *Daemon) newDrain(k *kernel.Kernel) (kernel.Service, error) {
-	var w wiring
-	var err error
-	var callers *forward.Service
-	need(k, membership.ServiceName, &w.members, &err)
-	need(k, confsync.ServiceName, &w.config, &err)
-	need(k, forward.ServiceName, &callers, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newDrain(w *wiring) (kernel.Service, error) {
 	return drain.NewService(drain.Deps{
 		Members: w.members,
-		Callers: callers,
+		Callers: w.callers,
 		Config:  w.config,
 		Clock:   d.opts.Clock,
 		Logger:  d.opts.Logger,
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -3,47 +3,23 @@
 import (
 	"github.com/gravitational/trace"
 
-	"masticturn/internal/confsync"
 	"masticturn/internal/edge"
-	"masticturn/internal/forward"
 	"masticturn/internal/kernel"
-	"masticturn/internal/measure"
-	"masticturn/internal/membership"
 	"masticturn/internal/operator"
 	"masticturn/internal/operator/configapi"
 	"masticturn/internal/operator/console"
 	"masticturn/internal/operator/statusapi"
-	"masticturn/internal/platform"
 	"masticturn/internal/steering"
 )
 
-// operated are the services that operators see.
-type operated struct {
-	store   platform.Store
-	members *membership.Service
-	sync    *confsync.Service
-	targets measure.Source
-	callers *forward.Service
-}
-
-func (d *Daemon) newOperator(k *kernel.Kernel) (kernel.Service, error) {
-	var o operated
-	var err error
-	need(k, storeName, &o.store, &err)
-	need(k, membership.ServiceName, &o.members, &err)
-	need(k, confsync.ServiceName, &o.sync, &err)
-	need(k, measure.ServiceName, &o.targets, &err)
-	need(k, forward.ServiceName, &o.callers, &err)
-	if err != nil {
-		return nil, err
-	}
+func (d *Daemon) newOperator(w *wiring) (kernel.Service, error) {
 	var server *operator.Server
 	server = operator.NewServer(operator.Deps{
 		Listener:  d.listeners.operators,
 		TokenFile: d.settings.Operator.TokenFile,
 		TLS:       d.settings.Operator.TLS,
-		Ready:     o.ready,
-		Mounts:    d.mounts(&o, func(token string) bool { return server.CheckToken(token) }),
+		Ready:     w.ready,
+		Mounts:    d.mounts(w, func(token string) bool { return server.CheckToken(token) }),
 		Metrics:   d.opts.Metrics,
 		Logger:    d.opts.Logger,
 	})
@@ -51,32 +27,32 @@
 }
 
 // ready returns nil when callers may be sent here, else why not.
-func (o *operated) ready() error {
-	if !o.members.Ready() {
+func (w *wiring) ready() error {
+	if !w.members.Ready() {
 		return trace.ConnectionProblem(nil, "this daemon has not joined the others yet")
 	}
-	return o.sync.Ready()
+	return w.config.Ready()
 }
 
 // mounts lists what is served on the operators' listener behind the token.
-func (d *Daemon) mounts(o *operated, checkToken func(string) bool) []operator.Mount {
-	documents := configapi.New(o.sync, o.members)
-	health, _ := o.store.(statusapi.StoreHealth) // a store given by a test has none
+func (d *Daemon) mounts(w *wiring, checkToken func(string) bool) []operator.Mount {
+	documents := configapi.New(w.config, w.members)
+	health, _ := w.store.(statusapi.StoreHealth) // a store given by a test has none
 	status := statusapi.New(statusapi.Deps{
 		VM:       d.settings.VM,
 		Clock:    d.opts.Clock,
-		Config:   o.sync,
-		Members:  o.members,
-		Targets:  o.targets,
+		Config:   w.config,
+		Members:  w.members,
+		Targets:  w.targets,
 		Store:    health,
-		Ready:    o.ready,
-		InFlight: o.callers.InFlight,
+		Ready:    w.ready,
+		InFlight: w.callers.InFlight,
 		Draining: d.draining,
 		Drain:    d.RequestDrain,
 	})
 	forms := console.New(console.Deps{
-		Documents:  o.sync,
-		History:    console.StoredHistory{Repository: o.sync.Repository()},
+		Documents:  w.config,
+		History:    console.StoredHistory{Repository: w.config.Repository()},
 		CheckToken: checkToken,
 		InForce:    documents.InForce,
 		Status:     status.Status,
