--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -52,7 +52,7 @@
 	trickleBytes = 64
 	tricklePause = 5 * time.Millisecond
 	lateBy       = 3 * time.Second
-	missingBytes = 10                 // that WrongLength announces and never sends
+	missingBytes = 10                  // that WrongLength announces and never sends
 	foreignSeed  = 0xffff              // flips a seed into that of another request
 	foreignID    = "another-request-0" // request id of a crossed answer
 )
