admission: a new broker does not wait for suspected members

Change: suspected members are not waited for; load that nobody explains counts only when it was measured in the broker's term.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -115,6 +115,7 @@
 	last      time.Time // of the last event
 	members   *membership.View
 	awaited   map[string]bool // members whose inventory is awaited
+	unheard   map[string]bool // suspected members, whose inventory is not awaited
 	solicited time.Time       // last time they were asked for it
 	silent    map[string]time.Time
 	holders   map[string]*holder
@@ -171,9 +172,17 @@
 	b.granter.Recover(creditTTL+creditMargin, now)
 	b.core.pool.Freeze(now.Add(recoverLongest))
 	b.awaited = make(map[string]bool)
+	b.unheard = make(map[string]bool)
 	for _, m := range b.members.Members {
-		if m.Region == b.scope.Region && m.State != membership.Gone {
+		if m.Region != b.scope.Region {
+			continue
+		}
+		switch m.State {
+		case membership.Alive, membership.Leaving:
 			b.awaited[m.Name] = true
+		case membership.Suspect:
+			// It is not waited for; what it holds is found by targets' reports.
+			b.unheard[m.Name] = true
 		}
 	}
 	b.solicit(now)
@@ -315,8 +324,8 @@
 	if b.step != BrokerRecovering || now.Before(b.settled) {
 		return
 	}
-	b.complete = len(b.awaited) == 0
-	if b.complete || now.Sub(b.began) >= recoverLongest {
+	b.complete = len(b.awaited) == 0 && len(b.unheard) == 0
+	if len(b.awaited) == 0 || now.Sub(b.began) >= recoverLongest {
 		b.serve()
 	}
 }
@@ -327,12 +336,17 @@
 func (b *broker) withheld(t *steering.Target, usable int) int {
 	held := b.granter.Held(t.Name)
 	kept := usable - b.splitShare(usable)
-	if b.step == BrokerServing && !b.complete && b.last.Sub(b.began) < unexplainedFor {
+	if b.step == BrokerServing && !b.complete && b.last.Sub(b.began) < unexplainedFor && b.reportedSince(t) {
 		kept = max(kept, t.Reported()-t.InFlight()-held)
 	}
 	return held + kept
 }
 
+// reportedSince reports whether a target's load was measured in this term.
+func (b *broker) reportedSince(t *steering.Target) bool {
+	return b.core.view.Target(t.Name).MeasuredAt.After(b.began)
+}
+
 // splitShare returns this broker's part of a number of slots. Members that
 // fell silent a short time ago may be alive with a broker of their own: a
 // broker that hears more than half of the region uses all slots, another one
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -151,6 +151,7 @@
 		// Only now is it sure that answers of earlier terms are void.
 		number = inv.Number
 		delete(b.awaited, inv.From.VM)
+		delete(b.unheard, inv.From.VM)
 	}
 	for seq, s := range h.slots {
 		if s.step == SlotGiven && !listed[seq] && s.number <= number && s.passed <= inv.Passed {
