--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -38,6 +38,7 @@
 	QueueLimit int     // requests that may wait inside a target
 	ColdFactor float64 // how much slower a cold target is
 	Instant    bool    // targets take no time and start warm
+	Warm       bool    // targets are warm at first, and cold after a restart
 	KeepLogs   bool    // keep each try and execution, for the check of promises
 	Direct     bool    // no emulated network: plain connections without delays and faults
 	TokenFile  string  // operators' token of all VMs; may be empty
@@ -200,13 +201,25 @@
 			Operators: hostPort(ip, portOperators),
 		},
 		Platform: settings.Platform{URL: c.platform.URL(), TimeoutMS: platformTimeoutMS, CallsPerSecond: platformCallsPerSecond},
-		Peers:    settings.Peers{Seeds: []string{hostPort(c.plan.ip(groupVM, 1), portPeers), hostPort(c.plan.ip(groupVM, 2), portPeers)}},
+		Peers:    settings.Peers{Seeds: c.seeds()},
 		Operator: settings.Operator{TokenFile: c.opts.TokenFile},
 		Log:      settings.Log{Format: telemetry.FormatText, Level: c.opts.LogLevel.String()},
 	}
 	return &VM{Host: host, Settings: s, cluster: c}
 }
 
+// seeds returns the peer addresses of the first VMs.
+func (c *Cluster) seeds() []string {
+	var seeds []string
+	for i := range min(seedVMs, c.opts.VMs) {
+		seeds = append(seeds, hostPort(c.plan.ip(groupVM, i+1), portPeers))
+	}
+	return seeds
+}
+
+// seedVMs is the number of VMs that the others know from their settings.
+const seedVMs = 2
+
 // Settings of the daemons' platform client, as in settings files.
 const (
 	platformTimeoutMS      = 1000
@@ -217,7 +230,7 @@
 func (c *Cluster) Close() error {
 	var errs []error
 	for _, vm := range c.VMs {
-		vm.stop()
+		errs = append(errs, vm.stop())
 	}
 	for _, t := range c.Targets {
 		errs = append(errs, t.Kill())
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -22,6 +22,8 @@
 	Requests int           // at least so many are sent
 	Load     time.Duration // over which they arrive
 	VMs      int
+	Kinds    []FaultKind            // of the faults; none: all
+	Shapes   []caller.Shape         // of the requests; none: those of Mix
 	Trace    string                 // id of a request to trace; may be empty
 	Cluster  func(*cluster.Options) // changes the cluster's options; may be nil
 }
@@ -32,6 +34,9 @@
 	defaultFaultLoad     = 28 * time.Second
 	faultTries           = 3
 	faultPatience        = 4 * time.Second
+	faultDoubles         = 0.1  // of the keyed requests are sent to two VMs at once
+	ticketless           = 4    // every so many callers one ignores tickets
+	faultIdle            = 5000 // milliseconds that a VM waits for a silent caller
 	faultMaxAge          = 1000 // milliseconds that a look-up may be cached, so that drains fit
 	loadMargin           = 1.05 // more requests than asked for, since arrivals vary
 	startTimeout         = 20 * time.Second
@@ -44,6 +49,9 @@
 	if o.Load == 0 {
 		o.Load = defaultFaultLoad
 	}
+	if len(o.Kinds) == 0 {
+		o.Kinds = FaultKinds()
+	}
 }
 
 // FaultCount tells how often a kind of fault was caused.
@@ -62,7 +70,8 @@
 	Attempts       int            `json:"attempts"` // requests that reached targets
 	Tries          int            `json:"tries"`    // sent by callers
 	Faults         []FaultCount   `json:"faults"`
-	Errors         []string       `json:"errors,omitempty"` // of causing and healing faults
+	Errors         []string       `json:"errors,omitempty"`         // of causing and healing faults
+	OverConnected  []string       `json:"over_connected,omitempty"` // targets with more connections open than they take
 	Promises       promise.Report `json:"promises"`
 	BrokenPromises int            `json:"broken_promises"`
 	Traces         []RequestTrace `json:"traces,omitempty"` // of the request asked for, and of some broken promises
@@ -101,21 +110,15 @@
 		return nil, err
 	}
 	defer c.Close()
-	snapshot, err := config.NewSnapshot(1, c.Document)
+	callers, err := faultCallers(c, opts)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	callers := c.Callers(caller.Options{
-		Shapes:   Mix(snapshot),
-		Rate:     loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
-		MaxTries: faultTries,
-		Timeout:  faultPatience,
-	})
 	j := newInjector(c, opts.Seed)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		j.run(ctx, planFaults(opts.Seed, opts.Load))
+		j.run(ctx, planFaults(opts.Seed, opts.Load, opts.Kinds))
 	}()
 	loadCtx, cancel := context.WithTimeout(ctx, opts.Load)
 	defer cancel()
@@ -124,12 +127,35 @@
 	return faultsReport(c, j, opts, time.Since(started)), nil
 }
 
+func faultCallers(c *cluster.Cluster, opts FaultsOptions) ([]*caller.Caller, error) {
+	shapes := opts.Shapes
+	if len(shapes) == 0 {
+		snapshot, err := config.NewSnapshot(1, c.Document)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		shapes = Mix(snapshot)
+	}
+	return c.Callers(caller.Options{
+		Shapes:     shapes,
+		Rate:       loadMargin * float64(opts.Requests) / opts.Load.Seconds(),
+		MaxTries:   faultTries,
+		Timeout:    faultPatience,
+		DoubleRate: faultDoubles,
+	}, withoutTickets), nil
+}
+
+// withoutTickets makes some callers ignore tickets, so that their keys are
+// claimed at the platform.
+func withoutTickets(number int, opts *caller.Options) { opts.NoTicket = number%ticketless == 0 }
+
 func startFaults(ctx context.Context, opts FaultsOptions) (*cluster.Cluster, error) {
 	doc, err := config.Clone(opts.Document)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	doc.Lookup.MaxAgeMS = faultMaxAge
+	doc.Limits.IdleTimeoutMS = faultIdle
 	clusterOpts := cluster.Options{
 		Document:   doc,
 		Start:      opts.Start,
@@ -138,6 +164,7 @@
 		Sigma:      cluster.DefaultSigma,
 		QueueLimit: cluster.DefaultQueueLimit,
 		ColdFactor: cluster.DefaultColdFactor,
+		Warm:       true,
 		KeepLogs:   true,
 	}
 	if opts.Cluster != nil {
@@ -166,7 +193,8 @@
 	for _, err := range j.errs {
 		r.Errors = append(r.Errors, err.Error())
 	}
-	r.BrokenPromises = r.Promises.Total
+	r.OverConnected = c.OverConnected()
+	r.BrokenPromises = r.Promises.Total + len(r.OverConnected)
 	r.Traces = tracesOf(c, opts.Trace, r.Promises.Examples)
 	return r
 }
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -197,18 +197,16 @@
 			s.do(name, s.nodes[name].SetGeneration(s.now, 7, 77))
 		}
 	}
-	s.run(5 * time.Second)
-	for _, a := range s.order {
-		for _, member := range s.nodes[a].View().Members {
-			want := uint64(7)
-			if member.Name == straggler {
-				want = 0
-			}
-			if member.Generation != want {
-				t.Fatalf("%s sees generation %d at %s, want %d", a, member.Generation, member.Name, want)
-			}
+	s.run(1500 * time.Millisecond)
+	s.wantGenerations(func(name string) uint64 {
+		if name == straggler {
+			return 0
 		}
-	}
+		return 7
+	})
+	s.do(straggler, s.nodes[straggler].SetGeneration(s.now, 7, 77))
+	s.run(1500 * time.Millisecond)
+	s.wantGenerations(func(string) uint64 { return 7 })
 }
 
 func TestRelayDies(t *testing.T) {
@@ -325,3 +323,58 @@
 		}
 	}
 }
+
+// Two members of a region without others cannot ask anybody, but their
+// suspicions go around by the other regions, and so do the refutations.
+func TestTwoCutFromEachOtherOnly(t *testing.T) {
+	s := newSim(t, 19)
+	s.fleet(3, 2, 1)
+	s.lose = lossy([2]string{"r0-z0-0", "r0-z1-0"}, [2]string{"r0-z1-0", "r0-z0-0"})
+	for range 300 {
+		s.run(s.opts.TickInterval)
+		for _, name := range s.order {
+			if s.state(name, "r0-z0-0") == Gone || s.state(name, "r0-z1-0") == Gone {
+				t.Fatalf("%v: %s holds a live member for gone", s.now.Sub(s.start), name)
+			}
+		}
+	}
+	if len(s.renewed) != 0 {
+		t.Errorf("renewed: %v", s.renewed)
+	}
+}
+
+// A region of two, cut off from all others, keeps the silent one as suspect.
+func TestCrashInATinyRegionCutOff(t *testing.T) {
+	s := newSim(t, 20)
+	s.fleet(3, 2, 1)
+	s.lose = func(from, to string) bool { return (from[:2] == "r0") != (to[:2] == "r0") }
+	s.crash("r0-z1-0")
+	s.run(time.Minute)
+	if got := s.state("r0-z0-0", "r0-z1-0"); got != Suspect {
+		t.Errorf("got %v", got)
+	}
+	s.lose = nil
+	s.run(10 * time.Second)
+	s.wantSeen("r0-z1-0", Gone)
+}
+
+// Daemons that are no longer neighbors must not keep each other's heartbeats
+// going.
+func TestFormerNeighborsFallSilent(t *testing.T) {
+	s := newSim(t, 21)
+	s.fleet(1, 2, 15)
+	for _, name := range []string{"r0-z0-3", "r0-z0-7", "r0-z1-4"} {
+		s.crash(name)
+	}
+	s.run(15 * time.Second)
+	s.measure = true
+	s.run(10 * time.Second)
+	most := 0.0
+	for _, name := range s.order {
+		perTarget := 10 * time.Second.Seconds() / s.opts.HeartbeatInterval.Seconds() / (1 - jitterFraction)
+		most += perTarget * float64(len(s.nodes[name].currentTopology().targets))
+	}
+	if float64(s.messages) > 1.1*most {
+		t.Errorf("%d heartbeats, want at most %.0f", s.messages, most)
+	}
+}
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -12,23 +12,24 @@
 type regionState struct {
 	RegionNote
 	heard   time.Time // when the last note came
+	changed time.Time // when a note last said something else than the one before
 	silent  bool
 	version uint64
 	source  *linkState
 }
 
-func (m *Machine) region(name string) *regionState {
-	r, ok := m.regions[name]
+func (m *Machine) region(id uint32) *regionState {
+	r, ok := m.regions[id]
 	if !ok {
-		r = &regionState{RegionNote: RegionNote{Region: name}}
-		m.regions[name] = r
+		r = &regionState{RegionNote: RegionNote{Region: id}}
+		m.regions[id] = r
 	}
 	return r
 }
 
 // noteRegionSeen starts the timer of a region when its first member is known.
-func (m *Machine) noteRegionSeen(name string, now time.Time) {
-	if r := m.region(name); r.heard.IsZero() {
+func (m *Machine) noteRegionSeen(id uint32, now time.Time) {
+	if r := m.region(id); r.heard.IsZero() {
 		r.heard = now
 	}
 }
@@ -38,38 +39,58 @@
 // were heard, and is the wall clock's at least, so that it rises across
 // restarts of a whole region.
 func (m *Machine) noteRegion(now time.Time) {
-	t := m.currentTopology()
-	if !t.relay || m.phase == PhaseJoining || now.Before(m.nextNote) {
+	if m.phase == PhaseJoining || !m.currentTopology().relay {
+		return
+	}
+	r := m.region(m.self.region)
+	early := m.news.note > r.version && now.Sub(r.changed) >= m.opts.RegionInterval/earlyNotes
+	if now.Before(m.nextNote) && !early {
+		return
+	}
+	note := RegionNote{Region: m.self.region, Beat: max(r.Beat+1, uint64(now.Unix()))}
+	note.Generation, note.Except = m.summarize()
+	if now.Before(m.nextNote) && note.sameAs(&r.RegionNote) {
 		return
 	}
 	m.nextNote = now.Add(m.opts.RegionInterval)
-	r := m.region(m.self.Region)
-	r.Beat = max(r.Beat+1, uint64(now.UnixMilli()))
-	r.Generation, r.Except = m.summarize()
+	m.setNote(r, &note, nil, now)
+}
+
+// earlyNotes is how many notes a region may send within one interval while its
+// generation changes.
+const earlyNotes = 4
+
+// sameAs reports whether two notes say the same.
+func (n *RegionNote) sameAs(o *RegionNote) bool {
+	return n.Generation == o.Generation && slices.Equal(n.Except, o.Except)
+}
+
+func (m *Machine) setNote(r *regionState, n *RegionNote, source *linkState, now time.Time) {
+	if !n.sameAs(&r.RegionNote) {
+		r.changed = now
+	}
+	r.RegionNote = *n
 	r.heard = now
 	m.version++
-	r.version, r.source = m.version, nil
+	r.version, r.source = m.version, source
 }
 
 // summarize returns the highest generation that all members of the own region
 // but few have in force.
-func (m *Machine) summarize() (generation uint64, except []string) {
+func (m *Machine) summarize() (generation uint64, except []uint32) {
 	lowest := m.self.Generation
-	for _, e := range m.table {
-		if e.Region == m.self.Region && !e.Gone {
-			generation = max(generation, e.Generation)
-			lowest = min(lowest, e.Generation)
-		}
+	for _, e := range m.currentTopology().ring {
+		generation = max(generation, e.Generation)
+		lowest = min(lowest, e.Generation)
 	}
-	for name, e := range m.table {
-		if e.Region == m.self.Region && !e.Gone && e.Generation < generation {
-			except = append(except, name)
+	for _, e := range m.currentTopology().ring {
+		if e.Generation < generation {
+			except = append(except, e.shortID())
 		}
 	}
 	if len(except) > maxExceptions {
 		return lowest, nil
 	}
-	slices.Sort(except)
 	return generation, except
 }
 
@@ -79,32 +100,29 @@
 	if n.Beat <= r.Beat {
 		return
 	}
-	r.RegionNote = *n
-	r.heard = now
-	m.version++
-	r.version, r.source = m.version, source
+	m.setNote(r, n, source, now)
 	if r.silent {
 		r.silent = false
-		m.viewStale = true
+		m.viewStale, m.statesStale = true, true
 	}
-	if n.Region == m.self.Region {
+	if n.Region == m.self.region {
 		return
 	}
-	for name, e := range m.table {
-		if e.Region == n.Region && !e.Gone && e.Generation < n.Generation && !slices.Contains(n.Except, name) {
+	for _, e := range m.table {
+		if e.region == n.Region && !e.Gone && e.Generation < n.Generation && !slices.Contains(n.Except, e.shortID()) {
 			e.Generation, e.Hash = n.Generation, 0
-			m.viewStale = true
+			m.viewLater = true
 		}
 	}
 }
 
 // detectRegions marks the regions that are not heard of.
 func (m *Machine) detectRegions(now time.Time) {
-	for name, r := range m.regions {
-		silent := name != m.self.Region && now.Sub(r.heard) >= m.opts.RegionAfter
+	for id, r := range m.regions {
+		silent := id != m.self.region && now.Sub(r.heard) >= m.opts.RegionAfter
 		if silent != r.silent {
 			r.silent = silent
-			m.viewStale = true
+			m.viewStale, m.statesStale = true, true
 		}
 	}
 }
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -147,6 +148,50 @@
 	}
 }
 
+func TestDoublesGoToTwoVMsUnderOneKey(t *testing.T) {
+	for _, noTicket := range []bool{false, true} {
+		v := newVMs(t, "answered")
+		notes := NewNotes(true)
+		c := New(Options{
+			Name: "c", Entries: v.addresses, Notes: notes, Timeout: time.Second, DoubleRate: 1, NoTicket: noTicket,
+			Shapes: []Shape{{Service: "s", Path: "/s/x", Method: http.MethodPost, BodyBytes: 5, AnswerBytes: 10, Keyed: true, Weight: 1}},
+		})
+		c.RunCount(context.Background(), 1)
+		sent := v.sent()
+		if len(sent) != 2 || v.at[0] == v.at[1] || len(notes.Tries()) != 2 {
+			t.Fatalf("%d sent to %v, %d noted", len(sent), v.at, len(notes.Tries()))
+		}
+		key := sent[0].Get(edge.HeaderIdempotencyKey)
+		if key != sent[1].Get(edge.HeaderIdempotencyKey) || strings.Contains(key, "ticket") == noTicket {
+			t.Fatalf("keys %q and %q", key, sent[1].Get(edge.HeaderIdempotencyKey))
+		}
+		if r := notes.Results()[0]; r.Requests != 1 {
+			t.Fatalf("a double counted as a request: %+v", r)
+		}
+	}
+}
+
+// A key that no VM may have seen is made anew for the VM that is tried next.
+func TestUnsentKeyTakesTheTicketOfTheNextVM(t *testing.T) {
+	v := newVMs(t, "unknown", "answered")
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.addresses = append([]string{gone.Addr().String()}, v.addresses...)
+	gone.Close()
+	v.call(Shape{Method: http.MethodPost, BodyBytes: 5, Keyed: true}, 1)
+	sent := v.sent()
+	if len(sent) != 2 {
+		t.Fatalf("%d tries arrived, want 2", len(sent))
+	}
+	for i, h := range sent {
+		if ticket, _, _ := strings.Cut(h.Get(edge.HeaderIdempotencyKey), edge.KeySeparator); ticket != "ticket-1" {
+			t.Errorf("try %d carries the ticket %q, want that of the first VM that was reached", i, ticket)
+		}
+	}
+}
+
 func TestLookupsAreCachedForTheirAge(t *testing.T) {
 	v := newVMs(t, "answered")
 	v.call(Shape{Method: http.MethodGet}, 5)
--- a/internal/standin/caller/try.go
+++ b/internal/standin/caller/try.go
@@ -20,10 +20,31 @@
 	id     string // of the present try
 	key    string
 	ticket string // of the VM that the key was first sent to
-	sent   bool   // a try was made
+	sent   bool   // a try found a connection, so that a VM may have seen the key
 	seed   uint64
 }
 
+// takeTicket makes the ticket of the first VM that is reached part of the key.
+// Once the key may have been seen every try sends the same one, so that the
+// ticket, or the lack of one, stays with the request.
+func (r *request) takeTicket(vm edge.LookupVM, without bool) {
+	if r.sent {
+		return
+	}
+	r.ticket = ""
+	if !without {
+		r.ticket = vm.Ticket
+	}
+}
+
+// wholeKey is the idempotency key as it is sent: the ticket is its head.
+func (r *request) wholeKey() string {
+	if r.key == "" || r.ticket == "" {
+		return r.key
+	}
+	return r.ticket + edge.KeySeparator + r.key
+}
+
 // mayRetry reports whether what was told allows another try.
 func (r *request) mayRetry(told Told) bool {
 	switch told {
@@ -46,9 +67,10 @@
 
 // try sends the request once and notes what came of it.
 func (c *Caller) try(ctx context.Context, req *request, vm edge.LookupVM) (Note, time.Duration) {
+	req.takeTicket(vm, c.opts.NoTicket)
 	note := Note{
 		RequestID:  req.id,
-		Key:        req.key,
+		Key:        req.wholeKey(),
 		Shape:      req.shape.Name,
 		Service:    req.shape.Service,
 		Class:      req.shape.Class,
@@ -60,11 +82,6 @@
 		Started:    time.Now(),
 		Told:       ToldNothing,
 	}
-	if !req.sent {
-		// Every try sends the same key, so that the first VM's ticket, or its
-		// lack of one, stays with the request.
-		req.sent, req.ticket = true, vm.Ticket
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
 	defer cancel()
 	wait, err := c.exchange(ctx, req, vm.Address, &note)
@@ -84,6 +101,7 @@
 		note.Told, note.Refused = ToldNotRun, true // nothing was sent
 		return retryPause, err
 	}
+	req.sent = true
 	httpReq, err := c.build(ctx, req, address)
 	if err != nil {
 		return retryPause, err
@@ -120,11 +138,8 @@
 	httpReq.ContentLength = req.shape.BodyBytes
 	httpReq.Header.Set(edge.HeaderRequestID, req.id)
 	httpReq.Header.Set(edge.HeaderTimeoutMS, strconv.FormatInt(c.opts.Timeout.Milliseconds(), 10))
-	switch {
-	case req.key != "" && req.ticket != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.ticket+edge.KeySeparator+req.key)
-	case req.key != "":
-		httpReq.Header.Set(edge.HeaderIdempotencyKey, req.key)
+	if key := req.wholeKey(); key != "" {
+		httpReq.Header.Set(edge.HeaderIdempotencyKey, key)
 	}
 	return httpReq, nil
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -28,6 +28,7 @@
 	Sigma      float64          // shape of the log-normal distribution of that time
 	ColdFactor float64          // how much longer a request takes on a cold target; below 1 counts as 1
 	ColdFor    time.Duration    // how long after its start a target is cold; the factor falls linearly
+	Warm       bool             // not cold at the first start
 	Seed       uint64           // of service times and faults
 	Log        *Log             // may be nil
 	Gauges     []*standin.Gauge // offered concurrency is added to each
@@ -51,6 +52,7 @@
 	faults    []Fault
 	faultRate float64
 	cutPlan   CutPlan
+	highConns int // before the last restart
 }
 
 // Start starts a target.
@@ -65,7 +67,13 @@
 		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		address: opts.Address,
 	}
-	return t, t.Restart()
+	if err := t.Restart(); err != nil {
+		return nil, err
+	}
+	if opts.Warm {
+		t.warm()
+	}
+	return t, nil
 }
 
 // Restart listens again after Kill, on the same address, with cold caches.
@@ -83,13 +91,28 @@
 	return nil
 }
 
+// warm ends the cold time at once.
+func (t *Target) warm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.warmSince = time.Now()
+}
+
 // Kill cuts all connections and stops listening, without a warning.
 func (t *Target) Kill() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.highConns = max(t.highConns, t.server.HighConnections())
 	return t.server.Close()
 }
 
+// HighConnections returns the most connections that were open at once.
+func (t *Target) HighConnections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.highConns, t.server.HighConnections())
+}
+
 // Address returns host:port.
 func (t *Target) Address() string {
 	t.mu.Lock()
