--- a/internal/bench/report/page.go
+++ b/internal/bench/report/page.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"html/template"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"masticturn/internal/bench"
+	"masticturn/internal/steering"
 )
 
 //go:embed page.html
@@ -61,6 +63,7 @@
 	Runs       []runView
 	Checks     table
 	Broken     bool
+	Promised   bool // a series promises something: policy broker
 	Figures    []figureView
 }
 
@@ -89,6 +92,7 @@
 	for _, r := range view.Checks.Rows {
 		view.Broken = view.Broken || r.Bad
 	}
+	view.Promised = slices.ContainsFunc(s.series(), func(one series) bool { return one.Policy == steering.PolicyBroker })
 	for _, r := range s.runs {
 		view.Runs = append(view.Runs, runViewOf(r))
 	}
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -151,6 +151,9 @@
 		if got := strings.Contains(page, `<tr class="bad">`) && strings.Contains(page, "(broken)"); got != want {
 			t.Errorf("policy %s: marked %v, want %v", policy, got, want)
 		}
+		if strings.Contains(page, "Nothing was broken") {
+			t.Errorf("policy %s: the page says that nothing was broken", policy)
+		}
 	}
 }
 
