forward: a slot that was lost before the first byte is not used; look-ups name a VM elsewhere

Cause: permits of a process that was paused are void (admission.Checked), but the request path did not ask. And look-ups named VMs of one region only, so that callers of a lost region had nobody to turn to until they looked up again. Change: the permit is checked after the connection stands; a void one is given back and another acquired, nothing was sent (a test, which fails without the check).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,10 +80,7 @@
 
 // head takes the attempt up to the checked head of the answer.
 func (a *attempt) head() attemptEnd {
-	if end := a.admit(); end.Fault != FaultNone {
-		return end
-	}
-	if end := a.connect(); end.Fault != FaultNone {
+	if end := a.prepare(); end.Fault != FaultNone {
 		return end
 	}
 	a.watch = a.newWatchdog()
@@ -93,6 +90,27 @@
 	return a.check()
 }
 
+// prepare gets a slot and a connection. A slot that was lost meanwhile, as
+// after a pause of this process, is given back and another one acquired:
+// nothing was sent.
+func (a *attempt) prepare() attemptEnd {
+	for {
+		if end := a.admit(); end.Fault != FaultNone {
+			return end
+		}
+		if end := a.connect(); end.Fault != FaultNone {
+			return end
+		}
+		checked, ok := a.permit.(admission.Checked)
+		if !ok || checked.Valid() {
+			return attemptEnd{}
+		}
+		a.conn.Drop()
+		a.permit.Release(admission.Result{Outcome: outcome.NotRun, Step: outcome.StepConnect, InFlight: -1, Canceled: true})
+		a.conn, a.permit, a.target = nil, nil, nil
+	}
+}
+
 // finish gives back what the attempt held.
 func (a *attempt) finish(end *attemptEnd) {
 	if a.watch != nil {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,6 +43,7 @@
 	released []admission.Result
 	requests int // first attempts
 	attempts int
+	void     int // so many permits are lost while they are held
 }
 
 func (a *roundRobin) Acquire(_ context.Context, r *admission.Request) (admission.Permit, error) {
@@ -57,7 +58,8 @@
 		a.next++
 		if !contains(r.Exclude, t.Name) {
 			a.held++
-			return &permit{a: a, t: t}, nil
+			a.void--
+			return &permit{a: a, t: t, void: a.void >= 0}, nil
 		}
 	}
 	return nil, &outcome.Error{Outcome: outcome.NotRun, Step: outcome.StepAdmit, Reason: "all targets were tried"}
@@ -73,10 +75,15 @@
 }
 
 type permit struct {
-	a *roundRobin
-	t *config.TargetIndex
+	a    *roundRobin
+	t    *config.TargetIndex
+	void bool
 }
 
+var _ admission.Checked = (*permit)(nil)
+
+func (p *permit) Valid() bool { return !p.void }
+
 func (p *permit) Target() *config.TargetIndex { return p.t }
 func (p *permit) Shifted() bool               { return false }
 func (p *permit) Release(r admission.Result) {
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
 	"masticturn/internal/measure"
+	"masticturn/internal/outcome"
 	"masticturn/internal/telemetry"
 )
 
@@ -106,6 +108,30 @@
 	}
 }
 
+// A slot that was lost before the first byte is not used: another one is
+// acquired, and the target sees the request once.
+func TestLostPermitIsNotUsed(t *testing.T) {
+	var seen atomic.Int32
+	address := newTarget(t, func(http.ResponseWriter, *http.Request) { seen.Add(1) })
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	b.admission.void = 2
+	resp, _, err := b.call(t, "POST", "/svc/a", nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	if held := b.heldPermits(); held != 0 {
+		t.Errorf("%d permits are still held", held)
+	}
+	if b.admission.attempts != 3 || seen.Load() != 1 {
+		t.Errorf("%d permits acquired, want 3; the target saw %d requests, want 1", b.admission.attempts, seen.Load())
+	}
+	for i, r := range b.admission.released[:2] {
+		if r.Outcome != outcome.NotRun || !r.Canceled {
+			t.Errorf("permit %d was released with %+v", i, r)
+		}
+	}
+}
+
 // A target without a connection left for this VM costs nothing but another try.
 func TestNoConnectionLeftIsNotRun(t *testing.T) {
 	doc := document("127.0.0.1:1")
--- a/internal/lookup/answer.go
+++ b/internal/lookup/answer.go
@@ -57,15 +57,22 @@
 
 // Candidates returns the VMs to name to the callers of a place and bucket,
 // best first, at most limit: those of the place's region, spread by bucket,
-// then those of the other regions, nearest first.
+// then those of the other regions, nearest first. The last one is of another
+// region than the first where there is one, so that callers whose region is
+// lost reach somebody before they look up again.
 func (r *Roster) Candidates(snap *config.Snapshot, place Place, bucket, limit int) []membership.Member {
 	key := place.Region + "/" + place.Zone + "/" + strconv.Itoa(bucket)
+	regions := r.nearestFirst(snap, place.Region)
 	var out []membership.Member
-	for _, region := range r.nearestFirst(snap, place.Region) {
-		if len(out) >= limit {
+	for i, region := range regions {
+		room := limit - len(out)
+		if i == 0 && len(regions) > 1 {
+			room = max(room-1, 1) // one place is for another region
+		}
+		if room <= 0 {
 			break
 		}
-		out = append(out, ranked(r.members[region], place, key, limit-len(out))...)
+		out = append(out, ranked(r.members[region], place, key, room)...)
 	}
 	return out
 }
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -95,6 +96,26 @@
 	}
 }
 
+// TestLastAnswerIsOfAnotherRegion checks that a caller whose region is lost
+// knows a VM elsewhere, even where its own region could fill the answer.
+func TestLastAnswerIsOfAnotherRegion(t *testing.T) {
+	snap, view := testSnapshot(t), testView()
+	for limit, want := range map[int][]string{
+		1: {"rosario"},
+		2: {"rosario", "ba"},
+		3: {"rosario", "rosario", "ba"},
+		5: {"rosario", "rosario", "rosario", "ba", "bahia"},
+	} {
+		var got []string
+		for _, m := range NewRoster(view).Candidates(snap, Place{"rosario", "ros-a"}, 0, limit) {
+			got = append(got, m.Region)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("limit %d: regions %v, want %v", limit, got, want)
+		}
+	}
+}
+
 func TestCandidatesLeaveOutWhoMayNotServe(t *testing.T) {
 	tests := []struct {
 		name   string
