measure: a target's word on an answer reaches daemons that start later

Change: who had the word at first hand renews it with each of its reports while it stands (30 s); heard-of signs lapse 5 s after the last report, so that none is renewed for ever. A test of two books has the case.

--- a/internal/measure/book.go
+++ b/internal/measure/book.go
@@ -30,9 +30,10 @@
 	// answerHold is how long the word of a target on an answer stands against
 	// a health endpoint that says otherwise. It is renewed by each such answer.
 	answerHold = 30 * time.Second
-	// listHold is how long the word of the platform's list stands. The members
-	// that read the list renew it with each of their reports.
-	listHold = 5 * time.Second
+	// reportedHold is how long a sign stands that another member reports: the
+	// platform's list, or a target's word on an answer. Who saw the sign renews
+	// it with each report, so that members that start later hear of it too.
+	reportedHold = 5 * time.Second
 )
 
 // Probe is the result of one probe of a target, or a report of one.
@@ -58,12 +59,13 @@
 }
 
 type entry struct {
-	state    TargetState
-	probes   map[string]Probe // last probe of each reporter
-	failures int              // failed probes in a row, over all reporters
-	clear    int              // probes in a row that did not say draining
-	signs    [signCount]bool
-	until    [signCount]time.Time // when the signs that are held run out
+	state     TargetState
+	probes    map[string]Probe // last probe of each reporter
+	failures  int              // failed probes in a row, over all reporters
+	clear     int              // probes in a row that did not say draining
+	signs     [signCount]bool
+	until     [signCount]time.Time // when the signs that are held run out
+	seenUntil time.Time            // how long the target's word to this daemon stands
 }
 
 // NewBook returns an empty book.
@@ -88,15 +90,28 @@
 	b.dirty = true
 }
 
-// Listed takes over that the platform's list names the targets as leaving.
-func (b *Book) Listed(leaving []string, now time.Time) {
+// Reported takes over that a member reports a sign of the targets leaving. It
+// stands for reportedHold, or longer where it stood longer already.
+func (b *Book) Reported(s Sign, leaving []string, now time.Time) {
+	until := now.Add(reportedHold)
 	for _, name := range leaving {
-		if e, ok := b.entries[name]; ok {
-			b.hold(e, SignPlatform, now.Add(listHold))
+		if e, ok := b.entries[name]; ok && e.until[s].Before(until) {
+			b.hold(e, s, until)
 		}
 	}
 }
 
+// Seen returns the targets whose word on an answer to this daemon stands.
+func (b *Book) Seen(now time.Time) []string {
+	var names []string
+	for name, e := range b.entries {
+		if now.Before(e.seenUntil) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Probed takes a probe's result. Older results of the same reporter are
 // ignored.
 func (b *Book) Probed(p Probe, now time.Time) {
@@ -135,14 +150,15 @@
 	}
 }
 
-// Observed takes a target's word on an answer.
+// Observed takes a target's word on an answer to this daemon.
 func (b *Book) Observed(o Observation, now time.Time) {
 	e, ok := b.entries[o.Target]
 	if !ok {
 		return
 	}
 	if o.Draining {
-		b.hold(e, SignAnswer, now.Add(answerHold))
+		e.seenUntil = now.Add(answerHold)
+		b.hold(e, SignAnswer, e.seenUntil)
 	}
 	if o.InFlight >= 0 {
 		e.state.InFlight = o.InFlight
--- a/internal/measure/book_test.go
+++ b/internal/measure/book_test.go
@@ -64,7 +64,7 @@
 		give func(*bookTest)
 	}{
 		{"document", func(b *bookTest) { b.book.Configure(testConfig(b.t, true)) }},
-		{"platform list", func(b *bookTest) { b.book.Listed([]string{"t"}, b.now) }},
+		{"platform list", func(b *bookTest) { b.book.Reported(SignPlatform, []string{"t"}, b.now) }},
 		{"health endpoint", func(b *bookTest) { b.probe("vm-1", true, edge.TargetDraining) }},
 		{"answer", func(b *bookTest) { b.book.Observed(Observation{Target: "t", Draining: true, InFlight: -1}, b.now) }},
 	}
@@ -103,13 +103,36 @@
 	})
 	t.Run("platform list, when it is not renewed", func(t *testing.T) {
 		b := newBookTest(t)
-		b.book.Listed([]string{"t"}, b.now)
-		b.after(listHold)
+		b.book.Reported(SignPlatform, []string{"t"}, b.now)
+		b.after(reportedHold)
 		b.probe("vm-1", true, edge.TargetOK)
 		b.want(Healthy)
 	})
 }
 
+// TestSignsReachWhoStartsLater covers a daemon that starts after a target's
+// word on an answer went round, while the health endpoint lies.
+func TestSignsReachWhoStartsLater(t *testing.T) {
+	witness, late := newBookTest(t), newBookTest(t)
+	witness.book.Observed(Observation{Target: "t", Draining: true, InFlight: -1}, witness.now)
+	late.probe("vm-1", true, edge.TargetOK)
+	late.want(Healthy)
+	for at := time.Duration(0); at < answerHold; at += time.Second {
+		witness.after(time.Second)
+		late.after(time.Second)
+		late.book.Reported(SignAnswer, witness.book.Seen(witness.now), late.now)
+		if at < answerHold-time.Second {
+			late.want(Draining)
+		}
+	}
+	late.after(reportedHold)
+	late.probe("vm-1", true, edge.TargetOK)
+	late.want(Healthy)
+	if seen := late.book.Seen(late.now); len(seen) != 0 {
+		t.Errorf("%v was only heard of, and would be renewed for ever", seen)
+	}
+}
+
 func TestDownNeedsAllReportersToFail(t *testing.T) {
 	b := newBookTest(t)
 	b.probe("vm-1", true, edge.TargetOK)
--- a/internal/measure/messages.go
+++ b/internal/measure/messages.go
@@ -9,8 +9,9 @@
 // report is the message of peer.KindTargetReport: what one prober saw in one
 // round.
 type report struct {
-	Probes  []reportedProbe
-	Leaving []string // targets that the platform's list names as leaving
+	Probes []reportedProbe
+	Listed []string // targets that the platform's list names as leaving
+	Seen   []string // targets that said on an answer to the sender that they leave
 }
 
 // reportedProbe is one probe in a report.
@@ -25,13 +26,9 @@
 }
 
 // signal is the message of peer.KindTargetSignal: a target's word on an
-// answer, passed on at once.
+// answer, passed on at once. Reports renew it.
 type signal struct {
-	Target   string
-	Draining bool
-	Shed     bool
-	InFlight int32
-	Slots    int32
+	Target string
 }
 
 func toReported(p Probe, now time.Time) reportedProbe {
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// Observe implements Source. Only a first word of draining or a shed answer
-// goes to the other daemons; loads stay here.
+// Observe implements Source. Only a first word of draining goes to the other
+// daemons at once; loads stay here.
 func (s *Service) Observe(o Observation) {
 	s.mu.Lock()
 	known := s.book.Leaving(o.Target)
@@ -154,20 +154,21 @@
 	}
 	s.wakePublisher()
 	s.deps.Logger.Log(eventTargetLeaving, telemetry.Peer(o.Target), telemetry.Step("answer"))
-	s.spreadSignal(o)
+	s.spreadSignal(o.Target)
 }
 
-func (s *Service) spreadSignal(o Observation) {
+// spreadSignal tells the members that use a target that it leaves.
+func (s *Service) spreadSignal(target string) {
 	snap := s.deps.Config.Current()
 	if snap == nil {
 		return
 	}
-	t := snap.Target(o.Target)
+	t := snap.Target(target)
 	if t == nil {
 		return
 	}
 	s.signals.Inc()
-	msg := signal{Target: o.Target, Draining: o.Draining, Shed: o.Shed, InFlight: int32(o.InFlight), Slots: int32(o.Slots)}
+	msg := signal{Target: target}
 	for _, m := range recipients(s.deps.Members.View(), t.Service, t.Region) {
 		_ = s.deps.Network.Send(m.Name, peer.KindTargetSignal, msg) // lost signals are made good by probes
 	}
@@ -228,21 +229,26 @@
 		probe := toReported(p, now)
 		reports.each(p.Target, func(r *report) { r.Probes = append(r.Probes, probe) })
 	}
-	for _, name := range s.renewListed(now) {
-		reports.each(name, func(r *report) { r.Leaving = append(r.Leaving, name) })
+	listed, seen := s.renewSigns(now)
+	for _, name := range listed {
+		reports.each(name, func(r *report) { r.Listed = append(r.Listed, name) })
+	}
+	for _, name := range seen {
+		reports.each(name, func(r *report) { r.Seen = append(r.Seen, name) })
 	}
 	for name, r := range reports.byMember {
 		_ = s.deps.Network.Send(name, peer.KindTargetReport, r) // the next round makes a lost one good
 	}
 }
 
-// renewListed renews in the own book what the platform's list last said and
-// returns it for the other daemons; nothing when this VM does not read the list.
-func (s *Service) renewListed(now time.Time) []string {
+// renewSigns returns the signs of leaving that this daemon has at first hand,
+// for the other daemons: what the platform's list last said, if this VM reads
+// it, and what targets said on answers.
+func (s *Service) renewSigns(now time.Time) (listed, seen []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Listed(s.listed, now)
-	return s.listed
+	s.book.Reported(SignPlatform, s.listed, now)
+	return s.listed, s.book.Seen(now)
 }
 
 func (s *Service) handleReport(_ context.Context, from string, payload []byte) (any, error) {
@@ -256,7 +262,8 @@
 	for _, p := range r.Probes {
 		s.book.Probed(fromReported(p, from, now), now)
 	}
-	s.book.Listed(r.Leaving, now)
+	s.book.Reported(SignPlatform, r.Listed, now)
+	s.book.Reported(SignAnswer, r.Seen, now)
 	return nil, nil
 }
 
@@ -265,9 +272,8 @@
 	if err := peer.Decode(payload, &msg); err != nil {
 		return nil, trace.Wrap(err, "target signal from %s", from)
 	}
-	o := Observation{Target: msg.Target, Draining: msg.Draining, Shed: msg.Shed, InFlight: int(msg.InFlight), Slots: int(msg.Slots)}
 	s.mu.Lock()
-	s.book.Observed(o, s.deps.Clock.Now())
+	s.book.Reported(SignAnswer, []string{msg.Target}, s.deps.Clock.Now())
 	s.mu.Unlock()
 	s.wakePublisher()
 	return nil, nil
@@ -366,7 +372,7 @@
 	}
 	s.mu.Lock()
 	s.listed = leaving
-	s.book.Listed(leaving, s.deps.Clock.Now())
+	s.book.Reported(SignPlatform, leaving, s.deps.Clock.Now())
 	s.mu.Unlock()
 	s.wakePublisher()
 }
