steering: an ejected target comes back on trial, one request at a time

Change: after an ejection the target gets one request at a time; its failure ejects it again for twice as long, a success ends the trial.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -164,6 +164,9 @@
 	if c.ejector.Ejected(t.Name, now) || during(c.left, t.Name, now) {
 		usable = 0
 	}
+	if c.ejector.OnTrial(t.Name, now) {
+		usable = min(usable, steering.TrialSlots)
+	}
 	if during(c.paused, t.Name, now) {
 		usable = min(usable, max(1, t.InFlight()))
 	}
--- a/internal/steering/ejection.go
+++ b/internal/steering/ejection.go
@@ -18,6 +18,10 @@
 // Ejector takes targets out of use by what happened to requests sent there.
 // These outcomes outweigh what a target reports about itself.
 //
+// After its ejection a target is on trial: it is to get one request at a time,
+// a failure ejects it again for twice as long, where the panic rule allows, and
+// a success ends the trial.
+//
 // Property (panic rule): the slots of the ejected targets are never more than
 // half of all slots, and a target that still answers some requests is not
 // ejected when fewer slots than there are permits out would be left.
@@ -36,6 +40,7 @@
 	until    time.Time
 	last     time.Time
 	length   time.Duration
+	trial    bool // ejected, and nothing has succeeded since
 }
 
 // NewEjector returns an ejector for targets without outcomes.
@@ -63,7 +68,12 @@
 		return false
 	}
 	r.observe(vm, ok)
-	if !r.bad() || now.Before(r.until) {
+	if now.Before(r.until) {
+		return false
+	}
+	failedTrial := r.trial && !ok
+	r.trial = r.trial && !ok
+	if !failedTrial && !r.bad() {
 		return false
 	}
 	ejected := e.EjectedSlots(now) + r.slots
@@ -83,6 +93,12 @@
 	return r != nil && now.Before(r.until)
 }
 
+// OnTrial reports whether the target was ejected and has not answered since.
+func (e *Ejector) OnTrial(target string, now time.Time) bool {
+	r := e.records[target]
+	return r != nil && r.trial && !now.Before(r.until)
+}
+
 // EjectedSlots returns the slots of all ejected targets.
 func (e *Ejector) EjectedSlots(now time.Time) int {
 	n := 0
@@ -124,5 +140,6 @@
 	}
 	r.last = now
 	r.until = now.Add(r.length)
+	r.trial = true
 	r.inRow, r.several, r.count, r.failures = 0, false, 0, 0
 }
