Idempotency: a claim that was overtaken waits before it reads again

Cause: filling the open cells of the fault matrix. With reads that stayed stale after a released claim was taken over by somebody else, a claimant went from read to take-over and back with no pause until its deadline, at the pace of the platform. TestStaleReadsMeanNoSecondRun did not end on that, as no time passed.

--- a/internal/idempotency/claimant.go
+++ b/internal/idempotency/claimant.go
@@ -103,6 +103,10 @@
 		c.version = ev.version
 		c.done(VerdictRun, nil)
 	case writeConflict:
+		if c.step == ClaimTakeOver {
+			c.pause(ClaimRead) // another was faster, or the read before was stale
+			return
+		}
 		c.step = ClaimRead
 	case writeUnknown:
 		c.written = true
