--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -36,6 +36,7 @@
 	faultPatience        = 4 * time.Second
 	faultDoubles         = 0.1  // of the keyed requests are sent to two VMs at once
 	ticketless           = 4    // every so many callers one ignores tickets
+	faultIdle            = 5000 // milliseconds that a VM waits for a silent caller
 	faultMaxAge          = 1000 // milliseconds that a look-up may be cached, so that drains fit
 	loadMargin           = 1.05 // more requests than asked for, since arrivals vary
 	startTimeout         = 20 * time.Second
@@ -69,7 +70,8 @@
 	Attempts       int            `json:"attempts"` // requests that reached targets
 	Tries          int            `json:"tries"`    // sent by callers
 	Faults         []FaultCount   `json:"faults"`
-	Errors         []string       `json:"errors,omitempty"` // of causing and healing faults
+	Errors         []string       `json:"errors,omitempty"`         // of causing and healing faults
+	OverConnected  []string       `json:"over_connected,omitempty"` // targets with more connections open than they take
 	Promises       promise.Report `json:"promises"`
 	BrokenPromises int            `json:"broken_promises"`
 	Traces         []RequestTrace `json:"traces,omitempty"` // of the request asked for, and of some broken promises
@@ -153,6 +155,7 @@
 		return nil, trace.Wrap(err)
 	}
 	doc.Lookup.MaxAgeMS = faultMaxAge
+	doc.Limits.IdleTimeoutMS = faultIdle
 	clusterOpts := cluster.Options{
 		Document:   doc,
 		Start:      opts.Start,
@@ -190,7 +193,8 @@
 	for _, err := range j.errs {
 		r.Errors = append(r.Errors, err.Error())
 	}
-	r.BrokenPromises = r.Promises.Total
+	r.OverConnected = c.OverConnected()
+	r.BrokenPromises = r.Promises.Total + len(r.OverConnected)
 	r.Traces = tracesOf(c, opts.Trace, r.Promises.Examples)
 	return r
 }
--- a/internal/bench/steering.go
+++ b/internal/bench/steering.go
@@ -64,9 +64,7 @@
 			return nil, trace.Wrap(err, "scenario %s under policy %s", sc.name, policy)
 		}
 		report.Runs = append(report.Runs, *run)
-		if policy == steering.PolicyBroker {
-			report.BrokenPromises += run.CapExceeded + run.RegionOverloaded + run.Promises.Total
-		}
+		report.BrokenPromises += Broken(run)
 	}
 	return report, nil
 }
@@ -114,7 +112,7 @@
 // run offers the load while the scenario's event happens, and returns when all
 // requests have ended.
 func (l *steeringLoad) run(ctx context.Context) error {
-	sleepFor(ctx, time.Duration(steeringCold)*time.Millisecond)
+	sleepFor(ctx, l.sc.cold)
 	ctx, cancel := context.WithTimeout(ctx, l.sc.total())
 	defer cancel()
 	l.began = time.Now()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,6 +34,7 @@
 	permit   admission.Permit
 	target   *config.TargetIndex
 	conn     *targetconn.Conn
+	keep     bool // the connection may be kept after the exchange
 	watch    *watchdog
 	stream   *upload
 	resp     *http.Response
@@ -79,10 +80,7 @@
 
 // head takes the attempt up to the checked head of the answer.
 func (a *attempt) head() attemptEnd {
-	if end := a.admit(); end.Fault != FaultNone {
-		return end
-	}
-	if end := a.connect(); end.Fault != FaultNone {
+	if end := a.prepare(); end.Fault != FaultNone {
 		return end
 	}
 	a.watch = a.newWatchdog()
@@ -92,6 +90,27 @@
 	return a.check()
 }
 
+// prepare gets a slot and a connection. A slot that was lost meanwhile, as
+// after a pause of this process, is given back and another one acquired:
+// nothing was sent.
+func (a *attempt) prepare() attemptEnd {
+	for {
+		if end := a.admit(); end.Fault != FaultNone {
+			return end
+		}
+		if end := a.connect(); end.Fault != FaultNone {
+			return end
+		}
+		checked, ok := a.permit.(admission.Checked)
+		if !ok || checked.Valid() {
+			return attemptEnd{}
+		}
+		a.conn.Drop()
+		a.permit.Release(admission.Result{Outcome: outcome.NotRun, Step: outcome.StepConnect, InFlight: -1, Canceled: true})
+		a.conn, a.permit, a.target = nil, nil, nil
+	}
+}
+
 // finish gives back what the attempt held.
 func (a *attempt) finish(end *attemptEnd) {
 	if a.watch != nil {
@@ -137,7 +156,9 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, connectTimeout)
 	defer cancel()
-	conn, err := a.x.h.conns.Get(ctx, a.target, connectionShare(a.x.snap, a.target), use)
+	rule := connectionRuleOf(a.x.snap, a.target)
+	a.keep = rule.keep
+	conn, err := a.x.h.conns.Get(ctx, a.target, rule.limit, use)
 	if err != nil {
 		return attemptEnd{Step: outcome.StepConnect, Fault: a.faultOr(FaultRefused), Err: err}
 	}
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
 	"masticturn/internal/measure"
+	"masticturn/internal/outcome"
 	"masticturn/internal/telemetry"
 )
 
@@ -79,6 +82,56 @@
 	}
 }
 
+// In a fleet larger than a target's connections a VM holds one during an
+// exchange only.
+func TestLargeFleetKeepsNoConnections(t *testing.T) {
+	const requests = 20
+	var mu sync.Mutex
+	connections := make(map[string]bool)
+	address := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		connections[r.RemoteAddr] = true
+	})
+	doc := document(address)
+	doc.Fleet.MaxVMs = 1400
+	b := newBench(t, doc, nil, telemetry.Discard())
+	for range requests {
+		if resp, _, err := b.call(t, "GET", "/svc/a", nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(connections) != requests {
+		t.Errorf("%d connections for %d requests", len(connections), requests)
+	}
+}
+
+// A slot that was lost before the first byte is not used: another one is
+// acquired, and the target sees the request once.
+func TestLostPermitIsNotUsed(t *testing.T) {
+	var seen atomic.Int32
+	address := newTarget(t, func(http.ResponseWriter, *http.Request) { seen.Add(1) })
+	b := newBench(t, document(address), nil, telemetry.Discard())
+	b.admission.void = 2
+	resp, _, err := b.call(t, "POST", "/svc/a", nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	if held := b.heldPermits(); held != 0 {
+		t.Errorf("%d permits are still held", held)
+	}
+	if b.admission.attempts != 3 || seen.Load() != 1 {
+		t.Errorf("%d permits acquired, want 3; the target saw %d requests, want 1", b.admission.attempts, seen.Load())
+	}
+	for i, r := range b.admission.released[:2] {
+		if r.Outcome != outcome.NotRun || !r.Canceled {
+			t.Errorf("permit %d was released with %+v", i, r)
+		}
+	}
+}
+
 // A target without a connection left for this VM costs nothing but another try.
 func TestNoConnectionLeftIsNotRun(t *testing.T) {
 	doc := document("127.0.0.1:1")
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -2,27 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 )
 
-// Phase is the phase of this daemon's own membership.
-type Phase uint8
-
-// The phases, in order.
-const (
-	PhaseJoining Phase = iota // it asks other daemons for their table
-	PhaseMember
-	PhaseLeaving // it said that it drains
-	PhaseLeft    // it said that it is gone
-)
-
-// String returns the name used in status and logs.
-func (p Phase) String() string {
-	return [...]string{"joining", "member", "leaving", "left"}[p]
-}
-
 // Candidate is a daemon that may be called to join. The name is empty when
 // only the address is known.
 type Candidate struct {
@@ -33,11 +15,13 @@
 // entry is one member in the table.
 type entry struct {
 	Record
+	region        uint32     // ID of its region
 	recordVersion uint64     // of the table, when the record last changed
 	noteVersion   uint64     // of the table, when the generation last changed
 	recordSource  *linkState // where the record came from; nil: from here
 	noteSource    *linkState // where the generation came from
 	changed       time.Time  // when the state last changed
+	suspectSince  time.Time  // start of the time in which a suspicion may be refuted
 	reported      State
 	isReported    bool      // reported holds the state that was reported last
 	sign          time.Time // last sign of life: heard, told by others, or a newer Seq
@@ -64,7 +48,7 @@
 	version uint64            // rises with each change of the table
 	digest  uint64            // of all records
 	news    newest
-	regions map[string]*regionState
+	regions map[uint32]*regionState
 	links   map[string]*linkState
 
 	topology      topology
@@ -97,10 +81,10 @@
 		last:    now,
 		table:   make(map[string]*entry),
 		byID:    make(map[uint32]*entry),
-		regions: make(map[string]*regionState),
+		regions: make(map[uint32]*regionState),
 		links:   make(map[string]*linkState),
 	}
-	m.self = &entry{Record: self, changed: now, sign: now}
+	m.self = &entry{Record: self, region: regionID(self.Region), changed: now, sign: now}
 	m.table[self.Name] = m.self
 	m.digest = self.digest()
 	m.touchRecord(m.self, nil)
@@ -147,7 +131,7 @@
 	m.act(ReportAwake{Away: away})
 	for _, e := range m.table {
 		e.sign = now
-		e.changed = e.changed.Add(away)
+		e.suspectSince = now
 	}
 	for _, l := range m.links {
 		l.heard = now
@@ -254,161 +238,3 @@
 	}
 	return true
 }
-
-// merge takes in a record that a daemon told.
-func (m *Machine) merge(r *Record, source *linkState, now time.Time) {
-	if r.Name == m.self.Name {
-		m.mergeSelf(r, now)
-		return
-	}
-	e, ok := m.table[r.Name]
-	if !ok {
-		m.add(r, source, now)
-		return
-	}
-	if !r.supersedes(&e.Record) {
-		m.mergeGeneration(e, r.Incarnation, r.Generation, r.Hash, source)
-		return
-	}
-	m.replace(e, r, source, now)
-}
-
-func (m *Machine) add(r *Record, source *linkState, now time.Time) {
-	e := &entry{Record: *r, changed: now, sign: now}
-	m.table[r.Name] = e
-	m.digest ^= r.digest()
-	m.touchRecord(e, source)
-	m.learnAddress(e, "")
-	m.noteRegionSeen(r.Region, now)
-}
-
-func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
-	address := e.PeerAddress
-	m.digest ^= e.Record.digest()
-	delete(m.byID, e.shortID())
-	generation, hash := r.Generation, r.Hash
-	if e.Incarnation == r.Incarnation && e.Generation > generation {
-		generation, hash = e.Generation, e.Hash
-	}
-	if !r.Suspect && !r.Gone {
-		e.sign = now
-	}
-	e.Record = *r
-	e.Generation, e.Hash = generation, hash
-	e.changed = now
-	m.digest ^= e.Record.digest()
-	m.touchRecord(e, source)
-	m.learnAddress(e, address)
-}
-
-func (m *Machine) learnAddress(e *entry, before string) {
-	if e.PeerAddress != before && !e.Gone {
-		m.act(LearnAddress{VM: e.Name, Address: e.PeerAddress})
-	}
-}
-
-// mergeGeneration takes in the generation that a member has in force.
-func (m *Machine) mergeGeneration(e *entry, incarnation, generation, hash uint64, source *linkState) {
-	if e == m.self || incarnation != e.Incarnation || generation <= e.Generation {
-		return
-	}
-	e.Generation, e.Hash = generation, hash
-	m.touchNote(e, source)
-}
-
-// renewPause bounds how often a daemon raises its incarnation, should two
-// processes run under one VM name.
-const renewPause = time.Second
-
-// mergeSelf answers what others say of this daemon: a suspicion is refuted by
-// a higher Seq, a higher or ended incarnation by a still higher one.
-func (m *Machine) mergeSelf(r *Record, now time.Time) {
-	if m.phase == PhaseLeft {
-		return
-	}
-	own := &m.self.Record
-	surpassed := r.Incarnation > own.Incarnation || r.Incarnation == own.Incarnation && r.Gone
-	switch {
-	case surpassed && now.Sub(m.renewedAt) >= renewPause:
-		m.renew(r.Incarnation, now)
-	case r.Incarnation == own.Incarnation && !r.Gone && (r.Suspect && r.Seq >= own.Seq || r.Seq > own.Seq):
-		m.changeSelf(now, func(own *Record) { own.Seq = r.Seq })
-	}
-}
-
-// View returns the view of the members. It is the same value until something
-// changes.
-func (m *Machine) View() *View {
-	if m.view != nil && !m.viewStale {
-		return m.view
-	}
-	m.viewStale = false
-	v := &View{Self: m.self.Name, Version: 1}
-	if m.view != nil {
-		v.Version = m.view.Version + 1
-	}
-	v.Members = make([]Member, 0, len(m.table))
-	for _, e := range m.table {
-		if !e.Gone || e == m.self {
-			v.Members = append(v.Members, m.member(e))
-		}
-	}
-	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	m.view = v
-	return v
-}
-
-func (m *Machine) member(e *entry) Member {
-	return Member{
-		Name: e.Name, Zone: e.Zone, Region: e.Region,
-		PeerAddress: e.PeerAddress, CallerAddress: e.CallerAddress,
-		Incarnation: e.Incarnation, State: m.derive(e), Generation: e.Generation, Hash: e.Hash,
-	}
-}
-
-// derive returns the state of a member: that of its record, but suspect when
-// its region is not heard of.
-func (m *Machine) derive(e *entry) State {
-	s := e.state()
-	if s == Alive && e.Region != m.self.Region {
-		if r := m.regions[e.Region]; r != nil && r.silent {
-			return Suspect
-		}
-	}
-	return s
-}
-
-// reportStates reports the members whose state changed.
-func (m *Machine) reportStates() {
-	if !m.statesStale {
-		return
-	}
-	m.statesStale = false
-	for name, e := range m.table {
-		s := m.derive(e)
-		if !e.isReported || e.reported != s {
-			e.reported, e.isReported = s, true
-			m.act(ReportState{Name: name, State: s})
-		}
-	}
-}
-
-// Step is a step of the protocol at which a fault may come.
-type Step uint8
-
-// The steps of the protocol.
-const (
-	StepJoin      Step = iota // the table of another daemon is asked for
-	StepHeartbeat             // heartbeats within the region
-	StepRelay                 // heartbeats of relays between regions
-	StepSuspect               // a silent member is suspect and may refute
-	StepLeave                 // a member says that it leaves
-)
-
-// String returns the name used in tests and pages.
-func (s Step) String() string {
-	return [...]string{"join", "heartbeat", "relay", "suspect", "leave"}[s]
-}
-
-// Steps returns all steps.
-func Steps() []Step { return []Step{StepJoin, StepHeartbeat, StepRelay, StepSuspect, StepLeave} }
