--- a/internal/confsync/faults_adopt_test.go
+++ b/internal/confsync/faults_adopt_test.go
@@ -56,7 +56,9 @@
 		name  string
 		fault func(f *fleet)
 	}{
-		{"delay", linkFault(peertest.Any, "vm-90", peertest.Fault{Delay: 200 * time.Millisecond})},
+		{"delay", func(f *fleet) {
+			f.hub.SetFault(peertest.Any, "vm-90", peertest.Fault{Delay: 200 * time.Millisecond})
+		}},
 		{"crash of those asked", func(f *fleet) {
 			time.Sleep(time.Millisecond)
 			for _, d := range f.alive() {
