One piece of code waits; benches and console share what stood twice

Cause: the list of duplicates: waiting for a time or a context stood in five packages, loops of a ticker in five, the start of a warm cluster and the look at a part of the console's draft twice each. Change: package wait; bench.startWarm; console.partOf.

--- a/internal/admission/brokered.go
+++ b/internal/admission/brokered.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticturn/internal/peer"
+	"masticturn/internal/wait"
 )
 
 // Brokered admits by asking the broker of each service in this VM's region.
@@ -63,16 +64,7 @@
 
 // Run looks after queues, credits and inventories until the context is done.
 func (b *Brokered) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.tick()
-		}
-	}
+	wait.Every(ctx, tickEvery, b.tick)
 }
 
 // tick lets the stations of all services act on the passing of time.
--- a/internal/admission/local.go
+++ b/internal/admission/local.go
@@ -11,6 +11,7 @@
 	"masticturn/internal/outcome"
 	"masticturn/internal/steering"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 // tickEvery is how often queues are looked at for requests that wait too long.
@@ -56,16 +57,7 @@
 
 // Run looks after the queues until the context is done.
 func (l *Local) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			l.tick()
-		}
-	}
+	wait.Every(ctx, tickEvery, l.tick)
 }
 
 func (l *Local) tick() {
--- a/internal/bench/drains.go
+++ b/internal/bench/drains.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/config"
 	"masticturn/internal/standin/caller"
@@ -83,25 +81,11 @@
 func Drains(ctx context.Context, opts DrainsOptions) (*DrainsReport, error) {
 	opts.setDefaults()
 	started := time.Now()
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	c, err := cluster.New(startCtx, cluster.Options{
-		Document:   opts.Document,
-		Start:      opts.Start,
-		Seed:       opts.Seed,
-		Sigma:      cluster.DefaultSigma,
-		QueueLimit: cluster.DefaultQueueLimit,
-		Warm:       true,
-		KeepLogs:   true,
-	})
+	c, snapshot, err := startWarm(ctx, opts.Document, opts.Start, opts.Seed)
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
-	snapshot, err := config.NewSnapshot(1, c.Document)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
 	d := &drains{cluster: c, opts: opts, quiet: c.Document.Drain.TargetQuietMS.Duration()}
 	for _, svc := range c.Document.Services {
 		d.services = append(d.services, svc.Name)
--- a/internal/bench/retries.go
+++ b/internal/bench/retries.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/config"
 	"masticturn/internal/standin/caller"
@@ -51,25 +49,11 @@
 	if opts.Load == 0 {
 		opts.Load = defaultRetryLoad
 	}
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	c, err := cluster.New(startCtx, cluster.Options{
-		Document:   opts.Document,
-		Start:      opts.Start,
-		Seed:       opts.Seed,
-		Sigma:      cluster.DefaultSigma,
-		QueueLimit: cluster.DefaultQueueLimit,
-		Warm:       true,
-		KeepLogs:   true,
-	})
+	c, snapshot, err := startWarm(ctx, opts.Document, opts.Start, opts.Seed)
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
-	snapshot, err := config.NewSnapshot(1, c.Document)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
 	report := &RetriesReport{
 		Deployment: c.Document.Deployment,
 		Seed:       opts.Seed,
--- a/internal/idempotency/issue.go
+++ b/internal/idempotency/issue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticturn/internal/membership"
+	"masticturn/internal/wait"
 )
 
 // prefetchAll is the size up to which tickets of all members are fetched ahead;
@@ -113,16 +114,7 @@
 
 // renewTickets replaces all tickets by younger ones from time to time.
 func (k *Keys) renewTickets(ctx context.Context) {
-	ticker := time.NewTicker(ticketRenew)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			k.renewAll()
-		case <-ctx.Done():
-			return
-		}
-	}
+	wait.Every(ctx, ticketRenew, k.renewAll)
 }
 
 func (k *Keys) renewAll() {
--- a/internal/idempotency/keys.go
+++ b/internal/idempotency/keys.go
@@ -196,7 +196,7 @@
 		case VerdictReplay:
 			return replayed{answer}, nil
 		case VerdictBusy:
-			if !wait(ctx, done) {
+			if !ended(ctx, done) {
 				return nil, refusal(VerdictBusy, "", context.Cause(ctx))
 			}
 		default:
@@ -205,8 +205,8 @@
 	}
 }
 
-// wait waits for done; false when the context ended first.
-func wait(ctx context.Context, done <-chan struct{}) bool {
+// ended waits for done; false when the context ended first.
+func ended(ctx context.Context, done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
@@ -215,18 +215,6 @@
 	}
 }
 
-// sleep waits; false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // localRun is a run under a key of this instance.
 type localRun struct {
 	k          *Keys
--- a/internal/idempotency/remote.go
+++ b/internal/idempotency/remote.go
@@ -6,6 +6,7 @@
 
 	"masticturn/internal/outcome"
 	"masticturn/internal/peer"
+	"masticturn/internal/wait"
 )
 
 // The asking of another instance.
@@ -21,7 +22,7 @@
 	var err error
 	for range callTries {
 		answer, err = k.callOnce(ctx, vm, req)
-		if err == nil || !sleep(ctx, claimPause) {
+		if err == nil || !wait.For(ctx, claimPause) {
 			break
 		}
 	}
@@ -55,7 +56,7 @@
 		case VerdictReplay:
 			return replayed{answer.Answer}, nil
 		case VerdictBusy:
-			if !sleep(ctx, claimPause) {
+			if !wait.For(ctx, claimPause) {
 				return nil, refusal(VerdictBusy, t.VM, context.Cause(ctx))
 			}
 		default:
--- a/internal/idempotency/stored.go
+++ b/internal/idempotency/stored.go
@@ -10,6 +10,7 @@
 
 	"masticturn/internal/outcome"
 	"masticturn/internal/platform"
+	"masticturn/internal/wait"
 )
 
 // storedAnswerBytes is the largest answer that is kept in the claim itself, so
@@ -65,7 +66,7 @@
 		case VerdictDropped:
 			return nil, nil // the claim may hold it
 		case VerdictBusy:
-			if !wait(ctx, done) {
+			if !ended(ctx, done) {
 				return nil, refusal(VerdictBusy, "", context.Cause(ctx))
 			}
 		default:
@@ -113,7 +114,7 @@
 	case ClaimAsk:
 		return k.askHolder(ctx, key, &c.holder)
 	}
-	sleep(ctx, claimPause)
+	wait.For(ctx, claimPause)
 	return claimEvent{}
 }
 
@@ -196,7 +197,7 @@
 		if result := kindOf(err); result == writeDone || result == writeConflict || result == readNotFound {
 			return
 		}
-		sleep(ctx, callTimeout)
+		wait.For(ctx, callTimeout)
 	}
 }
 
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -18,6 +18,7 @@
 	"masticturn/internal/platform"
 	"masticturn/internal/rendezvous"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 // ServiceName is the name under which the kernel knows the service.
@@ -192,7 +193,7 @@
 			}
 			s.probeRound(ctx, snap, work.of(snap, s.deps.Members.View(), s.deps.VM), period)
 		}
-		if !sleep(ctx, period) {
+		if !wait.For(ctx, period) {
 			return
 		}
 	}
@@ -333,7 +334,7 @@
 		} else if err := s.readList(ctx); err == nil {
 			continue
 		}
-		if !sleep(ctx, listRetry) {
+		if !wait.For(ctx, listRetry) {
 			return
 		}
 	}
@@ -376,15 +377,3 @@
 	s.mu.Unlock()
 	s.wakePublisher()
 }
-
-// sleep waits for d; it reports false when the context is done first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operator/console/edit.go
+++ b/internal/operator/console/edit.go
@@ -52,6 +52,21 @@
 	return from, min(from+rowsPerPage, rows), number, pages
 }
 
+// partOf returns the draft, the path of the page, and the part of the draft
+// that it is about; ok is false when the problem has been answered.
+func (c *Console) partOf(w http.ResponseWriter, r *http.Request, s *session) (d *draft, page string, p place, ok bool) {
+	page = r.PathValue("path")
+	d, err := c.currentDraft(s)
+	if err != nil {
+		c.problem(w, s, http.StatusInternalServerError, err.Error())
+		return nil, page, place{}, false
+	}
+	if p, ok = resolve(d.document, page); !ok {
+		c.problem(w, s, http.StatusNotFound, "The draft has no part "+page+".")
+	}
+	return d, page, p, ok
+}
+
 func (c *Console) showEdit(w http.ResponseWriter, r *http.Request, s *session) {
 	c.renderEdit(w, r, s, nil, nil)
 }
@@ -59,15 +74,8 @@
 // renderEdit shows a part of the draft with the faults beside its fields, also
 // those of values that could not be read.
 func (c *Console) renderEdit(w http.ResponseWriter, r *http.Request, s *session, unread []config.Fault, posted url.Values) {
-	d, err := c.currentDraft(s)
-	if err != nil {
-		c.problem(w, s, http.StatusInternalServerError, err.Error())
-		return
-	}
-	page := r.PathValue("path")
-	p, ok := resolve(d.document, page)
+	d, page, p, ok := c.partOf(w, r, s)
 	if !ok {
-		c.problem(w, s, http.StatusNotFound, "The draft has no part "+page+".")
 		return
 	}
 	faults := faultIndex(append(faultsOf(d.document), unread...))
@@ -113,15 +121,8 @@
 
 // edit takes a form into the draft and does its action.
 func (c *Console) edit(w http.ResponseWriter, r *http.Request, s *session) {
-	d, err := c.currentDraft(s)
-	if err != nil {
-		c.problem(w, s, http.StatusInternalServerError, err.Error())
-		return
-	}
-	page := r.PathValue("path")
-	p, ok := resolve(d.document, page)
+	_, page, p, ok := c.partOf(w, r, s)
 	if !ok {
-		c.problem(w, s, http.StatusNotFound, "The draft has no part "+page+".")
 		return
 	}
 	if unread := c.readForm(p, r); len(unread) > 0 {
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -11,6 +11,7 @@
 
 	"masticturn/internal/kernel"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 // ServiceName is the name under which the kernel knows the network.
@@ -309,15 +310,8 @@
 // sweep looks after all connections until the network stops. A pause of this
 // process is not taken for silence of the peers.
 func (t *TCP) sweep() {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
 	last := time.Now()
-	for {
-		select {
-		case <-t.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	wait.Every(t.ctx, sweepInterval, func() {
 		now := time.Now()
 		paused := now.Sub(last) - sweepInterval
 		last = now
@@ -326,7 +320,7 @@
 				t.forget(l)
 			}
 		}
-	}
+	})
 }
 
 // forget removes a link that holds nothing; the next message makes it again.
@@ -341,14 +335,7 @@
 }
 
 func (t *TCP) watchKeys() {
-	ticker := time.NewTicker(keyCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	wait.Every(t.ctx, keyCheckInterval, func() {
 		changed, err := t.keys.reload()
 		switch {
 		case err != nil:
@@ -356,5 +343,5 @@
 		case changed:
 			t.opts.Logger.Log(eventKeysReloaded)
 		}
-	}
+	})
 }
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"masticturn/internal/edge"
+	"masticturn/internal/wait"
 )
 
 // Shape is one kind of request in a caller's mix.
@@ -200,18 +201,7 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Until(at))
 }
 
 // request makes one request, with further tries at other VMs where what was
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -13,6 +13,7 @@
 
 	"masticturn/internal/edge"
 	"masticturn/internal/standin"
+	"masticturn/internal/wait"
 )
 
 // query is what a request asks for.
@@ -160,28 +161,13 @@
 		t.finish(record, Broken)
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(ctx, service) {
+	if !wait.For(ctx, service) {
 		t.finish(record, Canceled)
 		panic(http.ErrAbortHandler)
 	}
 	t.finish(record, Done)
 }
 
-// sleep waits for d; it reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *Target) finish(record *Record, ending Ending) {
 	t.opts.Log.update(func() {
 		record.Finished = time.Now()
