--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -30,6 +30,7 @@
 		{roleGrants, grantSlopes},
 		{roleMembership, membershipSlopes},
 		{roleConfiguration, configurationSlopes},
+		{roleConsole, consoleSlopes},
 	}
 }
 
--- a/internal/measure/view.go
+++ b/internal/measure/view.go
@@ -56,8 +56,8 @@
 	View() *View
 	// Subscribe calls f after changes, in order, from one goroutine.
 	Subscribe(f func(*View)) (cancel func())
-	// Observe tells what a dispatch showed: a target that shed or drains is
-	// passed on to the other daemons at once.
+	// Observe takes a target's own word on an answer. That it drains is passed
+	// on to the other daemons at once.
 	Observe(o Observation)
 }
 
@@ -65,7 +65,7 @@
 type Observation struct {
 	Target   string
 	Draining bool
-	Shed     bool
-	InFlight int // -1 unknown
-	Slots    int // 0 unknown
+	Shed     bool // it said that it did not run the request
+	InFlight int  // -1 unknown
+	Slots    int  // 0 unknown
 }
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -19,7 +19,6 @@
 	KindPing:         "ping",
 	KindHeartbeat:    "heartbeat",
 	KindJoin:         "join",
-	KindLeave:        "leave",
 	KindConfigPush:   "config_push",
 	KindConfigFetch:  "config_fetch",
 	KindTargetReport: "target_report",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,7 +14,6 @@
 
 	KindHeartbeat Kind = 10 // membership: heartbeat and relayed digests
 	KindJoin      Kind = 11 // membership: a new daemon asks for the view
-	KindLeave     Kind = 12 // membership: a daemon says that it leaves
 
 	KindConfigPush  Kind = 20 // confsync: a document or its notice
 	KindConfigFetch Kind = 21 // confsync: asks for a document
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -24,7 +24,7 @@
 	standin "masticturn/internal/standin/platform"
 )
 
-const kind = platform.KindLease
+const kind = platform.KindClaim
 
 type rig struct {
 	store   *platformtest.Store
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -21,7 +21,6 @@
 	KindConfigChunk Kind = "masticturn-config-chunk"
 
 	KindClaim   Kind = "masticturn-claim"   // claims of idempotency keys
-	KindLease   Kind = "masticturn-lease"   // leases
 	KindVM      Kind = "vm"                 // the platform's own list of live and leaving VMs
 	KindTargets Kind = "masticturn-targets" // the platform's list of targets, which lags
 )
