--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -24,7 +24,7 @@
 	standin "masticturn/internal/standin/platform"
 )
 
-const kind = platform.KindClaim
+const kind = platform.KindVM
 
 type rig struct {
 	store   *platformtest.Store
@@ -320,8 +320,8 @@
 	var out strings.Builder
 	r.metrics.WritePrometheus(&out)
 	for _, want := range []string{
-		`masticturn_platform_calls_total{op="create",kind="masticturn-lease",result="ok"} 1`,
-		`masticturn_platform_over_budget_total{op="create",kind="masticturn-lease"} 1`,
+		`masticturn_platform_calls_total{op="create",kind="vm",result="ok"} 1`,
+		`masticturn_platform_over_budget_total{op="create",kind="vm"} 1`,
 		`masticturn_platform_call_seconds_count{op="create"} 1`,
 	} {
 		if !strings.Contains(out.String(), want) {
