admission: slots of a member that cannot be heard are free after their deadline

Cause: a test of two cells that were open in the fault matrix: a VM that its broker cannot hear, but that membership still counts, kept its slots for good (5 of 12 after 10 s). Change: a slot counts as free a second after its request's deadline, by which the request path has ended it; slots of processes that are gone, at the deadline, as before. The counts of cells on the page are checked now.

--- a/internal/admission/broker.go
+++ b/internal/admission/broker.go
@@ -257,7 +257,7 @@
 func (b *broker) tick(view *measure.View, now time.Time) {
 	b.event(now)
 	b.granter.Sweep(now)
-	b.freeGone(now)
+	b.freeOver(now)
 	if b.step == BrokerRecovering && now.Sub(b.solicited) >= resendEvery {
 		b.solicit(now)
 	}
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -111,25 +111,39 @@
 	}
 }
 
-// freeGone frees the slots of processes that are not members any more, each
-// when its request's deadline has passed: a process that is cut off may still
-// run it until then.
-func (b *broker) freeGone(now time.Time) {
+// overdueAfter is how long after its request's deadline a slot counts as free
+// though its holder, a member, has not given it back: the way of the messages
+// and the holder's own clock are covered by it.
+const overdueAfter = time.Second
+
+// freeOver frees the slots that cannot be in use any more: those of processes
+// that are not members, each when its request's deadline has passed, as a
+// process that is cut off may still run it until then; and those of members
+// some time later, as a member that cannot be heard here gives nothing back.
+func (b *broker) freeOver(now time.Time) {
 	for vm, h := range b.holders {
-		if m, here := b.members.Member(vm); here && m.State != membership.Gone {
-			continue
-		}
+		m, here := b.members.Member(vm)
+		here = here && m.State != membership.Gone
 		for seq, s := range h.slots {
-			if s.step == SlotQueued || !now.Before(s.deadline) {
+			if s.over(here, now) {
 				b.free(h, seq, s, unusedResult, now)
 			}
 		}
-		if len(h.slots) == 0 {
+		if !here && len(h.slots) == 0 {
 			delete(b.holders, vm)
 		}
 	}
 }
 
+// over reports whether the slot cannot be in use any more; here tells whether
+// its holder is a member.
+func (s *slot) over(here bool, now time.Time) bool {
+	if here {
+		return now.Sub(s.deadline) >= overdueAfter
+	}
+	return s.step == SlotQueued || !now.Before(s.deadline)
+}
+
 // inventory takes in what a process holds: unknown slots are counted, and
 // slots that were seen but are not listed are free.
 func (b *broker) inventory(inv *inventory, now time.Time) {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -201,6 +201,39 @@
 	return nil
 }
 
+// TestCountsOfCells compares the sentence that counts the cells with the tables.
+func TestCountsOfCells(t *testing.T) {
+	var named, noted, open int
+	for name, tab := range readPage(t) {
+		for step, cells := range tab.rows {
+			if step == "step" || strings.HasPrefix(step, "--") {
+				continue
+			}
+			if len(cells) != len(faults) {
+				t.Errorf("machine %s, step %s: %d cells", name, step, len(cells))
+			}
+			for _, cell := range cells {
+				switch {
+				case cell == "open":
+					open++
+				case noteRef.MatchString(cell):
+					noted++
+				default:
+					named++
+				}
+			}
+		}
+	}
+	raw, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := fmt.Sprintf("Of %d cells, %d name tests, %d have a note, and %d", named+noted+open, named, noted, open)
+	if !strings.Contains(string(raw), want) {
+		t.Errorf("the page does not say: %s", want)
+	}
+}
+
 func TestBrokenCellsAreFound(t *testing.T) {
 	tab := &table{notes: map[string]string{"n1": "cannot happen"}}
 	tests := map[string]bool{"drain.TestX": true}
