Look-up: the second VM named is of another availability zone

Both VMs of the own region could be of the lost zone, as the own zone counts four times, and the shift cap bounds what the third one can do. Change: the second VM is of another zone than the first.

--- a/internal/lookup/answer.go
+++ b/internal/lookup/answer.go
@@ -57,9 +57,10 @@
 
 // Candidates returns the VMs to name to the callers of a place and bucket,
 // best first, at most limit: those of the place's region, spread by bucket,
-// then those of the other regions, nearest first. The last one is of another
-// region than the first where there is one, so that callers whose region is
-// lost reach somebody before they look up again.
+// then those of the other regions, nearest first. The second one is of another
+// availability zone and the last one of another region than the first, where
+// there are such, so that callers whose zone or region is lost reach somebody
+// before they look up again.
 func (r *Roster) Candidates(snap *config.Snapshot, place Place, bucket, limit int) []membership.Member {
 	key := place.Region + "/" + place.Zone + "/" + strconv.Itoa(bucket)
 	regions := r.nearestFirst(snap, place.Region)
@@ -90,7 +91,9 @@
 	score  float64
 }
 
-// ranked returns the first limit members for the key, best first.
+// ranked returns the first limit members for the key, best first. The second
+// one is of another availability zone than the first where there is one, for
+// callers whose zone is lost.
 func ranked(members []membership.Member, place Place, key string, limit int) []membership.Member {
 	scored := make([]scoredMember, len(members))
 	for i := range members {
@@ -100,6 +103,7 @@
 	slices.SortFunc(scored, func(a, b scoredMember) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
 	})
+	secondOfOtherZone(scored)
 	out := make([]membership.Member, min(limit, len(scored)))
 	for i := range out {
 		out[i] = *scored[i].member
@@ -107,6 +111,20 @@
 	return out
 }
 
+// secondOfOtherZone moves the best member of another zone than the first one's
+// to the second place.
+func secondOfOtherZone(scored []scoredMember) {
+	for i := 1; i < len(scored); i++ {
+		if scored[i].member.Zone == scored[0].member.Zone {
+			continue
+		}
+		other := scored[i]
+		copy(scored[2:i+1], scored[1:i])
+		scored[1] = other
+		return
+	}
+}
+
 func weight(place Place, m *membership.Member) float64 {
 	if place.Zone != "" && place.Zone == m.Zone {
 		return weightSameZone
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// TestSecondAnswerIsOfAnotherZone checks every bucket: with three answers one
+// is in another zone and one in another region, and none is named twice.
+func TestSecondAnswerIsOfAnotherZone(t *testing.T) {
+	snap, roster := testSnapshot(t), NewRoster(testView())
+	for bucket := range Buckets {
+		got := roster.Candidates(snap, Place{"rosario", "ros-b"}, bucket, 3)
+		if got[0].Region != "rosario" || got[1].Region != "rosario" || got[1].Zone == got[0].Zone || got[2].Region == "rosario" {
+			t.Errorf("bucket %d: %v", bucket, got)
+		}
+		all := roster.Candidates(snap, Place{"rosario", "ros-b"}, bucket, 5)
+		names := make(map[string]bool)
+		for _, m := range all {
+			names[m.Name] = true
+		}
+		if len(names) != 5 {
+			t.Errorf("bucket %d names %d of 5 VMs", bucket, len(names))
+		}
+	}
+}
+
 func TestCandidatesLeaveOutWhoMayNotServe(t *testing.T) {
 	tests := []struct {
 		name   string
