--- a/internal/capacity/measurement.go
+++ b/internal/capacity/measurement.go
@@ -19,24 +19,13 @@
 			Role: "measurement", Quantity: "time to publish a view, ns", Over: "targets",
 			Mechanism: mechanismBook, DesignAt: DesignSites,
 		}, sizes, func(n int) float64 {
-			book, now := measure.NewBook(), time.Now()
-			book.Configure(designSnapshot(n))
-			return timePerCall(measureTime, func(i int) {
-				now = now.Add(time.Millisecond)
-				book.Probed(measure.Probe{Target: siteName(i % n), Reporter: "vm", OK: true, Status: edge.TargetOK, At: now}, now)
-				book.Snapshot()
-			})
+			return probedTime(n, func(book *measure.Book) { book.Snapshot() })
 		}),
 		slopeOf(Slope{
 			Role: "measurement", Quantity: "time to take a probe's result, ns", Over: "targets",
 			Mechanism: mechanismBook, DesignAt: DesignSites,
 		}, sizes, func(n int) float64 {
-			book, now := measure.NewBook(), time.Now()
-			book.Configure(designSnapshot(n))
-			return timePerCall(measureTime, func(i int) {
-				now = now.Add(time.Millisecond)
-				book.Probed(measure.Probe{Target: siteName(i % n), Reporter: "vm", OK: true, Status: edge.TargetOK, At: now}, now)
-			})
+			return probedTime(n, func(*measure.Book) {})
 		}),
 		slopeOf(Slope{
 			Role: "measurement", Quantity: "report on the wire, bytes", Over: "targets in the report",
@@ -45,6 +34,18 @@
 	}
 }
 
+// probedTime measures taking a probe's result into a book of n targets, and
+// what is done then.
+func probedTime(n int, then func(*measure.Book)) float64 {
+	book, now := measure.NewBook(), time.Now()
+	book.Configure(designSnapshot(n))
+	return timePerCall(measureTime, func(i int) {
+		now = now.Add(time.Millisecond)
+		book.Probed(measure.Probe{Target: siteName(i % n), Reporter: "vm", OK: true, Status: edge.TargetOK, At: now}, now)
+		then(book)
+	})
+}
+
 // reportBytes is the size of a report of n targets on the wire.
 func reportBytes(n int) float64 {
 	encoded, err := peer.Encode(measure.SampleReport(siteNames(n)))
