One order of brokers for those who elect them and those who report to them

Cause: found on reading the whole change: measure ranked the members of a region by another key than admission elected its brokers by. Change: View.Brokers is the order for both; admission's choice is as before.

--- a/internal/admission/broker_credits.go
+++ b/internal/admission/broker_credits.go
@@ -6,7 +6,6 @@
 	"masticturn/internal/config"
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
-	"masticturn/internal/rendezvous"
 	"masticturn/internal/steering"
 )
 
@@ -14,17 +13,7 @@
 // the first by rendezvous hashing of those alive in the region, or, when none
 // is, of those suspected. Empty when the region has neither.
 func brokerOf(v *membership.View, s scope) string {
-	members := v.InRegion(s.Region)
-	alive := make([]membership.Member, 0, len(members))
-	for _, m := range members {
-		if m.State == membership.Alive {
-			alive = append(alive, m)
-		}
-	}
-	if len(alive) > 0 {
-		members = alive
-	}
-	best := rendezvous.Top(s.Service+"\x00"+s.Region, members, 1, func(m membership.Member) string { return m.Name })
+	best := v.Brokers(s.Service, s.Region, 1)
 	if len(best) == 0 {
 		return ""
 	}
--- a/internal/measure/assign.go
+++ b/internal/measure/assign.go
@@ -58,17 +58,13 @@
 	return all
 }
 
-// BrokerKey is the rendezvous key of the broker of a service in a region. The
-// first member of the region in its order is the broker.
-func BrokerKey(service, region string) string { return "broker/" + service + "/" + region }
-
 // recipients returns the other members that shall hear of the targets of a
 // service in a region.
 func recipients(view *membership.View, service, region string) []membership.Member {
 	if len(view.Members) <= smallFleet {
 		return others(view, view.Members)
 	}
-	return others(view, rendezvous.Top(BrokerKey(service, region), view.InRegion(region), recipientsPerService, memberName))
+	return others(view, view.Brokers(service, region, recipientsPerService))
 }
 
 func others(view *membership.View, members []membership.Member) []membership.Member {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,6 +1,8 @@
 // Package membership knows which daemons are here, leaving, or gone.
 package membership
 
+import "masticturn/internal/rendezvous"
+
 // State is the state of a member as this daemon believes it.
 type State uint8
 
@@ -78,3 +80,21 @@
 	}
 	return n
 }
+
+// Brokers returns the first n members in line to broker a service in a region,
+// the broker first. Members that are alive go before suspect ones, which are
+// named only where no other is left. All who elect the broker, or tell it
+// something, use this order.
+func (v *View) Brokers(service, region string, n int) []Member {
+	members := v.InRegion(region)
+	alive := make([]Member, 0, len(members))
+	for _, m := range members {
+		if m.State == Alive {
+			alive = append(alive, m)
+		}
+	}
+	if len(alive) > 0 {
+		members = alive
+	}
+	return rendezvous.Top(service+"\x00"+region, members, n, func(m Member) string { return m.Name })
+}
