One client for the platform's store, by its published form; its stand-in speaks it too

The client moves to platform/store, the stand-in to platform/storestandin; interface and typed errors stay in internal/platform.

--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -22,9 +22,9 @@
 	"masticturn/internal/standin"
 	"masticturn/internal/standin/caller"
 	"masticturn/internal/standin/network"
-	standinplatform "masticturn/internal/standin/platform"
 	"masticturn/internal/standin/target"
 	"masticturn/internal/telemetry"
+	"masticturn/platform/storestandin"
 )
 
 // Options configures a Cluster. Document and Start are required.
@@ -50,7 +50,7 @@
 type Cluster struct {
 	Document *config.Document // in force, with the cluster's addresses
 	Network  *network.Network
-	Platform *standinplatform.Handler
+	Platform *storestandin.Handler
 	Store    *platformtest.Store
 	Targets  []*Target
 	VMs      []*VM
@@ -124,7 +124,7 @@
 }
 
 func (c *Cluster) servePlatform(listener net.Listener) {
-	c.Platform = standinplatform.NewHandler(c.Store)
+	c.Platform = storestandin.NewHandler(c.Store)
 	c.platform = standin.ServeListener(listener, c.Platform)
 	c.Network.Add(c.PlatformHost())
 }
--- a/internal/bench/configfaults.go
+++ b/internal/bench/configfaults.go
@@ -8,13 +8,13 @@
 
 	"masticturn/internal/platform"
 	"masticturn/internal/platform/platformtest"
-	standinplatform "masticturn/internal/standin/platform"
+	"masticturn/platform/storestandin"
 )
 
 // configPhase is what the store does for a while.
 type configPhase struct {
 	name    string
-	mode    standinplatform.Mode
+	mode    storestandin.Mode
 	latency time.Duration
 	deaf    bool // watches and most reads fail, so that peers must spread what is accepted
 	lasts   time.Duration
@@ -24,10 +24,10 @@
 var configPhases = []configPhase{
 	{name: "normal", lasts: 2 * time.Second},
 	{name: "slow", latency: 150 * time.Millisecond, lasts: 3 * time.Second},
-	{name: "refuses", mode: standinplatform.Refuse, lasts: 1500 * time.Millisecond},
+	{name: "refuses", mode: storestandin.Refuse, lasts: 1500 * time.Millisecond},
 	{name: "deaf", deaf: true, lasts: 3 * time.Second},
-	{name: "silent", mode: standinplatform.Silent, lasts: 1500 * time.Millisecond},
-	{name: "cuts", mode: standinplatform.Cut, lasts: 1500 * time.Millisecond},
+	{name: "silent", mode: storestandin.Silent, lasts: 1500 * time.Millisecond},
+	{name: "cuts", mode: storestandin.Cut, lasts: 1500 * time.Millisecond},
 }
 
 // Chances and times of the faults.
@@ -64,7 +64,7 @@
 	group.Go(func() { c.restart(ctx) })
 	group.Wait()
 	c.fleet.store.SetHook(nil)
-	c.fleet.handler.SetMode(standinplatform.Normal)
+	c.fleet.handler.SetMode(storestandin.Normal)
 	c.fleet.handler.SetLatency(0)
 }
 
--- a/internal/bench/configfleet.go
+++ b/internal/bench/configfleet.go
@@ -18,7 +18,8 @@
 	"masticturn/internal/platform/platformtest"
 	"masticturn/internal/standin"
 	"masticturn/internal/standin/network"
-	standinplatform "masticturn/internal/standin/platform"
+	"masticturn/platform/store"
+	"masticturn/platform/storestandin"
 )
 
 // Delays of the configuration bench's network, one way, where the document
@@ -40,7 +41,7 @@
 type configFleet struct {
 	document *config.Document
 	network  *network.Network
-	handler  *standinplatform.Handler
+	handler  *storestandin.Handler
 	store    *platformtest.Store
 	platform *standin.Server
 	daemons  []*configDaemon
@@ -64,7 +65,7 @@
 	sync    *confsync.Service
 	members *membership.Service
 	peers   *peer.TCP
-	store   *platform.Client
+	store   *store.Client
 	began   time.Time
 
 	mu      sync.Mutex
@@ -82,7 +83,7 @@
 // availability zones.
 func newConfigFleet(ctx context.Context, doc *config.Document, n int) (*configFleet, error) {
 	f := &configFleet{document: doc, store: platformtest.NewStore()}
-	f.handler = standinplatform.NewHandler(f.store)
+	f.handler = storestandin.NewHandler(f.store)
 	f.network = network.New(f.delay)
 	platformHost := network.Host{Name: "platform", IP: "127.150.0.1"}
 	f.network.Add(platformHost)
@@ -208,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.store, err = platform.NewClient(platform.ClientOptions{
+	r.store, err = store.NewClient(store.ClientOptions{
 		URL: d.fleet.platform.URL(), Timeout: configCallTimeout, CallsPerSecond: configCallsPerSecond, Dial: dial,
 	})
 	if err != nil {
--- a/internal/bench/faultrun.go
+++ b/internal/bench/faultrun.go
@@ -12,8 +12,8 @@
 	"masticturn/internal/edge"
 	"masticturn/internal/platform/platformtest"
 	"masticturn/internal/standin/network"
-	standinplatform "masticturn/internal/standin/platform"
 	"masticturn/internal/standin/target"
+	"masticturn/platform/storestandin"
 )
 
 // Bounds on what is broken at once, so that a deployment of ten VMs is left
@@ -224,7 +224,7 @@
 	case FaultStoreRefuses:
 		c.Store.SetOutage(true)
 	case FaultStoreSilent:
-		c.Platform.SetMode(standinplatform.Silent)
+		c.Platform.SetMode(storestandin.Silent)
 	case FaultStoreLoses:
 		c.Store.SetHook(j.loseWrites(f))
 	case FaultStoreSlow:
@@ -234,7 +234,7 @@
 	}
 	time.Sleep(f.lasts)
 	c.Store.SetOutage(false)
-	c.Platform.SetMode(standinplatform.Normal)
+	c.Platform.SetMode(storestandin.Normal)
 	c.Store.SetHook(nil)
 	c.Store.ReleaseLate()
 	c.Platform.SetLatency(0)
--- a/internal/bench/mix.go
+++ b/internal/bench/mix.go
@@ -55,7 +55,7 @@
 
 func shapesOf(snapshot *config.Snapshot, svc *config.ServiceIndex, method string) []caller.Shape {
 	path := svc.PathPrefix + "item"
-	match, ok := snapshot.MatchRequest(method, path)
+	match, ok := snapshot.MatchRequest("", method, path)
 	if !ok {
 		return nil
 	}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -16,8 +16,8 @@
 	"masticturn/internal/kernel"
 	"masticturn/internal/platform/platformtest"
 	"masticturn/internal/standin"
-	standinplatform "masticturn/internal/standin/platform"
 	"masticturn/internal/standin/target"
+	"masticturn/platform/storestandin"
 )
 
 const (
@@ -74,7 +74,7 @@
 			if _, err := repo.Apply(ctx, repository.Proposal{Document: doc, Author: "standin", Comment: "first document"}); err != nil {
 				return trace.Wrap(err, "store the document")
 			}
-			server, err := standin.Serve(c.String(flagListen), standinplatform.NewHandler(store))
+			server, err := standin.Serve(c.String(flagListen), storestandin.NewHandler(store))
 			if err != nil {
 				return err
 			}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -20,6 +20,7 @@
 	Classes      []Class       `json:"classes"`                 // classes of requests
 	Tenants      []Tenant      `json:"tenants,omitempty"`       // tenants with their shares
 	Services     []Service     `json:"services"`                // services with routes and targets
+	Hosts        []Host        `json:"hosts,omitempty"`         // routing by host name, in place of the services' path prefixes
 	ShiftCaps    []ShiftCap    `json:"shift_caps"`              // how far traffic may shift
 	ClientBlocks []ClientBlock `json:"client_blocks,omitempty"` // where callers are
 	Lookup       Lookup        `json:"lookup"`                  // answers of look-ups
@@ -73,6 +74,7 @@
 	Routes     []Route  `json:"routes"`      // first match wins; the last one should match all
 	Targets    []Target `json:"targets"`
 	ServiceMS  Millis   `json:"service_ms"` // expected time a request runs at a target, before it is measured
+	Cold       Cold     `json:"cold,omitzero"`
 }
 
 // Repeat says whether a request may be run more than once.
@@ -95,9 +97,16 @@
 	Repeat       Repeat   `json:"repeat,omitempty"`         // may it be run twice
 	RequireKey   bool     `json:"require_key,omitempty"`    // refuse without Idempotency-Key
 	TimeoutMS    Millis   `json:"timeout_ms,omitempty"`     // overrides the class
+	MaxTimeoutMS Millis   `json:"max_timeout_ms,omitempty"` // bounds what the caller asks for; 0: no bound
 	MaxBodyBytes int64    `json:"max_body_bytes,omitempty"` // overrides limits.max_body_bytes
 }
 
+// Cold bounds what a target of a service gets while it is cold.
+type Cold struct {
+	DurationMS        Millis  `json:"duration_ms,omitempty"`         // how long a new target stays cold
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"` // rate a cold target bears; 0: no bound
+}
+
 // Target is one back end of a service.
 type Target struct {
 	Name        string `json:"name"` // unique over all services
@@ -106,6 +115,9 @@
 	Slots       int    `json:"slots"`             // requests it runs at once
 	Connections int    `json:"connections"`       // connections it takes, over all VMs
 	Leaving     bool   `json:"leaving,omitempty"` // operators drain it
+	// Instance names one start of the target where targets tell theirs. It is
+	// sent along, so that another target at the same address refuses.
+	Instance string `json:"instance,omitempty"`
 }
 
 // ShiftCap bounds how much of the traffic of callers in one region may be
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -22,6 +22,7 @@
 	targets      map[string]*TargetIndex
 	classes      map[string]*Class
 	links        map[regionPair]*Link
+	hosts        hostTable
 }
 
 // ServiceIndex is a service with its targets by region.
@@ -77,9 +78,16 @@
 	for i := range doc.Services {
 		s.addService(&doc.Services[i])
 	}
+	s.hosts = newHostTable(doc.Hosts)
 	return s
 }
 
+// NewLiveSnapshot derives the tables of a document whose targets come and go
+// apart from it. It is not checked and has no hash.
+func NewLiveSnapshot(gen Generation, doc *Document) *Snapshot {
+	return newSnapshot(gen, &Encoded{}, doc)
+}
+
 func (s *Snapshot) addService(svc *Service) {
 	idx := &ServiceIndex{Service: svc, TargetsByRegion: make(map[string][]*TargetIndex)}
 	for i := range svc.Targets {
@@ -116,11 +124,16 @@
 	Route      *Route
 	Class      *Class
 	Repeatable bool
+	Rule       *Rule // nil in a document without hosts
 }
 
-// MatchRequest finds service, route and class of a request by its method and
-// path; ok is false when none matches.
-func (s *Snapshot) MatchRequest(method, path string) (m Match, ok bool) {
+// MatchRequest finds service, route and class of a request; ok is false when
+// none matches. The service of a rule with several parts is left open, for the
+// caller to choose.
+func (s *Snapshot) MatchRequest(host, method, path string) (m Match, ok bool) {
+	if len(s.hosts) > 0 {
+		return s.matchHost(host, method, path)
+	}
 	for _, svc := range s.services {
 		rest, found := strings.CutPrefix(path, svc.PathPrefix)
 		if !found {
@@ -136,6 +149,19 @@
 	return Match{}, false
 }
 
+func (s *Snapshot) matchHost(host, method, path string) (Match, bool) {
+	rule := s.hosts.find(host, path)
+	if rule == nil {
+		return Match{}, false
+	}
+	m := Match{Route: rule.route(), Class: s.classes[rule.Class], Rule: rule}
+	m.Repeatable = m.Route.repeatable(method)
+	if len(rule.Parts) == 1 {
+		m.Service = s.byName[rule.Parts[0].Service]
+	}
+	return m, true
+}
+
 func (r *Route) matches(method, rest string) bool {
 	if !strings.HasPrefix(rest, r.PathPrefix) {
 		return false
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -15,6 +15,7 @@
 	"masticturn/internal/operator"
 	"masticturn/internal/peer"
 	"masticturn/internal/platform"
+	"masticturn/platform/store"
 )
 
 // storeName is the name of the platform's store in the kernel.
@@ -101,7 +102,7 @@
 		return &givenStore{Store: d.opts.Store}, nil
 	}
 	p := d.settings.Platform
-	return platform.NewClient(platform.ClientOptions{
+	return store.NewClient(store.ClientOptions{
 		URL:            p.URL,
 		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
 		CallsPerSecond: p.CallsPerSecond,
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -12,7 +12,7 @@
 	"masticturn/internal/bench/cluster"
 	"masticturn/internal/config"
 	"masticturn/internal/standin/caller"
-	standinplatform "masticturn/internal/standin/platform"
+	"masticturn/platform/storestandin"
 )
 
 const (
@@ -47,11 +47,11 @@
 			letRun()
 			procs.signal(t, c.VMs[0].Host.Name, syscall.SIGCONT)
 		}},
-		{"platform goes down", func(*testing.T) { c.Platform.SetMode(standinplatform.Cut) }},
+		{"platform goes down", func(*testing.T) { c.Platform.SetMode(storestandin.Cut) }},
 		{"drain", func(t *testing.T) { must(t, c.VMs[1].Drain(t.Context())) }},
 		{"kill", func(*testing.T) { c.VMs[2].Kill() }},
 		{"start again without the platform", func(t *testing.T) { startVM(t, c.VMs[2]) }},
-		{"platform comes back", func(*testing.T) { c.Platform.SetMode(standinplatform.Normal) }},
+		{"platform comes back", func(*testing.T) { c.Platform.SetMode(storestandin.Normal) }},
 		{"start again after the drain", func(t *testing.T) { startVM(t, c.VMs[1]) }},
 	}
 	for _, s := range steps {
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -21,6 +21,9 @@
 	PathReadyz           = "/readyz"  // it may be given callers; says why not
 )
 
+// HeaderIfMatch names the generation that an apply started from.
+const HeaderIfMatch = "If-Match"
+
 // Names of query parameters of the operator edge.
 const (
 	QueryEffective  = "effective"  // "true": with the defaults filled in
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -105,7 +105,7 @@
 }
 
 func (x *exchange) route() *outcome.Error {
-	m, ok := x.snap.MatchRequest(x.r.Method, x.r.URL.Path)
+	m, ok := x.snap.MatchRequest(x.r.Host, x.r.Method, x.r.URL.Path)
 	if !ok || m.Class == nil {
 		return refuse(outcome.StepRoute, http.StatusNotFound, "no service is routed at this path and method")
 	}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -43,10 +43,11 @@
 	{ErrUnavailable, "unavailable"},
 	{ErrUnknownOutcome, "unknown_outcome"},
 	{ErrTooLarge, "too_large"},
+	{ErrCompacted, "compacted"},
 }
 
-// resultLabel returns the metrics label of a call's result.
-func resultLabel(err error) string {
+// ResultLabel returns the metrics label of a call's result.
+func ResultLabel(err error) string {
 	if err == nil {
 		return "ok"
 	}
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -13,15 +13,15 @@
 	LastError   string
 }
 
-// healthNote keeps the Health of a client.
-type healthNote struct {
+// HealthNote keeps the Health of a client. It is safe for concurrent use.
+type HealthNote struct {
 	mu     sync.Mutex
 	health Health
 }
 
-// note takes the end of a call. Answers that say not found or conflict are
+// Note takes the end of a call. Answers that say not found or conflict are
 // successes: the platform served the call.
-func (n *healthNote) note(err error, now time.Time) {
+func (n *HealthNote) Note(err error, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) || errors.Is(err, ErrTooLarge) {
@@ -32,11 +32,9 @@
 	n.health.LastError = err.Error()
 }
 
-func (n *healthNote) read() Health {
+// Read returns the Health so far.
+func (n *HealthNote) Read() Health {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.health
 }
-
-// Health returns how the platform answered lately.
-func (c *Client) Health() Health { return c.health.read() }
--- a/internal/platform/platformtest/faults.go
+++ b/internal/platform/platformtest/faults.go
@@ -79,6 +79,25 @@
 	s.wakeLocked()
 }
 
+// Peek returns an object as it is, under no fault and uncounted.
+func (s *Store) Peek(kind platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.live.get(kind, name)
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object(kind, name, e), nil
+}
+
+// Compact drops the history: watches from before now fail with ErrCompacted.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.live.version
+	s.wakeLocked()
+}
+
 // Remove removes an object as the platform itself does.
 func (s *Store) Remove(kind platform.Kind, name string) {
 	s.mu.Lock()
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -27,9 +27,11 @@
 	frozen  *state        // what reads see instead of live, when set
 	changed chan struct{} // closed and replaced when a watch should look again
 	outage  bool
-	hook    Hook
-	late    []func() // writes to take effect at ReleaseLate
-	counts  map[CountKey]int
+	// compacted is the version before which watches find no history.
+	compacted platform.Version
+	hook      Hook
+	late      []func() // writes to take effect at ReleaseLate
+	counts    map[CountKey]int
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -172,6 +174,9 @@
 	if s.outage {
 		return nil, since, nil, platform.ErrUnavailable
 	}
+	if since < s.compacted {
+		return nil, since, nil, platform.ErrCompacted
+	}
 	seen := s.readable()
 	var events []platform.Event
 	for name, e := range seen.kinds[kind] {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -21,7 +21,7 @@
 	KindConfigChunk Kind = "masticturn-config-chunk"
 
 	KindClaim   Kind = "masticturn-claim"   // claims of idempotency keys
-	KindVM      Kind = "vm"                 // the platform's own list of live and leaving VMs
+	KindVM      Kind = "masticturn-vm"      // the VMs of the fleet, by their own word, which lags
 	KindTargets Kind = "masticturn-targets" // the platform's list of targets, which lags
 )
 
@@ -35,6 +35,9 @@
 	Name    string  `json:"name"`
 	Version Version `json:"version"`
 	Value   []byte  `json:"value"`
+	// Status is what the object's owner reports of it, as JSON, for kinds of
+	// the platform's own; nil for kinds of the system.
+	Status []byte `json:"status,omitempty"`
 }
 
 // MaxValueBytes is the largest value the platform takes.
@@ -77,6 +80,9 @@
 	// ErrUnknownOutcome: a write was sent and its answer was lost. It may take
 	// effect, now or later; only a re-read can tell.
 	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	// ErrCompacted: the changes since the version of a watch are no longer
+	// kept; only a new list can tell what there is.
+	ErrCompacted = errors.New("platform: changes since that version are gone")
 	// ErrTooLarge: the value is larger than MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
 )
