Request path: header names by dialect, routes by host and longest prefix, splits, instances, undelimited answers

Cause: the users' platform speaks other headers and routes by host. The request path now knows headers by edge.Dialect only; the document has hosts with rules, parts and allowed regions; a rule's parts are shared by smooth weighted round robin.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/edge"
 	"masticturn/internal/outcome"
 )
 
@@ -16,11 +17,15 @@
 	Service      *config.ServiceIndex
 	Class        *config.Class
 	Tenant       string
-	CallerRegion string    // region of the caller, by client block or by VM
-	Bytes        int64     // expected bytes of request and answer over a link; 0 unknown
-	Deadline     time.Time // when the caller gives up
-	Exclude      []string  // targets already tried
-	Retry        bool      // not the first attempt of this request
+	CallerRegion string       // region of the caller, by client block or by VM
+	Bytes        int64        // expected bytes of request and answer over a link; 0 unknown
+	Deadline     time.Time    // when the caller gives up
+	Arrived      time.Time    // when the request's head was read
+	Rule         *config.Rule // nil in a document without hosts
+	ObjectKey    string       // the object it is about, where targets know objects; else empty
+	Repeatable   bool         // it may run more than once
+	Exclude      []string     // targets already tried
+	Retry        bool         // not the first attempt of this request
 }
 
 // Permit is a slot at a target. Release must be called exactly once.
@@ -49,7 +54,10 @@
 	ShedByPeer bool          // the target said 'not run'
 	Draining   bool          // the target said that it leaves
 	InFlight   int           // load the target reported on the answer; -1 unknown
+	Load       *edge.Load    // the whole of that load; nil unknown
 	Canceled   bool          // the caller left; says nothing about the target
+	// Misdirected: another instance than expected has the target's address.
+	Misdirected bool
 }
 
 // Admitter gives out permits. The error is an *outcome.Error with outcome
--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -51,7 +51,7 @@
 	for range b.N {
 		now = now.Add(time.Microsecond)
 		done++
-		br.release(&release{Scope: br.scope, From: self, Seq: done, Result: wireResult(answered)}, now)
+		br.release(&release{Scope: br.scope, From: self, Seq: done, Result: toWire(answered)}, now)
 		ask()
 	}
 }
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -276,4 +276,29 @@
 	return steering.TargetSpec{Name: t.Name, Zone: t.Zone, Region: t.Region, Slots: t.Slots}, true
 }
 
-func (r wireResult) result() Result { return Result(r) }
+// toWire keeps what brokers use of a result.
+func toWire(r Result) wireResult {
+	return wireResult{
+		Outcome:    r.Outcome,
+		Step:       r.Step,
+		Latency:    r.Latency,
+		Status:     r.Status,
+		ShedByPeer: r.ShedByPeer,
+		Draining:   r.Draining,
+		InFlight:   r.InFlight,
+		Canceled:   r.Canceled,
+	}
+}
+
+func (r wireResult) result() Result {
+	return Result{
+		Outcome:    r.Outcome,
+		Step:       r.Step,
+		Latency:    r.Latency,
+		Status:     r.Status,
+		ShedByPeer: r.ShedByPeer,
+		Draining:   r.Draining,
+		InFlight:   r.InFlight,
+		Canceled:   r.Canceled,
+	}
+}
--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -185,7 +185,7 @@
 		return
 	}
 	c.forget(k)
-	msg := &release{Scope: c.scope, From: c.self, Seq: k.ask.Seq, Result: wireResult(r)}
+	msg := &release{Scope: c.scope, From: c.self, Seq: k.ask.Seq, Result: toWire(r)}
 	if next := c.nextFor(k, r); next != nil {
 		c.passOn(next, k.target)
 		msg.Next = heldSlot{Seq: next.ask.Seq, Target: k.target, Left: next.deadline.Sub(now)}
--- a/internal/bench/configfleet.go
+++ b/internal/bench/configfleet.go
@@ -14,7 +14,6 @@
 	"masticturn/internal/kernel"
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
-	"masticturn/internal/platform"
 	"masticturn/internal/platform/platformtest"
 	"masticturn/internal/standin"
 	"masticturn/internal/standin/network"
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -11,7 +11,7 @@
 )
 
 // writeError gives an error answer: headers for programs, JSON for both.
-func writeError(w http.ResponseWriter, id string, e *outcome.Error) {
+func writeError(w http.ResponseWriter, id string, e *outcome.Error, d *edge.Dialect) {
 	raw, _ := json.Marshal(edge.ErrorBody{
 		Outcome:      e.Outcome.String(),
 		Step:         string(e.Step),
@@ -23,18 +23,33 @@
 	h := w.Header()
 	setOne(h, "Content-Type", "application/json")
 	setOne(h, "Content-Length", strconv.Itoa(len(raw)))
-	setOne(h, edge.HeaderRequestID, id)
+	if id != "" {
+		setOne(h, d.RequestID, id)
+	}
+	if d.ExplainAnswers {
+		explain(h, e)
+	}
+	if e.RetryAfter > 0 {
+		setOne(h, "Retry-After", formatRetryAfter(e.RetryAfter, d.FractionalSeconds))
+	}
+	w.WriteHeader(status(e))
+	_, _ = w.Write(raw)
+}
+
+func explain(h http.Header, e *outcome.Error) {
 	setOne(h, edge.HeaderOutcome, e.Outcome.String())
 	setOne(h, edge.HeaderStep, string(e.Step))
 	if e.Peer != "" {
 		setOne(h, edge.HeaderPeer, e.Peer)
 	}
-	if e.RetryAfter > 0 {
-		seconds := (e.RetryAfter + time.Second - 1) / time.Second
-		setOne(h, "Retry-After", strconv.FormatInt(int64(seconds), 10))
+}
+
+// formatRetryAfter gives seconds; without fractions they are rounded up.
+func formatRetryAfter(d time.Duration, fractional bool) string {
+	if fractional {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 	}
-	w.WriteHeader(status(e))
-	_, _ = w.Write(raw)
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
 
 func status(e *outcome.Error) int {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -15,6 +15,7 @@
 	"masticturn/internal/measure"
 	"masticturn/internal/outcome"
 	"masticturn/internal/targetconn"
+	"masticturn/internal/telemetry"
 )
 
 // connectTimeout bounds the opening of a connection: some round trips between
@@ -39,13 +40,13 @@
 	stream   *upload
 	resp     *http.Response
 	sentAt   time.Time
-	inFlight int // load the target reported; -1 unknown
+	load     *edge.Load // that the target reported; nil: none
 	draining bool
 	released bool
 }
 
 func (x *exchange) newAttempt(parent context.Context, number int, exclude []string) *attempt {
-	a := &attempt{x: x, parent: parent, number: number, exclude: exclude, inFlight: -1}
+	a := &attempt{x: x, parent: parent, number: number, exclude: exclude}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	return a
 }
@@ -135,6 +136,10 @@
 		CallerRegion: x.region,
 		Bytes:        max(x.r.ContentLength, 0),
 		Deadline:     x.deadline,
+		Arrived:      x.startedAt,
+		Rule:         x.match.Rule,
+		ObjectKey:    x.objectKey(),
+		Repeatable:   x.repeatable,
 		Exclude:      a.exclude,
 		Retry:        a.number > 1,
 	})
@@ -163,6 +168,10 @@
 		return attemptEnd{Step: outcome.StepConnect, Fault: a.faultOr(FaultRefused), Err: err}
 	}
 	a.conn = conn
+	if a.number > 1 {
+		a.x.h.deps.Logger.Log(eventRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
+			telemetry.Value("attempt", a.number), telemetry.Value("after", a.x.dispatch.last.Fault.String()))
+	}
 	a.x.h.budget.attemptedAt(a.target.Name, a.x.snap.Document.Retry.BudgetFraction)
 	return attemptEnd{}
 }
@@ -220,20 +229,27 @@
 	h := a.resp.Header
 	a.observe(h)
 	end := attemptEnd{Step: outcome.StepReceive, Sent: true, Consumed: a.consumed()}
-	if id := first(h, edge.HeaderTargetRequestID); id != "" && id != a.x.id {
+	if id := first(h, a.x.h.deps.Dialect.TargetRequestID); id != "" && id != a.x.id {
 		end.Fault = FaultCrossed
 		end.Err = fmt.Errorf("the answer carries request id %q", id)
 		return end
 	}
-	if a.resp.StatusCode == http.StatusServiceUnavailable {
-		return a.unavailable(end)
+	if a.notRun() {
+		end.Fault = FaultShed
+		end.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
+		end.Err = errTargetRefused
+		end.RetryAfter = parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now())
+		return end
+	}
+	if a.resp.StatusCode >= http.StatusInternalServerError {
+		return a.serverError(end)
 	}
 	if a.resp.StatusCode == http.StatusSwitchingProtocols {
 		end.Fault = FaultShort
 		end.Err = errors.New("the target switched protocols unasked")
 		return end
 	}
-	if a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Body != http.NoBody {
+	if a.undelimited() && !a.x.h.deps.Dialect.UndelimitedAnswers {
 		end.Fault = FaultShort
 		end.Err = errors.New("the answer has neither a length nor chunks, so that its end can't be told from a cut")
 		return end
@@ -241,16 +257,30 @@
 	return attemptEnd{}
 }
 
-// unavailable handles a 503: shed by protocol, or an answer like any other,
-// which is relayed unless another attempt is possible.
-func (a *attempt) unavailable(end attemptEnd) attemptEnd {
-	h := a.resp.Header
-	end.RetryAfter = parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now())
-	if first(h, edge.HeaderTargetNotRun) == "1" {
-		end.Fault = FaultShed
-		end.Err = errors.New("the target answered that it did not run the request")
-		return end
+var errTargetRefused = errors.New("the target answered that it did not run the request")
+
+// notRun reports whether the target says by protocol that it did not run the
+// request. A bad request is the caller's to know.
+func (a *attempt) notRun() bool {
+	if a.resp.StatusCode == http.StatusBadRequest {
+		return false
 	}
+	return first(a.resp.Header, a.x.h.deps.Dialect.TargetNotRun) != ""
+}
+
+// undelimited reports whether the answer ends with its connection.
+func (a *attempt) undelimited() bool {
+	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Body != http.NoBody
+}
+
+// serverError handles a failure that the target answered: it is relayed like
+// any other answer unless another attempt is possible. A target whose time ran
+// out would leave none for another.
+func (a *attempt) serverError(end attemptEnd) attemptEnd {
+	if a.resp.StatusCode == http.StatusGatewayTimeout {
+		return attemptEnd{}
+	}
+	end.RetryAfter = parseRetryAfter(first(a.resp.Header, "Retry-After"), a.x.h.deps.Clock.Now())
 	end.Fault = FaultUnavailable
 	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.h.budget.available(a.target.Name) {
 		return end
@@ -260,22 +290,34 @@
 
 // observe reads the target's own word on its load.
 func (a *attempt) observe(h http.Header) {
-	var slots int
-	a.inFlight, slots = parseLoad(first(h, edge.HeaderTargetLoad))
-	a.draining = first(h, edge.HeaderTargetDraining) == "1"
-	shed := first(h, edge.HeaderTargetNotRun) == "1"
+	d := a.x.h.deps.Dialect
+	if load, ok := d.ParseLoad(first(h, d.TargetLoad)); ok {
+		a.load = &load
+	}
+	a.draining = first(h, d.TargetDraining) == "1"
+	shed := a.notRun()
 	if !a.draining && !shed {
 		return
 	}
+	inFlight, slots := a.reportedLoad()
 	a.x.h.deps.Measure.Observe(measure.Observation{
 		Target:   a.target.Name,
 		Draining: a.draining,
 		Shed:     shed,
-		InFlight: a.inFlight,
+		InFlight: inFlight,
 		Slots:    slots,
 	})
 }
 
+// reportedLoad returns the load the target told of on its answer; -1 and 0 when
+// it told none.
+func (a *attempt) reportedLoad() (inFlight, slots int) {
+	if a.load == nil {
+		return -1, 0
+	}
+	return a.load.Running + a.load.Waiting, a.load.Slots
+}
+
 // consumed reports whether the caller's body was read and is not kept. When it
 // was not read, the next attempt may read it and this one no longer can.
 func (a *attempt) consumed() bool {
@@ -315,14 +357,17 @@
 		return
 	}
 	a.released = true
+	inFlight, _ := a.reportedLoad()
 	r := admission.Result{
-		Outcome:    outcome.Answered,
-		Step:       outcome.StepComplete,
-		Latency:    a.x.h.deps.Clock.Now().Sub(a.sentAt),
-		ShedByPeer: end.Fault == FaultShed,
-		Draining:   a.draining,
-		InFlight:   a.inFlight,
-		Canceled:   end.Fault == FaultCallerGone || end.Fault == FaultCallerSlow,
+		Outcome:     outcome.Answered,
+		Step:        outcome.StepComplete,
+		Latency:     a.x.h.deps.Clock.Now().Sub(a.sentAt),
+		ShedByPeer:  end.Fault == FaultShed,
+		Misdirected: end.Misdirected,
+		Draining:    a.draining,
+		InFlight:    inFlight,
+		Load:        a.load,
+		Canceled:    end.Fault == FaultCallerGone || end.Fault == FaultCallerSlow,
 	}
 	if a.resp != nil {
 		r.Status = a.resp.StatusCode
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -64,7 +64,9 @@
 	Relayed    bool   // a byte of the answer may have reached the caller
 	RetryAfter time.Duration
 	Status     int // HTTP status for the caller; 0: by fault
-	Err        error
+	// Misdirected: another instance than expected has the target's address.
+	Misdirected bool
+	Err         error
 }
 
 // verdict is what to do after an attempt.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -22,6 +22,13 @@
 		Meaning: "A target sent an answer that was cut short, had no clean end, or belongs to another request. It was not given to the caller.",
 		Action:  "Look into the target, or into what lies before it: it mixes up or cuts answers.",
 	})
+	eventRetried = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 5,
+		Level:   logrus.InfoLevel,
+		Name:    "request sent once more",
+		Meaning: "The attempt before ended as stated, and the request goes to another target.",
+		Action:  "None by itself; many of them point at the target named by the line before.",
+	})
 	eventServing = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 3,
 		Level:   logrus.InfoLevel,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"masticturn/internal/config"
-	"masticturn/internal/edge"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
 )
@@ -76,8 +75,9 @@
 
 func (x *exchange) parse() *outcome.Error {
 	x.rc = http.NewResponseController(x.w)
-	x.id = first(x.r.Header, edge.HeaderRequestID)
-	if !validRequestID(x.id) {
+	d := x.h.deps.Dialect
+	x.id = first(x.r.Header, d.RequestID)
+	if d.InventRequestID && !validRequestID(x.id) {
 		x.id = newRequestID()
 	}
 	if !x.r.ProtoAtLeast(1, 1) {
@@ -109,15 +109,21 @@
 	if !ok || m.Class == nil {
 		return refuse(outcome.StepRoute, http.StatusNotFound, "no service is routed at this path and method")
 	}
+	if m.Service == nil {
+		m.Service = x.h.splits.service(x.snap, m.Rule)
+	}
+	if m.Service == nil {
+		return refuse(outcome.StepRoute, http.StatusServiceUnavailable, "the service of this route is not known")
+	}
 	x.match = m
-	x.repeatable = m.Repeatable && first(x.r.Header, edge.HeaderNoRetry) != "1"
+	x.repeatable = m.Repeatable && first(x.r.Header, x.h.deps.Dialect.NoRetry) != "1"
 	x.region = x.h.place(x.r).Region
 	x.deadline = x.startedAt.Add(x.timeout())
 	if x.r.ContentLength > x.maxBody() {
 		return refuse(outcome.StepRoute, http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
-	if m.Route.RequireKey && first(x.r.Header, edge.HeaderIdempotencyKey) == "" {
-		return refuse(outcome.StepRoute, http.StatusBadRequest, "the "+edge.HeaderIdempotencyKey+" header is required here")
+	if m.Route.RequireKey && first(x.r.Header, x.h.deps.Dialect.IdempotencyKey) == "" {
+		return refuse(outcome.StepRoute, http.StatusBadRequest, "the "+x.h.deps.Dialect.IdempotencyKey+" header is required here")
 	}
 	return nil
 }
@@ -126,11 +132,18 @@
 // route's or class's default, less what the last answer needs on its way.
 func (x *exchange) timeout() time.Duration {
 	t := x.wholeTimeout()
-	return t - min(t/marginFraction, maxMargin)
+	t -= min(t/marginFraction, maxMargin)
+	if bound := x.match.Route.MaxTimeoutMS.Duration(); bound > 0 {
+		return min(t, bound)
+	}
+	return t
 }
 
+// objectKey names the object the request is about, "" when it names none.
+func (x *exchange) objectKey() string { return first(x.r.Header, x.h.deps.Dialect.ObjectKey) }
+
 func (x *exchange) wholeTimeout() time.Duration {
-	ms, err := strconv.ParseInt(first(x.r.Header, edge.HeaderTimeoutMS), 10, 64)
+	ms, err := strconv.ParseInt(first(x.r.Header, x.h.deps.Dialect.CallerTimeoutMS), 10, 64)
 	if err == nil && ms > 0 {
 		return min(time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond, maxTimeout)
 	}
@@ -178,7 +191,7 @@
 
 // claimKey claims the idempotency key of a request that may not be repeated.
 func (x *exchange) claimKey() *outcome.Error {
-	key := first(x.r.Header, edge.HeaderIdempotencyKey)
+	key := first(x.r.Header, x.h.deps.Dialect.IdempotencyKey)
 	if key == "" || x.repeatable {
 		return nil
 	}
@@ -210,7 +223,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(parent, x.deadline, errDeadline)
 	defer cancel()
-	stripHeaders(x.r.Header)
+	x.h.stripHeaders(x.r.Header)
 	retry := &x.snap.Document.Retry
 	x.h.budget.attempted(retry.BudgetFraction)
 	x.dispatch.rule = x.retryRule(retry)
@@ -264,7 +277,7 @@
 	}
 	if err != nil {
 		x.h.faults.failed(x, err)
-		writeError(x.w, x.id, err)
+		writeError(x.w, x.id, err, x.h.deps.Dialect)
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -16,6 +16,7 @@
 
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
+	"masticturn/internal/edge"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/kernel"
 	"masticturn/internal/lookup"
@@ -44,6 +45,7 @@
 	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger    *telemetry.Logger
 	Metrics   *metrics.Set
+	Dialect   *edge.Dialect // nil: the system's own
 	VM        settings.VM
 	Clock     kernel.Clock
 }
@@ -55,6 +57,7 @@
 	budget   *budget
 	series   *seriesCache
 	faults   *faultLog
+	splits   *splitter
 	buffers  sync.Pool
 	inFlight atomic.Int64
 	closing  atomic.Bool
@@ -64,12 +67,16 @@
 
 // NewHandler returns a handler.
 func NewHandler(d Deps) *Handler {
+	if d.Dialect == nil {
+		d.Dialect = edge.Native()
+	}
 	h := &Handler{
 		deps:   d,
 		conns:  targetconn.NewPools(targetconn.Deps{Dial: d.Dial, Clock: d.Clock, Metrics: d.Metrics}),
 		budget: newBudget(),
 		series: newSeriesCache(d.Metrics),
 		faults: newFaultLog(d.Logger),
+		splits: newSplitter(),
 	}
 	h.buffers.New = func() any { return new([bufferBytes]byte) }
 	return h
@@ -97,6 +104,7 @@
 func (h *Handler) Adopt(s *config.Snapshot) {
 	h.conns.Adopt(s)
 	h.budget.keep(func(target string) bool { return s.Target(target) != nil })
+	h.splits.keep(s.Document.Hosts)
 }
 
 // Sweep closes old idle connections; it is to be called about once a second.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"masticturn/internal/edge"
 )
 
 // hopByHop lists the headers that belong to one connection and are never
@@ -19,7 +17,7 @@
 
 // stripHeaders removes what belongs to one connection and what only the
 // system may set. It changes h in place.
-func stripHeaders(h http.Header) {
+func (hd *Handler) stripHeaders(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			delete(h, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
@@ -29,13 +27,14 @@
 		delete(h, name)
 	}
 	for name := range h {
-		if strings.HasPrefix(name, edge.InternalHeaderPrefix) {
+		if hd.deps.Dialect.Internal(name) {
 			delete(h, name)
 		}
 	}
 }
 
-// first returns the first value of a header by its canonical name.
+// first returns the first value of a header by its canonical name; "" for a
+// header that the dialect does not have.
 func first(h http.Header, name string) string {
 	v := h[name]
 	if len(v) == 0 {
@@ -63,27 +62,16 @@
 	return true
 }
 
-// parseLoad reads "inflight/slots"; -1 and 0 when it is absent or malformed.
-func parseLoad(value string) (inFlight, slots int) {
-	a, b, ok := strings.Cut(value, "/")
-	if !ok {
-		return -1, 0
-	}
-	inFlight, errA := strconv.Atoi(a)
-	slots, errB := strconv.Atoi(b)
-	if errA != nil || errB != nil || inFlight < 0 || slots < 0 {
-		return -1, 0
-	}
-	return inFlight, slots
-}
+// maxRetryAfterSeconds bounds what a target may ask for; a day is no advice.
+const maxRetryAfterSeconds = 86400
 
 // parseRetryAfter reads the Retry-After header in seconds or as a date.
 func parseRetryAfter(value string, now time.Time) time.Duration {
 	if value == "" {
 		return 0
 	}
-	if s, err := strconv.Atoi(value); err == nil && s >= 0 {
-		return time.Duration(s) * time.Second
+	if s, err := strconv.ParseFloat(value, 64); err == nil && s >= 0 && s < maxRetryAfterSeconds {
+		return time.Duration(s * float64(time.Second))
 	}
 	if at, err := http.ParseTime(value); err == nil && at.After(now) {
 		return at.Sub(now)
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"masticturn/internal/config"
-	"masticturn/internal/edge"
 )
 
 // connectionShare returns how many of a target's connections this VM may have,
@@ -48,8 +47,14 @@
 		header = header.Clone()
 	}
 	left := x.deadline.Sub(x.h.deps.Clock.Now()).Milliseconds()
-	setOne(header, edge.HeaderTargetRequestID, x.id)
-	setOne(header, edge.HeaderTargetDeadlineMS, strconv.FormatInt(max(left, 1), 10))
+	d := x.h.deps.Dialect
+	if x.id != "" {
+		setOne(header, d.TargetRequestID, x.id)
+	}
+	setOne(header, d.TargetDeadlineMS, strconv.FormatInt(max(left, 1), 10))
+	if a.target.Instance != "" {
+		setOne(header, d.TargetExpect, a.target.Instance)
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // none is added by the library
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"maps"
@@ -20,6 +21,9 @@
 	if n := a.resp.ContentLength; n >= 0 && n <= bufferBytes || a.resp.Body == http.NoBody {
 		return a.relayWhole(buf[:])
 	}
+	if a.undelimited() {
+		return a.relayUndelimited(buf[:])
+	}
 	return a.relayStream(buf[:])
 }
 
@@ -37,6 +41,25 @@
 	return a.toCaller(buf[:n])
 }
 
+// relayUndelimited reads an answer that ends with its connection as far as the
+// buffer goes, so that a connection that is reset before is told from the end
+// while another attempt is still possible.
+func (a *attempt) relayUndelimited(buf []byte) attemptEnd {
+	n, err := io.ReadFull(a.resp.Body, buf)
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		a.resp.ContentLength = int64(n)
+		a.resp.Body = http.NoBody
+	case err != nil:
+		return a.receiveFailed(err)
+	}
+	a.resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(bytes.Clone(buf[:n])), a.resp.Body), a.resp.Body}
+	return a.relayStream(buf)
+}
+
 // readAll reads to the clean end of a body that is known to fit.
 func readAll(r io.Reader, buf []byte) (int, error) {
 	n := 0
@@ -132,13 +155,20 @@
 // writeHead writes the head of the target's answer.
 func (x *exchange) writeHead(a *attempt) {
 	from := a.resp.Header
-	stripHeaders(from)
+	x.h.stripHeaders(from)
 	x.record.head(a.resp.StatusCode, from)
 	to := x.w.Header()
 	maps.Copy(to, from)
-	setOne(to, edge.HeaderRequestID, x.id)
-	setOne(to, edge.HeaderOutcome, outcome.Answered.String())
-	setOne(to, edge.HeaderServedRegion, a.target.Region)
+	if x.id != "" {
+		setOne(to, x.h.deps.Dialect.RequestID, x.id)
+	}
+	if x.h.deps.Dialect.ExplainAnswers {
+		setOne(to, edge.HeaderOutcome, outcome.Answered.String())
+		setOne(to, edge.HeaderServedRegion, a.target.Region)
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		to["Content-Type"] = nil // none is guessed by the library
+	}
 	if n := a.resp.ContentLength; n >= 0 && bodyAllowed(a.resp.StatusCode) && first(to, "Content-Length") == "" {
 		setOne(to, "Content-Length", strconv.FormatInt(n, 10))
 	}
