--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -13,9 +14,13 @@
 	"masticturn/internal/daemon"
 	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
+	"masticturn/platform/adapter"
 )
 
-const flagSettings = "settings"
+const (
+	flagSettings = "settings"
+	flagPlatform = "platform"
+)
 
 func newServe() *cli.Command {
 	return &cli.Command{
@@ -24,10 +29,11 @@
 		Description: "SIGTERM or SIGINT drains: look-ups stop naming this VM, requests in flight end, then it exits 0. " +
 			"A second signal ends at once.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagSettings, Usage: "settings `FILE` (JSON with comments)", Required: true},
+			&cli.StringFlag{Name: flagSettings, Usage: "settings `FILE` (JSON with comments)"},
+			&cli.BoolFlag{Name: flagPlatform, Usage: "run on the users' platform, with the settings file that " + adapter.EnvSettings + " names"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := settings.Load(c.String(flagSettings))
+			s, hosted, err := loadSettings(c)
 			if err != nil {
 				return usageError(err)
 			}
@@ -35,20 +41,42 @@
 			if err != nil {
 				return usageError(trace.Wrap(err))
 			}
-			logger := telemetry.NewLogger(c.Root().ErrWriter, s.Log.Format, level, s.VM.Name)
-			return serve(ctx, s, logger)
+			out := c.Root().ErrWriter
+			if hosted != nil {
+				out = c.Root().Writer // the platform collects standard output
+			}
+			logger := telemetry.NewLogger(out, s.Log.Format, level, s.VM.Name)
+			return serve(ctx, s, daemon.Options{Logger: logger, Hosted: hosted})
 		},
 	}
 }
 
+// loadSettings reads the settings, and what a daemon on the platform needs
+// besides.
+func loadSettings(c *cli.Command) (*settings.Settings, *daemon.Hosted, error) {
+	if c.Bool(flagPlatform) {
+		s, err := adapter.LoadSettings()
+		return s, adapter.Hosted(), err
+	}
+	if c.String(flagSettings) == "" {
+		return nil, nil, trace.BadParameter("one of --%s and --%s is required", flagSettings, flagPlatform)
+	}
+	s, err := settings.Load(c.String(flagSettings))
+	return s, nil, err
+}
+
+// stopMargin is left of the time to stop when the rest is cut, for the process
+// to end by itself.
+const stopMargin = 300 * time.Millisecond
+
 // serve runs a daemon until a signal. The first signal drains, the second one
 // ends the drain.
-func serve(ctx context.Context, s *settings.Settings, logger *telemetry.Logger) error {
+func serve(ctx context.Context, s *settings.Settings, opts daemon.Options) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 
-	d, err := daemon.New(s, daemon.Options{Logger: logger})
+	d, err := daemon.New(s, opts)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -62,6 +90,10 @@
 	}
 	drainCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	if grace := s.Bounds.StopGrace; grace > 0 {
+		drainCtx, cancel = context.WithTimeout(drainCtx, grace-stopMargin)
+		defer cancel()
+	}
 	go func() {
 		select {
 		case <-signals:
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -75,6 +75,8 @@
 	Targets    []Target `json:"targets"`
 	ServiceMS  Millis   `json:"service_ms"` // expected time a request runs at a target, before it is measured
 	Cold       Cold     `json:"cold,omitzero"`
+	// Connections is what each target takes that states no figure of its own.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Repeat says whether a request may be run more than once.
@@ -157,7 +159,8 @@
 	MaxHeaderBytes        int    `json:"max_header_bytes"`
 	MaxBodyBytes          int64  `json:"max_body_bytes"`
 	HeaderTimeoutMS       Millis `json:"header_timeout_ms"`
-	IdleTimeoutMS         Millis `json:"idle_timeout_ms"` // between bytes of a body
+	IdleTimeoutMS         Millis `json:"idle_timeout_ms"`         // between bytes of a body
+	KeepAliveMS           Millis `json:"keep_alive_ms,omitempty"` // between requests on a connection; 0: the daemon's default
 	MaxConnectionsPerAddr int    `json:"max_connections_per_address"`
 	ReplayBodyBytes       int64  `json:"replay_body_bytes"`      // bodies up to this are kept to be retried
 	RecordedAnswerBytes   int64  `json:"recorded_answer_bytes"`  // largest answer kept under a key
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	Dial   DialFunc          // nil: a plain net.Dialer; used towards peers, targets and the platform
 	// Metrics takes the metrics of the daemon; nil: a set of its own.
 	Metrics *metrics.Set
+	// Hosted makes the daemon run on a platform; nil: it stands alone.
+	Hosted *Hosted
 }
 
 // Daemon is the system on one VM.
@@ -51,7 +53,7 @@
 		opts.Logger = telemetry.Discard()
 	}
 	if opts.Dial == nil {
-		opts.Dial = new(net.Dialer).DialContext
+		opts.Dial = newDialer().DialContext
 	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
@@ -76,6 +78,12 @@
 	return d, nil
 }
 
+// Keep-alive probes of connections: one that a peer or a link has lost track
+// of is noticed within three seconds, without a message of our own.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+func newDialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive} }
+
 // Start starts all services. When it returns nil the listeners serve; readiness
 // to be given callers is a matter of PathReadyz.
 func (d *Daemon) Start(ctx context.Context) error {
--- /dev/null
+++ b/internal/daemon/hosted.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/admission"
+	"masticturn/internal/config"
+	"masticturn/internal/discovery"
+	"masticturn/internal/drain"
+	"masticturn/internal/edge"
+	"masticturn/internal/entry"
+	"masticturn/internal/forward"
+	"masticturn/internal/kernel"
+	"masticturn/internal/lookup"
+	"masticturn/internal/measure"
+	"masticturn/internal/membership"
+	"masticturn/internal/operator"
+	"masticturn/internal/peer"
+	"masticturn/internal/placement"
+)
+
+// errNoDocument says why a daemon on a platform is not ready.
+var errNoDocument = trace.ConnectionProblem(nil, "no document is in force yet")
+
+// Hosted makes a daemon run on a platform that keeps document and targets,
+// instead of on the system's own document.
+type Hosted struct {
+	Decoder discovery.Decoder
+	Dialect *edge.Dialect
+	Names   entry.Names
+}
+
+// lookupMaxAge is how long callers keep a look-up on a platform. A VM that
+// dies is noticed within about three seconds; callers pass over VMs that fail
+// them, so that longer would gain little and shorter only cost look-ups.
+const lookupMaxAge = 2 * time.Second
+
+// hostedRegionAfter is when members of a region that is silent are no longer
+// named to callers: well under the seven seconds in which the first
+// deployments want it.
+const hostedRegionAfter = 4 * time.Second
+
+// hostedModules lists the services of a daemon on a platform.
+func (d *Daemon) hostedModules() []kernel.Module {
+	return []kernel.Module{
+		module(storeName, d.newStore),
+		module(discovery.RegistrarName, d.newRegistrar, storeName),
+		module(peer.ServiceName, d.newNetwork),
+		module(membership.ServiceName, d.newMembership, peer.ServiceName, storeName),
+		module(discovery.ServiceName, d.newDiscovery, storeName, membership.ServiceName),
+		module(admission.ServiceName, d.newPlacement, discovery.ServiceName, membership.ServiceName),
+		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
+		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName),
+		module(operator.ServiceName, d.newHostedOperator, discovery.ServiceName),
+		module(drain.ServiceName, d.newHostedDrain, membership.ServiceName, discovery.ServiceName, forward.ServiceName, entry.ServiceName),
+	}
+}
+
+func (d *Daemon) newRegistrar(w *wiring) (kernel.Service, error) {
+	self := d.self()
+	return discovery.NewRegistrar(w.store, edge.VMRecord{
+		Name:          self.Name,
+		Zone:          self.Zone,
+		PeerAddress:   self.PeerAddress,
+		CallerAddress: self.CallerAddress,
+	}, d.opts.Logger), nil
+}
+
+func (d *Daemon) newDiscovery(w *wiring) (kernel.Service, error) {
+	s := discovery.NewService(discovery.Deps{
+		Store:   w.store,
+		Decoder: d.opts.Hosted.Decoder,
+		Places:  d.settings.Places,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
+	})
+	s.Subscribe(func(snap *config.Snapshot) { w.members.SetGeneration(uint64(snap.Generation), 0) })
+	return s, nil
+}
+
+func (d *Daemon) newPlacement(w *wiring) (kernel.Service, error) {
+	return placement.NewAdmitter(placement.Deps{
+		Views:  w.discovery,
+		Region: d.settings.VM.Region,
+		Fleet: func() placement.Fleet {
+			return placement.Fleet{Self: d.settings.VM.Name, VMs: namesOf(w.members.View())}
+		},
+		Clock:  d.opts.Clock,
+		Logger: d.opts.Logger,
+	}), nil
+}
+
+func namesOf(v *membership.View) []string {
+	names := make([]string, len(v.Members))
+	for i := range v.Members {
+		names[i] = v.Members[i].Name
+	}
+	return names
+}
+
+func (d *Daemon) newEntry(w *wiring) (kernel.Service, error) {
+	return entry.NewService(entry.Deps{
+		Names:   d.opts.Hosted.Names,
+		Ready:   d.listeners.ready,
+		Lookup:  d.listeners.lookup,
+		Members: w.members,
+		Places:  d.settings.Places,
+		Serving: func() (bool, string) { return w.discovery.View() != nil, "no document is in force yet" },
+		MaxAge:  lookupMaxAge,
+		Logger:  d.opts.Logger,
+	}), nil
+}
+
+func (d *Daemon) newHostedForward(w *wiring) (kernel.Service, error) {
+	handler := forward.NewHandler(forward.Deps{
+		Config:    w.discovery,
+		Admission: w.admitter,
+		Locator:   fixedPlace{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
+		Measure:   noObserver{},
+		Dial:      d.opts.Dial,
+		Logger:    d.opts.Logger,
+		Metrics:   d.opts.Metrics,
+		Dialect:   d.opts.Hosted.Dialect,
+		VM:        d.settings.VM,
+		Clock:     d.opts.Clock,
+	})
+	return forward.NewService(forward.ServiceDeps{
+		Handler:  handler,
+		Listener: d.listeners.callers,
+		Config:   w.discovery,
+		Logger:   d.opts.Logger,
+	}), nil
+}
+
+func (d *Daemon) newHostedDrain(w *wiring) (kernel.Service, error) {
+	return drain.NewService(drain.Deps{
+		Members: leaver{w.members, w.entry},
+		Callers: w.callers,
+		Config:  w.discovery,
+		Grace:   d.settings.Bounds.StopGrace,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
+	}), nil
+}
+
+func (d *Daemon) newHostedOperator(w *wiring) (kernel.Service, error) {
+	return operator.NewServer(operator.Deps{
+		Listener: d.listeners.operators,
+		Ready: func() error {
+			if w.discovery.View() == nil {
+				return errNoDocument
+			}
+			return nil
+		},
+		Metrics: d.opts.Metrics,
+		Logger:  d.opts.Logger,
+	}), nil
+}
+
+// leaver takes this VM out of look-ups and readiness.
+type leaver struct {
+	members *membership.Service
+	entry   *entry.Service
+}
+
+// Leave implements drain.Members.
+func (l leaver) Leave(ctx context.Context) error {
+	l.entry.Leave()
+	return l.members.Leave(ctx)
+}
+
+// fixedPlace places every caller where this VM is: look-ups by place have sent
+// it here.
+type fixedPlace lookup.Place
+
+// Locate implements lookup.Locator.
+func (p fixedPlace) Locate(netip.Addr) lookup.Place { return lookup.Place(p) }
+
+// noObserver drops what targets say of themselves: placement learns it from
+// results.
+type noObserver struct{}
+
+// Observe implements forward.Observer.
+func (noObserver) Observe(measure.Observation) {}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -13,6 +13,7 @@
 // addresses when it joins the others, and a busy port is told at once.
 type listeners struct {
 	callers, peers, operators net.Listener
+	ready, lookup             net.Listener // nil where the settings name no address
 }
 
 func openListeners(l settings.Listen) (listeners, error) {
@@ -24,7 +25,12 @@
 		{"listen.callers", l.Callers, &opened.callers},
 		{"listen.peers", l.Peers, &opened.peers},
 		{"listen.operators", l.Operators, &opened.operators},
+		{"listen.ready", l.Ready, &opened.ready},
+		{"listen.lookup", l.Lookup, &opened.lookup},
 	} {
+		if want.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", want.address)
 		if err != nil {
 			return listeners{}, trace.NewAggregate(
@@ -40,7 +46,7 @@
 // are no error.
 func (l listeners) close() error {
 	var errs []error
-	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators, l.ready, l.lookup} {
 		if listener == nil {
 			continue
 		}
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -5,7 +5,9 @@
 
 	"masticturn/internal/admission"
 	"masticturn/internal/confsync"
+	"masticturn/internal/discovery"
 	"masticturn/internal/drain"
+	"masticturn/internal/entry"
 	"masticturn/internal/forward"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/kernel"
@@ -23,6 +25,9 @@
 
 // modules lists the services of a daemon. Each finds what it requires by name.
 func (d *Daemon) modules() []kernel.Module {
+	if d.opts.Hosted != nil {
+		return d.hostedModules()
+	}
 	return []kernel.Module{
 		module(storeName, d.newStore),
 		module(peer.ServiceName, d.newNetwork),
@@ -51,6 +56,9 @@
 	places   *lookup.Service
 	admitter admission.Admitter
 	callers  *forward.Service
+
+	discovery *discovery.Service
+	entry     *entry.Service
 }
 
 // module describes a service that is built from the services it requires.
@@ -87,6 +95,10 @@
 		return find(k, name, &w.admitter)
 	case forward.ServiceName:
 		return find(k, name, &w.callers)
+	case discovery.ServiceName:
+		return find(k, name, &w.discovery)
+	case entry.ServiceName:
+		return find(k, name, &w.entry)
 	}
 	return nil // required for the order only
 }
@@ -105,6 +117,7 @@
 	return store.NewClient(store.ClientOptions{
 		URL:            p.URL,
 		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
+		WatchTimeout:   time.Duration(p.WatchMS) * time.Millisecond,
 		CallsPerSecond: p.CallsPerSecond,
 		Metrics:        d.opts.Metrics,
 		Dial:           d.opts.Dial,
--- /dev/null
+++ b/internal/discovery/belief.go
@@ -0,0 +1,160 @@
+package discovery
+
+import (
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/platform"
+)
+
+// rejoinGrace is how long entries of targets that are missing when the store is
+// back after an outage are still believed: entries that lapsed meanwhile are
+// written again within about two seconds if their targets live.
+const rejoinGrace = 2200 * time.Millisecond
+
+// belief turns mirrors into what is believed. It does no I/O and is not safe
+// for concurrent use.
+type belief struct {
+	decoder  Decoder
+	places   map[string]string
+	document *config.Document
+	gen      config.Generation
+	targets  map[string]*known
+	zones    map[string]bool
+	primed   bool      // a whole list of targets was seen
+	regained time.Time // when the store last came back
+}
+
+func newBelief(d Decoder, places map[string]string) *belief {
+	return &belief{decoder: d, places: places, targets: make(map[string]*known), zones: make(map[string]bool)}
+}
+
+// setDocument takes in the document's object. It reports whether a newer
+// document is in force; an error leaves the present one.
+func (b *belief) setDocument(m *Mirror) (bool, error) {
+	o, ok := m.Get(b.decoder.Kinds().DocumentName)
+	if !ok {
+		return false, nil // what was in force stays so
+	}
+	doc, gen, err := b.decoder.Document(o)
+	if err != nil || gen <= b.gen {
+		return false, err
+	}
+	config.SetDefaults(doc)
+	b.document, b.gen = doc, gen
+	return true, nil
+}
+
+// setZones takes in the evacuated availability zones.
+func (b *belief) setZones(m *Mirror) {
+	b.zones = make(map[string]bool)
+	for _, o := range m.Objects() {
+		b.zones[o.Name] = true
+	}
+}
+
+// setTargets takes in the targets' entries. It returns the errors of entries
+// that can't be read, which are passed over.
+func (b *belief) setTargets(m *Mirror, now time.Time) []error {
+	var errs []error
+	seen := make(map[string]bool)
+	for _, o := range m.Objects() {
+		seen[o.Name] = true
+		t, err := b.decoder.Target(o)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		b.setTarget(t, o.Version, now)
+	}
+	for name, k := range b.targets {
+		if !seen[name] {
+			b.miss(name, k, now)
+		}
+	}
+	b.primed = true
+	return errs
+}
+
+// setTarget takes in one entry. The time a target stays cold counts from when
+// its entry is seen, which errs to the long side. A target that comes to be
+// while this VM watches is cold for as long as its service's targets are, as
+// it may have written its entry with less.
+func (b *belief) setTarget(t Target, version platform.Version, now time.Time) {
+	k := b.targets[t.Instance]
+	if k == nil {
+		k = &known{}
+		b.targets[t.Instance] = k
+		if b.primed {
+			k.coldUntil = now.Add(b.coldTime(t.Service))
+		}
+	}
+	if t.Cold > 0 && t.Cold != k.Cold {
+		k.coldUntil = now.Add(t.Cold)
+	}
+	k.Target = t
+	k.vanished = time.Time{}
+}
+
+func (b *belief) coldTime(service string) time.Duration {
+	if b.document == nil {
+		return 0
+	}
+	for i := range b.document.Services {
+		if b.document.Services[i].Name == service {
+			return b.document.Services[i].Cold.DurationMS.Duration()
+		}
+	}
+	return 0
+}
+
+// miss handles a target whose entry is gone: it leaves at once, but for a
+// while after an outage of the store.
+func (b *belief) miss(name string, k *known, now time.Time) {
+	if k.Leaving || now.Sub(b.regained) > rejoinGrace {
+		delete(b.targets, name)
+		return
+	}
+	if k.vanished.IsZero() {
+		k.vanished = now
+	}
+}
+
+// expire drops the targets that did not come back in time. It reports whether
+// there were any.
+func (b *belief) expire(now time.Time) bool {
+	dropped := false
+	for name, k := range b.targets {
+		if !k.vanished.IsZero() && now.Sub(b.regained) > rejoinGrace {
+			delete(b.targets, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// view returns what is believed; nil until there is a document.
+func (b *belief) view() *View {
+	if b.document == nil {
+		return nil
+	}
+	return assemble(b.document, b.gen, b.places, b.targets, b.zones)
+}
+
+// states tells each target's state, for logs.
+func (b *belief) states() map[string]string {
+	out := make(map[string]string, len(b.targets))
+	for name, k := range b.targets {
+		state := "ready"
+		switch {
+		case k.Leaving:
+			state = "leaving"
+		case !k.vanished.IsZero():
+			state = "missing"
+		case !k.coldUntil.IsZero():
+			state = "cold for " + k.Cold.String()
+		}
+		out[name] = k.Service + " at " + k.Address + " in " + k.Zone + " " + state
+	}
+	return out
+}
--- /dev/null
+++ b/internal/discovery/events.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"masticturn/internal/telemetry"
+)
+
+// The events of discovery.
+var (
+	eventStoreLost = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 101,
+		Level:   logrus.WarnLevel,
+		Name:    "store lost",
+		Meaning: "A kind of objects can't be read from the store any more. What is believed of it stays in force.",
+		Action:  "Look at the platform's store and the way to it. Nothing changes for callers until targets leave unseen.",
+	})
+	eventStoreRegained = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 102,
+		Level:   logrus.InfoLevel,
+		Name:    "store regained",
+		Meaning: "A kind of objects is read from the store again, after the time stated.",
+		Action:  "None.",
+	})
+	eventDocument = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 201,
+		Level:   logrus.InfoLevel,
+		Name:    "document in force",
+		Meaning: "A newer document is in force on this VM.",
+		Action:  "None.",
+	})
+	eventDocumentBad = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 202,
+		Level:   logrus.ErrorLevel,
+		Name:    "document not readable",
+		Meaning: "The stored document can't be decoded. The one before stays in force.",
+		Action:  "Look at what the operator wrote.",
+	})
+	eventTargetBad = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 103,
+		Level:   logrus.ErrorLevel,
+		Name:    "target entry not readable",
+		Meaning: "A target's entry can't be decoded and is passed over.",
+		Action:  "Look at the target's entry in the store.",
+	})
+	eventTarget = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 104,
+		Level:   logrus.InfoLevel,
+		Name:    "target changed",
+		Meaning: "A target came, left, is leaving, or turned cold, as of the version stated.",
+		Action:  "None.",
+	})
+	eventZones = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 105,
+		Level:   logrus.InfoLevel,
+		Name:    "evacuated zones",
+		Meaning: "The availability zones named are to get no requests; none means that all take part.",
+		Action:  "None.",
+	})
+	eventRegisterFailed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 106,
+		Level:   logrus.WarnLevel,
+		Name:    "VM not registered",
+		Meaning: "This VM could not write its entry, by which others that start find it. It tries on.",
+		Action:  "Look at the platform's store and the way to it.",
+	})
+)
--- /dev/null
+++ b/internal/discovery/mirror.go
@@ -0,0 +1,112 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+
+	"masticturn/internal/platform"
+)
+
+// Mirror is a copy of the objects of one kind, as of a version of the store.
+// It only moves forward: what is older than what it holds is ignored, from
+// whichever source it comes. It does no I/O and is not safe for concurrent use.
+type Mirror struct {
+	asOf    platform.Version
+	objects map[string]platform.Object
+	removed map[string]platform.Version // names that are gone, with the version at which
+}
+
+// removedMost bounds the memory of names that are gone. It covers the targets
+// of a few releases of a large deployment.
+const removedMost = 4096
+
+// NewMirror returns an empty mirror.
+func NewMirror() *Mirror {
+	return &Mirror{objects: make(map[string]platform.Object), removed: make(map[string]platform.Version)}
+}
+
+// AsOf returns the version of the store that the mirror shows; 0: none yet.
+func (m *Mirror) AsOf() platform.Version { return m.asOf }
+
+// Objects returns the objects, sorted by name.
+func (m *Mirror) Objects() []platform.Object {
+	names := slices.Sorted(maps.Keys(m.objects))
+	out := make([]platform.Object, len(names))
+	for i, name := range names {
+		out[i] = m.objects[name]
+	}
+	return out
+}
+
+// Get returns an object.
+func (m *Mirror) Get(name string) (platform.Object, bool) {
+	o, ok := m.objects[name]
+	return o, ok
+}
+
+// Replace takes in a whole list as of a version. It reports whether the list
+// is not older than the mirror and something changed.
+func (m *Mirror) Replace(list []platform.Object, asOf platform.Version) bool {
+	if asOf < m.asOf {
+		return false
+	}
+	listed := make(map[string]bool, len(list))
+	changed := false
+	for _, o := range list {
+		listed[o.Name] = true
+		changed = m.put(o) || changed
+	}
+	for name, o := range m.objects {
+		// An object that is newer than the list was created after it.
+		if !listed[name] && o.Version <= asOf {
+			m.remove(name, asOf)
+			changed = true
+		}
+	}
+	m.asOf = asOf
+	return changed
+}
+
+// Apply takes in changes up to a version. It reports whether something
+// changed.
+func (m *Mirror) Apply(events []platform.Event, asOf platform.Version) bool {
+	changed := false
+	for _, e := range events {
+		if e.Deleted {
+			changed = m.delete(e.Object.Name, max(e.Object.Version, m.asOf)) || changed
+			continue
+		}
+		changed = m.put(e.Object) || changed
+	}
+	m.asOf = max(m.asOf, asOf)
+	return changed
+}
+
+func (m *Mirror) put(o platform.Object) bool {
+	if gone, ok := m.removed[o.Name]; ok && o.Version <= gone {
+		return false
+	}
+	if known, ok := m.objects[o.Name]; ok && known.Version >= o.Version {
+		return false
+	}
+	delete(m.removed, o.Name)
+	m.objects[o.Name] = o
+	return true
+}
+
+func (m *Mirror) delete(name string, at platform.Version) bool {
+	known, ok := m.objects[name]
+	if ok && known.Version > at {
+		return false
+	}
+	m.remove(name, at)
+	return ok
+}
+
+func (m *Mirror) remove(name string, at platform.Version) {
+	delete(m.objects, name)
+	if len(m.removed) >= removedMost {
+		clear(m.removed)
+	}
+	m.removed[name] = at
+}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -34,6 +34,8 @@
 
 func (v *vm) InFlight() int     { return int(v.inFlight.Load()) }
 func (v *vm) CloseConnections() { v.closing.Store(true) }
+
+func (v *vm) Refuse() {}
 func (v *vm) Leave(ctx context.Context) error {
 	v.left.Store(true)
 	if v.mute {
--- a/internal/drain/machine.go
+++ b/internal/drain/machine.go
@@ -47,12 +47,14 @@
 	actionCloseConnections                   // let each answer close its connection
 	actionReport                             // log what is still in flight
 	actionEnd                                // the stop is over
+	actionRefuse                             // tell further requests to go elsewhere
 )
 
 // times are the durations a stop follows.
 type times struct {
 	maxAge time.Duration // how long callers may keep a look-up
 	spread time.Duration // until the last VM has stopped naming this one, once neighbors know
+	refuse bool          // the stop has a bound: after the linger no request is taken
 	grace  time.Duration // after which what is still in flight is reported, each time it passes
 }
 
@@ -112,6 +114,9 @@
 	m.noticePause(now)
 	if m.step == StepLingering && !now.Before(m.linger) {
 		m.step = StepFinishing
+		if m.times.refuse {
+			return []action{actionRefuse}
+		}
 	}
 	if m.step == StepFinishing && e.inFlight == 0 && !now.Before(m.settle) {
 		m.step = StepEnded
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -21,6 +21,11 @@
 	tickTime    = 100 * time.Millisecond // between looks at what is in flight
 	pauseLimit  = 5 * tickTime           // between two looks; longer, and the process stood still
 	settleTime  = time.Second            // after a pause, for requests that waited to begin
+
+	// lingerShare is the part of a bounded stop in which requests are still
+	// taken. What is taken at its end has the rest of the time, which is longer
+	// than all but the slowest requests last.
+	lingerShare = 0.48
 )
 
 // Members tells the other VMs.
@@ -33,6 +38,8 @@
 type Callers interface {
 	InFlight() int
 	CloseConnections()
+	// Refuse makes further requests be told that they were not run.
+	Refuse()
 }
 
 // Deps is what a Service needs.
@@ -40,6 +47,7 @@
 	Members Members
 	Callers Callers
 	Config  config.Source
+	Grace   time.Duration // the process is killed so long after a stop was asked for; 0: never
 	Clock   kernel.Clock
 	Logger  *telemetry.Logger
 }
@@ -88,6 +96,11 @@
 		t.maxAge = snap.Document.Lookup.MaxAgeMS.Duration()
 		t.grace = snap.Document.Drain.GraceMS.Duration()
 	}
+	if s.deps.Grace > 0 {
+		t.spread = time.Duration(lingerShare * float64(s.deps.Grace))
+		t.maxAge = 0
+		t.refuse = true
+	}
 	return t
 }
 
@@ -100,6 +113,8 @@
 			s.perform(ctx, m, event{kind: eventTold})
 		case actionCloseConnections:
 			s.deps.Callers.CloseConnections()
+		case actionRefuse:
+			s.deps.Callers.Refuse()
 		case actionReport:
 			s.deps.Logger.Log(eventInFlight,
 				telemetry.Step(string(m.step)), telemetry.Value("requests", e.inFlight))
--- /dev/null
+++ b/internal/entry/choose.go
@@ -0,0 +1,25 @@
+package entry
+
+import "masticturn/internal/membership"
+
+// Choose returns the callers' addresses of the VMs for callers of a place:
+// those of its region that are believed to live and serve; those of all
+// regions when the region has none. Callers choose among them at random, so
+// that one VM's death moves a fair share.
+func Choose(v *membership.View, region, _ string) []string {
+	var local, all []string
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.State != membership.Alive || m.Generation == 0 {
+			continue
+		}
+		all = append(all, m.CallerAddress)
+		if m.Region == region {
+			local = append(local, m.CallerAddress)
+		}
+	}
+	if len(local) > 0 {
+		return local
+	}
+	return all
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -84,6 +84,11 @@
 		// The end of a streamed answer can't be told apart from a cut.
 		return refuse(outcome.StepParse, http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
 	}
+	if x.h.refusing.Load() {
+		err := refuse(outcome.StepParse, http.StatusServiceUnavailable, "this VM is about to stop")
+		err.RetryAfter = leavingRetryAfter
+		return err
+	}
 	x.snap = x.h.deps.Config.Current()
 	if x.snap == nil {
 		err := refuse(outcome.StepParse, http.StatusServiceUnavailable, "this VM has no document yet")
@@ -93,6 +98,10 @@
 	return nil
 }
 
+// leavingRetryAfter is when a caller may ask another VM: at once, but not all
+// callers of this one in the same instant.
+const leavingRetryAfter = 50 * time.Millisecond
+
 func newRequestID() string {
 	var raw [16]byte
 	for i := range 2 {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -61,6 +61,7 @@
 	buffers  sync.Pool
 	inFlight atomic.Int64
 	closing  atomic.Bool
+	refusing atomic.Bool
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -100,6 +101,10 @@
 // connection. Requests go on being served.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
+// Refuse makes further requests be told that they were not run, as this process
+// is about to end.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
 // Adopt drops what is kept for targets that left the document.
 func (h *Handler) Adopt(s *config.Snapshot) {
 	h.conns.Adopt(s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"os"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,28 @@
 	Peers    Peers    `json:"peers"`
 	Operator Operator `json:"operator"`
 	Log      Log      `json:"log"`
+	// Places maps each availability zone to its region, where the document
+	// does not.
+	Places map[string]string `json:"places,omitempty"`
+	Bounds Bounds            `json:"bounds,omitzero"`
+}
+
+// Bounds are what the surroundings promise and demand of the whole fleet,
+// where the document does not say so. Zero means that there is no such bound.
+type Bounds struct {
+	StopGrace      time.Duration `json:"stop_grace"`       // from SIGTERM to SIGKILL
+	TargetDrain    time.Duration `json:"target_drain"`     // within this time a leaving target gets no new work
+	ConfigInForce  time.Duration `json:"config_in_force"`  // within this time a document is in force everywhere
+	ZoneEvacuation time.Duration `json:"zone_evacuation"`  // within this time an evacuated zone gets no new work
+	AddressReuse   time.Duration `json:"address_reuse"`    // shortest time until a gone target's address serves another
+	LookupMaxAge   time.Duration `json:"lookup_max_age"`   // longest a caller keeps a look-up as told
+	RetryWindow    time.Duration `json:"retry_window"`     // sliding window of the retry budget
+	RetryRatio     float64       `json:"retry_ratio"`      // retries for each first attempt, in the window
+	RetrySlack     float64       `json:"retry_slack"`      // retries beyond the ratio, in the window, over all VMs
+	ColdFactor     float64       `json:"cold_factor"`      // of a cold target's rate that it may get in one second
+	ColdSlack      float64       `json:"cold_slack"`       // requests beyond that, over all VMs
+	MaxShift       float64       `json:"max_shift"`        // part of a region's requests that may change region from one window to the next
+	Heartbeat      time.Duration `json:"target_heartbeat"` // between two heartbeats of a target
 }
 
 // VM names this VM and its place.
@@ -42,12 +65,15 @@
 	Callers   string `json:"callers"`
 	Peers     string `json:"peers"`
 	Operators string `json:"operators"`
+	Ready     string `json:"ready,omitempty"`  // readiness alone; empty: with the operators' only
+	Lookup    string `json:"lookup,omitempty"` // look-ups by place; empty: with the callers' only
 }
 
 // Platform is the endpoint of the platform's object API.
 type Platform struct {
 	URL            string  `json:"url"`
 	TimeoutMS      int     `json:"timeout_ms"`       // of one call; default 1000
+	WatchMS        int     `json:"watch_ms"`         // how long the platform may hold a watch; default 1000
 	CallsPerSecond float64 `json:"calls_per_second"` // budget of this process; default 20
 }
 
@@ -112,13 +138,18 @@
 	if err := dec.Decode(s); err != nil {
 		return nil, explain(err, std, dec.InputOffset())
 	}
-	s.setDefaults()
-	if err := s.validate(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
+// Check fills in defaults and reports every fault at once.
+func (s *Settings) Check() error {
+	s.setDefaults()
+	return s.validate()
+}
+
 // explain turns a decoder's error into one with the line, the field and what
 // is allowed. hujson keeps offsets, so that lines are those of the file.
 func explain(err error, raw []byte, offset int64) error {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -28,6 +28,7 @@
 	RangeForward    = 5000 // request path, idempotency, drain
 	RangeAdmission  = 6000 // steering, measure, look-up
 	RangeOperator   = 7000
+	RangeDiscovery  = 8000 // discovery, placement, entry
 	rangeSize       = 1000
 	fieldEvent      = "event"
 	fieldStep       = "step"
