--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -30,6 +30,7 @@
 	DefaultRecordedAnswersBytes         = 16 << 20
 	DefaultRecordedAnswers       Millis = 600_000
 	DefaultMaxAttempts                  = 2
+	DefaultBudgetBurst                  = 10
 	DefaultBackoff               Millis = 25
 	DefaultStale                 Millis = 2_000
 	DefaultProbe                 Millis = 500
@@ -62,6 +63,7 @@
 	setDefault(&doc.Drain.TargetQuietMS, DefaultTargetQuiet)
 	setLimitsDefaults(&doc.Limits)
 	setDefault(&doc.Retry.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&doc.Retry.BudgetBurst, DefaultBudgetBurst)
 	setDefault(&doc.Retry.BackoffMS, DefaultBackoff)
 	setDefault(&doc.Steering.StaleMS, DefaultStale)
 	setDefault(&doc.Steering.ProbeMS, DefaultProbe)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -170,10 +170,11 @@
 
 // Retry is the retry budget of each VM.
 type Retry struct {
-	MaxAttempts    int     `json:"max_attempts"`    // attempts of one request, the first included
-	BudgetFraction float64 `json:"budget_fraction"` // retries and hedges per first attempt
-	BackoffMS      Millis  `json:"backoff_ms"`      // first backoff; doubled, with jitter
-	HedgeAfterMS   Millis  `json:"hedge_after_ms"`  // 0: no hedges
+	MaxAttempts    int     `json:"max_attempts"`           // attempts of one request, the first included
+	BudgetFraction float64 `json:"budget_fraction"`        // retries and hedges per first attempt
+	BudgetBurst    float64 `json:"budget_burst,omitempty"` // retries saved up at most, for each service and target
+	BackoffMS      Millis  `json:"backoff_ms"`             // first backoff; doubled, with jitter
+	HedgeAfterMS   Millis  `json:"hedge_after_ms"`         // 0: no hedges
 }
 
 // Steering chooses and tunes the policy.
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -75,6 +75,7 @@
 		Store:   w.store,
 		Decoder: d.opts.Hosted.Decoder,
 		Places:  d.settings.Places,
+		Retry:   d.retryBudget(),
 		Clock:   d.opts.Clock,
 		Logger:  d.opts.Logger,
 	})
@@ -82,6 +83,25 @@
 	return s, nil
 }
 
+// Shares of the retry budget, which binds all VMs together and each service. A
+// VM keeps a fraction on its own requests, so that the sum keeps it; what is
+// saved up is divided by the most VMs a small fleet has, spares included.
+const (
+	retryRatioShare = 0.75 // of the ratio: requests of a window and retries of the next differ
+	retrySlackVMs   = 20   // VMs among which the slack is divided
+	retryBackoff    = 1    // ms: another target is tried at once
+)
+
+// retryBudget returns this VM's share of the retry budget.
+func (d *Daemon) retryBudget() config.Retry {
+	b := d.settings.Bounds
+	return config.Retry{
+		BudgetFraction: retryRatioShare * b.RetryRatio,
+		BudgetBurst:    b.RetrySlack / retrySlackVMs,
+		BackoffMS:      retryBackoff,
+	}
+}
+
 func (d *Daemon) newPlacement(w *wiring) (kernel.Service, error) {
 	return placement.NewAdmitter(placement.Deps{
 		Views:  w.discovery,
--- a/internal/discovery/belief.go
+++ b/internal/discovery/belief.go
@@ -17,6 +17,7 @@
 type belief struct {
 	decoder  Decoder
 	places   map[string]string
+	retry    config.Retry
 	document *config.Document
 	gen      config.Generation
 	targets  map[string]*known
@@ -25,8 +26,8 @@
 	regained time.Time // when the store last came back
 }
 
-func newBelief(d Decoder, places map[string]string) *belief {
-	return &belief{decoder: d, places: places, targets: make(map[string]*known), zones: make(map[string]bool)}
+func newBelief(d Decoder, places map[string]string, retry config.Retry) *belief {
+	return &belief{decoder: d, places: places, retry: retry, targets: make(map[string]*known), zones: make(map[string]bool)}
 }
 
 // setDocument takes in the document's object. It reports whether a newer
@@ -40,6 +41,7 @@
 	if err != nil || gen <= b.gen {
 		return false, err
 	}
+	doc.Retry = b.retry
 	config.SetDefaults(doc)
 	b.document, b.gen = doc, gen
 	return true, nil
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -26,6 +26,7 @@
 	Store   platform.Store
 	Decoder Decoder
 	Places  map[string]string // availability zone to region
+	Retry   config.Retry      // budget of this VM, which the document does not set
 	Clock   kernel.Clock
 	Logger  *telemetry.Logger
 }
@@ -55,7 +56,7 @@
 	kinds := d.Decoder.Kinds()
 	return &Service{
 		deps:   d,
-		belief: newBelief(d.Decoder, d.Places),
+		belief: newBelief(d.Decoder, d.Places, d.Retry),
 		mirrors: map[platform.Kind]*Mirror{
 			kinds.Document:    NewMirror(),
 			kinds.Evacuations: NewMirror(),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -172,7 +172,7 @@
 		a.x.h.deps.Logger.Log(eventRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
 			telemetry.Value("attempt", a.number), telemetry.Value("after", a.x.dispatch.last.Fault.String()))
 	}
-	a.x.h.budget.attemptedAt(a.target.Name, a.x.snap.Document.Retry.BudgetFraction)
+	a.x.h.budget.attemptedAt(a.target.Name, &a.x.snap.Document.Retry)
 	return attemptEnd{}
 }
 
@@ -282,7 +282,7 @@
 	}
 	end.RetryAfter = parseRetryAfter(first(a.resp.Header, "Retry-After"), a.x.h.deps.Clock.Now())
 	end.Fault = FaultUnavailable
-	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.h.budget.available(a.target.Name) {
+	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.mayAfford(a.target.Name) {
 		return end
 	}
 	return attemptEnd{}
@@ -393,18 +393,36 @@
 		cancel:      a.cancel,
 		firstByte:   x.deadline.Sub(x.h.deps.Clock.Now()) / 2,
 		idle:        x.snap.Document.Limits.IdleTimeoutMS.Duration(),
-		giveUp:      func() bool { return mayRetry && x.h.budget.available(target) },
+		giveUp:      func() bool { return mayRetry && x.mayAfford(target) },
 		callerWaits: func() bool { return stream != nil && stream.waiting.Load() },
 	}
 }
 
+// maxAttempts is the bound of the rule where there is one.
+func (x *exchange) maxAttempts(c *config.Retry) int {
+	if r := x.match.Rule; r != nil && r.MaxAttempts > 0 {
+		return r.MaxAttempts
+	}
+	return c.MaxAttempts
+}
+
+// spend takes a retry caused by a target out of the budget.
+func (x *exchange) spend(target string) bool {
+	return x.h.budget.spend(x.match.Service.Name, target, &x.snap.Document.Retry)
+}
+
+// mayAfford reports whether the budget allows a retry caused by a target.
+func (x *exchange) mayAfford(target string) bool {
+	return x.h.budget.available(x.match.Service.Name, target, &x.snap.Document.Retry)
+}
+
 // retryRule returns the rule of this request.
 func (x *exchange) retryRule(c *config.Retry) retryRule {
 	return retryRule{
 		repeatable:  x.repeatable,
-		maxAttempts: c.MaxAttempts,
+		maxAttempts: x.maxAttempts(c),
 		deadline:    x.deadline,
-		spend:       x.h.budget.spend,
+		spend:       x.spend,
 		backoff:     x.backoff(c),
 	}
 }
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -3,26 +3,29 @@
 import (
 	"sync"
 	"sync/atomic"
-)
 
-// Tokens are counted in thousandths, so that a fraction can be added for each
-// first attempt.
-const (
-	tokenUnit  = 1000
-	tokenBurst = 10 * tokenUnit // most retries saved up, and the start
+	"masticturn/internal/config"
 )
 
+// tokenUnit is one retry: tokens are counted in thousandths, so that a fraction
+// can be added for each first attempt.
+const tokenUnit = 1000
+
 // bucket holds retry tokens: first attempts add a fraction, retries take one.
-type bucket struct{ tokens atomic.Int64 }
+// It starts full.
+type bucket struct {
+	tokens atomic.Int64
+	most   int64
+}
 
-func newBucket() *bucket {
-	b := &bucket{}
-	b.tokens.Store(tokenBurst)
+func newBucket(most int64) *bucket {
+	b := &bucket{most: most}
+	b.tokens.Store(most)
 	return b
 }
 
 func (b *bucket) deposit(n int64) {
-	if b.tokens.Load() < tokenBurst {
+	if b.tokens.Load() < b.most {
 		b.tokens.Add(n)
 	}
 }
@@ -35,33 +38,36 @@
 	return false
 }
 
-// budget bounds retries and hedges to a fraction of the first attempts,
-// overall and for each target whose failure causes them.
+// budget bounds retries and hedges to a fraction of the first attempts, for
+// each service and for each target whose failure causes them. In any window a
+// service gets at most the fraction of its requests and what was saved up.
 type budget struct {
-	overall *bucket
-	targets sync.Map // target name -> *bucket
+	services sync.Map // service name -> *bucket
+	targets  sync.Map // target name -> *bucket
 }
 
-func newBudget() *budget { return &budget{overall: newBucket()} }
-
-// attempted counts a first attempt.
-func (b *budget) attempted(fraction float64) { b.overall.deposit(int64(fraction * tokenUnit)) }
+// attempted counts a first attempt for a service.
+func (b *budget) attempted(service string, r *config.Retry) {
+	bucketOf(&b.services, service, r).deposit(int64(r.BudgetFraction * tokenUnit))
+}
 
 // attemptedAt counts an attempt at a target.
-func (b *budget) attemptedAt(target string, fraction float64) {
-	b.of(target).deposit(int64(fraction * tokenUnit))
+func (b *budget) attemptedAt(target string, r *config.Retry) {
+	bucketOf(&b.targets, target, r).deposit(int64(r.BudgetFraction * tokenUnit))
 }
 
-// spend takes one retry caused by the target; false when there is none left.
-func (b *budget) spend(target string) bool {
+// spend takes one retry for a service caused by the target; false when there is
+// none left. An empty target has caused nothing.
+func (b *budget) spend(service, target string, r *config.Retry) bool {
+	s := bucketOf(&b.services, service, r)
 	if target == "" {
-		return b.overall.withdraw()
+		return s.withdraw()
 	}
-	t := b.of(target)
+	t := bucketOf(&b.targets, target, r)
 	if !t.withdraw() {
 		return false
 	}
-	if b.overall.withdraw() {
+	if s.withdraw() {
 		return true
 	}
 	t.tokens.Add(tokenUnit)
@@ -69,15 +75,16 @@
 }
 
 // available reports whether spend would succeed now.
-func (b *budget) available(target string) bool {
-	return b.overall.tokens.Load() >= tokenUnit && b.of(target).tokens.Load() >= tokenUnit
+func (b *budget) available(service, target string, r *config.Retry) bool {
+	return bucketOf(&b.services, service, r).tokens.Load() >= tokenUnit &&
+		bucketOf(&b.targets, target, r).tokens.Load() >= tokenUnit
 }
 
-func (b *budget) of(target string) *bucket {
-	if v, ok := b.targets.Load(target); ok {
+func bucketOf(m *sync.Map, name string, r *config.Retry) *bucket {
+	if v, ok := m.Load(name); ok {
 		return v.(*bucket)
 	}
-	v, _ := b.targets.LoadOrStore(target, newBucket())
+	v, _ := m.LoadOrStore(name, newBucket(int64(r.BudgetBurst*tokenUnit)))
 	return v.(*bucket)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -234,7 +234,7 @@
 	defer cancel()
 	x.h.stripHeaders(x.r.Header)
 	retry := &x.snap.Document.Retry
-	x.h.budget.attempted(retry.BudgetFraction)
+	x.h.budget.attempted(x.match.Service.Name, retry)
 	x.dispatch.rule = x.retryRule(retry)
 	for {
 		x.dispatch.begin()
--- a/internal/forward/faults_test.go
+++ b/internal/forward/faults_test.go
@@ -162,7 +162,7 @@
 		}
 	}
 	// The saved-up burst comes on top of the fraction.
-	most := requests + requests/10 + tokenBurst/tokenUnit
+	most := requests + requests/10 + config.DefaultBudgetBurst
 	if b.admission.attempts > most {
 		t.Errorf("%d attempts for %d requests, want at most %d", b.admission.attempts, requests, most)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -104,7 +104,7 @@
 			MaxBodyBytes: 64 << 20, IdleTimeoutMS: 1000, ReplayBodyBytes: 64 << 10,
 			RecordedAnswerBytes: 64 << 10, RecordedAnswersBytes: 1 << 20, RecordedAnswersMS: 60000,
 		},
-		Retry: config.Retry{MaxAttempts: 2, BudgetFraction: 0.1, BackoffMS: 1},
+		Retry: config.Retry{MaxAttempts: 2, BudgetFraction: 0.1, BudgetBurst: config.DefaultBudgetBurst, BackoffMS: 1},
 	}
 	svc := config.Service{Name: "svc", PathPrefix: "/svc/", Routes: []config.Route{
 		{PathPrefix: "keyed", Class: "fast", RequireKey: true},
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -74,7 +74,7 @@
 	h := &Handler{
 		deps:   d,
 		conns:  targetconn.NewPools(targetconn.Deps{Dial: d.Dial, Clock: d.Clock, Metrics: d.Metrics}),
-		budget: newBudget(),
+		budget: &budget{},
 		series: newSeriesCache(d.Metrics),
 		faults: newFaultLog(d.Logger),
 		splits: newSplitter(),
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -62,7 +62,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	x := h.first.x
-	if h.over || !x.h.budget.spend(h.first.target.Name) {
+	if h.over || !x.spend(h.first.target.Name) {
 		h.done = true
 		close(h.ended)
 		return false
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -60,7 +60,7 @@
 		}
 	}
 	_ = b.heldPermits()
-	most := requests + requests/10 + tokenBurst/tokenUnit
+	most := requests + requests/10 + config.DefaultBudgetBurst
 	if b.admission.attempts > most || b.admission.attempts == requests {
 		t.Errorf("%d attempts for %d requests, want hedges, and at most %d attempts", b.admission.attempts, requests, most)
 	}
