Placement: few targets an object, other regions by a steady weight; queued log lines

Now each object has three targets by weighted rendezvous hashing; targets of other regions weigh 0.15 of a slot, so that the share that goes there is steady (55 objects a region at planview, 24 at the others, counted from logs).

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -43,7 +43,8 @@
 			}
 			out := c.Root().ErrWriter
 			if hosted != nil {
-				out = c.Root().Writer // the platform collects standard output
+				// The platform collects standard output.
+				out = telemetry.NewQueuedWriter(c.Root().Writer)
 			}
 			logger := telemetry.NewLogger(out, s.Log.Format, level, s.VM.Name)
 			return serve(ctx, s, daemon.Options{Logger: logger, Hosted: hosted})
@@ -80,6 +81,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	defer opts.Logger.Flush()
 	if err := d.Start(ctx); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -175,6 +175,9 @@
 	BudgetBurst    float64 `json:"budget_burst,omitempty"` // retries saved up at most, for each service and target
 	BackoffMS      Millis  `json:"backoff_ms"`             // first backoff; doubled, with jitter
 	HedgeAfterMS   Millis  `json:"hedge_after_ms"`         // 0: no hedges
+	// Patient: a target that is silent is waited for up to the deadline, as
+	// silence does not tell a slow target from a dead one.
+	Patient bool `json:"patient,omitempty"`
 }
 
 // Steering chooses and tunes the policy.
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -99,6 +99,7 @@
 		BudgetFraction: retryRatioShare * b.RetryRatio,
 		BudgetBurst:    b.RetrySlack / retrySlackVMs,
 		BackoffMS:      retryBackoff,
+		Patient:        true,
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -388,7 +388,7 @@
 	x := a.x
 	stream, target := x.stream, a.target.Name
 	silent := attemptEnd{Step: outcome.StepWait, Fault: FaultSilent, Sent: true, Consumed: stream != nil}
-	mayRetry := !a.hedged && x.dispatch.mayRetry(silent)
+	mayRetry := !a.hedged && !x.snap.Document.Retry.Patient && x.dispatch.mayRetry(silent)
 	return &watchdog{
 		cancel:      a.cancel,
 		firstByte:   x.deadline.Sub(x.h.deps.Clock.Now()) / 2,
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -91,6 +91,7 @@
 // Acquire implements admission.Admitter.
 func (a *Admitter) Acquire(ctx context.Context, r *admission.Request) (admission.Permit, error) {
 	ask := &Ask{
+		ID:       r.ID,
 		Key:      r.ObjectKey,
 		Rule:     r.Rule,
 		Priority: r.Class.Priority,
@@ -129,6 +130,16 @@
 	if t == nil {
 		return nil, p.possible(ask, now)
 	}
+	a.deps.Logger.Log(eventPlaced,
+		telemetry.Value("request_id", ask.ID),
+		telemetry.Peer(t.Name),
+		telemetry.Value("service", svc.Name),
+		telemetry.Value("object", ask.Key),
+		telemetry.Value("region", t.Region),
+		telemetry.Value("own", t.own),
+		telemetry.Value("others", t.others),
+		telemetry.Value("age_ms", now.Sub(t.reported).Milliseconds()),
+		telemetry.Value("waited_ms", now.Sub(ask.Arrived).Milliseconds()))
 	p.Take(t, now)
 	return &permit{admitter: a, pool: p, target: t, index: t.TargetIndex}, true
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,6 +18,7 @@
 
 // Ask is a request that wants a target.
 type Ask struct {
+	ID       string       // of the request, for logs
 	Key      string       // object it is about; empty: none
 	Rule     *config.Rule // nil: every region is allowed
 	Priority int          // 0 goes first
@@ -104,22 +105,25 @@
 		if a.Rule != nil && !a.Rule.Allows(t.Region) {
 			continue
 		}
-		score := rendezvous.WeightedScore(key, t.Name, float64(t.Slots))
-		if t.Region == p.region {
-			score += localBonus
+		weight := float64(t.Slots)
+		if t.Region != p.region {
+			weight *= remoteWeight
 		}
+		score := rendezvous.WeightedScore(key, t.Name, weight)
 		ranked = append(ranked, scored{t, score})
 	}
 	slices.SortFunc(ranked, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	out := make([]*targetState, len(ranked))
-	for i := range ranked {
+	out := make([]*targetState, min(len(ranked), replicas))
+	for i := range out {
 		out[i] = ranked[i].t
 	}
 	return out
 }
 
-// localBonus puts targets of this region before all others.
-const localBonus = 1e9
+const (
+	remoteWeight = 0.15
+	replicas     = 3
+)
 
 // mayTake reports whether a cold target may get one more request of this VM.
 func (p *Pool) mayTake(t *targetState, now time.Time) bool {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"sort"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -16,6 +17,9 @@
 	Name    string // short, constant text of the log line
 	Meaning string // what happened
 	Action  string // what the operator does
+	// Routine marks events of each request that goes well; they are the first
+	// to be left out when there are too many lines.
+	Routine bool
 }
 
 // Ranges of event numbers. Each package declares its events in its own file
@@ -82,7 +86,9 @@
 
 // Logger writes numbered events.
 type Logger struct {
-	entry *logrus.Entry
+	entry  *logrus.Entry
+	budget *lineBudget
+	queue  *QueuedWriter // nil: lines are written by who logs
 }
 
 // Format is the format of log lines.
@@ -104,7 +110,16 @@
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	}
-	return &Logger{entry: l.WithField("vm", vm)}
+	logger := &Logger{entry: l.WithField("vm", vm), budget: newLineBudget()}
+	logger.queue, _ = w.(*QueuedWriter)
+	return logger
+}
+
+// Flush waits for a short time until the lines so far are written.
+func (l *Logger) Flush() {
+	if l != nil && l.queue != nil {
+		l.queue.Flush()
+	}
 }
 
 // Discard returns a logger that writes nothing, for tests.
@@ -115,6 +130,35 @@
 	if l == nil || !l.entry.Logger.IsLevelEnabled(e.Level) {
 		return
 	}
+	if !l.budget.allow(e) {
+		return
+	}
+	l.sayLeftOut()
+	l.write(e, fields)
+}
+
+// sayLeftOut writes what was left out since it was last said.
+func (l *Logger) sayLeftOut() {
+	left := l.budget.takeLeftOut(time.Now())
+	if left == nil {
+		return
+	}
+	fields := []Field{Value("lines", left)}
+	if l.queue != nil {
+		fields = append(fields, Value("dropped", l.queue.TakeDropped()))
+	}
+	l.write(eventLeftOut, fields)
+}
+
+var eventLeftOut = Register(Event{
+	Number:  RangeKernel + 11,
+	Level:   logrus.WarnLevel,
+	Name:    "lines left out",
+	Meaning: "So many lines of the events named by number were left out, as there were too many; dropped counts those for which standard output was too slow.",
+	Action:  "Use the metrics for counts; read the lines of other VMs for the time.",
+})
+
+func (l *Logger) write(e *Event, fields []Field) {
 	data := make(logrus.Fields, len(fields)+1)
 	data[fieldEvent] = e.Number
 	for _, f := range fields {
