--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -47,7 +47,11 @@
 				out = telemetry.NewQueuedWriter(c.Root().Writer)
 			}
 			logger := telemetry.NewLogger(out, s.Log.Format, level, s.VM.Name)
-			return serve(ctx, s, daemon.Options{Logger: logger, Hosted: hosted})
+			reload := func() (*settings.Settings, error) {
+				s, _, err := loadSettings(c)
+				return s, err
+			}
+			return serve(ctx, s, reload, daemon.Options{Logger: logger, Hosted: hosted})
 		},
 	}
 }
@@ -70,12 +74,15 @@
 // to end by itself.
 const stopMargin = 300 * time.Millisecond
 
-// serve runs a daemon until a signal. The first signal drains, the second one
-// ends the drain.
-func serve(ctx context.Context, s *settings.Settings, opts daemon.Options) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
+// serve runs a daemon until a signal. SIGTERM or an interrupt drains, a second
+// one ends the drain; SIGHUP reads the settings once more.
+func serve(ctx context.Context, s *settings.Settings, reload func() (*settings.Settings, error), opts daemon.Options) error {
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(stops)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 
 	d, err := daemon.New(s, opts)
 	if err != nil {
@@ -85,20 +92,23 @@
 	if err := d.Start(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	select {
-	case <-signals:
-	case <-d.DrainRequested():
-	case <-ctx.Done():
+	for stopped := false; !stopped; {
+		select {
+		case <-hangups:
+			d.Reloaded(reload())
+		case <-stops:
+			stopped = true
+		case <-d.DrainRequested():
+			stopped = true
+		case <-ctx.Done():
+			stopped = true
+		}
 	}
-	drainCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	drainCtx, cancel := drainContext(ctx, s.Bounds.StopGrace)
 	defer cancel()
-	if grace := s.Bounds.StopGrace; grace > 0 {
-		drainCtx, cancel = context.WithTimeout(drainCtx, grace-stopMargin)
-		defer cancel()
-	}
 	go func() {
 		select {
-		case <-signals:
+		case <-stops:
 			cancel()
 		case <-drainCtx.Done():
 		}
@@ -106,3 +116,13 @@
 	err = d.Drain(drainCtx)
 	return trace.NewAggregate(err, d.Stop(context.WithoutCancel(ctx)))
 }
+
+// drainContext bounds a drain by the time after which the process is killed; 0
+// means that it is not.
+func drainContext(ctx context.Context, grace time.Duration) (context.Context, context.CancelFunc) {
+	ctx = context.WithoutCancel(ctx)
+	if grace == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, grace-stopMargin)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,16 @@
 	return nil
 }
 
+// Reloaded takes the settings as they were read again. All of them are fixed
+// when a process starts, so that what differs is told and takes a restart.
+func (d *Daemon) Reloaded(s *settings.Settings, err error) {
+	if err != nil {
+		d.opts.Logger.Log(eventReloadFailed, telemetry.Err(err))
+		return
+	}
+	d.opts.Logger.Log(eventReloaded, telemetry.Value("changed", d.settings.Differences(s)))
+}
+
 // RequestDrain asks the program that runs the daemon to drain it.
 func (d *Daemon) RequestDrain() { d.drainOnce.Do(func() { close(d.drainAsk) }) }
 
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -21,6 +21,20 @@
 		Meaning: "A planned stop began: look-ups stop naming this VM, requests in flight go on.",
 		Action:  "None. The next event tells when it is over.",
 	})
+	eventReloaded = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeKernel + 4,
+		Level:   logrus.InfoLevel,
+		Name:    "settings read again",
+		Meaning: "The settings file was read on SIGHUP; changed names the sections that differ from those in force.",
+		Action:  "When a section is named, restart the process to put it in force.",
+	})
+	eventReloadFailed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeKernel + 5,
+		Level:   logrus.ErrorLevel,
+		Name:    "settings not readable",
+		Meaning: "The settings file could not be read on SIGHUP. Those in force stay so.",
+		Action:  "Correct the settings file; the error names the field.",
+	})
 	eventDrained = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeKernel + 3,
 		Level:   logrus.InfoLevel,
--- a/internal/discovery/belief.go
+++ b/internal/discovery/belief.go
@@ -47,12 +47,30 @@
 	return true, nil
 }
 
+// returnHold is how long the targets of a zone that is taken back count as
+// cold at least: the news that they are cold may come by another watch, which
+// takes up to two pauses between calls longer.
+const returnHold = time.Second
+
 // setZones takes in the evacuated availability zones.
-func (b *belief) setZones(m *Mirror) {
+func (b *belief) setZones(m *Mirror, now time.Time) {
+	before := b.zones
 	b.zones = make(map[string]bool)
 	for _, o := range m.Objects() {
 		b.zones[o.Name] = true
 	}
+	for _, k := range b.targets {
+		if before[k.Zone] && !b.zones[k.Zone] {
+			k.chill(now.Add(returnHold))
+		}
+	}
+}
+
+// chill makes a target count as cold at least until a time.
+func (k *known) chill(until time.Time) {
+	if until.After(k.coldUntil) {
+		k.coldUntil = until
+	}
 }
 
 // setTargets takes in the targets' entries. It returns the errors of entries
@@ -69,11 +87,7 @@
 		}
 		b.setTarget(t, o.Version, now)
 	}
-	for name, k := range b.targets {
-		if !seen[name] {
-			b.miss(name, k, now)
-		}
-	}
+	b.missAll(seen, now)
 	b.primed = true
 	return errs
 }
@@ -88,13 +102,14 @@
 		k = &known{}
 		b.targets[t.Instance] = k
 		if b.primed {
-			k.coldUntil = now.Add(b.coldTime(t.Service))
+			k.chill(now.Add(b.coldTime(t.Service)))
 		}
 	}
-	if t.Cold > 0 && t.Cold != k.Cold {
-		k.coldUntil = now.Add(t.Cold)
+	if t.Cold > 0 && version != k.version {
+		k.chill(now.Add(t.Cold))
 	}
 	k.Target = t
+	k.version = version
 	k.vanished = time.Time{}
 }
 
@@ -110,15 +125,30 @@
 	return 0
 }
 
-// miss handles a target whose entry is gone: it leaves at once, but for a
-// while after an outage of the store.
-func (b *belief) miss(name string, k *known, now time.Time) {
-	if k.Leaving || now.Sub(b.regained) > rejoinGrace {
-		delete(b.targets, name)
-		return
+// lapsedShare is the part of all targets that must be missing at once for their
+// entries to have lapsed while the store was away: then all lapse. Fewer are
+// missing after an outage that only this VM saw, and are gone.
+const lapsedShare = 0.3
+
+// missAll handles the targets whose entries are gone: they leave at once,
+// unless the entries lapsed in an outage of the store.
+func (b *belief) missAll(seen map[string]bool, now time.Time) {
+	var missing []string
+	for name := range b.targets {
+		if !seen[name] {
+			missing = append(missing, name)
+		}
 	}
-	if k.vanished.IsZero() {
-		k.vanished = now
+	lapsed := now.Sub(b.regained) <= rejoinGrace && float64(len(missing)) >= lapsedShare*float64(len(b.targets))
+	for _, name := range missing {
+		k := b.targets[name]
+		if !lapsed || k.Leaving {
+			delete(b.targets, name)
+			continue
+		}
+		if k.vanished.IsZero() {
+			k.vanished = now
+		}
 	}
 }
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -154,7 +154,7 @@
 			s.deps.Logger.Log(eventDocument, version, telemetry.GenerationOf(uint64(s.belief.gen)))
 		}
 	case kinds.Evacuations:
-		s.belief.setZones(m)
+		s.belief.setZones(m, now)
 		s.deps.Logger.Log(eventZones, version, telemetry.Value("zones", strings.Join(slices.Sorted(maps.Keys(s.belief.zones)), ",")))
 	case kinds.Targets:
 		before := s.belief.states()
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/platform"
 )
 
 // View is what this VM believes at one moment. It is immutable.
@@ -18,6 +19,7 @@
 // known is a target with what this VM noted of it.
 type known struct {
 	Target
+	version   platform.Version // of the entry
 	coldUntil time.Time
 	vanished  time.Time // its entry is missing since; zero: it is there
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,6 +144,18 @@
 	return s, nil
 }
 
+// Differences names the sections in which two settings differ.
+func (s *Settings) Differences(other *Settings) []string {
+	names := []string{}
+	a, b := reflect.ValueOf(*s), reflect.ValueOf(*other)
+	for i := range a.NumField() {
+		if !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			names = append(names, a.Type().Field(i).Tag.Get("json"))
+		}
+	}
+	return names
+}
+
 // Check fills in defaults and reports every fault at once.
 func (s *Settings) Check() error {
 	s.setDefaults()
