--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -51,7 +51,7 @@
 		module(discovery.RegistrarName, d.newRegistrar, storeName),
 		module(peer.ServiceName, d.newNetwork),
 		module(membership.ServiceName, d.newMembership, peer.ServiceName, storeName),
-		module(discovery.ServiceName, d.newDiscovery, storeName, membership.ServiceName),
+		module(discovery.ServiceName, d.newDiscovery, storeName, peer.ServiceName, membership.ServiceName),
 		module(admission.ServiceName, d.newPlacement, discovery.ServiceName, membership.ServiceName),
 		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
 		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName),
@@ -74,6 +74,8 @@
 	s := discovery.NewService(discovery.Deps{
 		Store:   w.store,
 		Decoder: d.opts.Hosted.Decoder,
+		Members: w.members,
+		Network: w.network,
 		Places:  d.settings.Places,
 		Retry:   d.retryBudget(),
 		Clock:   d.opts.Clock,
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -22,6 +22,13 @@
 		Meaning: "A kind of objects is read from the store again, after the time stated.",
 		Action:  "None.",
 	})
+	eventRelayLost = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 107,
+		Level:   logrus.InfoLevel,
+		Name:    "VM does not tell of the store",
+		Meaning: "The VM named, from which this one hears of the store, did not answer in time or is out of touch itself. Another one, or the store, is asked.",
+		Action:  "None by itself; look at the VM when it is named again and again.",
+	})
 	eventDocument = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 201,
 		Level:   logrus.InfoLevel,
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -14,6 +14,7 @@
 	asOf    platform.Version
 	objects map[string]platform.Object
 	removed map[string]platform.Version // names that are gone, with the version at which
+	floor   platform.Version            // since when removed is complete
 }
 
 // removedMost bounds the memory of names that are gone. It covers the targets
@@ -63,10 +64,32 @@
 			changed = true
 		}
 	}
+	if m.floor == 0 {
+		m.floor = asOf
+	}
 	m.asOf = asOf
 	return changed
 }
 
+// Since returns the objects that changed after a version and the names removed
+// after it; ok is false when only the whole list can tell.
+func (m *Mirror) Since(v platform.Version) (changed []platform.Object, removed []string, ok bool) {
+	if v < m.floor || v == 0 {
+		return nil, nil, false
+	}
+	for _, o := range m.Objects() {
+		if o.Version > v {
+			changed = append(changed, o)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.removed)) {
+		if m.removed[name] > v {
+			removed = append(removed, name)
+		}
+	}
+	return changed, removed, true
+}
+
 // Apply takes in changes up to a version. It reports whether something
 // changed.
 func (m *Mirror) Apply(events []platform.Event, asOf platform.Version) bool {
@@ -107,6 +130,7 @@
 	delete(m.objects, name)
 	if len(m.removed) >= removedMost {
 		clear(m.removed)
+		m.floor = at
 	}
 	m.removed[name] = at
 }
--- /dev/null
+++ b/internal/discovery/relay.go
@@ -0,0 +1,127 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/membership"
+	"masticturn/internal/peer"
+	"masticturn/internal/platform"
+	"masticturn/internal/rendezvous"
+)
+
+// Who reads the store. Every read is a call that is paid for, so that a few VMs
+// read and the others hear from them: the watchers, one VM of each region (its
+// leader) hears from a watcher, and the other VMs of a region from its leader.
+const (
+	// watchers read the store: with two, the loss of one is made up for by the
+	// other, without a read by everybody.
+	watchers = 2
+	// staleAfter is the age at which what another VM tells is not good enough: a
+	// watcher hears from the store at least every 0.9 s, and whoever follows it
+	// hears so at once. What is left of two seconds, the tightest bound, is for
+	// asking elsewhere.
+	staleAfter = 1400 * time.Millisecond
+	// avoidFor is how long a VM that did not answer in time is passed over.
+	avoidFor = time.Second
+)
+
+// pollRequest asks a VM for changes of a kind (peer.KindMirrorPoll). It is
+// answered when there are some, or when the VM has heard from the store.
+type pollRequest struct {
+	Kind  platform.Kind
+	Since platform.Version // 0: the whole list
+}
+
+// pollAnswer are the changes, or the whole list.
+type pollAnswer struct {
+	Listed  bool // Changed are all objects there are
+	Changed []platform.Object
+	Removed []string
+	AsOf    platform.Version
+	Age     time.Duration // since the store was heard of, by whomever
+}
+
+// parents returns the names of the VMs from which this one hears of the store,
+// best first; none when it reads the store itself.
+func parents(v *membership.View) []string {
+	order := leaders(v)
+	top := order[:min(watchers, len(order))]
+	var out []string
+	own := regionOf(v, v.Self)
+	for i, m := range order {
+		if m.Name == v.Self && i < watchers {
+			return nil
+		}
+		if m.Region == own && m.Name != v.Self {
+			out = append(out, m.Name)
+		}
+	}
+	for _, m := range top {
+		if m.Region != own {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
+func regionOf(v *membership.View, name string) string {
+	m, _ := v.Member(name)
+	return m.Region
+}
+
+// leaders returns one VM of each region, in an order on which all VMs with the
+// same view agree.
+func leaders(v *membership.View) []membership.Member {
+	regions := make(map[string][]membership.Member)
+	for _, m := range v.Members {
+		if m.State == membership.Alive {
+			regions[m.Region] = append(regions[m.Region], m)
+		}
+	}
+	name := func(m membership.Member) string { return m.Name }
+	var out []membership.Member
+	for region, members := range regions {
+		out = append(out, rendezvous.Top("leader of "+region, members, 1, name)...)
+	}
+	return rendezvous.Top("watchers", out, len(out), func(m membership.Member) string { return m.Region })
+}
+
+var errStale = errors.New("what the VM knows of the store is too old")
+
+// relaySource reads from another VM.
+type relaySource struct {
+	network peer.Network
+	vm      string
+}
+
+// poll asks once. The age of the answer is that of what it tells.
+func (r relaySource) poll(ctx context.Context, kind platform.Kind, since platform.Version) (*pollAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, staleAfter)
+	defer cancel()
+	var a pollAnswer
+	err := r.network.Call(ctx, r.vm, peer.KindMirrorPoll, &pollRequest{Kind: kind, Since: since}, &a)
+	if err != nil {
+		return nil, trace.Wrap(err, "poll %s from %s", kind, r.vm)
+	}
+	return &a, nil
+}
+
+// change translates an answer.
+func (a *pollAnswer) change(kind platform.Kind) change {
+	c := change{kind: kind, listed: a.Listed, asOf: a.AsOf, age: a.Age}
+	if a.Listed {
+		c.list = a.Changed
+		return c
+	}
+	for _, o := range a.Changed {
+		c.events = append(c.events, platform.Event{Object: o})
+	}
+	for _, name := range a.Removed {
+		c.events = append(c.events, platform.Event{Object: platform.Object{Kind: kind, Name: name, Version: a.AsOf}, Deleted: true})
+	}
+	return c
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -9,8 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/config"
 	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
+	"masticturn/internal/peer"
 	"masticturn/internal/platform"
 	"masticturn/internal/telemetry"
 )
@@ -25,6 +29,8 @@
 type Deps struct {
 	Store   platform.Store
 	Decoder Decoder
+	Members membership.Source
+	Network peer.Network
 	Places  map[string]string // availability zone to region
 	Retry   config.Retry      // budget of this VM, which the document does not set
 	Clock   kernel.Clock
@@ -40,6 +46,8 @@
 	mu      sync.Mutex // guards all below and orders publication
 	belief  *belief
 	mirrors map[platform.Kind]*Mirror
+	heard   map[platform.Kind]time.Time     // as of when each mirror is known to be complete
+	news    map[platform.Kind]chan struct{} // closed and replaced when the store was heard of
 	subs    map[int]func(*View)
 	nextSub int
 
@@ -53,17 +61,21 @@
 
 // NewService returns a service without a view.
 func NewService(d Deps) *Service {
+	s := &Service{
+		deps:    d,
+		belief:  newBelief(d.Decoder, d.Places, d.Retry),
+		mirrors: make(map[platform.Kind]*Mirror),
+		heard:   make(map[platform.Kind]time.Time),
+		news:    make(map[platform.Kind]chan struct{}),
+		subs:    make(map[int]func(*View)),
+	}
 	kinds := d.Decoder.Kinds()
-	return &Service{
-		deps:   d,
-		belief: newBelief(d.Decoder, d.Places, d.Retry),
-		mirrors: map[platform.Kind]*Mirror{
-			kinds.Document:    NewMirror(),
-			kinds.Evacuations: NewMirror(),
-			kinds.Targets:     NewMirror(),
-		},
-		subs: make(map[int]func(*View)),
+	for _, kind := range []platform.Kind{kinds.Document, kinds.Evacuations, kinds.Targets} {
+		s.mirrors[kind] = NewMirror()
+		s.news[kind] = make(chan struct{})
 	}
+	d.Network.Handle(peer.KindMirrorPoll, s.answerPoll)
+	return s
 }
 
 // Provision implements kernel.Service.
@@ -73,7 +85,16 @@
 func (s *Service) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
 	for kind := range s.mirrors {
-		w := &watcher{kind: kind, source: s.deps.Store, logger: s.deps.Logger, publish: s.take}
+		w := &watcher{
+			kind:    kind,
+			store:   s.deps.Store,
+			parents: func() []string { return parents(s.deps.Members.View()) },
+			relay:   func(vm string) relaySource { return relaySource{s.deps.Network, vm} },
+			clock:   s.deps.Clock,
+			logger:  s.deps.Logger,
+			publish: s.take,
+			avoid:   make(map[string]time.Time),
+		}
 		s.wg.Go(func() { w.run(ctx) })
 	}
 	s.wg.Go(func() { s.expire(ctx) })
@@ -125,6 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
+	s.hear(c.kind, now.Add(-c.age))
 	if c.regained && c.kind == s.deps.Decoder.Kinds().Targets {
 		s.belief.regained = now
 	}
@@ -135,12 +157,75 @@
 	} else {
 		changed = mirror.Apply(c.events, c.asOf)
 	}
-	if changed || c.listed {
+	if changed || c.listed && s.deps.Decoder.Kinds().Targets == c.kind && !s.belief.primed {
 		s.believe(c.kind, mirror, now)
 		s.publish()
 	}
 }
 
+// hear notes that the store was heard of and answers the polls that wait.
+func (s *Service) hear(kind platform.Kind, at time.Time) {
+	s.heard[kind] = at
+	close(s.news[kind])
+	s.news[kind] = make(chan struct{})
+}
+
+// answerPoll answers another VM's poll: at once when there are changes that it
+// does not know, else when the store was heard of.
+func (s *Service) answerPoll(ctx context.Context, _ string, payload []byte) (any, error) {
+	var r pollRequest
+	if err := peer.Decode(payload, &r); err != nil {
+		return nil, err
+	}
+	for {
+		answer, news, err := s.changesFor(&r)
+		if answer != nil || err != nil {
+			return answer, err
+		}
+		select {
+		case <-news:
+			// What was heard may be that there is nothing new.
+			answer, err := s.snapshotFor(&r)
+			return answer, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// changesFor returns the answer to a poll, or what to wait for when there is
+// nothing to tell yet.
+func (s *Service) changesFor(r *pollRequest) (*pollAnswer, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.mirrors[r.Kind]
+	if m == nil {
+		return nil, nil, trace.NotFound("kind %s is not mirrored", r.Kind)
+	}
+	if m.AsOf() == 0 || m.AsOf() <= r.Since {
+		return nil, s.news[r.Kind], nil
+	}
+	return s.answer(m, r), nil, nil
+}
+
+func (s *Service) snapshotFor(r *pollRequest) (*pollAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer(s.mirrors[r.Kind], r), nil
+}
+
+func (s *Service) answer(m *Mirror, r *pollRequest) *pollAnswer {
+	a := &pollAnswer{AsOf: m.AsOf(), Age: s.deps.Clock.Now().Sub(s.heard[r.Kind])}
+	changed, removed, ok := m.Since(r.Since)
+	if ok {
+		a.Changed, a.Removed = changed, removed
+		return a
+	}
+	a.Listed = true
+	a.Changed = m.Objects()
+	return a
+}
+
 // believe takes in a mirror that changed.
 func (s *Service) believe(kind platform.Kind, m *Mirror, now time.Time) {
 	version := telemetry.Value("version", uint64(m.AsOf()))
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"masticturn/internal/kernel"
 	"masticturn/internal/platform"
 	"masticturn/internal/telemetry"
 )
@@ -20,83 +21,114 @@
 	settlePause = 150 * time.Millisecond
 )
 
-// source reads one kind of objects.
-type source interface {
-	List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Version, error)
-	Watch(ctx context.Context, kind platform.Kind, since platform.Version) ([]platform.Event, platform.Version, error)
+// change is what one read of the store, or of another VM, brought.
+type change struct {
+	kind     platform.Kind
+	list     []platform.Object // a whole list, when listed
+	listed   bool
+	events   []platform.Event
+	asOf     platform.Version
+	age      time.Duration // of what was read
+	regained bool          // the store was out of reach before
 }
 
-// watcher keeps the mirror of one kind up to date.
+// watcher keeps the mirror of one kind up to date: from other VMs while they
+// are up to date, else from the store.
 type watcher struct {
 	kind    platform.Kind
-	source  source
+	store   platform.Store
+	parents func() []string // VMs to hear from, best first; none: read the store
+	relay   func(vm string) relaySource
+	clock   kernel.Clock
 	logger  *telemetry.Logger
 	publish func(change change)
 
-	asOf   platform.Version // 0: a list is needed
-	lost   bool
+	asOf   platform.Version     // 0: a list is needed
+	avoid  map[string]time.Time // VMs that are passed over until then
+	outage bool                 // neither VMs nor the store tell anything new
 	lostAt time.Time
 	pause  time.Duration
 }
 
-// change is what one read of the store brought.
-type change struct {
-	kind     platform.Kind
-	list     []platform.Object // a whole list, when listed
-	listed   bool
-	events   []platform.Event
-	asOf     platform.Version
-	regained bool // the store was lost before
-}
-
 // run reads until the context is done.
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := w.step(ctx); err != nil {
-			w.failed(ctx, err)
-		}
+		w.step(ctx)
 	}
 }
 
 // step makes one call.
-func (w *watcher) step(ctx context.Context) error {
-	if w.asOf == 0 {
-		return w.list(ctx)
+func (w *watcher) step(ctx context.Context) {
+	if vm := w.parent(); vm != "" {
+		if err := w.poll(ctx, vm); err != nil {
+			w.avoid[vm] = w.clock.Now().Add(avoidFor)
+			w.logger.Log(eventRelayLost, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
+		}
+		return
 	}
-	events, asOf, err := w.source.Watch(ctx, w.kind, w.asOf)
+	if err := w.read(ctx); err != nil {
+		w.failed(ctx, err)
+	}
+}
+
+// parent returns the VM to ask, "" when the store is to be read.
+func (w *watcher) parent() string {
+	now := w.clock.Now()
+	for _, vm := range w.parents() {
+		if now.After(w.avoid[vm]) {
+			return vm
+		}
+	}
+	return ""
+}
+
+// poll asks another VM.
+func (w *watcher) poll(ctx context.Context, vm string) error {
+	a, err := w.relay(vm).poll(ctx, w.kind, w.asOf)
 	if err != nil {
 		return err
 	}
-	w.asOf = asOf
-	w.succeeded(change{events: events, asOf: asOf})
-	if len(events) > 0 {
-		sleep(ctx, settlePause)
+	if a.Age > staleAfter {
+		return errStale
 	}
+	if a.AsOf < w.asOf {
+		return errStale // it is behind what this VM knows
+	}
+	w.succeeded(a.change(w.kind))
 	return nil
 }
 
-func (w *watcher) list(ctx context.Context) error {
-	list, asOf, err := w.source.List(ctx, w.kind)
+// read makes one call to the store.
+func (w *watcher) read(ctx context.Context) error {
+	if w.asOf == 0 {
+		list, asOf, err := w.store.List(ctx, w.kind)
+		if err != nil {
+			return err
+		}
+		w.succeeded(change{kind: w.kind, list: list, listed: true, asOf: asOf})
+		return nil
+	}
+	events, asOf, err := w.store.Watch(ctx, w.kind, w.asOf)
 	if err != nil {
 		return err
 	}
-	w.asOf = asOf
-	w.succeeded(change{list: list, listed: true, asOf: asOf})
+	w.succeeded(change{kind: w.kind, events: events, asOf: asOf})
+	if len(events) > 0 {
+		sleep(ctx, settlePause)
+	}
 	return nil
 }
 
 func (w *watcher) succeeded(c change) {
 	w.pause = 0
-	c.kind = w.kind
-	if w.lost {
-		w.lost = false
+	w.asOf = c.asOf
+	if w.outage {
+		w.outage = false
 		c.regained = true
 		w.logger.Log(eventStoreRegained, telemetry.Value("kind", string(w.kind)),
-			telemetry.Value("away_ms", time.Since(w.lostAt).Milliseconds()))
-	}
-	if c.listed || c.regained || len(c.events) > 0 {
-		w.publish(c)
+			telemetry.Value("away_ms", w.clock.Now().Sub(w.lostAt).Milliseconds()))
 	}
+	w.publish(c)
 }
 
 func (w *watcher) failed(ctx context.Context, err error) {
@@ -107,9 +139,9 @@
 		w.asOf = 0
 		return
 	}
-	if !w.lost {
-		w.lost = true
-		w.lostAt = time.Now()
+	if !w.outage {
+		w.outage = true
+		w.lostAt = w.clock.Now()
 		w.logger.Log(eventStoreLost, telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
 	}
 	w.pause = min(max(2*w.pause, retryPause), retryPauseMost)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,8 @@
 	KindPass      Kind = 46 // admission: a broker allows slots to be passed on
 
 	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
+
+	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
