--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -21,16 +21,21 @@
 	// other, without a read by everybody.
 	watchers = 2
 	// staleAfter is the age at which what another VM tells is not good enough: a
-	// watcher hears from the store at least every 0.9 s, and whoever follows it
-	// hears so at once. What is left of two seconds, the tightest bound, is for
-	// asking elsewhere.
-	staleAfter = 1400 * time.Millisecond
+	// watcher hears from the store at least every 1.1 s (0.8 s of a watch, 0.11 s
+	// of the way between regions, settlePause), and whoever follows it hears so at
+	// once. What is left of two seconds, the tightest bound, is for asking
+	// elsewhere.
+	staleAfter = 1200 * time.Millisecond
+	// pollTimeout is when a VM that does not even tell that it is out of touch is
+	// given up.
+	pollTimeout = staleAfter + 100*time.Millisecond
 	// avoidFor is how long a VM that did not answer in time is passed over.
 	avoidFor = time.Second
 )
 
 // pollRequest asks a VM for changes of a kind (peer.KindMirrorPoll). It is
-// answered when there are some, or when the VM has heard from the store.
+// answered when there are some, when the VM has heard from the store, or when
+// it should have.
 type pollRequest struct {
 	Kind  platform.Kind
 	Since platform.Version // 0: the whole list
@@ -100,7 +105,7 @@
 
 // poll asks once. The age of the answer is that of what it tells.
 func (r relaySource) poll(ctx context.Context, kind platform.Kind, since platform.Version) (*pollAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, staleAfter)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var a pollAnswer
 	err := r.network.Call(ctx, r.vm, peer.KindMirrorPoll, &pollRequest{Kind: kind, Since: since}, &a)
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -177,41 +177,34 @@
 	if err := peer.Decode(payload, &r); err != nil {
 		return nil, err
 	}
-	for {
-		answer, news, err := s.changesFor(&r)
-		if answer != nil || err != nil {
-			return answer, err
-		}
+	if s.mirrors[r.Kind] == nil {
+		return nil, trace.NotFound("kind %s is not mirrored", r.Kind)
+	}
+	if news, patience := s.nothingFor(&r); patience > 0 {
+		timer := time.NewTimer(patience)
+		defer timer.Stop()
 		select {
-		case <-news:
-			// What was heard may be that there is nothing new.
-			answer, err := s.snapshotFor(&r)
-			return answer, err
+		case <-news: // it may be that there is nothing new
+		case <-timer.C:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
-}
-
-// changesFor returns the answer to a poll, or what to wait for when there is
-// nothing to tell yet.
-func (s *Service) changesFor(r *pollRequest) (*pollAnswer, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.mirrors[r.Kind]
-	if m == nil {
-		return nil, nil, trace.NotFound("kind %s is not mirrored", r.Kind)
-	}
-	if m.AsOf() == 0 || m.AsOf() <= r.Since {
-		return nil, s.news[r.Kind], nil
-	}
-	return s.answer(m, r), nil, nil
+	return s.answer(s.mirrors[r.Kind], &r), nil
 }
 
-func (s *Service) snapshotFor(r *pollRequest) (*pollAnswer, error) {
+// nothingFor returns what to wait for, and how long, when there is nothing to
+// tell yet; 0 when the poll is to be answered now.
+func (s *Service) nothingFor(r *pollRequest) (news <-chan struct{}, patience time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answer(s.mirrors[r.Kind], r), nil
+	if asOf := s.mirrors[r.Kind].AsOf(); asOf > r.Since {
+		return nil, 0
+	}
+	age := s.deps.Clock.Now().Sub(s.heard[r.Kind])
+	return s.news[r.Kind], staleAfter - age + time.Millisecond
 }
 
 func (s *Service) answer(m *Mirror, r *pollRequest) *pollAnswer {
