Placement by expected completion among an object's targets; cold bound over all VMs; tests of discovery

Before: the first target in rank with a free slot. Now: least of wait, run time (learned, by whether this VM sent the object there, and by the target's slowness) and a step for each rank.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -49,6 +49,7 @@
 type Result struct {
 	Outcome    outcome.Outcome
 	Step       outcome.Step  // where it failed; StepComplete when answered
+	Connect    time.Duration // of opening a connection; 0: none was opened
 	Latency    time.Duration // from sending to the answer's end
 	Status     int           // HTTP status, 0 when there was none
 	ShedByPeer bool          // the target said 'not run'
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -60,6 +60,13 @@
 	}
 }
 
+func (d *Daemon) membershipOptions() membership.Options {
+	if d.opts.Hosted == nil {
+		return membership.Options{}
+	}
+	return membership.Options{RegionAfter: hostedRegionAfter}
+}
+
 func (d *Daemon) newRegistrar(w *wiring) (kernel.Service, error) {
 	self := d.self()
 	return discovery.NewRegistrar(w.store, edge.VMRecord{
@@ -107,24 +114,16 @@
 
 func (d *Daemon) newPlacement(w *wiring) (kernel.Service, error) {
 	return placement.NewAdmitter(placement.Deps{
-		Views:  w.discovery,
-		Region: d.settings.VM.Region,
-		Fleet: func() placement.Fleet {
-			return placement.Fleet{Self: d.settings.VM.Name, VMs: namesOf(w.members.View())}
-		},
-		Clock:  d.opts.Clock,
-		Logger: d.opts.Logger,
+		Views:   w.discovery,
+		Members: w.members,
+		Settled: w.members.Ready,
+		VM:      d.settings.VM,
+		Bounds:  d.settings.Bounds,
+		Clock:   d.opts.Clock,
+		Logger:  d.opts.Logger,
 	}), nil
 }
 
-func namesOf(v *membership.View) []string {
-	names := make([]string, len(v.Members))
-	for i := range v.Members {
-		names[i] = v.Members[i].Name
-	}
-	return names
-}
-
 func (d *Daemon) newEntry(w *wiring) (kernel.Service, error) {
 	return entry.NewService(entry.Deps{
 		Names:   d.opts.Hosted.Names,
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -152,6 +152,7 @@
 	return membership.NewService(membership.Config{
 		Self:    d.self(),
 		Seeds:   d.settings.Peers.Seeds,
+		Options: d.membershipOptions(),
 		Network: w.network,
 		Store:   w.store,
 		Logger:  d.opts.Logger,
--- /dev/null
+++ b/internal/discovery/fleet_test.go
@@ -0,0 +1,288 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
+	"masticturn/internal/peer/peertest"
+	"masticturn/internal/platform"
+	"masticturn/internal/platform/platformtest"
+	"masticturn/internal/telemetry"
+)
+
+// inForceBound is the tightest bound on news from the store: every VM with a
+// way to the store must know within it.
+const inForceBound = 2 * time.Second
+
+// fixedMembers is a view that all VMs share.
+type fixedMembers struct{ view *membership.View }
+
+func (f fixedMembers) View() *membership.View                  { return f.view }
+func (f fixedMembers) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// reach is one VM's way to the store.
+type reach struct {
+	*platformtest.Store
+	refused atomic.Bool // the store turns this VM away at once
+	silent  atomic.Bool // nothing comes back
+	calls   atomic.Int64
+}
+
+const storeTimeout = 700 * time.Millisecond // of a call, as on the platform
+
+func (r *reach) gate(ctx context.Context) error {
+	r.calls.Add(1)
+	if r.silent.Load() {
+		sleep(ctx, storeTimeout)
+		return platform.ErrUnavailable
+	}
+	if r.refused.Load() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (r *reach) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Version, error) {
+	if err := r.gate(ctx); err != nil {
+		return nil, 0, err
+	}
+	return r.Store.List(ctx, kind)
+}
+
+func (r *reach) Watch(ctx context.Context, kind platform.Kind, since platform.Version) ([]platform.Event, platform.Version, error) {
+	if err := r.gate(ctx); err != nil {
+		return nil, since, err
+	}
+	events, asOf, err := r.Store.Watch(ctx, kind, since)
+	if r.silent.Load() { // it went silent while the call waited
+		return nil, since, platform.ErrUnavailable
+	}
+	return events, asOf, err
+}
+
+// fleet is some VMs over one store.
+type fleet struct {
+	t     *testing.T
+	hub   *peertest.Hub
+	store *platformtest.Store
+	vms   map[string]*Service
+	reach map[string]*reach
+	view  *membership.View
+	gen   config.Generation
+}
+
+// newFleet starts VMs in three regions, with a document in force everywhere.
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{
+		t: t, hub: peertest.NewHub(1), store: platformtest.NewStore(),
+		vms: make(map[string]*Service), reach: make(map[string]*reach), view: &membership.View{},
+	}
+	f.store.WatchTimeout = 800 * time.Millisecond
+	for i := range size {
+		f.view.Members = append(f.view.Members, membership.Member{
+			Name: fmt.Sprintf("vm-%03d", i), Region: fmt.Sprintf("r%d", i%3), State: membership.Alive, Generation: 1,
+		})
+	}
+	f.change()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, m := range f.view.Members {
+		f.start(ctx, m.Name)
+	}
+	t.Cleanup(f.stop)
+	f.wantEverywhere("at the start")
+	return f
+}
+
+func (f *fleet) start(ctx context.Context, name string) {
+	view := *f.view
+	view.Self = name
+	network := f.hub.Network(name)
+	for _, other := range f.view.Members {
+		network.SetAddress(other.Name, peertest.Address(other.Name))
+	}
+	f.reach[name] = &reach{Store: f.store}
+	f.vms[name] = NewService(Deps{
+		Store: f.reach[name], Decoder: jsonDecoder{}, Members: fixedMembers{&view}, Network: network,
+		Places: map[string]string{"z1": "r0"}, Clock: kernel.SystemClock{}, Logger: telemetry.Discard(),
+	})
+	if err := f.vms[name].Start(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) stop() {
+	for _, s := range f.vms {
+		_ = s.Stop(context.Background())
+	}
+	time.Sleep(time.Second) // what a pause held back is delivered
+}
+
+// change writes a newer document.
+func (f *fleet) change() {
+	f.gen++
+	f.store.Put("doc", "main", encode(f.t, testDocument{Generation: f.gen}))
+}
+
+// watchersOf returns the VMs that read the store and the leader of a region
+// that does not.
+func (f *fleet) watchersOf() (reading []string, leader string) {
+	order := leaders(f.view)
+	for _, m := range order[:watchers] {
+		reading = append(reading, m.Name)
+	}
+	return reading, order[watchers].Name
+}
+
+// wantEverywhere checks that all VMs but some have the newest document within
+// the bound.
+func (f *fleet) wantEverywhere(when string, but ...string) {
+	f.t.Helper()
+	time.Sleep(inForceBound)
+	synctest.Wait()
+	for name, s := range f.vms {
+		if contains(but, name) {
+			continue
+		}
+		v := s.View()
+		if v == nil || v.Snapshot.Generation != f.gen {
+			f.t.Errorf("%s: %s does not have generation %d in force", when, name, f.gen)
+		}
+	}
+}
+
+func contains(all []string, name string) bool {
+	for _, s := range all {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+func TestChangesReachAllVMsInTime(t *testing.T) {
+	tests := map[string]func(f *fleet) (but []string){
+		"calm": func(*fleet) []string { return nil },
+		"both watchers are refused by the store": func(f *fleet) []string {
+			reading, _ := f.watchersOf()
+			for _, vm := range reading {
+				f.reach[vm].refused.Store(true)
+			}
+			return reading // they have no way to the store themselves
+		},
+		"both watchers and a leader find the store silent": func(f *fleet) []string {
+			reading, leader := f.watchersOf()
+			for _, vm := range append(reading, leader) {
+				f.reach[vm].silent.Store(true)
+			}
+			return append(reading, leader)
+		},
+		"a watcher dies": func(f *fleet) []string {
+			reading, _ := f.watchersOf()
+			f.hub.Remove(reading[0])
+			return nil
+		},
+		"a leader stands still": func(f *fleet) []string {
+			_, leader := f.watchersOf()
+			f.hub.Pause(leader)
+			f.t.Cleanup(func() { f.hub.Resume(leader) })
+			return []string{leader}
+		},
+		"VMs can't reach each other": func(f *fleet) []string {
+			f.hub.SetFault(peertest.Any, peertest.Any, peertest.Fault{Cut: true})
+			return nil
+		},
+		"messages are late and lost": func(f *fleet) []string {
+			f.hub.SetFault(peertest.Any, peertest.Any, peertest.Fault{Drop: 0.03, Delay: 55 * time.Millisecond})
+			return nil
+		},
+		"the store dropped its history": func(f *fleet) []string {
+			f.store.Compact()
+			return nil
+		},
+	}
+	for name, prepare := range tests {
+		for phase := range 4 { // of the watches that wait when the change comes
+			t.Run(fmt.Sprintf("%s/%d", name, phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 10)
+					time.Sleep(5*time.Second + time.Duration(phase)*250*time.Millisecond)
+					but := prepare(f)
+					f.change()
+					f.wantEverywhere(name, but...)
+				})
+			})
+		}
+	}
+}
+
+func TestChangesReachAllVMsAfterAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		for _, r := range f.reach {
+			r.silent.Store(true)
+		}
+		time.Sleep(8 * time.Second)
+		for _, r := range f.reach {
+			r.silent.Store(false)
+		}
+		f.change()
+		f.wantEverywhere("after the outage")
+	})
+}
+
+// A VM that the store refuses hears of changes from the others.
+func TestRefusedVMHearsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		reading, leader := f.watchersOf()
+		f.reach[leader].refused.Store(true)
+		f.reach[reading[0]].refused.Store(true)
+		time.Sleep(5 * time.Second)
+		f.change()
+		f.wantEverywhere("some are refused", reading[0])
+	})
+}
+
+// The calls of a quiet fleet do not grow with it: two VMs read three kinds.
+func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
+	const minute = time.Minute
+	most := int64(float64(watchers*3) * minute.Seconds() / 0.8)
+	for _, size := range []int{10, 30, 87} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				before := f.calls()
+				time.Sleep(minute)
+				calls := f.calls() - before
+				if calls > most || calls < most/2 {
+					t.Errorf("%d calls in a minute, want at most %d", calls, most)
+				}
+				before = f.calls()
+				for range 10 {
+					f.change()
+					time.Sleep(time.Second)
+				}
+				perEvent := float64(f.calls()-before-most/6) / 10
+				if perEvent > 2*watchers {
+					t.Errorf("%.1f calls for a change, want at most %d", perEvent, 2*watchers)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) calls() int64 {
+	var n int64
+	for _, r := range f.reach {
+		n += r.calls.Load()
+	}
+	return n
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -39,9 +39,10 @@
 
 // Service mirrors the store and hands out views.
 type Service struct {
-	deps   Deps
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	deps    Deps
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	stopped chan struct{} // closed by Stop
 
 	mu      sync.Mutex // guards all below and orders publication
 	belief  *belief
@@ -68,6 +69,7 @@
 		heard:   make(map[platform.Kind]time.Time),
 		news:    make(map[platform.Kind]chan struct{}),
 		subs:    make(map[int]func(*View)),
+		stopped: make(chan struct{}),
 	}
 	kinds := d.Decoder.Kinds()
 	for _, kind := range []platform.Kind{kinds.Document, kinds.Evacuations, kinds.Targets} {
@@ -106,6 +108,7 @@
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
+	close(s.stopped)
 	s.cancel()
 	s.wg.Wait()
 	return nil
@@ -186,6 +189,7 @@
 		select {
 		case <-news: // it may be that there is nothing new
 		case <-timer.C:
+		case <-s.stopped:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -43,11 +43,12 @@
 	logger  *telemetry.Logger
 	publish func(change change)
 
-	asOf   platform.Version     // 0: a list is needed
-	avoid  map[string]time.Time // VMs that are passed over until then
-	outage bool                 // neither VMs nor the store tell anything new
-	lostAt time.Time
-	pause  time.Duration
+	asOf    platform.Version     // 0: a list is needed
+	avoid   map[string]time.Time // VMs that are passed over until then
+	outage  bool                 // neither VMs nor the store tell anything new
+	lostAt  time.Time
+	pause   time.Duration
+	readNow bool // read the store next, whatever VMs there are to ask
 }
 
 // run reads until the context is done.
@@ -59,16 +60,23 @@
 
 // step makes one call.
 func (w *watcher) step(ctx context.Context) {
-	if vm := w.parent(); vm != "" {
-		if err := w.poll(ctx, vm); err != nil {
-			w.avoid[vm] = w.clock.Now().Add(avoidFor)
-			w.logger.Log(eventRelayLost, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
+	vm := w.parent()
+	if vm == "" || w.readNow {
+		w.readNow = false
+		if err := w.read(ctx); err != nil {
+			w.failed(ctx, err)
 		}
 		return
 	}
-	if err := w.read(ctx); err != nil {
-		w.failed(ctx, err)
+	err := w.poll(ctx, vm)
+	if err == nil || ctx.Err() != nil {
+		return
 	}
+	w.avoid[vm] = w.clock.Now().Add(avoidFor)
+	w.logger.Log(eventRelayLost, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
+	// A VM that does not answer has cost most of the time there is: where this
+	// one is cut off from the others, the next would not answer either.
+	w.readNow = !errors.Is(err, errStale)
 }
 
 // parent returns the VM to ask, "" when the store is to be read.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -40,7 +40,8 @@
 	stream   *upload
 	resp     *http.Response
 	sentAt   time.Time
-	load     *edge.Load // that the target reported; nil: none
+	opening  time.Duration // of the connection; 0: it was open
+	load     *edge.Load    // that the target reported; nil: none
 	draining bool
 	released bool
 }
@@ -168,6 +169,7 @@
 		return attemptEnd{Step: outcome.StepConnect, Fault: a.faultOr(FaultRefused), Err: err}
 	}
 	a.conn = conn
+	a.opening = conn.OpenedIn()
 	if a.number > 1 {
 		a.x.h.deps.Logger.Log(eventRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
 			telemetry.Value("attempt", a.number), telemetry.Value("after", a.x.dispatch.last.Fault.String()))
@@ -361,6 +363,7 @@
 	r := admission.Result{
 		Outcome:     outcome.Answered,
 		Step:        outcome.StepComplete,
+		Connect:     a.opening,
 		Latency:     a.x.h.deps.Clock.Now().Sub(a.sentAt),
 		ShedByPeer:  end.Fault == FaultShed,
 		Misdirected: end.Misdirected,
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -22,6 +22,14 @@
 		Meaning: "A target sent an answer that was cut short, had no clean end, or belongs to another request. It was not given to the caller.",
 		Action:  "Look into the target, or into what lies before it: it mixes up or cuts answers.",
 	})
+	eventAnswered = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 6,
+		Level:   logrus.InfoLevel,
+		Name:    "request answered",
+		Meaning: "The whole answer of the target named went to the caller; status is the target's, sent_ms the time at the target.",
+		Action:  "None.",
+		Routine: true,
+	})
 	eventRetried = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 5,
 		Level:   logrus.InfoLevel,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 	"masticturn/internal/config"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
+	"masticturn/internal/telemetry"
 )
 
 // exchange is one caller's request on its way.
@@ -36,9 +37,11 @@
 
 	dispatch dispatch
 	tried    []string
-	served   string // region of the target that answered
-	written  bool   // the answer's head went to the caller
-	gone     bool   // the caller left while its keyed run goes on
+	served   string        // region of the target that answered
+	status   int           // of its answer
+	sentFor  time.Duration // from sending the request there to the answer's head
+	written  bool          // the answer's head went to the caller
+	gone     bool          // the caller left while its keyed run goes on
 }
 
 // serve takes the request through all steps.
@@ -281,6 +284,9 @@
 // finish tells the caller of an error, ends the claim and counts.
 func (x *exchange) finish(err *outcome.Error) {
 	x.observe(err)
+	if err == nil {
+		x.logAnswered()
+	}
 	if x.claim != nil {
 		x.finishClaim(err)
 	}
@@ -290,6 +296,17 @@
 	}
 }
 
+func (x *exchange) logAnswered() {
+	x.h.deps.Logger.Log(eventAnswered,
+		telemetry.Value("request_id", x.id),
+		telemetry.Peer(x.tried[len(x.tried)-1]),
+		telemetry.Value("status", x.status),
+		telemetry.Value("attempts", x.dispatch.attempts),
+		telemetry.Value("sent_ms", x.sentFor.Milliseconds()),
+		telemetry.Value("took_ms", x.h.deps.Clock.Now().Sub(x.startedAt).Milliseconds()),
+		telemetry.GenerationOf(uint64(x.snap.Generation)))
+}
+
 func (x *exchange) finishClaim(err *outcome.Error) {
 	if err != nil {
 		x.claim.Finish(err.Outcome, nil)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -176,6 +176,8 @@
 		to["Trailer"] = append(to["Trailer"], name)
 	}
 	x.served = a.target.Region
+	x.status = a.resp.StatusCode
+	x.sentFor = x.h.deps.Clock.Now().Sub(a.sentAt)
 	x.written = true
 	x.w.WriteHeader(a.resp.StatusCode)
 }
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -10,7 +10,9 @@
 	"masticturn/internal/config"
 	"masticturn/internal/discovery"
 	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
 	"masticturn/internal/outcome"
+	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
 )
 
@@ -28,20 +30,23 @@
 
 // Deps is what an Admitter needs.
 type Deps struct {
-	Views  Views
-	Region string // of this VM
-	Fleet  func() Fleet
-	Clock  kernel.Clock
-	Logger *telemetry.Logger
+	Views   Views
+	Members membership.Source
+	Settled func() bool // whether this VM knows the other VMs
+	VM      settings.VM
+	Bounds  settings.Bounds
+	Clock   kernel.Clock
+	Logger  *telemetry.Logger
 }
 
 // Admitter gives out slots at targets by pools of this VM alone.
 type Admitter struct {
 	deps   Deps
-	cancel func()
+	cancel []func()
 
 	mu    sync.Mutex
 	pools map[string]*Pool
+	fleet Fleet
 }
 
 var (
@@ -57,7 +62,10 @@
 
 // Start implements kernel.Service.
 func (a *Admitter) Start(context.Context) error {
-	a.cancel = a.deps.Views.SubscribeView(a.adopt)
+	a.cancel = append(a.cancel,
+		a.deps.Views.SubscribeView(a.adopt),
+		a.deps.Members.Subscribe(func(*membership.View) { a.setFleet() }))
+	a.setFleet()
 	if v := a.deps.Views.View(); v != nil {
 		a.adopt(v)
 	}
@@ -69,21 +77,38 @@
 
 // Stop implements kernel.Service.
 func (a *Admitter) Stop(context.Context) error {
-	a.cancel()
+	for _, cancel := range a.cancel {
+		cancel()
+	}
 	return nil
 }
 
+// setFleet tells the pools about the other VMs.
+func (a *Admitter) setFleet() {
+	f := Fleet{Self: a.deps.VM.Name, ColdFactor: a.deps.Bounds.ColdFactor, ColdSlack: a.deps.Bounds.ColdSlack}
+	if a.deps.Settled() {
+		for _, m := range a.deps.Members.View().Members {
+			f.VMs = append(f.VMs, VM{m.Name, m.Region})
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fleet = f
+	for _, p := range a.pools {
+		p.SetFleet(f)
+	}
+}
+
 func (a *Admitter) adopt(v *discovery.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	fleet := a.deps.Fleet()
 	for _, svc := range v.Snapshot.Services() {
 		p := a.pools[svc.Name]
 		if p == nil {
-			p = NewPool(a.deps.Region)
+			p = NewPool(a.deps.VM.Region)
 			a.pools[svc.Name] = p
 		}
-		p.SetFleet(fleet)
+		p.SetFleet(a.fleet)
 		p.SetTargets(svc, v)
 	}
 }
@@ -105,15 +130,15 @@
 			return permit, nil
 		}
 		if !possible {
-			return nil, refusal("no target may take the request", time.Second)
+			return nil, a.refuse(ask, "no target may take the request", time.Second)
 		}
 		select {
 		case <-time.After(lookAgain):
 		case <-ctx.Done():
-			return nil, refusal("the caller left or its time was over", 0)
+			return nil, a.refuse(ask, "the caller left or its time was over", 0)
 		}
 		if a.deps.Clock.Now().Sub(ask.Arrived) > 250*time.Millisecond {
-			return nil, refusal("no target has room", 500*time.Millisecond)
+			return nil, a.refuse(ask, "no target has room", 500*time.Millisecond)
 		}
 	}
 }
@@ -126,22 +151,36 @@
 	if p == nil {
 		return nil, false
 	}
-	t := p.Choose(ask, now)
-	if t == nil {
+	at := p.Choose(ask, now)
+	if at == nil {
 		return nil, p.possible(ask, now)
 	}
+	t := at.target
 	a.deps.Logger.Log(eventPlaced,
 		telemetry.Value("request_id", ask.ID),
 		telemetry.Peer(t.Name),
 		telemetry.Value("service", svc.Name),
 		telemetry.Value("object", ask.Key),
+		telemetry.Value("rank", at.rank),
+		telemetry.Value("known", at.known),
 		telemetry.Value("region", t.Region),
 		telemetry.Value("own", t.own),
 		telemetry.Value("others", t.others),
 		telemetry.Value("age_ms", now.Sub(t.reported).Milliseconds()),
 		telemetry.Value("waited_ms", now.Sub(ask.Arrived).Milliseconds()))
-	p.Take(t, now)
-	return &permit{admitter: a, pool: p, target: t, index: t.TargetIndex}, true
+	p.Take(at, now)
+	return &permit{admitter: a, pool: p, at: at, index: t.TargetIndex}, true
+}
+
+// refuse says no to a request that was not run.
+func (a *Admitter) refuse(ask *Ask, reason string, retryAfter time.Duration) *outcome.Error {
+	a.deps.Logger.Log(eventRefused,
+		telemetry.Value("request_id", ask.ID),
+		telemetry.Value("reason", reason),
+		telemetry.Value("object", ask.Key),
+		telemetry.Value("waited_ms", a.deps.Clock.Now().Sub(ask.Arrived).Milliseconds()),
+		telemetry.Value("retry_after_ms", retryAfter.Milliseconds()))
+	return refusal(reason, retryAfter)
 }
 
 func refusal(reason string, retryAfter time.Duration) *outcome.Error {
@@ -158,7 +197,7 @@
 type permit struct {
 	admitter *Admitter
 	pool     *Pool
-	target   *targetState
+	at       *Placed
 	index    *config.TargetIndex
 	once     sync.Once
 }
@@ -169,7 +208,7 @@
 func (p *permit) Target() *config.TargetIndex { return p.index }
 
 // Shifted implements admission.Permit.
-func (p *permit) Shifted() bool { return p.index.Region != p.admitter.deps.Region }
+func (p *permit) Shifted() bool { return p.index.Region != p.admitter.deps.VM.Region }
 
 // Release implements admission.Permit. A second call does nothing.
 func (p *permit) Release(r admission.Result) {
@@ -177,13 +216,14 @@
 		a := p.admitter
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		p.pool.Give(p.target, resultOf(&r), a.deps.Clock.Now())
+		p.pool.Give(p.at, resultOf(&r), a.deps.Clock.Now())
 	})
 }
 
 func resultOf(r *admission.Result) Result {
 	return Result{
 		Load:    r.Load,
+		Connect: r.Connect,
 		Latency: r.Latency,
 		Failed:  r.Outcome != outcome.Answered || r.Status >= http.StatusInternalServerError,
 		Shed:    r.ShedByPeer && !r.Misdirected,
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,6 +1,7 @@
 // Package placement chooses the target of each request by what this VM alone
-// knows: the object a request is about, own requests in flight, and the load
-// that targets tell on their answers. No messages go between VMs for it.
+// knows: the object a request is about, own requests in flight, how long runs
+// took, and the load that targets tell on their answers. No messages go between
+// VMs for it.
 package placement
 
 import (
@@ -16,6 +17,23 @@
 	"masticturn/internal/rendezvous"
 )
 
+const (
+	// replicas is how many targets may serve an object. A target knows 25 to 49
+	// objects and a service of 12 to 14 targets has 72 to 165, so that three
+	// copies of each fit, and no more.
+	replicas = 3
+	// remoteWeight is what a slot of another region weighs against one of this
+	// region in the choice of an object's targets. With 2 of 14 targets and a third
+	// of the callers, about half of a region's objects go elsewhere; with 6 of 14
+	// one in six. The share is steady, whatever the load.
+	remoteWeight = 0.15
+	// rankStep is what it must gain to use an object's next target in place of the
+	// one before.
+	rankStep = 30 * time.Millisecond
+	// queueMost is how many requests may wait at a target, for each of its slots.
+	queueMost = 1.0
+)
+
 // Ask is a request that wants a target.
 type Ask struct {
 	ID       string       // of the request, for logs
@@ -34,20 +52,14 @@
 	targets map[string]*targetState
 	order   []*targetState // by name
 	fleet   Fleet
-}
-
-// Fleet is what the pool must know of the other VMs.
-type Fleet struct {
-	Self string
-	VMs  []string // names of all VMs that may send, this one included
-	// ColdBound is how many requests all VMs together may send a cold target
-	// within one second; 0: no bound.
-	ColdBound func(service *config.Service) float64
+	cold    config.Cold
+	runs    runTimes
+	trips   map[string]mean // way there and back, by region
 }
 
 // NewPool returns a pool without targets for a VM of a region.
 func NewPool(region string) *Pool {
-	return &Pool{region: region, targets: make(map[string]*targetState)}
+	return &Pool{region: region, targets: make(map[string]*targetState), trips: make(map[string]mean)}
 }
 
 // SetFleet tells about the other VMs.
@@ -70,24 +82,63 @@
 		p.order = append(p.order, s)
 	}
 	p.targets = next
+	p.cold = svc.Cold
+}
+
+// Placed is a request's place at a target.
+type Placed struct {
+	target *targetState
+	key    string
+	rank   int  // of the target in the order of the object's targets
+	known  bool // this VM has sent the object there before
+	queued bool // all slots were believed to be in use
 }
 
-// Choose returns the target for a request, nil when there is none now.
-func (p *Pool) Choose(a *Ask, now time.Time) *targetState {
-	candidates := p.candidates(a, now)
-	for _, t := range candidates {
-		if t.busy(now) < t.Slots && p.mayTake(t, now) {
-			return t
+// Choose returns the best target for a request, nil when there is none now.
+func (p *Pool) Choose(a *Ask, now time.Time) *Placed {
+	var best *Placed
+	var bestCost time.Duration
+	for rank, t := range p.candidates(a, now) {
+		if !p.hasRoom(t, now) || !p.mayChill(t, now) {
+			continue
+		}
+		known := a.Key == "" || t.objects.known(a.Key)
+		cost := p.wait(t, now) + p.run(t, known, now) + time.Duration(rank)*rankStep
+		if best == nil || cost < bestCost {
+			best = &Placed{target: t, key: a.Key, rank: rank, known: known, queued: t.busy(now) >= t.Slots}
+			bestCost = cost
 		}
 	}
-	return nil
+	return best
+}
+
+// hasRoom reports whether one more request may go to a target.
+func (p *Pool) hasRoom(t *targetState, now time.Time) bool {
+	return float64(t.busy(now)) < float64(t.Slots)*(1+queueMost)
+}
+
+// wait is how long a request would wait for a slot.
+func (p *Pool) wait(t *targetState, now time.Time) time.Duration {
+	ahead := t.busy(now) - t.Slots + 1
+	if ahead <= 0 || t.Slots == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(t.Slots) * float64(p.run(t, true, now)))
+}
+
+// run is how long a request would run at a target.
+func (p *Pool) run(t *targetState, known bool, now time.Time) time.Duration {
+	d := p.runs.known()
+	if !known {
+		d = p.runs.fresh()
+	}
+	return time.Duration(t.slow.now(now) * float64(d))
 }
 
 // possible reports whether any target could ever take the request.
 func (p *Pool) possible(a *Ask, now time.Time) bool { return len(p.candidates(a, now)) > 0 }
 
-// candidates returns the usable targets in order of preference: those of this
-// region first, each group ranked by the request's object.
+// candidates returns the usable targets of the request's object, best first.
 func (p *Pool) candidates(a *Ask, now time.Time) []*targetState {
 	key := a.Key
 	if key == "" {
@@ -109,8 +160,7 @@
 		if t.Region != p.region {
 			weight *= remoteWeight
 		}
-		score := rendezvous.WeightedScore(key, t.Name, weight)
-		ranked = append(ranked, scored{t, score})
+		ranked = append(ranked, scored{t, rendezvous.WeightedScore(key, t.Name, weight)})
 	}
 	slices.SortFunc(ranked, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
 	out := make([]*targetState, min(len(ranked), replicas))
@@ -120,51 +170,13 @@
 	return out
 }
 
-const (
-	remoteWeight = 0.15
-	replicas     = 3
-)
-
-// mayTake reports whether a cold target may get one more request of this VM.
-func (p *Pool) mayTake(t *targetState, now time.Time) bool {
-	if !t.cold(now) {
-		return true
-	}
-	return now.Sub(t.coldSent) >= coldGap && p.sendsToCold(t)
-}
-
-// coldGap is the least time between two requests of one VM to a cold target: a
-// little over the second over which they are counted, as their ways differ.
-const coldGap = 1100 * time.Millisecond
-
-// coldReserve is how many requests a second of a cold target's bound are left
-// for VMs that see another fleet.
-const coldReserve = 3
-
-// sendsToCold reports whether this VM is among those that may send to a cold
-// target: as many as its bound, by rendezvous hashing, one request each.
-func (p *Pool) sendsToCold(t *targetState) bool {
-	if p.fleet.ColdBound == nil {
-		return true
-	}
-	bound := p.fleet.ColdBound(nil)
-	senders := int(bound) - coldReserve
-	if senders >= len(p.fleet.VMs) {
-		return true
-	}
-	own := rendezvous.Score(t.Name, p.fleet.Self)
-	ahead := 0
-	for _, vm := range p.fleet.VMs {
-		if rendezvous.Score(t.Name, vm) > own {
-			ahead++
-		}
-	}
-	return ahead < senders
-}
-
 // Take notes that a request goes to a target.
-func (p *Pool) Take(t *targetState, now time.Time) {
+func (p *Pool) Take(at *Placed, now time.Time) {
+	t := at.target
 	t.own++
+	if at.key != "" {
+		t.objects.add(at.key, now)
+	}
 	if t.cold(now) {
 		t.coldSent = now
 	}
@@ -172,12 +184,13 @@
 
 // Result is how a request at a target ended.
 type Result struct {
-	Load    *edge.Load // the target told; nil: none
-	Latency time.Duration
-	Failed  bool // connection or answer failed
-	Shed    bool // the target refused for want of room
-	Gone    bool // another instance has its address
-	Left    bool // the caller left, which says nothing
+	Load    *edge.Load    // the target told; nil: none
+	Connect time.Duration // of opening a connection; 0: none was opened
+	Latency time.Duration // from sending to the answer's end
+	Failed  bool          // connection or answer failed
+	Shed    bool          // the target refused for want of room
+	Gone    bool          // another instance has its address
+	Left    bool          // the caller left, which says nothing
 }
 
 // Failures that bar a target, and for how long.
@@ -189,11 +202,15 @@
 )
 
 // Give notes the end of a request at a target.
-func (p *Pool) Give(t *targetState, r Result, now time.Time) {
+func (p *Pool) Give(at *Placed, r Result, now time.Time) {
+	t := at.target
 	t.own--
 	if r.Load != nil {
 		t.report(r.Load, t.own, now)
 	}
+	if r.Connect > 0 {
+		p.learnTrip(t.Region, r.Connect)
+	}
 	switch {
 	case r.Left:
 	case r.Gone:
@@ -207,6 +224,28 @@
 		}
 	default:
 		t.failures = 0
-		t.timing.observe(r.Latency)
+		p.learnRun(at, r.Latency, now)
+	}
+}
+
+func (p *Pool) learnTrip(region string, d time.Duration) {
+	m := p.trips[region]
+	m.observe(d)
+	p.trips[region] = m
+}
+
+// learnRun takes in how long a request ran. One that waited for a slot tells
+// nothing of the run.
+func (p *Pool) learnRun(at *Placed, took time.Duration, now time.Time) {
+	if at.queued {
+		return
+	}
+	took = max(took-time.Duration(p.trips[at.target.Region]), time.Millisecond)
+	if expected := p.run(at.target, at.known, now); expected > 0 {
+		plain := float64(expected) / at.target.slow.now(now)
+		at.target.slow.observe(float64(took)/plain, now)
+	}
+	if !at.target.cold(now) {
+		p.runs.observe(at.known, took)
 	}
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,7 +26,8 @@
 	failures    int       // in a row
 	gone        bool      // its address serves another instance
 	coldSent    time.Time // last request of this VM while it was cold
-	timing      timing
+	objects     objects
+	slow        slowness
 }
 
 // busy is how many of the target's slots are believed to be in use or waited
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -16,6 +16,16 @@
 	maxAge   time.Duration
 	idleAt   time.Time
 	reused   bool
+	openedIn time.Duration
+}
+
+// OpenedIn returns how long it took to open the connection for this exchange; 0
+// when it was open before.
+func (c *Conn) OpenedIn() time.Duration {
+	if c.reused {
+		return 0
+	}
+	return c.openedIn
 }
 
 // RoundTrip sends the request once and returns the answer's head.
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -121,6 +121,7 @@
 	}
 	p.opened.Inc()
 	c.client = client
+	c.openedIn = p.deps.Clock.Now().Sub(now)
 	if !w.begin() {
 		_ = client.Close()
 		return nil, trace.ConnectionProblem(nil, "the target spoke first or closed the new connection")
