Requests that must not be lost go on connections that were just in use

Cause: holdbook requests to other regions took p90 321 ms at the target, but 121 of 348 were late: opening a connection costs 110 ms there. A connection in use within 2 s carries them, unless an answer of another request came from that target.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -152,13 +152,14 @@
 	return attemptEnd{}
 }
 
-// connect gets a connection. A request that may not be repeated goes on a
-// fresh one: a reused one may have been closed by the target a moment ago,
-// which would leave the request's outcome unknown.
+// connect gets a connection. A request that may not be repeated goes on one
+// that was in use a moment ago, or on a fresh one: any other may have been
+// closed by the target meanwhile, which would leave the request's outcome
+// unknown.
 func (a *attempt) connect() attemptEnd {
 	use := targetconn.UseAny
 	if !a.x.repeatable {
-		use = targetconn.UseFresh
+		use = targetconn.UseRecent
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, connectTimeout)
 	defer cancel()
@@ -347,8 +348,11 @@
 		a.conn.Drop()
 		end.Consumed = end.Consumed || a.consumed()
 	}
-	if end.Fault == FaultSilent {
+	switch end.Fault {
+	case FaultSilent:
 		a.x.h.conns.Suspect(a.target)
+	case FaultCrossed:
+		a.x.h.conns.Distrust(a.target)
 	}
 	a.release(end)
 }
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -16,21 +16,48 @@
 	dialing int
 	idle    []*Conn // the most recently used last
 	retired bool    // the target left the document
+	// doubtUntil is until when an answer may come that nobody asked for.
+	doubtUntil time.Time
 }
 
 func newPool(dropped *metrics.Counter) *pool {
 	return &pool{open: make(map[*Conn]struct{}), dropped: dropped}
 }
 
+// takeIdleFor returns an idle connection that is good for a use, or nil.
+func (p *pool) takeIdleFor(use Use, now time.Time) *Conn {
+	switch use {
+	case UseAny:
+		return p.takeIdle(now, idleLimit)
+	case UseRecent:
+		if !p.doubted(now) {
+			return p.takeIdle(now, recentLimit)
+		}
+	}
+	return nil
+}
+
+func (p *pool) doubted(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.doubtUntil)
+}
+
+func (p *pool) distrust(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubtUntil = until
+}
+
 // takeIdle returns the most recently used idle connection that may still be
-// used, in an exchange, or nil.
-func (p *pool) takeIdle(now time.Time) *Conn {
+// used, in an exchange, and was in use within limit; or nil.
+func (p *pool) takeIdle(now time.Time, limit time.Duration) *Conn {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(now, limit)
 		if c == nil {
 			return nil
 		}
-		if c.usable(now, idleLimit) && c.wire.begin() {
+		if c.usable(now, limit) && c.wire.begin() {
 			c.reused = true
 			return c
 		}
@@ -38,12 +65,14 @@
 	}
 }
 
-func (p *pool) popIdle() *Conn {
+// popIdle takes the most recently used connection out, if it was in use within
+// limit.
+func (p *pool) popIdle(now time.Time, limit time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
-	if n == 0 {
-		return nil
+	if n == 0 || limit < idleLimit && now.Sub(p.idle[n-1].idleAt) > limit {
+		return nil // an older one is for other uses
 	}
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -23,8 +23,16 @@
 // timeout of a usual server is a race with the server's close, so that it is
 // kept well below.
 const (
-	idleLimit    = 4 * time.Second
-	maxAge       = 2 * time.Minute
+	idleLimit = 4 * time.Second
+	maxAge    = 2 * time.Minute
+	// recentLimit is how long a connection may be idle to carry a request that
+	// must not be lost. Opening one costs a round trip, 110 ms between regions that
+	// are far apart; targets keep idle connections for ten seconds.
+	recentLimit = 2 * time.Second
+	// distrustFor is how long connections of a target are not reused for such
+	// requests after an answer that belonged to another request: a second answer
+	// may still be on its way on any of them.
+	distrustFor  = 10 * time.Second
 	maxAgeJitter = 30 * time.Second
 )
 
@@ -36,8 +44,9 @@
 
 // The uses of a connection.
 const (
-	UseAny   Use = iota // an idle one is good
-	UseFresh            // only one on which nothing was sent yet
+	UseAny    Use = iota // an idle one is good
+	UseFresh             // only one on which nothing was sent yet
+	UseRecent            // one that was in use within recentLimit, or a fresh one
 )
 
 // Deps is what Pools needs.
@@ -92,11 +101,9 @@
 // byte has been sent when an error is returned.
 func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use) (*Conn, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
-	if use == UseAny {
-		if c := pl.takeIdle(p.deps.Clock.Now()); c != nil {
-			p.reused.Inc()
-			return c, nil
-		}
+	if c := pl.takeIdleFor(use, p.deps.Clock.Now()); c != nil {
+		p.reused.Inc()
+		return c, nil
 	}
 	if !pl.reserve(limit) {
 		return nil, trace.Wrap(ErrLimit, "target %s, limit %d", t.Name, limit)
@@ -152,6 +159,13 @@
 	p.pool(poolKey{t.Name, t.Address}).dropIdle()
 }
 
+// Distrust makes requests that must not be lost use fresh connections to a
+// target for a while.
+func (p *Pools) Distrust(t *config.TargetIndex) {
+	pl := p.pool(poolKey{t.Name, t.Address})
+	pl.distrust(p.deps.Clock.Now().Add(distrustFor))
+}
+
 // Adopt forgets targets that are no longer in the document. Their idle
 // connections are closed; exchanges in flight go on to their end.
 func (p *Pools) Adopt(s *config.Snapshot) {
