--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -21,7 +21,7 @@
 	// replicas is how many targets may serve an object. A target knows 25 to 49
 	// objects and a service of 12 to 14 targets has 72 to 165, so that three
 	// copies of each fit, and no more.
-	replicas = 3
+	replicas = 2
 	// remoteWeight is what a slot of another region weighs against one of this
 	// region in the choice of an object's targets. With 2 of 14 targets and a third
 	// of the callers, about half of a region's objects go elsewhere; with 6 of 14
@@ -29,7 +29,7 @@
 	remoteWeight = 0.15
 	// rankStep is what it must gain to use an object's next target in place of the
 	// one before.
-	rankStep = 30 * time.Millisecond
+	rankStep = 100 * time.Millisecond
 	// queueMost is how many requests may wait at a target, for each of its slots.
 	queueMost = 1.0
 )
