Placement: a queue by priority with patience by objective, tested under a burst

Cause: waiting requests polled every 10 ms and were refused after a fixed 250 ms. Now a pool keeps a queue by priority and arrival; a request waits while an answer can still be in time, is refused at once when more wait before it than can run, and is told to come back when they have.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -119,6 +119,7 @@
 		Settled: w.members.Ready,
 		VM:      d.settings.VM,
 		Bounds:  d.settings.Bounds,
+		Metrics: d.opts.Metrics,
 		Clock:   d.opts.Clock,
 		Logger:  d.opts.Logger,
 	}), nil
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/discovery"
@@ -19,7 +21,8 @@
 // ServiceName is the name under which the service is registered.
 const ServiceName = "placement"
 
-// lookAgain is how often a waiting request looks for a free slot.
+// lookAgain is how often queues are looked at without an event: what is
+// believed of other VMs' requests ages by itself.
 const lookAgain = 10 * time.Millisecond
 
 // Views hands out what is believed of targets.
@@ -37,25 +40,37 @@
 	Bounds  settings.Bounds
 	Clock   kernel.Clock
 	Logger  *telemetry.Logger
+	Metrics *metrics.Set
 }
 
 // Admitter gives out slots at targets by pools of this VM alone.
 type Admitter struct {
-	deps   Deps
-	cancel []func()
+	deps    Deps
+	cancel  []func()
+	metrics meter
 
 	mu    sync.Mutex
-	pools map[string]*Pool
+	pools map[string]*servicePool
 	fleet Fleet
 }
 
+// servicePool is the pool of one service with who waits for it.
+type servicePool struct {
+	*Pool
+	name    string
+	waiters map[*Waiting]chan struct{} // closed when the request is decided
+	ticking bool
+}
+
 var (
 	_ admission.Admitter = (*Admitter)(nil)
 	_ kernel.Service     = (*Admitter)(nil)
 )
 
 // NewAdmitter returns an admitter; it follows the views once started.
-func NewAdmitter(d Deps) *Admitter { return &Admitter{deps: d, pools: make(map[string]*Pool)} }
+func NewAdmitter(d Deps) *Admitter {
+	return &Admitter{deps: d, pools: make(map[string]*servicePool), metrics: newMeter(d.Metrics)}
+}
 
 // Provision implements kernel.Service.
 func (a *Admitter) Provision(*kernel.Kernel) error { return nil }
@@ -102,15 +117,46 @@
 func (a *Admitter) adopt(v *discovery.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
 	for _, svc := range v.Snapshot.Services() {
 		p := a.pools[svc.Name]
 		if p == nil {
-			p = NewPool(a.deps.VM.Region)
+			p = &servicePool{
+				Pool: NewPool(a.deps.VM.Region), name: svc.Name,
+				waiters: make(map[*Waiting]chan struct{}),
+			}
 			a.pools[svc.Name] = p
 		}
 		p.SetFleet(a.fleet)
 		p.SetTargets(svc, v)
+		a.serve(p, now)
+	}
+}
+
+// serve decides on requests that wait; a.mu is held.
+func (a *Admitter) serve(p *servicePool, now time.Time) {
+	for _, w := range p.Serve(now) {
+		if done := p.waiters[w]; done != nil {
+			delete(p.waiters, w)
+			close(done)
+		}
+	}
+	a.tick(p)
+}
+
+// tick looks at a queue again a little later, as long as somebody waits; a.mu
+// is held.
+func (a *Admitter) tick(p *servicePool) {
+	if p.ticking || p.Queued() == 0 {
+		return
 	}
+	p.ticking = true
+	time.AfterFunc(lookAgain, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		p.ticking = false
+		a.serve(p, a.deps.Clock.Now())
+	})
 }
 
 // Acquire implements admission.Admitter.
@@ -124,71 +170,83 @@
 		Arrived:  r.Arrived,
 		Deadline: r.Deadline,
 	}
-	for {
-		permit, possible := a.try(r.Service, ask)
-		if permit != nil {
-			return permit, nil
-		}
-		if !possible {
-			return nil, a.refuse(ask, "no target may take the request", time.Second)
-		}
+	p, w, done := a.admit(r.Service, ask)
+	if done != nil {
 		select {
-		case <-time.After(lookAgain):
+		case <-done:
 		case <-ctx.Done():
-			return nil, a.refuse(ask, "the caller left or its time was over", 0)
-		}
-		if a.deps.Clock.Now().Sub(ask.Arrived) > 250*time.Millisecond {
-			return nil, a.refuse(ask, "no target has room", 500*time.Millisecond)
+			a.leave(p, w)
 		}
 	}
+	if w.Refused != nil {
+		return nil, a.refuse(r, ask, w.Refused)
+	}
+	waited := a.deps.Clock.Now().Sub(ask.Arrived)
+	a.metrics.placed(r, w.Placed, waited)
+	a.logPlaced(r, ask, w.Placed, waited)
+	return &permit{admitter: a, pool: p, at: w.Placed, index: w.Placed.index}, nil
 }
 
-func (a *Admitter) try(svc *config.ServiceIndex, ask *Ask) (admission.Permit, bool) {
+// admit hands a request to its pool. The channel is closed when it is decided;
+// nil when it is already.
+func (a *Admitter) admit(svc *config.ServiceIndex, ask *Ask) (*servicePool, *Waiting, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
 	p := a.pools[svc.Name]
 	if p == nil {
-		return nil, false
+		return nil, &Waiting{Ask: ask, Refused: &Refusal{Reason: reasonNoTarget, RetryAfter: retryMost}}, nil
 	}
-	at := p.Choose(ask, now)
-	if at == nil {
-		return nil, p.possible(ask, now)
+	now := a.deps.Clock.Now()
+	w := p.Enqueue(ask, now)
+	a.serve(p, now)
+	if w.decided() {
+		return p, w, nil
 	}
-	t := at.target
+	done := make(chan struct{})
+	p.waiters[w] = done
+	return p, w, done
+}
+
+// leave takes a request out whose caller waits no more. One that was placed
+// meanwhile keeps its place.
+func (a *Admitter) leave(p *servicePool, w *Waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p.Cancel(w) {
+		delete(p.waiters, w)
+	}
+}
+
+func (a *Admitter) logPlaced(r *admission.Request, ask *Ask, at *Placed, waited time.Duration) {
 	a.deps.Logger.Log(eventPlaced,
 		telemetry.Value("request_id", ask.ID),
-		telemetry.Peer(t.Name),
-		telemetry.Value("service", svc.Name),
+		telemetry.Peer(at.index.Name),
+		telemetry.Value("service", r.Service.Name),
 		telemetry.Value("object", ask.Key),
 		telemetry.Value("rank", at.rank),
 		telemetry.Value("known", at.known),
-		telemetry.Value("region", t.Region),
-		telemetry.Value("own", t.own),
-		telemetry.Value("others", t.others),
-		telemetry.Value("age_ms", now.Sub(t.reported).Milliseconds()),
-		telemetry.Value("waited_ms", now.Sub(ask.Arrived).Milliseconds()))
-	p.Take(at, now)
-	return &permit{admitter: a, pool: p, at: at, index: t.TargetIndex}, true
+		telemetry.Value("region", at.index.Region),
+		telemetry.Value("own", at.own),
+		telemetry.Value("others", at.others),
+		telemetry.Value("age_ms", at.age.Milliseconds()),
+		telemetry.Value("waited_ms", waited.Milliseconds()))
 }
 
 // refuse says no to a request that was not run.
-func (a *Admitter) refuse(ask *Ask, reason string, retryAfter time.Duration) *outcome.Error {
+func (a *Admitter) refuse(r *admission.Request, ask *Ask, why *Refusal) *outcome.Error {
+	a.metrics.refused(r, why.Reason)
 	a.deps.Logger.Log(eventRefused,
 		telemetry.Value("request_id", ask.ID),
-		telemetry.Value("reason", reason),
+		telemetry.Value("service", r.Service.Name),
+		telemetry.Value("reason", why.Reason),
 		telemetry.Value("object", ask.Key),
 		telemetry.Value("waited_ms", a.deps.Clock.Now().Sub(ask.Arrived).Milliseconds()),
-		telemetry.Value("retry_after_ms", retryAfter.Milliseconds()))
-	return refusal(reason, retryAfter)
-}
-
-func refusal(reason string, retryAfter time.Duration) *outcome.Error {
+		telemetry.Value("retry_after_ms", why.RetryAfter.Milliseconds()))
 	return &outcome.Error{
 		Outcome:    outcome.NotRun,
 		Step:       outcome.StepAdmit,
-		Reason:     reason,
-		RetryAfter: retryAfter,
+		Reason:     why.Reason,
+		RetryAfter: why.RetryAfter,
 		Status:     http.StatusServiceUnavailable,
 	}
 }
@@ -196,7 +254,7 @@
 // permit is a slot at a target.
 type permit struct {
 	admitter *Admitter
-	pool     *Pool
+	pool     *servicePool
 	at       *Placed
 	index    *config.TargetIndex
 	once     sync.Once
@@ -216,7 +274,14 @@
 		a := p.admitter
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		p.pool.Give(p.at, resultOf(&r), a.deps.Clock.Now())
+		now := a.deps.Clock.Now()
+		if barred := p.pool.Give(p.at, resultOf(&r), now); barred > 0 {
+			a.deps.Logger.Log(eventBarred,
+				telemetry.Peer(p.index.Name),
+				telemetry.Step(string(r.Step)),
+				telemetry.Value("for_ms", barred.Milliseconds()))
+		}
+		a.serve(p.pool, now)
 	})
 }
 
--- /dev/null
+++ b/internal/placement/cold_test.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticturn/internal/config"
+)
+
+// coldFleet is the pools of some VMs over the same cold target.
+func coldFleet(t *testing.T, vms int, perSecond float64, known func(vm, other int) bool) []*Pool {
+	t.Helper()
+	s := site{perRegion: map[string]int{"r0": 1}, slots: 1000, cold: config.Cold{RequestsPerSecond: perSecond}}
+	pools := make([]*Pool, vms)
+	for i := range pools {
+		p, v := newTestPool(t, fmt.Sprintf("r%d", i%3), s)
+		v.ColdUntil["r0-0"] = start.Add(time.Hour)
+		p.SetTargets(v.Snapshot.Service("svc"), v)
+		f := Fleet{Self: fmt.Sprint("vm-", i), ColdFactor: 1.5, ColdSlack: 5}
+		for j := range vms {
+			if i == j || known(i, j) {
+				f.VMs = append(f.VMs, VM{fmt.Sprint("vm-", j), fmt.Sprintf("r%d", j%3)})
+			}
+		}
+		p.SetFleet(f)
+		pools[i] = p
+	}
+	return pools
+}
+
+// Whatever the VMs want, all of them together keep the bound of a cold target
+// in every second, in small fleets and in large ones, without a message.
+func TestColdBoundHoldsOverAllVMs(t *testing.T) {
+	const perSecond = 7.4
+	bound := perSecond*1.5 + 5
+	for _, vms := range []int{1, 10, 87} {
+		for name, known := range map[string]func(a, b int) bool{
+			"all know each other": func(int, int) bool { return true },
+			"two VMs are cut off": func(a, b int) bool { return a > 1 && b > 1 },
+		} {
+			t.Run(fmt.Sprintf("%d VMs, %s", vms, name), func(t *testing.T) {
+				pools := coldFleet(t, vms, perSecond, known)
+				var sent []time.Time
+				for ms := range 5000 {
+					now := start.Add(time.Duration(ms) * time.Millisecond)
+					for _, p := range pools {
+						if at := p.Choose(ask("a"), now); at != nil {
+							p.Take(at, now)
+							sent = append(sent, now)
+						}
+					}
+				}
+				if most := mostWithin(sent, time.Second); float64(most) > bound || most == 0 {
+					t.Errorf("%d requests in one second, bound %.1f", most, bound)
+				}
+			})
+		}
+	}
+}
+
+// mostWithin returns the largest number of times in any span.
+func mostWithin(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// A VM that does not know the fleet yet leaves cold targets alone.
+func TestUnsettledVMSendsNothingToColdTargets(t *testing.T) {
+	p := coldFleet(t, 1, 7.4, nil)[0]
+	p.SetFleet(Fleet{Self: "vm-0", ColdFactor: 1.5, ColdSlack: 5})
+	if p.Choose(ask("a"), start) != nil {
+		t.Error("a cold target got a request")
+	}
+}
+
+func TestTargetsWithoutAColdRateAreNotBounded(t *testing.T) {
+	p := coldFleet(t, 1, 0, nil)[0]
+	for range 100 {
+		p.Take(mustChoose(t, p, ask("a"), start), start)
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -55,6 +55,7 @@
 	cold    config.Cold
 	runs    runTimes
 	trips   map[string]mean // way there and back, by region
+	queue   []*Waiting      // requests that wait, in order
 }
 
 // NewPool returns a pool without targets for a VM of a region.
@@ -88,10 +89,14 @@
 // Placed is a request's place at a target.
 type Placed struct {
 	target *targetState
+	index  *config.TargetIndex // of the target when the request was placed
 	key    string
-	rank   int  // of the target in the order of the object's targets
-	known  bool // this VM has sent the object there before
-	queued bool // all slots were believed to be in use
+	rank   int           // of the target in the order of the object's targets
+	known  bool          // this VM has sent the object there before
+	queued bool          // all slots were believed to be in use
+	own    int           // requests of this VM that ran there
+	others int           // requests of others, by the target's last word
+	age    time.Duration // of that word
 }
 
 // Choose returns the best target for a request, nil when there is none now.
@@ -105,13 +110,27 @@
 		known := a.Key == "" || t.objects.known(a.Key)
 		cost := p.wait(t, now) + p.run(t, known, rank, now) + time.Duration(rank)*rankStep
 		if best == nil || cost < bestCost {
-			best = &Placed{target: t, key: a.Key, rank: rank, known: known, queued: t.busy(now) >= t.Slots}
+			best = p.placed(t, a, rank, known, now)
 			bestCost = cost
 		}
 	}
 	return best
 }
 
+func (p *Pool) placed(t *targetState, a *Ask, rank int, known bool, now time.Time) *Placed {
+	return &Placed{
+		target: t,
+		index:  t.TargetIndex,
+		key:    a.Key,
+		rank:   rank,
+		known:  known,
+		queued: t.busy(now) >= t.Slots,
+		own:    t.own,
+		others: t.others,
+		age:    now.Sub(t.reported),
+	}
+}
+
 // hasRoom reports whether one more request may go to a target.
 func (p *Pool) hasRoom(t *targetState, now time.Time) bool {
 	return float64(t.busy(now)) < float64(t.Slots)*(1+queueMost)
@@ -194,11 +213,14 @@
 	barAfter = 2
 	barFirst = 500 * time.Millisecond
 	barMost  = 4 * time.Second
-	shedBar  = 100 * time.Millisecond // a full target has room again after about a request's time
+	// barDoublings is after how many doublings barMost is reached.
+	barDoublings = 3
+	shedBar      = 100 * time.Millisecond // a full target has room again after about a request's time
 )
 
-// Give notes the end of a request at a target.
-func (p *Pool) Give(at *Placed, r Result, now time.Time) {
+// Give notes the end of a request at a target. It returns for how long the
+// target is barred by it, 0 when it is not.
+func (p *Pool) Give(at *Placed, r Result, now time.Time) (barred time.Duration) {
 	t := at.target
 	t.own--
 	if r.Load != nil {
@@ -216,12 +238,14 @@
 	case r.Failed:
 		t.failures++
 		if t.failures >= barAfter {
-			t.barredUntil = now.Add(min(barFirst<<(t.failures-barAfter), barMost))
+			barred = min(barFirst<<min(t.failures-barAfter, barDoublings), barMost)
+			t.barredUntil = now.Add(barred)
 		}
 	default:
 		t.failures = 0
 		p.learnRun(at, r.Latency, now)
 	}
+	return barred
 }
 
 func (p *Pool) learnTrip(region string, d time.Duration) {
--- /dev/null
+++ b/internal/placement/pool_test.go
@@ -0,0 +1,295 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/discovery"
+	"masticturn/internal/edge"
+)
+
+// site describes the targets of a service for a test.
+type site struct {
+	perRegion map[string]int
+	slots     int
+	cold      config.Cold
+}
+
+func (s site) view(t *testing.T) (*discovery.View, *config.ServiceIndex) {
+	t.Helper()
+	doc := &config.Document{Services: []config.Service{{Name: "svc", Cold: s.cold}}}
+	for region, n := range s.perRegion {
+		doc.Regions = append(doc.Regions, config.Region{Name: region, Zones: []string{region + "-a"}})
+		for i := range n {
+			doc.Services[0].Targets = append(doc.Services[0].Targets, config.Target{
+				Name: fmt.Sprintf("%s-%d", region, i), Zone: region + "-a", Slots: s.slots,
+			})
+		}
+	}
+	v := &discovery.View{
+		Snapshot:  config.NewLiveSnapshot(1, doc),
+		Evacuated: map[string]bool{},
+		ColdUntil: map[string]time.Time{},
+	}
+	return v, v.Snapshot.Service("svc")
+}
+
+func newTestPool(t *testing.T, region string, s site) (*Pool, *discovery.View) {
+	v, svc := s.view(t)
+	p := NewPool(region)
+	p.SetTargets(svc, v)
+	return p, v
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	estiba = site{perRegion: map[string]int{"ros": 6, "bb": 2, "bsas": 6}, slots: 5}
+)
+
+func ask(key string) *Ask { return &Ask{ID: key, Key: key, Arrived: start} }
+
+func mustChoose(t *testing.T, p *Pool, a *Ask, now time.Time) *Placed {
+	t.Helper()
+	at := p.Choose(a, now)
+	if at == nil {
+		t.Fatalf("no target for object %q", a.Key)
+	}
+	return at
+}
+
+// finish ends a request that was answered.
+func finish(p *Pool, at *Placed, took time.Duration, now time.Time) {
+	p.Give(at, Result{Latency: took}, now)
+}
+
+func TestObjectStaysAtItsTarget(t *testing.T) {
+	p, _ := newTestPool(t, "ros", estiba)
+	now := start
+	first := mustChoose(t, p, ask("a"), now).target.Name
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		at := mustChoose(t, p, ask("a"), now)
+		p.Take(at, now)
+		finish(p, at, 110*time.Millisecond, now.Add(110*time.Millisecond))
+		if at.target.Name != first {
+			t.Fatalf("the object went to %s, before to %s, though that was free", at.target.Name, first)
+		}
+	}
+}
+
+// All VMs of a region choose the same target for an object, whatever they know.
+func TestVMsOfARegionAgree(t *testing.T) {
+	for i := range 50 {
+		key := fmt.Sprint(i)
+		a, _ := newTestPool(t, "bb", estiba)
+		b, _ := newTestPool(t, "bb", estiba)
+		if x, y := mustChoose(t, a, ask(key), start), mustChoose(t, b, ask(key), start); x.target.Name != y.target.Name {
+			t.Errorf("object %s: %s and %s", key, x.target.Name, y.target.Name)
+		}
+	}
+}
+
+// The share of objects that go to other regions is steady and follows how few
+// targets the own region has.
+func TestShareOfOtherRegions(t *testing.T) {
+	tests := []struct {
+		region    string
+		low, high float64
+	}{{"bb", 0.35, 0.6}, {"ros", 0.05, 0.25}}
+	const objects = 2000
+	for _, tt := range tests {
+		p, _ := newTestPool(t, tt.region, estiba)
+		remote := 0
+		for i := range objects {
+			if mustChoose(t, p, ask(fmt.Sprint(i)), start).target.Region != tt.region {
+				remote++
+			}
+		}
+		if share := float64(remote) / objects; share < tt.low || share > tt.high {
+			t.Errorf("%s: %.2f of the objects go elsewhere, want %.2f to %.2f", tt.region, share, tt.low, tt.high)
+		}
+	}
+}
+
+func TestAllowedRegionsBind(t *testing.T) {
+	p, _ := newTestPool(t, "bb", estiba)
+	rule := &config.Rule{AllowedRegions: []string{"bsas"}}
+	for i := range 200 {
+		a := ask(fmt.Sprint(i))
+		a.Rule = rule
+		if at := mustChoose(t, p, a, start); at.target.Region != "bsas" {
+			t.Fatalf("object %s went to region %s", a.Key, at.target.Region)
+		}
+	}
+	a := ask("x")
+	a.Rule = &config.Rule{AllowedRegions: []string{"nowhere"}}
+	if p.Choose(a, start) != nil || p.possible(a, start) {
+		t.Error("a request that may run nowhere has a target")
+	}
+}
+
+// A target that is in the way of its slots' end takes no more than one request
+// waiting for each slot, and the object's other target serves meanwhile.
+func TestFullTargetsTakeNoMore(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 3}, slots: 2})
+	used := make(map[string]int)
+	for {
+		at := p.Choose(ask("a"), start)
+		if at == nil {
+			break
+		}
+		p.Take(at, start)
+		used[at.target.Name]++
+	}
+	if len(used) != replicas {
+		t.Errorf("%d targets were used, want %d", len(used), replicas)
+	}
+	for name, n := range used {
+		if n != 4 {
+			t.Errorf("%s got %d requests, want 2 that run and 2 that wait", name, n)
+		}
+	}
+	if !p.possible(ask("a"), start) {
+		t.Error("room comes back, so that a request may wait")
+	}
+}
+
+// What other VMs use of a target shows in the load it tells, for a while.
+func TestReportedLoadCounts(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 2}, slots: 2})
+	at := mustChoose(t, p, ask("a"), start)
+	p.Take(at, start)
+	p.Give(at, Result{Load: &edge.Load{Running: 2, Waiting: 3, Slots: 2}, Latency: time.Millisecond}, start)
+	if other := mustChoose(t, p, ask("a"), start); other.target.Name == at.target.Name {
+		t.Error("the target is full with the requests of others, yet it is chosen")
+	}
+	later := start.Add(reportLife + 1)
+	if again := mustChoose(t, p, ask("a"), later); again.target.Name != at.target.Name {
+		t.Error("an old report still counts")
+	}
+}
+
+func TestTargetsOutOfUse(t *testing.T) {
+	tests := map[string]func(p *Pool, v *discovery.View, at *Placed){
+		"its zone is evacuated": func(p *Pool, v *discovery.View, at *Placed) {
+			v.Evacuated["ros-a"] = true
+			p.SetTargets(v.Snapshot.Service("svc"), v)
+		},
+		"it leaves": func(p *Pool, v *discovery.View, at *Placed) {
+			at.target.TargetIndex.Target.Leaving = true
+		},
+		"another instance has its address": func(p *Pool, _ *discovery.View, at *Placed) {
+			p.Take(at, start)
+			p.Give(at, Result{Gone: true}, start)
+		},
+		"its requests fail": func(p *Pool, _ *discovery.View, at *Placed) {
+			for range barAfter {
+				p.Take(at, start)
+				p.Give(at, Result{Failed: true}, start)
+			}
+		},
+		"it refused for want of room": func(p *Pool, _ *discovery.View, at *Placed) {
+			p.Take(at, start)
+			p.Give(at, Result{Shed: true}, start)
+		},
+	}
+	for name, do := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, v := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 2, "bb": 1}, slots: 2})
+			at := mustChoose(t, p, ask("a"), start)
+			do(p, v, at)
+			if next := mustChoose(t, p, ask("a"), start); next.target.Name == at.target.Name {
+				t.Error("the target still gets requests")
+			}
+		})
+	}
+}
+
+func TestBarredTargetComesBack(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 2})
+	fail := func(now time.Time) {
+		at := mustChoose(t, p, ask("a"), now)
+		p.Take(at, now)
+		p.Give(at, Result{Failed: true}, now)
+	}
+	fail(start)
+	fail(start)
+	if p.Choose(ask("a"), start.Add(barFirst-1)) != nil {
+		t.Error("the target is in use though its requests failed")
+	}
+	now := start.Add(barFirst)
+	fail(now)
+	if p.Choose(ask("a"), now.Add(barFirst)) != nil {
+		t.Error("the second time is not longer than the first")
+	}
+	now = now.Add(2 * barFirst)
+	at := mustChoose(t, p, ask("a"), now)
+	p.Take(at, now)
+	finish(p, at, time.Millisecond, now)
+	fail(now)
+	if p.Choose(ask("a"), now) == nil {
+		t.Error("one failure after a success bars the target")
+	}
+}
+
+// An answer of a caller that left says nothing of the target.
+func TestCallersThatLeaveDoNotBar(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 2})
+	for range 2 * barAfter {
+		at := mustChoose(t, p, ask("a"), start)
+		p.Take(at, start)
+		p.Give(at, Result{Failed: true, Left: true}, start)
+	}
+	mustChoose(t, p, ask("a"), start)
+}
+
+// Moving an object costs a run at a target that does not know it: a short wait
+// is better, a long one is not.
+func TestWaitIsWeighedAgainstAFreshRun(t *testing.T) {
+	const warm, fresh = 100 * time.Millisecond, 400 * time.Millisecond
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 4}, slots: 2})
+	p.runs = runTimes{warm: mean(warm), fresh: mean(fresh)}
+	home := mustChoose(t, p, ask("a"), start)
+	p.Take(home, start)
+	p.Take(home, start)
+	if at := mustChoose(t, p, ask("a"), start); at.target != home.target {
+		t.Error("a wait of half a run is shorter than a fresh run elsewhere")
+	}
+	home.target.slow = slowness{factor: 10, at: start}
+	if at := mustChoose(t, p, ask("a"), start); at.target == home.target {
+		t.Error("a slow target keeps its object")
+	}
+}
+
+func TestRunTimesTellFreshRunsByTheirTime(t *testing.T) {
+	var r runTimes
+	r.observe(true, 0, 100*time.Millisecond)
+	for range 50 {
+		r.observe(false, 0, 105*time.Millisecond)
+		r.observe(false, 1, 350*time.Millisecond)
+	}
+	if got := r.expect(false, 0); got > 130*time.Millisecond {
+		t.Errorf("first targets are prepared by others, yet a run there is expected to take %v", got)
+	}
+	if got := r.expect(false, 1); got < 300*time.Millisecond {
+		t.Errorf("second targets are not, yet a run there is expected to take %v", got)
+	}
+	if got := r.expect(true, 1); got > 120*time.Millisecond {
+		t.Errorf("a known object is expected to take %v", got)
+	}
+}
+
+func TestSlownessIsForgotten(t *testing.T) {
+	var s slowness
+	for range 20 {
+		s.observe(8, start)
+	}
+	if now := s.now(start); now < 6 {
+		t.Errorf("a slow target counts as %.1f times as slow", now)
+	}
+	if later := s.now(start.Add(5 * slownessLife)); later > 1.1 {
+		t.Errorf("it still counts as %.1f times as slow", later)
+	}
+}
--- /dev/null
+++ b/internal/placement/queue.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of what a refused caller is told.
+const (
+	// retryLeast keeps callers that are refused at once from coming back before
+	// anything can have changed: about half of a short run.
+	retryLeast = 50 * time.Millisecond
+	// retryMost is below a third of the shortest time callers wait, two seconds,
+	// as they do not wait longer than a third of what they have left.
+	retryMost = 600 * time.Millisecond
+)
+
+// Refusal tells why a request was not given a target and when to come back.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// The reasons of refusals.
+const (
+	reasonNoTarget = "no target may take the request"
+	reasonNoTime   = "no target has room in time"
+	reasonLeft     = "the caller left or its time was over"
+)
+
+// Waiting is a request that waits for a target.
+type Waiting struct {
+	Ask     *Ask
+	until   time.Time // after it the request is refused
+	Placed  *Placed
+	Refused *Refusal
+}
+
+// decided reports whether the request waits no more.
+func (w *Waiting) decided() bool { return w.Placed != nil || w.Refused != nil }
+
+// Enqueue takes a request that has arrived into the queue, behind those that
+// wait with the same priority or a higher one; Serve decides on it. One that may
+// run nowhere, or before which more wait than can run in time, is refused at
+// once.
+func (p *Pool) Enqueue(a *Ask, now time.Time) *Waiting {
+	w := &Waiting{Ask: a, until: p.patience(a)}
+	if !p.possible(a, now) {
+		w.Refused = &Refusal{Reason: reasonNoTarget, RetryAfter: retryMost}
+		return w
+	}
+	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Ask) int {
+		if before(a, x.Ask) {
+			return 1
+		}
+		return -1
+	})
+	if now.Add(p.queueTime(at)).After(w.until) {
+		w.Refused = p.noTime()
+		return w
+	}
+	p.queue = slices.Insert(p.queue, at, w)
+	return w
+}
+
+// queueTime is how long it takes until so many requests that wait have a slot.
+func (p *Pool) queueTime(ahead int) time.Duration {
+	slots := 0
+	for _, t := range p.order {
+		slots += t.Slots
+	}
+	if ahead == 0 || slots == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(slots) * float64(p.runs.expect(true, 0)))
+}
+
+// before reports whether a request goes before another one that waits.
+func before(a, b *Ask) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// patienceShare is the part of its time that a request may wait at least, also
+// where runs take longer than the rest: targets that know few objects yet get
+// to know them only by running requests.
+const patienceShare = 0.25
+
+// turnRuns is how many runs a request takes from when it gets a place: its own,
+// and one before which it may wait at the target.
+const turnRuns = 1 + queueMost
+
+// patience returns until when a request may wait for room: as long as an answer
+// can still come within its objective, or within its deadline where it has
+// none. What waits longer would be late when answered and make others late too.
+func (p *Pool) patience(a *Ask) time.Time {
+	whole := a.Deadline.Sub(a.Arrived)
+	if a.Rule != nil && a.Rule.ObjectiveMS > 0 {
+		whole = min(whole, a.Rule.ObjectiveMS.Duration())
+	}
+	least := time.Duration(patienceShare * float64(whole))
+	return a.Arrived.Add(max(least, whole-time.Duration(turnRuns*float64(p.runs.expect(true, 0)))))
+}
+
+// noTime refuses a request that can't be answered in time. The caller may come
+// back when those that wait now have run.
+func (p *Pool) noTime() *Refusal {
+	after := p.runs.expect(true, 0) + p.queueTime(len(p.queue))
+	return &Refusal{Reason: reasonNoTime, RetryAfter: min(max(after, retryLeast), retryMost)}
+}
+
+// Serve places and refuses requests that wait, in order, and returns those that
+// wait no more.
+func (p *Pool) Serve(now time.Time) []*Waiting {
+	var done []*Waiting
+	for _, w := range p.queue {
+		if at := p.Choose(w.Ask, now); at != nil {
+			p.Take(at, now)
+			w.Placed = at
+		} else if !now.Before(w.until) {
+			w.Refused = p.noTime()
+		}
+		if w.decided() {
+			done = append(done, w)
+		}
+	}
+	if done != nil {
+		p.queue = slices.DeleteFunc(p.queue, (*Waiting).decided)
+	}
+	return done
+}
+
+// Cancel takes a request out of the queue; false when it was decided before.
+func (p *Pool) Cancel(w *Waiting) bool {
+	if w.decided() {
+		return false
+	}
+	w.Refused = &Refusal{Reason: reasonLeft}
+	p.queue = slices.DeleteFunc(p.queue, (*Waiting).decided)
+	return true
+}
+
+// Queued returns how many requests wait.
+func (p *Pool) Queued() int { return len(p.queue) }
--- /dev/null
+++ b/internal/placement/queue_test.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"masticturn/internal/config"
+)
+
+func timedAsk(key string, priority int, arrived time.Time) *Ask {
+	return &Ask{
+		ID: key, Key: key, Priority: priority, Arrived: arrived, Deadline: arrived.Add(2 * time.Second),
+		Rule: &config.Rule{ObjectiveMS: 400},
+	}
+}
+
+// admit enqueues a request and decides on all that wait.
+func admit(p *Pool, a *Ask, now time.Time) *Waiting {
+	w := p.Enqueue(a, now)
+	p.Serve(now)
+	return w
+}
+
+// fullPool is a pool whose only target has no room, and what it runs.
+func fullPool(t *testing.T) (*Pool, []*Placed) {
+	t.Helper()
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 1})
+	var running []*Placed
+	for i := range 2 { // one runs, one waits at the target
+		w := admit(p, timedAsk(fmt.Sprint("running ", i), 1, start), start)
+		if w.Placed == nil {
+			t.Fatal("a free target takes no request")
+		}
+		running = append(running, w.Placed)
+	}
+	return p, running
+}
+
+func TestRequestsWaitInOrder(t *testing.T) {
+	p, running := fullPool(t)
+	late := admit(p, timedAsk("late", 2, start), start)
+	second := admit(p, timedAsk("second", 1, start.Add(2*time.Millisecond)), start.Add(2*time.Millisecond))
+	first := admit(p, timedAsk("first", 1, start.Add(time.Millisecond)), start.Add(2*time.Millisecond))
+	now := start.Add(10 * time.Millisecond)
+	for i, want := range []*Waiting{first, second, late} {
+		finish(p, running[i], 10*time.Millisecond, now)
+		done := p.Serve(now)
+		if len(done) != 1 || done[0] != want {
+			t.Fatalf("place %d: %d decided, want the one request %q", i, len(done), want.Ask.ID)
+		}
+		running = append(running, want.Placed)
+	}
+	if p.Queued() != 0 {
+		t.Errorf("%d requests still wait", p.Queued())
+	}
+}
+
+// A request that finds room is placed even where runs take longer than its
+// objective: nothing else makes targets know objects.
+func TestRoomIsUsedThoughTheAnswerWillBeLate(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 1})
+	p.runs = runTimes{warm: mean(time.Second), fresh: mean(time.Second)}
+	if w := admit(p, timedAsk("a", 1, start), start); w.Placed == nil {
+		t.Errorf("refused: %+v", w.Refused)
+	}
+}
+
+func TestRequestThatCannotBeInTimeIsRefused(t *testing.T) {
+	p, _ := fullPool(t)
+	p.runs = runTimes{warm: mean(100 * time.Millisecond)}
+	w := admit(p, timedAsk("a", 1, start), start)
+	until := start.Add(200 * time.Millisecond) // the objective less a wait at the target and a run
+	if done := p.Serve(until.Add(-time.Millisecond)); len(done) != 0 {
+		t.Fatal("decided though an answer could still be in time")
+	}
+	if done := p.Serve(until); len(done) != 1 || w.Refused == nil {
+		t.Fatal("it waits on though an answer would be late")
+	}
+	if after := w.Refused.RetryAfter; after < retryLeast || after > retryMost {
+		t.Errorf("it may come back after %v", after)
+	}
+}
+
+func TestRequestThatMayRunNowhereIsRefusedAtOnce(t *testing.T) {
+	p, _ := newTestPool(t, "ros", estiba)
+	a := timedAsk("a", 1, start)
+	a.Rule.AllowedRegions = []string{"nowhere"}
+	if w := admit(p, a, start); w.Refused == nil || w.Refused.Reason != reasonNoTarget {
+		t.Errorf("got %+v", w)
+	}
+}
+
+// The longer the queue, the later may a refused caller come back.
+func TestRetryAfterGrowsWithTheQueue(t *testing.T) {
+	p, _ := fullPool(t)
+	p.runs = runTimes{warm: mean(100 * time.Millisecond)}
+	short := p.noTime().RetryAfter
+	for i := range 3 {
+		admit(p, timedAsk(fmt.Sprint(i), 1, start), start)
+	}
+	if long := p.noTime().RetryAfter; long <= short {
+		t.Errorf("%v with three waiting, %v with none", long, short)
+	}
+}
+
+func TestCanceledRequestGetsNoTarget(t *testing.T) {
+	p, running := fullPool(t)
+	w := admit(p, timedAsk("a", 1, start), start)
+	if !p.Cancel(w) || p.Cancel(w) {
+		t.Error("a waiting request is cancelled once")
+	}
+	finish(p, running[0], time.Millisecond, start)
+	if done := p.Serve(start); len(done) != 0 {
+		t.Error("a request whose caller left got a target")
+	}
+}
+
+// A burst of three times what the targets can run: what is answered is mostly in
+// time, and the more urgent class loses less than the other.
+func TestBurstServesInTimeAndByPriority(t *testing.T) {
+	const run = 100 * time.Millisecond
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 4}, slots: 2})
+	p.runs = runTimes{warm: mean(run), fresh: mean(run)}
+	type ending struct {
+		at time.Time
+		w  *Waiting
+	}
+	var ends []ending
+	inTime, asked := map[int]int{}, map[int]int{}
+	lateAnswers := 0
+	free := map[string][]time.Time{} // when each slot of a target is free
+	end := func(w *Waiting, now time.Time) {
+		name := w.Placed.index.Name
+		if free[name] == nil {
+			free[name] = []time.Time{now, now}
+		}
+		slots := free[name]
+		slices.SortFunc(slots, time.Time.Compare)
+		if slots[0].Before(now) {
+			slots[0] = now
+		}
+		slots[0] = slots[0].Add(run)
+		ends = append(ends, ending{slots[0], w})
+	}
+	for ms := range 4000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		var running []ending
+		for _, e := range ends {
+			if e.at.After(now) {
+				running = append(running, e)
+				continue
+			}
+			finish(p, e.w.Placed, run, now)
+			if now.Sub(e.w.Ask.Arrived) <= 400*time.Millisecond {
+				inTime[e.w.Ask.Priority]++
+			} else {
+				lateAnswers++
+			}
+		}
+		ends = running
+		if ms < 3000 && ms%4 == 0 { // 250 requests a second, room for 80
+			priority := 1 + ms/4%2
+			asked[priority]++
+			p.Enqueue(timedAsk(fmt.Sprint(ms%40), priority, now), now)
+		}
+		for _, w := range p.Serve(now) {
+			if w.Placed != nil {
+				end(w, now)
+			}
+		}
+	}
+	served := inTime[1] + inTime[2]
+	if served < 180 {
+		t.Errorf("%d requests were answered in time, of 240 that there was room for", served)
+	}
+	if lateAnswers > served/4 {
+		t.Errorf("%d answers were late, %d in time", lateAnswers, served)
+	}
+	if inTime[1]*asked[2] < inTime[2]*asked[1] {
+		t.Errorf("in time: %d of %d urgent ones, %d of %d others", inTime[1], asked[1], inTime[2], asked[2])
+	}
+}
