--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -151,8 +151,14 @@
 	return t
 }
 
-// objectKey names the object the request is about, "" when it names none.
-func (x *exchange) objectKey() string { return first(x.r.Header, x.h.deps.Dialect.ObjectKey) }
+// objectKey names the object the request is about, "" when it names none or
+// when targets are no faster with objects they know.
+func (x *exchange) objectKey() string {
+	if r := x.match.Rule; r != nil && !r.Affinity {
+		return ""
+	}
+	return first(x.r.Header, x.h.deps.Dialect.ObjectKey)
+}
 
 func (x *exchange) wholeTimeout() time.Duration {
 	ms, err := strconv.ParseInt(first(x.r.Header, x.h.deps.Dialect.CallerTimeoutMS), 10, 64)
