--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,6 +71,7 @@
 			newStatus(),
 			newDrain(),
 			newEvents(),
+			newTrace(),
 			newStandin(),
 			newBench(),
 			newVersion(),
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"masticturn/internal/membership"
+	"masticturn/internal/telemetry"
+)
+
+func member(name, region string, state membership.State, gen uint64) membership.Member {
+	return membership.Member{Name: name, Region: region, CallerAddress: name + ":80", State: state, Generation: gen}
+}
+
+func TestChoose(t *testing.T) {
+	all := []membership.Member{
+		member("a1", "a", membership.Alive, 1),
+		member("a2", "a", membership.Alive, 1),
+		member("a3", "a", membership.Suspect, 1),
+		member("a4", "a", membership.Leaving, 1),
+		member("a5", "a", membership.Alive, 0), // has no document yet
+		member("b1", "b", membership.Alive, 1),
+		member("c1", "c", membership.Leaving, 1),
+	}
+	tests := map[string]struct {
+		region string
+		want   []string
+	}{
+		"those of the region":              {"a", []string{"a1:80", "a2:80"}},
+		"another region":                   {"b", []string{"b1:80"}},
+		"a region without any that serves": {"c", []string{"a1:80", "a2:80", "b1:80"}},
+		"a region that is not known":       {"nowhere", []string{"a1:80", "a2:80", "b1:80"}},
+	}
+	for name, tt := range tests {
+		if got := Choose(&membership.View{Members: all}, tt.region, ""); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", name, got, tt.want)
+		}
+	}
+}
+
+type fixedMembers struct{ view *membership.View }
+
+func (f fixedMembers) View() *membership.View                  { return f.view }
+func (f fixedMembers) Subscribe(func(*membership.View)) func() { return func() {} }
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func get(t *testing.T, url string) (int, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(raw)
+}
+
+func TestReadinessAndLookups(t *testing.T) {
+	serving := false
+	ready, lookup := listen(t), listen(t)
+	s := NewService(Deps{
+		Names: Names{
+			ReadyPath: "/r", LookupPath: "/l", RegionQuery: "in", ZoneQuery: "near",
+			Answer: func(addresses []string, maxAge time.Duration) any {
+				return map[string]any{"to": addresses, "for": maxAge.Seconds()}
+			},
+		},
+		Ready: ready, Lookup: lookup,
+		Members: fixedMembers{&membership.View{Members: []membership.Member{member("a1", "a", membership.Alive, 1)}}},
+		Places:  map[string]string{"a-1": "a"},
+		Serving: func() (bool, string) { return serving, "not yet" },
+		MaxAge:  2 * time.Second,
+		Logger:  telemetry.Discard(),
+	})
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	readyURL, lookupURL := "http://"+ready.Addr().String()+"/r", "http://"+lookup.Addr().String()+"/l"
+	if status, body := get(t, readyURL); status != http.StatusServiceUnavailable || body != "not yet\n" {
+		t.Errorf("before it serves: %d %q", status, body)
+	}
+	serving = true
+	if status, _ := get(t, readyURL); status != http.StatusOK {
+		t.Errorf("while it serves: %d", status)
+	}
+	status, body := get(t, lookupURL+"?near=a-1")
+	var answer struct {
+		To  []string
+		For float64
+	}
+	if err := json.Unmarshal([]byte(body), &answer); err != nil || status != http.StatusOK || len(answer.To) != 1 || answer.For != 2 {
+		t.Errorf("look-up: %d %s", status, body)
+	}
+	s.Leave()
+	if status, _ = get(t, readyURL); status != http.StatusServiceUnavailable {
+		t.Errorf("while it leaves: %d", status)
+	}
+	if status, _ = get(t, lookupURL+"?in=a"); status != http.StatusOK {
+		t.Error("a VM that leaves still answers look-ups")
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -281,6 +281,7 @@
 // whole.
 func (x *exchange) abort(err *outcome.Error) {
 	x.observe(err)
+	x.h.faults.failed(x, err)
 	if x.claim != nil {
 		x.claim.Finish(err.Outcome, nil)
 	}
--- a/internal/forward/faultlog.go
+++ b/internal/forward/faultlog.go
@@ -2,32 +2,19 @@
 
 import (
 	"github.com/gravitational/trace"
-	"golang.org/x/time/rate"
 
 	"masticturn/internal/outcome"
 	"masticturn/internal/telemetry"
 )
 
-// Lines of failed requests are bounded, since a fault of a target is a fault
-// of thousands of requests.
-const (
-	failuresPerSecond = 20
-	failuresBurst     = 50
-)
-
-// faultLog writes what went wrong with requests.
-type faultLog struct {
-	logger  *telemetry.Logger
-	limiter *rate.Limiter
-}
+// faultLog writes what went wrong with requests. The logger bounds the lines.
+type faultLog struct{ logger *telemetry.Logger }
 
-func newFaultLog(l *telemetry.Logger) *faultLog {
-	return &faultLog{logger: l, limiter: rate.NewLimiter(failuresPerSecond, failuresBurst)}
-}
+func newFaultLog(l *telemetry.Logger) *faultLog { return &faultLog{logger: l} }
 
 // note writes an answer that was dropped.
 func (f *faultLog) note(x *exchange, end *attemptEnd) {
-	if end.Fault != FaultCrossed && end.Fault != FaultShort || !f.limiter.Allow() {
+	if end.Fault != FaultCrossed && end.Fault != FaultShort {
 		return
 	}
 	f.logger.Log(eventAnswerDropped,
@@ -40,13 +27,19 @@
 
 // failed writes a request that ended without a whole answer.
 func (f *faultLog) failed(x *exchange, err *outcome.Error) {
-	if !f.limiter.Allow() {
-		return
-	}
-	f.logger.Log(eventRequestFailed,
+	fields := []telemetry.Field{
 		telemetry.Peer(err.Peer),
 		telemetry.Step(string(err.Step)),
 		telemetry.Value("outcome", err.Outcome.String()),
 		telemetry.Value("request_id", x.id),
-		telemetry.Err(trace.Wrap(err)))
+		telemetry.Value("status", status(err)),
+		telemetry.Value("attempts", x.dispatch.attempts),
+		telemetry.Value("took_ms", x.h.deps.Clock.Now().Sub(x.startedAt).Milliseconds()),
+		telemetry.Value("retry_after_ms", err.RetryAfter.Milliseconds()),
+		telemetry.Err(trace.Wrap(err)),
+	}
+	if x.snap != nil {
+		fields = append(fields, telemetry.GenerationOf(uint64(x.snap.Generation)))
+	}
+	f.logger.Log(eventRequestFailed, fields...)
 }
--- /dev/null
+++ b/internal/logtrace/logtrace.go
@@ -0,0 +1,139 @@
+// Package logtrace finds the story of one request in the logs of several VMs:
+// the lines that carry its id, and the lines about the targets that it met and
+// the VMs that served it, from shortly before to its end.
+package logtrace
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Line is one line of a log.
+type Line struct {
+	At     time.Time
+	VM     string
+	Event  int
+	Text   string
+	Fields map[string]any // all other fields
+}
+
+// Fields of log lines, as package telemetry writes them.
+const (
+	fieldTime    = "time"
+	fieldVM      = "vm"
+	fieldEvent   = "event"
+	fieldMessage = "msg"
+	fieldLevel   = "level"
+	fieldPeer    = "peer"
+	fieldRequest = "request_id"
+)
+
+// maxLineBytes bounds a line; longer ones are passed over.
+const maxLineBytes = 1 << 20
+
+// Read returns the lines of a log. What stands before the JSON object of a line,
+// such as the prefix of a log collector, is passed over, and so are lines
+// without one.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, trace.Wrap(scanner.Err(), "read log")
+}
+
+func parse(raw []byte) (Line, bool) {
+	start := bytes.IndexByte(raw, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw[start:], &fields); err != nil {
+		return Line{}, false
+	}
+	l := Line{Fields: fields}
+	l.VM, _ = fields[fieldVM].(string)
+	l.Text, _ = fields[fieldMessage].(string)
+	number, ok := fields[fieldEvent].(float64)
+	l.Event = int(number)
+	text, _ := fields[fieldTime].(string)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if !ok || err != nil {
+		return Line{}, false
+	}
+	l.At = at
+	for _, name := range []string{fieldTime, fieldVM, fieldEvent, fieldMessage, fieldLevel} {
+		delete(fields, name)
+	}
+	return l, true
+}
+
+// text returns a field as text, "" when it is absent.
+func (l *Line) text(field string) string {
+	s, _ := l.Fields[field].(string)
+	return s
+}
+
+// String returns the line for people.
+func (l *Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %d %s", l.At.UTC().Format("15:04:05.000"), l.VM, l.Event, l.Text)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if v := l.Fields[name]; v != "" && v != nil {
+			fmt.Fprintf(&b, " %s=%v", name, v)
+		}
+	}
+	return b.String()
+}
+
+// Story returns the lines that tell of a request, in the order of time: its own,
+// and those without a request's id about the targets that it met or, on the VMs
+// that served it, about anything else, from so long before its first line up to
+// its last. It is empty when no line carries the id.
+func Story(lines []Line, id string, before time.Duration) []Line {
+	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.text(fieldRequest) != id })
+	if len(own) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(own, byTime)
+	from, to := own[0].At.Add(-before), own[len(own)-1].At
+	vms, peers := make(map[string]bool), make(map[string]bool)
+	for i := range own {
+		vms[own[i].VM] = true
+		if p := own[i].text(fieldPeer); p != "" {
+			peers[p] = true
+		}
+	}
+	var story []Line
+	for i := range lines {
+		l := &lines[i]
+		switch {
+		case l.text(fieldRequest) == id:
+		case l.text(fieldRequest) != "" || l.At.Before(from) || l.At.After(to):
+			continue
+		case !vms[l.VM] || l.text(fieldPeer) != "" && !peers[l.text(fieldPeer)]:
+			continue
+		}
+		story = append(story, *l)
+	}
+	slices.SortStableFunc(story, byTime)
+	return story
+}
+
+func byTime(a, b Line) int {
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.VM, b.VM))
+}
--- /dev/null
+++ b/internal/logtrace/logtrace_test.go
@@ -0,0 +1,48 @@
+package logtrace
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const logs = `prefix {"event":8401,"msg":"request placed","peer":"t1","request_id":"a","time":"2026-01-02T03:04:05.100Z","vm":"vm1","level":"info"}
+{"event":8104,"msg":"target changed","peer":"t1","state":"leaving","time":"2026-01-02T03:04:04.900Z","vm":"vm1"}
+{"event":8104,"msg":"target changed","peer":"t9","state":"leaving","time":"2026-01-02T03:04:04.900Z","vm":"vm1"}
+{"event":8104,"msg":"target changed","peer":"t1","state":"leaving","time":"2026-01-02T03:04:04.900Z","vm":"vm2"}
+{"event":8101,"msg":"store lost","time":"2026-01-02T03:04:04.950Z","vm":"vm1"}
+{"event":8101,"msg":"store lost","time":"2026-01-02T03:03:04.950Z","vm":"vm1"}
+{"event":8401,"msg":"request placed","peer":"t1","request_id":"b","time":"2026-01-02T03:04:05.200Z","vm":"vm1"}
+{"event":5001,"msg":"request failed","peer":"t1","request_id":"a","time":"2026-01-02T03:04:06.100Z","vm":"vm1"}
+not a line
+{"event":"broken"
+`
+
+func TestStory(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range Story(lines, "a", time.Second) {
+		got = append(got, l.Text+" "+l.text(fieldPeer))
+	}
+	want := "target changed t1|store lost |request placed t1|request failed t1"
+	if strings.Join(got, "|") != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if Story(lines, "unknown", time.Second) != nil {
+		t.Error("a request that no line names has a story")
+	}
+}
+
+func TestLineForPeople(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "03:04:05.100 vm1 8401 request placed peer=t1 request_id=a"
+	if got := lines[0].String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -106,7 +106,7 @@
 	l.SetOutput(w)
 	l.SetLevel(level)
 	if format == FormatJSON {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	}
