Placement: the weight of other regions follows what the own region lacks

Cause: GB between regions was the second price, and every first run in another region is late: regions with their share of targets sent one object in six away without need.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -22,11 +22,13 @@
 	// objects and a service of 12 to 14 targets has 72 to 165, so that three
 	// copies of each fit, and no more.
 	replicas = 2
-	// remoteWeight is what a slot of another region weighs against one of this
-	// region in the choice of an object's targets. With 2 of 14 targets and a third
-	// of the callers, about half of a region's objects go elsewhere; with 6 of 14
-	// one in six. The share is steady, whatever the load.
-	remoteWeight = 0.15
+	// A slot of another region weighs remoteWeightLeast against one of this region
+	// in the choice of an object's targets where this region has its share of the
+	// slots, and remoteWeightMost where it has half of that or less. With 2 of 14
+	// targets and a third of the callers, about half of a region's objects go
+	// elsewhere; with 6 of 14 one in twenty. The share is steady, whatever the load.
+	remoteWeightLeast = 0.03
+	remoteWeightMost  = 0.15
 	// rankStep is what it must gain to use an object's next target in place of the
 	// one before.
 	rankStep = 100 * time.Millisecond
@@ -55,6 +57,7 @@
 	cold    config.Cold
 	runs    runTimes
 	trips   map[string]mean // way there and back, by region
+	remote  float64         // weight of a slot of another region
 	queue   []*Waiting      // requests that wait, in order
 }
 
@@ -84,6 +87,30 @@
 	}
 	p.targets = next
 	p.cold = svc.Cold
+	p.remote = p.weighRemote()
+}
+
+// weighRemote returns the weight of a slot of another region, by how much of its
+// share of the slots this region has.
+func (p *Pool) weighRemote() float64 {
+	regions := make(map[string]bool)
+	own, total := 0, 0
+	for _, t := range p.order {
+		regions[t.Region] = true
+		if t.Leaving || t.evacuated {
+			continue
+		}
+		total += t.Slots
+		if t.Region == p.region {
+			own += t.Slots
+		}
+	}
+	if total == 0 {
+		return remoteWeightMost
+	}
+	share := float64(own*len(regions)) / float64(total)
+	lacking := min(max(2*(1-share), 0), 1)
+	return remoteWeightLeast + lacking*(remoteWeightMost-remoteWeightLeast)
 }
 
 // Placed is a request's place at a target.
@@ -173,7 +200,7 @@
 		}
 		weight := float64(t.Slots)
 		if t.Region != p.region {
-			weight *= remoteWeight
+			weight *= p.remote
 		}
 		ranked = append(ranked, scored{t, rendezvous.WeightedScore(key, t.Name, weight)})
 	}
