--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -182,3 +182,25 @@
 		t.Errorf("%d permits are still held", n)
 	}
 }
+
+// Silence does not tell a slow target from a dead one: where the document says
+// so, a request is not given up before its time for a retry.
+func TestPatientDocumentWaitsForASlowTarget(t *testing.T) {
+	slow := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		_, _ = io.WriteString(w, "slow")
+	})
+	for _, patient := range []bool{false, true} {
+		doc := document(slow, slow)
+		doc.Retry.Patient = patient
+		b := newBench(t, doc, nil, telemetry.Discard())
+		_, _, err := b.call(t, "GET", "/svc/a", nil, edge.HeaderTimeoutMS, "1000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = b.heldPermits()
+		if given := b.admission.attempts > 1; given == patient {
+			t.Errorf("patient %t: %d attempts", patient, b.admission.attempts)
+		}
+	}
+}
