--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,7 +20,6 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	once    sync.Once
 	done    chan struct{}
 }
 
@@ -49,10 +47,16 @@
 // Flush waits until the lines so far are written, for a short time at most.
 // Nothing is to be written after it.
 func (w *QueuedWriter) Flush() {
-	w.once.Do(func() { w.lines <- nil })
+	timer := time.NewTimer(flushPatience)
+	defer timer.Stop()
+	select {
+	case w.lines <- nil: // the end, for run
+	case <-timer.C:
+		return
+	}
 	select {
 	case <-w.done:
-	case <-time.After(flushPatience):
+	case <-timer.C:
 	}
 }
 
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -54,9 +54,12 @@
 			t.Errorf("%d lines counted as dropped, of %d", dropped, lines)
 		}
 		began = time.Now()
-		go queue.Flush()
-		time.Sleep(flushPatience)
+		queue.Flush()
+		if waited := time.Since(began); waited != flushPatience {
+			t.Errorf("the end of the process waited %v for a reader that does not read", waited)
+		}
 		close(out.let)
+		queue.Flush()
 		synctest.Wait()
 		if got := strings.Count(out.text.String(), "line\n"); int64(got) != lines-dropped {
 			t.Errorf("%d lines were written, want %d", got, lines-dropped)
