--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -172,6 +172,11 @@
 	return wait, d.rule.spend(a.Peer)
 }
 
+// notRunRetryAfter is when a caller may come back whose request was not run, if
+// neither the target nor admission says: after about one run of a short request,
+// when another slot is free.
+const notRunRetryAfter = 100 * time.Millisecond
+
 // failure is the one place where the outcome of a failed request is decided.
 func (d *dispatch) failure(a attemptEnd) *outcome.Error {
 	o := outcome.NotRun
@@ -190,8 +195,12 @@
 	var cause *outcome.Error
 	if errors.As(a.Err, &cause) {
 		e.Reason = cause.Reason
+		e.Err = cause.Err
 		e.RetryAfter = max(e.RetryAfter, cause.RetryAfter)
 	}
+	if o == outcome.NotRun && e.RetryAfter == 0 && a.Fault != FaultCallerGone {
+		e.RetryAfter = notRunRetryAfter
+	}
 	return e
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -154,7 +154,7 @@
 		queued: t.busy(now) >= t.Slots,
 		own:    t.own,
 		others: t.others,
-		age:    now.Sub(t.reported),
+		age:    t.reportAge(now),
 	}
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -46,6 +46,15 @@
 	t.reported = now
 }
 
+// reportAge is how old the target's last word on its load is; -1 ms when it has
+// told none.
+func (t *targetState) reportAge(now time.Time) time.Duration {
+	if t.reported.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(t.reported)
+}
+
 // cold reports whether the target bears few requests only.
 func (t *targetState) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
