--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -239,6 +239,8 @@
 		telemetry.Value("request_id", ask.ID),
 		telemetry.Value("service", r.Service.Name),
 		telemetry.Value("reason", why.Reason),
+		telemetry.Value("queued", why.Queued),
+		telemetry.Value("targets", why.Targets),
 		telemetry.Value("object", ask.Key),
 		telemetry.Value("waited_ms", a.deps.Clock.Now().Sub(ask.Arrived).Milliseconds()),
 		telemetry.Value("retry_after_ms", why.RetryAfter.Milliseconds()))
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -20,7 +20,7 @@
 		Number:  telemetry.RangeDiscovery + 402,
 		Level:   logrus.WarnLevel,
 		Name:    "request refused",
-		Meaning: "A request was told that it was not run, for the reason stated, with the time after which it may come back.",
+		Meaning: "A request was told that it was not run, for the reason stated, with the time after which it may come back. queued is how many waited; targets are the object's, each with what is believed to run there of its slots.",
 		Action:  "When there are many: look at the targets' load in the region, and at which targets are barred.",
 	})
 	eventBarred = telemetry.Register(telemetry.Event{
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -19,6 +21,8 @@
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
+	Queued     int    // requests that waited
+	Targets    string // of the object, each with what is believed to run there of its slots; for logs
 }
 
 // The reasons of refusals.
@@ -46,7 +50,7 @@
 func (p *Pool) Enqueue(a *Ask, now time.Time) *Waiting {
 	w := &Waiting{Ask: a, until: p.patience(a)}
 	if !p.possible(a, now) {
-		w.Refused = &Refusal{Reason: reasonNoTarget, RetryAfter: retryMost}
+		w.Refused = p.refusal(a, reasonNoTarget, retryMost, now)
 		return w
 	}
 	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Ask) int {
@@ -56,7 +60,7 @@
 		return -1
 	})
 	if now.Add(p.queueTime(at)).After(w.until) {
-		w.Refused = p.noTime()
+		w.Refused = p.noTime(a, now)
 		return w
 	}
 	p.queue = slices.Insert(p.queue, at, w)
@@ -106,9 +110,17 @@
 
 // noTime refuses a request that can't be answered in time. The caller may come
 // back when those that wait now have run.
-func (p *Pool) noTime() *Refusal {
+func (p *Pool) noTime(a *Ask, now time.Time) *Refusal {
 	after := p.runs.expect(true, 0) + p.queueTime(len(p.queue))
-	return &Refusal{Reason: reasonNoTime, RetryAfter: min(max(after, retryLeast), retryMost)}
+	return p.refusal(a, reasonNoTime, min(max(after, retryLeast), retryMost), now)
+}
+
+func (p *Pool) refusal(a *Ask, reason string, retryAfter time.Duration, now time.Time) *Refusal {
+	var targets []string
+	for _, t := range p.candidates(a, now) {
+		targets = append(targets, fmt.Sprintf("%s %d/%d", t.Name, t.busy(now), t.Slots))
+	}
+	return &Refusal{Reason: reason, RetryAfter: retryAfter, Queued: len(p.queue), Targets: strings.Join(targets, ", ")}
 }
 
 // Serve places and refuses requests that wait, in order, and returns those that
@@ -120,7 +132,7 @@
 			p.Take(at, now)
 			w.Placed = at
 		} else if !now.Before(w.until) {
-			w.Refused = p.noTime()
+			w.Refused = p.noTime(w.Ask, now)
 		}
 		if w.decided() {
 			done = append(done, w)
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -96,11 +96,11 @@
 func TestRetryAfterGrowsWithTheQueue(t *testing.T) {
 	p, _ := fullPool(t)
 	p.runs = runTimes{warm: mean(100 * time.Millisecond)}
-	short := p.noTime().RetryAfter
+	short := p.noTime(timedAsk("a", 1, start), start).RetryAfter
 	for i := range 3 {
 		admit(p, timedAsk(fmt.Sprint(i), 1, start), start)
 	}
-	if long := p.noTime().RetryAfter; long <= short {
+	if long := p.noTime(timedAsk("a", 1, start), start).RetryAfter; long <= short {
 		t.Errorf("%v with three waiting, %v with none", long, short)
 	}
 }
