--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -118,12 +118,21 @@
 		URL:            p.URL,
 		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
 		WatchTimeout:   time.Duration(p.WatchMS) * time.Millisecond,
+		WatchTimeouts:  watchTimeouts(p.WatchKindMS),
 		CallsPerSecond: p.CallsPerSecond,
 		Metrics:        d.opts.Metrics,
 		Dial:           d.opts.Dial,
 	})
 }
 
+func watchTimeouts(ms map[string]int) map[platform.Kind]time.Duration {
+	out := make(map[platform.Kind]time.Duration, len(ms))
+	for kind, n := range ms {
+		out[platform.Kind(kind)] = time.Duration(n) * time.Millisecond
+	}
+	return out
+}
+
 func (d *Daemon) newNetwork(*wiring) (kernel.Service, error) {
 	return peer.NewTCP(peer.Options{
 		VM:          d.settings.VM.Name,
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,21 +15,28 @@
 )
 
 // Who reads the store. Every read is a call that is paid for, so that a few VMs
-// read and the others hear from them: the watchers, one VM of each region (its
-// leader) hears from a watcher, and the other VMs of a region from its leader.
+// read and the others hear from them: the watchers read, one VM of each region
+// (its leader) hears from a watcher, and the other VMs of a region hear from the
+// leader or, in a large region, from one that does.
 const (
+	// fanOut is how many VMs of a region hear from one: with 155 VMs in a region
+	// news passes two of them, and none answers more than about 60 polls a second.
+	fanOut = 16
 	// watchers read the store: with two, the loss of one is made up for by the
 	// other, without a read by everybody.
 	watchers = 2
 	// staleAfter is the age at which what another VM tells is not good enough: a
-	// watcher hears from the store at least every 1.1 s (0.8 s of a watch, 0.11 s
+	// watcher hears from the store at least every 1.3 s (0.95 s of a watch, 0.11 s
 	// of the way between regions, settlePause), and whoever follows it hears so at
 	// once. What is left of two seconds, the tightest bound, is for asking
 	// elsewhere.
-	staleAfter = 1200 * time.Millisecond
-	// pollTimeout is when a VM that does not even tell that it is out of touch is
-	// given up.
-	pollTimeout = staleAfter + 100*time.Millisecond
+	staleAfter = 1350 * time.Millisecond
+	// zonesStaleAfter is the same for evacuated zones, which have five seconds, so
+	// that watches of them may last 2.4 s.
+	zonesStaleAfter = 2800 * time.Millisecond
+	// pollMargin is when a VM that does not even tell that it is out of touch is
+	// given up, after it should have.
+	pollMargin = 100 * time.Millisecond
 	// avoidFor is how long a VM that did not answer in time is passed over.
 	avoidFor = time.Second
 )
@@ -51,46 +59,64 @@
 }
 
 // parents returns the names of the VMs from which this one hears of the store,
-// best first; none when it reads the store itself.
+// best first; none when it reads the store itself. All VMs with the same view
+// agree on who hears from whom, and nobody hears, by whatever way, from itself.
 func parents(v *membership.View) []string {
-	order := leaders(v)
-	top := order[:min(watchers, len(order))]
+	regions := byRegion(v)
+	order := leaders(regions)
+	own := regions[regionOf(v, v.Self)]
+	at := slices.IndexFunc(own, func(m membership.Member) bool { return m.Name == v.Self })
+	if at < 0 {
+		return nil // it is leaving, and others do not hear from it
+	}
 	var out []string
-	own := regionOf(v, v.Self)
-	for i, m := range order {
-		if m.Name == v.Self && i < watchers {
-			return nil
-		}
-		if m.Region == own && m.Name != v.Self {
-			out = append(out, m.Name)
-		}
+	if at > 0 {
+		out = append(out, own[(at-1)/fanOut].Name)
+		out = appendNew(out, own[0].Name)
 	}
-	for _, m := range top {
-		if m.Region != own {
-			out = append(out, m.Name)
+	for _, leader := range order[:min(watchers, len(order))] {
+		if leader.Name == v.Self {
+			return nil
 		}
+		out = appendNew(out, leader.Name)
 	}
 	return out
 }
 
+func appendNew(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
+	}
+	return append(names, name)
+}
+
 func regionOf(v *membership.View, name string) string {
 	m, _ := v.Member(name)
 	return m.Region
 }
 
-// leaders returns one VM of each region, in an order on which all VMs with the
-// same view agree.
-func leaders(v *membership.View) []membership.Member {
+func memberName(m membership.Member) string { return m.Name }
+
+// byRegion returns the members that are alive, by region, in an order on which
+// all VMs with the same view agree.
+func byRegion(v *membership.View) map[string][]membership.Member {
 	regions := make(map[string][]membership.Member)
 	for _, m := range v.Members {
 		if m.State == membership.Alive {
 			regions[m.Region] = append(regions[m.Region], m)
 		}
 	}
-	name := func(m membership.Member) string { return m.Name }
-	var out []membership.Member
 	for region, members := range regions {
-		out = append(out, rendezvous.Top("leader of "+region, members, 1, name)...)
+		regions[region] = rendezvous.Top("leader of "+region, members, len(members), memberName)
+	}
+	return regions
+}
+
+// leaders returns the first VM of each region, the watchers first.
+func leaders(regions map[string][]membership.Member) []membership.Member {
+	var out []membership.Member
+	for _, members := range regions {
+		out = append(out, members[0])
 	}
 	return rendezvous.Top("watchers", out, len(out), func(m membership.Member) string { return m.Region })
 }
@@ -101,11 +127,12 @@
 type relaySource struct {
 	network peer.Network
 	vm      string
+	timeout time.Duration
 }
 
 // poll asks once. The age of the answer is that of what it tells.
 func (r relaySource) poll(ctx context.Context, kind platform.Kind, since platform.Version) (*pollAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	var a pollAnswer
 	err := r.network.Call(ctx, r.vm, peer.KindMirrorPoll, &pollRequest{Kind: kind, Since: since}, &a)
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -89,9 +89,10 @@
 	for kind := range s.mirrors {
 		w := &watcher{
 			kind:    kind,
+			stale:   s.staleAfter(kind),
 			store:   s.deps.Store,
 			parents: func() []string { return parents(s.deps.Members.View()) },
-			relay:   func(vm string) relaySource { return relaySource{s.deps.Network, vm} },
+			relay:   func(vm string) relaySource { return relaySource{s.deps.Network, vm, s.staleAfter(kind) + pollMargin} },
 			clock:   s.deps.Clock,
 			logger:  s.deps.Logger,
 			publish: s.take,
@@ -166,6 +167,15 @@
 	}
 }
 
+// staleAfter returns the age at which what is known of a kind is not good
+// enough to be passed on.
+func (s *Service) staleAfter(kind platform.Kind) time.Duration {
+	if kind == s.deps.Decoder.Kinds().Evacuations {
+		return zonesStaleAfter
+	}
+	return staleAfter
+}
+
 // hear notes that the store was heard of and answers the polls that wait.
 func (s *Service) hear(kind platform.Kind, at time.Time) {
 	s.heard[kind] = at
@@ -208,7 +218,7 @@
 		return nil, 0
 	}
 	age := s.deps.Clock.Now().Sub(s.heard[r.Kind])
-	return s.news[r.Kind], staleAfter - age + time.Millisecond
+	return s.news[r.Kind], s.staleAfter(r.Kind) - age + time.Millisecond
 }
 
 func (s *Service) answer(m *Mirror, r *pollRequest) *pollAnswer {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -18,7 +18,7 @@
 	retryPauseMost = 400 * time.Millisecond
 	// settlePause lets further changes gather before the next watch, since each
 	// answer is a call that is paid for.
-	settlePause = 150 * time.Millisecond
+	settlePause = 200 * time.Millisecond
 )
 
 // change is what one read of the store, or of another VM, brought.
@@ -36,6 +36,7 @@
 // are up to date, else from the store.
 type watcher struct {
 	kind    platform.Kind
+	stale   time.Duration // age at which what a VM tells is not good enough
 	store   platform.Store
 	parents func() []string // VMs to hear from, best first; none: read the store
 	relay   func(vm string) relaySource
@@ -96,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	if a.Age > staleAfter {
+	if a.Age > w.stale {
 		return errStale
 	}
 	if a.AsOf < w.asOf {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,10 +71,12 @@
 
 // Platform is the endpoint of the platform's object API.
 type Platform struct {
-	URL            string  `json:"url"`
-	TimeoutMS      int     `json:"timeout_ms"`       // of one call; default 1000
-	WatchMS        int     `json:"watch_ms"`         // how long the platform may hold a watch; default 1000
-	CallsPerSecond float64 `json:"calls_per_second"` // budget of this process; default 20
+	URL       string `json:"url"`
+	TimeoutMS int    `json:"timeout_ms"` // of one call; default 1000
+	WatchMS   int    `json:"watch_ms"`   // how long the platform may hold a watch; default 1000
+	// WatchKindMS is the same for some kinds of objects.
+	WatchKindMS    map[string]int `json:"watch_kind_ms,omitempty"`
+	CallsPerSecond float64        `json:"calls_per_second"` // budget of this process; default 20
 }
 
 // Peers tells how to find and trust the other daemons.
