--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -34,6 +34,7 @@
 	RangeOperator   = 7000
 	RangeDiscovery  = 8000 // discovery, placement, entry
 	rangeSize       = 1000
+	fieldVM         = "vm"
 	fieldEvent      = "event"
 	fieldStep       = "step"
 	fieldPeer       = "peer"
@@ -86,7 +87,8 @@
 
 // Logger writes numbered events.
 type Logger struct {
-	entry  *logrus.Entry
+	out    *logrus.Logger
+	vm     string
 	budget *lineBudget
 	queue  *QueuedWriter // nil: lines are written by who logs
 }
@@ -106,11 +108,11 @@
 	l.SetOutput(w)
 	l.SetLevel(level)
 	if format == FormatJSON {
-		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+		l.SetFormatter(lineFormatter{})
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	}
-	logger := &Logger{entry: l.WithField("vm", vm), budget: newLineBudget()}
+	logger := &Logger{out: l, vm: vm, budget: newLineBudget()}
 	logger.queue, _ = w.(*QueuedWriter)
 	return logger
 }
@@ -127,7 +129,7 @@
 
 // Log writes one event.
 func (l *Logger) Log(e *Event, fields ...Field) {
-	if l == nil || !l.entry.Logger.IsLevelEnabled(e.Level) {
+	if l == nil || !l.out.IsLevelEnabled(e.Level) {
 		return
 	}
 	if !l.budget.allow(e) {
@@ -159,10 +161,13 @@
 })
 
 func (l *Logger) write(e *Event, fields []Field) {
-	data := make(logrus.Fields, len(fields)+1)
+	data := make(logrus.Fields, len(fields)+2)
+	data[fieldVM] = l.vm
 	data[fieldEvent] = e.Number
 	for _, f := range fields {
 		data[f.Key] = f.Value
 	}
-	l.entry.WithFields(data).Log(e.Level, e.Name)
+	// The entry takes over the map; WithFields would copy it.
+	entry := logrus.Entry{Logger: l.out, Data: data}
+	entry.Log(e.Level, e.Name)
 }
