--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -86,3 +86,23 @@
 		p.Take(mustChoose(t, p, ask("a"), start), start)
 	}
 }
+
+// While the targets of an object are cold, the next ones serve it: nothing is
+// refused that other targets have room for.
+func TestObjectsOfColdTargetsAreServedElsewhere(t *testing.T) {
+	p, v := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 6}, slots: 100, cold: config.Cold{RequestsPerSecond: 7.4}})
+	p.SetFleet(Fleet{Self: "vm", VMs: []VM{{"vm", "ros"}}, ColdFactor: 1.5, ColdSlack: 5})
+	home := mustChoose(t, p, ask("a"), start).target.Name
+	for i := range 4 {
+		v.ColdUntil[fmt.Sprintf("ros-%d", i)] = start.Add(3 * time.Second)
+	}
+	v.ColdUntil[home] = start.Add(3 * time.Second)
+	p.SetTargets(v.Snapshot.Service("svc"), v)
+	for range 100 {
+		p.Take(mustChoose(t, p, ask("a"), start), start)
+	}
+	later := start.Add(3 * time.Second)
+	if at := mustChoose(t, p, ask("a"), later); at.target.Name != home {
+		t.Errorf("after the cold time the object is at %s, before at %s", at.target.Name, home)
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -131,7 +131,7 @@
 	var best *Placed
 	var bestCost time.Duration
 	for rank, t := range p.candidates(a, now) {
-		if !p.hasRoom(t, now) || !p.mayChill(t, now) {
+		if !p.hasRoom(t, now) {
 			continue
 		}
 		known := a.Key == "" || t.objects.known(a.Key)
@@ -177,10 +177,29 @@
 	return time.Duration(t.slow.now(now) * float64(p.runs.expect(known, rank)))
 }
 
-// possible reports whether any target could ever take the request.
-func (p *Pool) possible(a *Ask, now time.Time) bool { return len(p.candidates(a, now)) > 0 }
+// possible reports whether any target could ever take the request. A cold one
+// can, a little later.
+func (p *Pool) possible(a *Ask, now time.Time) bool {
+	for _, t := range p.order {
+		if p.mayServe(t, a, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayServe reports whether a target is usable and may get the request.
+func (p *Pool) mayServe(t *targetState, a *Ask, now time.Time) bool {
+	if !t.usable(now) || slices.Contains(a.Exclude, t.Name) {
+		return false
+	}
+	return a.Rule == nil || a.Rule.Allows(t.Region)
+}
 
-// candidates returns the usable targets of the request's object, best first.
+// candidates returns the targets of the request's object, best first: the first
+// replicas that are usable and not cold, and the cold ones before them that may
+// get one more request. Where a zone comes back cold its objects are served
+// elsewhere meanwhile.
 func (p *Pool) candidates(a *Ask, now time.Time) []*targetState {
 	key := a.Key
 	if key == "" {
@@ -192,10 +211,7 @@
 	}
 	ranked := make([]scored, 0, len(p.order))
 	for _, t := range p.order {
-		if !t.usable(now) || slices.Contains(a.Exclude, t.Name) {
-			continue
-		}
-		if a.Rule != nil && !a.Rule.Allows(t.Region) {
+		if !p.mayServe(t, a, now) {
 			continue
 		}
 		weight := float64(t.Slots)
@@ -205,9 +221,21 @@
 		ranked = append(ranked, scored{t, rendezvous.WeightedScore(key, t.Name, weight)})
 	}
 	slices.SortFunc(ranked, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	out := make([]*targetState, min(len(ranked), replicas))
-	for i := range out {
-		out[i] = ranked[i].t
+	return p.firstReplicas(len(ranked), func(i int) *targetState { return ranked[i].t }, now)
+}
+
+func (p *Pool) firstReplicas(n int, at func(int) *targetState, now time.Time) []*targetState {
+	out := make([]*targetState, 0, replicas)
+	warm := 0
+	for i := 0; i < n && warm < replicas; i++ {
+		t := at(i)
+		if !p.mayChill(t, now) {
+			continue
+		}
+		out = append(out, t)
+		if !t.cold(now) {
+			warm++
+		}
 	}
 	return out
 }
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -40,6 +40,7 @@
 		r.warm.observe(d)
 		return
 	}
+	rank = min(rank, replicas-1)
 	if r.warm != 0 && float64(d) < freshRatio*float64(r.warm) {
 		r.warm.observe(d)
 		r.shared[rank] += smoothing * (1 - r.shared[rank])
@@ -60,6 +61,7 @@
 		return warm
 	}
 	fresh := max(time.Duration(r.fresh), warm)
+	rank = min(rank, replicas-1)
 	return fresh - time.Duration(r.shared[rank]*float64(fresh-warm))
 }
 
