--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -69,14 +69,14 @@
 
 // Service is a service: the requests under its path prefix go to its targets.
 type Service struct {
-	Name       string   `json:"name"`
-	PathPrefix string   `json:"path_prefix"` // such as "/planview/"
-	Routes     []Route  `json:"routes"`      // first match wins; the last one should match all
-	Targets    []Target `json:"targets"`
-	ServiceMS  Millis   `json:"service_ms"` // expected time a request runs at a target, before it is measured
-	Cold       Cold     `json:"cold,omitzero"`
-	// Connections is what each target takes that states no figure of its own.
-	Connections int `json:"connections,omitempty"`
+	Name                  string   `json:"name"`
+	PathPrefix            string   `json:"path_prefix"` // such as "/planview/"
+	Routes                []Route  `json:"routes"`      // first match wins; the last one should match all
+	Targets               []Target `json:"targets"`
+	ServiceMS             Millis   `json:"service_ms"`                         // expected time a request runs at a target, before it is measured
+	Connections           int      `json:"connections,omitempty"`              // each target takes that states no figure of its own
+	ColdMS                Millis   `json:"cold_ms,omitempty"`                  // how long a new target stays cold
+	ColdRequestsPerSecond float64  `json:"cold_requests_per_second,omitempty"` // rate a cold target bears; 0: no bound
 }
 
 // Repeat says whether a request may be run more than once.
@@ -103,23 +103,15 @@
 	MaxBodyBytes int64    `json:"max_body_bytes,omitempty"` // overrides limits.max_body_bytes
 }
 
-// Cold bounds what a target of a service gets while it is cold.
-type Cold struct {
-	DurationMS        Millis  `json:"duration_ms,omitempty"`         // how long a new target stays cold
-	RequestsPerSecond float64 `json:"requests_per_second,omitempty"` // rate a cold target bears; 0: no bound
-}
-
 // Target is one back end of a service.
 type Target struct {
 	Name        string `json:"name"` // unique over all services
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
-	Slots       int    `json:"slots"`             // requests it runs at once
-	Connections int    `json:"connections"`       // connections it takes, over all VMs
-	Leaving     bool   `json:"leaving,omitempty"` // operators drain it
-	// Instance names one start of the target where targets tell theirs. It is
-	// sent along, so that another target at the same address refuses.
-	Instance string `json:"instance,omitempty"`
+	Slots       int    `json:"slots"`              // requests it runs at once
+	Connections int    `json:"connections"`        // connections it takes, over all VMs
+	Leaving     bool   `json:"leaving,omitempty"`  // operators drain it
+	Instance    string `json:"instance,omitempty"` // one start of the target; sent along, so that another one at its address refuses
 }
 
 // ShiftCap bounds how much of the traffic of callers in one region may be
@@ -175,9 +167,7 @@
 	BudgetBurst    float64 `json:"budget_burst,omitempty"` // retries saved up at most, for each service and target
 	BackoffMS      Millis  `json:"backoff_ms"`             // first backoff; doubled, with jitter
 	HedgeAfterMS   Millis  `json:"hedge_after_ms"`         // 0: no hedges
-	// Patient: a target that is silent is waited for up to the deadline, as
-	// silence does not tell a slow target from a dead one.
-	Patient bool `json:"patient,omitempty"`
+	Patient        bool    `json:"patient,omitempty"`      // a silent target is waited for up to the deadline: silence does not tell slow from dead
 }
 
 // Steering chooses and tunes the policy.
--- a/internal/discovery/belief.go
+++ b/internal/discovery/belief.go
@@ -115,7 +115,7 @@
 	}
 	for i := range b.document.Services {
 		if b.document.Services[i].Name == service {
-			return b.document.Services[i].Cold.DurationMS.Duration()
+			return b.document.Services[i].ColdMS.Duration()
 		}
 	}
 	return 0
