--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -74,6 +74,7 @@
 	v.checkClasses()
 	v.checkTenants()
 	v.checkServices()
+	v.checkHosts()
 	v.checkShiftCaps()
 	v.checkClientBlocks()
 	v.checkTimes()
