--- a/internal/forward/dialect_test.go
+++ b/internal/forward/dialect_test.go
@@ -319,3 +319,15 @@
 		t.Error("the budget is not each service's own")
 	}
 }
+
+func TestDocumentBoundsIdleConnections(t *testing.T) {
+	doc := document("127.0.0.1:1")
+	snap := config.NewLiveSnapshot(1, doc)
+	if got := headLimitsOf(snap).idle; got != callerIdleTimeout {
+		t.Errorf("without a bound: %v", got)
+	}
+	doc.Limits.KeepAliveMS = 15000
+	if got := headLimitsOf(snap).idle; got != 15*time.Second {
+		t.Errorf("with a bound of 15 s: %v", got)
+	}
+}
--- a/internal/forward/frontend.go
+++ b/internal/forward/frontend.go
@@ -19,10 +19,11 @@
 type headLimits struct {
 	bytes   int
 	timeout time.Duration
+	idle    time.Duration // between requests of a connection
 }
 
 func headLimitsOf(s *config.Snapshot) headLimits {
-	l := headLimits{bytes: defaultHeaderBytes, timeout: defaultHeaderTimeout}
+	l := headLimits{bytes: defaultHeaderBytes, timeout: defaultHeaderTimeout, idle: callerIdleTimeout}
 	if s == nil {
 		return l
 	}
@@ -32,6 +33,9 @@
 	if t := s.Document.Limits.HeaderTimeoutMS; t > 0 {
 		l.timeout = t.Duration()
 	}
+	if t := s.Document.Limits.KeepAliveMS; t > 0 {
+		l.idle = t.Duration()
+	}
 	return l
 }
 
@@ -67,7 +71,7 @@
 		Handler:           f.handler,
 		MaxHeaderBytes:    l.bytes,
 		ReadHeaderTimeout: l.timeout,
-		IdleTimeout:       callerIdleTimeout,
+		IdleTimeout:       l.idle,
 		ErrorLog:          log.New(discard{}, "", 0),
 	}
 	f.limits, f.current = l, newFeed(f.listener.Addr())
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -272,3 +272,54 @@
 		}
 	}
 }
+
+// A request that must not be lost goes on a connection that was in use a moment
+// ago, and on no other one.
+func TestRecentConnections(t *testing.T) {
+	target := rawTarget(t, func(_ int, conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(conn, wholeAnswer)
+		}
+	})
+	tests := []struct {
+		name    string
+		idleFor time.Duration
+		prepare func(p *Pools)
+		use     Use
+		reused  bool
+	}{
+		{"in use a moment ago", 0, nil, UseRecent, true},
+		{"idle for longer", recentLimit + time.Second, nil, UseRecent, false},
+		{"idle for longer, for a request that may be repeated", recentLimit + time.Second, nil, UseAny, true},
+		{"after an answer of another request", 0, func(p *Pools) { p.Distrust(target) }, UseRecent, false},
+		{"after such an answer, for a request that may be repeated", 0, func(p *Pools) { p.Distrust(target) }, UseAny, true},
+	}
+	for _, tt := range tests {
+		p := newPools(t)
+		c := get(t, p, target, 2, UseFresh)
+		if _, err := exchange(t.Context(), c, "GET"); err != nil {
+			t.Fatal(err)
+		}
+		c.Keep()
+		waitIdle(t, p, target, 1)
+		pl := p.pool(poolKey{target.Name, target.Address})
+		pl.mu.Lock()
+		pl.idle[0].idleAt = pl.idle[0].idleAt.Add(-tt.idleFor)
+		pl.mu.Unlock()
+		if tt.prepare != nil {
+			tt.prepare(p)
+		}
+		next := get(t, p, target, 2, tt.use)
+		if next.reused != tt.reused {
+			t.Errorf("%s: reused %t", tt.name, next.reused)
+		}
+		if (next.OpenedIn() == 0) != tt.reused {
+			t.Errorf("%s: opened in %v", tt.name, next.OpenedIn())
+		}
+		next.Drop()
+	}
+}
