--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,7 +23,6 @@
 	Arrived      time.Time    // when the request's head was read
 	Rule         *config.Rule // nil in a document without hosts
 	ObjectKey    string       // the object it is about, where targets know objects; else empty
-	Repeatable   bool         // it may run more than once
 	Exclude      []string     // targets already tried
 	Retry        bool         // not the first attempt of this request
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -140,7 +140,6 @@
 		Arrived:      x.startedAt,
 		Rule:         x.match.Rule,
 		ObjectKey:    x.objectKey(),
-		Repeatable:   x.repeatable,
 		Exclude:      a.exclude,
 		Retry:        a.number > 1,
 	})
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -33,7 +33,7 @@
 // mayChill reports whether the target may get one more request of this VM, if
 // it is cold.
 func (p *Pool) mayChill(t *targetState, now time.Time) bool {
-	if !t.cold(now) || p.coldPerSecond == 0 {
+	if !t.cold(now) || p.coldRate == 0 {
 		return true
 	}
 	return now.Sub(t.coldSent) >= coldGap && p.sendsToCold(t)
@@ -42,7 +42,7 @@
 // sendsToCold reports whether this VM is among those that may send to a cold
 // target: as many as its bound allows, those of its own region first.
 func (p *Pool) sendsToCold(t *targetState) bool {
-	bound := p.coldPerSecond*p.fleet.ColdFactor + p.fleet.ColdSlack
+	bound := p.coldRate*p.fleet.ColdFactor + p.fleet.ColdSlack
 	senders := int(bound) - coldReserve
 	own := coldRank{local: p.region == t.Region, score: rendezvous.Score(t.Name, p.fleet.Self)}
 	ahead, known := 0, false
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -51,15 +51,15 @@
 // Pool is the targets of one service. It is not safe for concurrent use and
 // does no I/O.
 type Pool struct {
-	region        string // of this VM
-	targets       map[string]*targetState
-	order         []*targetState // by name
-	fleet         Fleet
-	coldPerSecond float64 // rate a cold target bears; 0: no bound
-	runs          runTimes
-	trips         map[string]mean // way there and back, by region
-	remote        float64         // weight of a slot of another region
-	queue         []*Waiting      // requests that wait, in order
+	region   string // of this VM
+	targets  map[string]*targetState
+	order    []*targetState // by name
+	fleet    Fleet
+	coldRate float64 // requests a second that a cold target bears; 0: no bound
+	runs     runTimes
+	trips    map[string]mean // way there and back, by region
+	remote   float64         // weight of a slot of another region
+	queue    []*Waiting      // requests that wait, in order
 }
 
 // NewPool returns a pool without targets for a VM of a region.
@@ -87,7 +87,7 @@
 		p.order = append(p.order, s)
 	}
 	p.targets = next
-	p.coldPerSecond = svc.ColdRequestsPerSecond
+	p.coldRate = svc.ColdRequestsPerSecond
 	p.remote = p.weighRemote()
 }
 
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -45,6 +45,20 @@
 	return &config.TargetIndex{Target: &config.Target{Name: "t", Address: l.Addr().String()}}
 }
 
+// wholeTarget answers every request properly and keeps its connections.
+func wholeTarget(t *testing.T) *config.TargetIndex {
+	t.Helper()
+	return rawTarget(t, func(_ int, conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(conn, wholeAnswer)
+		}
+	})
+}
+
 func newPools(t *testing.T) *Pools {
 	p := NewPools(Deps{Dial: (&net.Dialer{}).DialContext, Clock: kernel.SystemClock{}, Metrics: metrics.NewSet()})
 	t.Cleanup(p.Close)
@@ -232,15 +246,7 @@
 }
 
 func TestSuspectDropsIdleConnections(t *testing.T) {
-	target := rawTarget(t, func(_ int, conn net.Conn) {
-		br := bufio.NewReader(conn)
-		for {
-			if _, err := http.ReadRequest(br); err != nil {
-				return
-			}
-			fmt.Fprint(conn, wholeAnswer)
-		}
-	})
+	target := wholeTarget(t)
 	p := newPools(t)
 	c := get(t, p, target, 2, UseFresh)
 	if _, err := exchange(t.Context(), c, "GET"); err != nil {
@@ -276,15 +282,7 @@
 // A request that must not be lost goes on a connection that was in use a moment
 // ago, and on no other one.
 func TestRecentConnections(t *testing.T) {
-	target := rawTarget(t, func(_ int, conn net.Conn) {
-		br := bufio.NewReader(conn)
-		for {
-			if _, err := http.ReadRequest(br); err != nil {
-				return
-			}
-			fmt.Fprint(conn, wholeAnswer)
-		}
-	})
+	target := wholeTarget(t)
 	tests := []struct {
 		name    string
 		idleFor time.Duration
