VMs of a region tell each other what they have at targets and which objects they sent; rankings kept

No bound rests on these messages.

The policies hashing and hashing-regions now rank by the weights of slots, as the default does; within a region, where all slots weigh the same, nothing changes.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -54,7 +54,7 @@
 		module(peer.ServiceName, d.newNetwork),
 		module(membership.ServiceName, d.newMembership, peer.ServiceName, storeName),
 		module(discovery.ServiceName, d.newDiscovery, storeName, peer.ServiceName, membership.ServiceName),
-		module(admission.ServiceName, d.newPlacement, discovery.ServiceName, membership.ServiceName),
+		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName),
 		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
 		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName),
 		module(operator.ServiceName, d.newHostedOperator, discovery.ServiceName),
@@ -124,6 +124,7 @@
 	return placement.NewAdmitter(placement.Deps{
 		Views:   w.discovery,
 		Members: w.members,
+		Network: w.network,
 		Settled: w.members.Ready,
 		VM:      d.settings.VM,
 		Policy:  d.opts.Hosted.Policy,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,8 @@
 	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
 
 	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
+
+	KindTargetUse Kind = 70 // placement: what a VM has at targets
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -15,6 +15,7 @@
 	"masticturn/internal/kernel"
 	"masticturn/internal/membership"
 	"masticturn/internal/outcome"
+	"masticturn/internal/peer"
 	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
 )
@@ -36,6 +37,7 @@
 type Deps struct {
 	Views   Views
 	Members membership.Source
+	Network peer.Network
 	Settled func() bool // whether this VM knows the other VMs
 	VM      settings.VM
 	Bounds  settings.Bounds
@@ -49,6 +51,7 @@
 type Admitter struct {
 	deps    Deps
 	cancel  []func()
+	telling sync.WaitGroup
 	metrics meter
 
 	mu    sync.Mutex
@@ -71,14 +74,19 @@
 
 // NewAdmitter returns an admitter; it follows the views once started.
 func NewAdmitter(d Deps) *Admitter {
-	return &Admitter{deps: d, pools: make(map[string]*servicePool), metrics: newMeter(d.Metrics)}
+	a := &Admitter{deps: d, pools: make(map[string]*servicePool), metrics: newMeter(d.Metrics)}
+	d.Network.Handle(peer.KindTargetUse, a.hearUse)
+	return a
 }
 
 // Provision implements kernel.Service.
 func (a *Admitter) Provision(*kernel.Kernel) error { return nil }
 
 // Start implements kernel.Service.
-func (a *Admitter) Start(context.Context) error {
+func (a *Admitter) Start(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	a.cancel = append(a.cancel, cancel)
+	a.telling.Go(func() { a.tellLoop(ctx) })
 	a.cancel = append(a.cancel,
 		a.deps.Views.SubscribeView(a.adopt),
 		a.deps.Members.Subscribe(func(*membership.View) { a.setFleet() }))
@@ -97,6 +105,7 @@
 	for _, cancel := range a.cancel {
 		cancel()
 	}
+	a.telling.Wait()
 	return nil
 }
 
--- a/internal/placement/emulation/load.go
+++ b/internal/placement/emulation/load.go
@@ -37,6 +37,8 @@
 	Period time.Duration // of that wave; regions are a third of it apart
 	Events []Event
 	Length time.Duration
+
+	Alone bool // VMs tell each other nothing
 }
 
 // Region is the VMs and targets of one region.
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -119,3 +119,45 @@
 		Rate: 32, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("de-frankfurt", 1), Length: dayLength,
 	}
 }
+
+// GrownLoads returns loads made after the services of the deployments once they
+// have eight times as many VMs.
+func GrownLoads() []*Load {
+	return []*Load{grownPlanReads(), grownScriptReads(), grownProofListens()}
+}
+
+// grownPlanReads is PlanReads at eight times the size, with longer work.
+func grownPlanReads() *Load {
+	return &Load{
+		Name: "plan-reads-grown", OneWay: estibaOneWay, WithinRegion: withinRegion,
+		Regions: []Region{{"rosario", 28, 86}, {"bahia-blanca", 25, 18}, {"buenos-aires", 30, 72}},
+		Slots:   4, QueueLimit: 12, Remembers: 23, Objects: 320,
+		Work: 912 * time.Millisecond, Spread: 0.15, KnownPart: 0.25,
+		Objective: 600 * time.Millisecond, Deadline: 4 * time.Second, LateWorth: 0.2,
+		Rate: 1384, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("rosario", 12), Length: dayLength,
+	}
+}
+
+// grownScriptReads is ScriptReads at ten times the size.
+func grownScriptReads() *Load {
+	return &Load{
+		Name: "script-reads-grown", OneWay: lydsporOneWay, WithinRegion: withinRegion,
+		Regions: []Region{{"dk-aarhus", 29, 46}, {"de-frankfurt", 29, 92}, {"se-stockholm", 29, 138}},
+		Slots:   3, QueueLimit: 9, Remembers: 16, Objects: 291,
+		Work: 720 * time.Millisecond, Spread: 0.15, KnownPart: 0.25,
+		Objective: 400 * time.Millisecond, Deadline: 3 * time.Second, LateWorth: 0.2,
+		Rate: 1260, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("de-frankfurt", 14), Length: dayLength,
+	}
+}
+
+// grownProofListens is ProofListens at eight times the size.
+func grownProofListens() *Load {
+	return &Load{
+		Name: "proof-listens-grown", OneWay: lydsporOneWay, WithinRegion: withinRegion,
+		Regions: []Region{{"dk-aarhus", 29, 37}, {"de-frankfurt", 29, 73}, {"se-stockholm", 29, 109}},
+		Slots:   3, QueueLimit: 9, Remembers: 8, Objects: 57,
+		Work: 2976 * time.Millisecond, Spread: 0.15, KnownPart: 0.25,
+		Objective: 1500 * time.Millisecond, Deadline: 12 * time.Second, LateWorth: 0.2,
+		Rate: 249, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("de-frankfurt", 11), Length: dayLength,
+	}
+}
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -91,6 +91,9 @@
 	for i := range l.Regions {
 		r.nextArrival(i)
 	}
+	for _, v := range r.vms {
+		r.after(time.Duration(r.rng.Float64()*float64(placement.SharePeriod)), func() { r.share(v) })
+	}
 	for r.events.Len() > 0 {
 		e := heap.Pop(&r.events).(event)
 		r.now = e.at
@@ -275,6 +278,26 @@
 	return r.load.OneWay
 }
 
+// share lets a VM tell the others of its region what it has at targets, again
+// and again.
+func (r *run) share(v *vm) {
+	if r.load.Alone || r.now.Sub(start) > r.load.Length {
+		return
+	}
+	var others []*vm
+	for _, o := range r.vms {
+		if o != v && o.region == v.region {
+			others = append(others, o)
+		}
+	}
+	r.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	told := v.pool.Tell()
+	for _, o := range others[:min(len(others), placement.ShareMost)] {
+		r.after(r.load.WithinRegion, func() { o.pool.Hear(v.name, told, r.now) })
+	}
+	r.after(placement.SharePeriod, func() { r.share(v) })
+}
+
 // send takes a request to the target where it was placed.
 func (r *run) send(q *request, w place) {
 	q.tries++
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"masticturn/internal/rendezvous"
 )
 
 // Policy names a way to choose the target of a request.
@@ -88,20 +86,26 @@
 // hashed returns the targets of the own region, or of the others, in the order
 // of the request's object.
 func (p *Pool) hashed(a *Ask, own bool, now time.Time) []*targetState {
-	key := p.hashKey(a)
-	out := p.allowed(a, own, now)
-	slices.SortFunc(out, func(x, y *targetState) int {
-		return cmp.Compare(rendezvous.Score(key, y.Name), rendezvous.Score(key, x.Name))
-	})
+	var out []*targetState
+	for _, t := range p.rank(p.hashKey(a)) {
+		if p.allowed(t, a, own, now) {
+			out = append(out, t)
+		}
+	}
 	return out
 }
 
-// allowed returns the targets of the own region, or of the others, that may get
-// the request now.
-func (p *Pool) allowed(a *Ask, own bool, now time.Time) []*targetState {
+// allowed reports whether a target is in the own region, or in another one, and
+// may get the request now.
+func (p *Pool) allowed(t *targetState, a *Ask, own bool, now time.Time) bool {
+	return (t.Region == p.region) == own && p.mayServe(t, a, now) && p.mayChill(t, now)
+}
+
+// local returns the targets of the own region that may get the request now.
+func (p *Pool) local(a *Ask, now time.Time) []*targetState {
 	var out []*targetState
 	for _, t := range p.order {
-		if (t.Region == p.region) == own && p.mayServe(t, a, now) && p.mayChill(t, now) {
+		if p.allowed(t, a, true, now) {
 			out = append(out, t)
 		}
 	}
@@ -110,12 +114,12 @@
 
 // chooseLeastLoaded is PolicyLeastLoaded.
 func (p *Pool) chooseLeastLoaded(a *Ask, now time.Time) *Placed {
-	return p.leastLoaded(a, p.allowed(a, true, now), now)
+	return p.leastLoaded(a, p.local(a, now), now)
 }
 
 // choosePowerOfTwo is PolicyPowerOfTwo.
 func (p *Pool) choosePowerOfTwo(a *Ask, now time.Time) *Placed {
-	drawn := p.allowed(a, true, now)
+	drawn := p.local(a, now)
 	p.rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
 	return p.leastLoaded(a, drawn[:min(2, len(drawn))], now)
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -75,6 +75,10 @@
 	trips    map[string]mean // way there and back, by region
 	remote   float64         // weight of a slot of another region
 	queue    []*Waiting      // requests that wait, in order
+	ranking  ranking
+
+	heard      map[string]heardUse // other VMs' last words, by VM
+	newObjects map[string][]string // by target: what other VMs were not told of yet
 }
 
 // NewPool returns a pool without targets.
@@ -85,6 +89,9 @@
 		rand:    o.Rand,
 		targets: make(map[string]*targetState),
 		trips:   make(map[string]mean),
+
+		heard:      make(map[string]heardUse),
+		newObjects: make(map[string][]string),
 	}
 }
 
@@ -110,6 +117,7 @@
 	p.targets = next
 	p.coldRate = svc.ColdRequestsPerSecond
 	p.remote = p.weighRemote()
+	p.ranking.clear()
 }
 
 // weighRemote returns the weight of a slot of another region, by how much of its
@@ -234,23 +242,40 @@
 // elsewhere meanwhile.
 func (p *Pool) candidates(a *Ask, now time.Time) []*targetState {
 	key := p.hashKey(a)
+	order := p.ranking.first(key)
+	if order == nil {
+		order = p.rank(key)
+		if a.Key != "" {
+			p.ranking.add(key, order)
+		}
+	}
+	out, enough := p.firstReplicas(a, order, now)
+	if !enough && len(order) < len(p.order) {
+		out, _ = p.firstReplicas(a, p.rank(key), now)
+	}
+	return out
+}
+
+// rank returns all targets in the order of an object.
+func (p *Pool) rank(key string) []*targetState {
 	type scored struct {
 		t     *targetState
 		score float64
 	}
-	ranked := make([]scored, 0, len(p.order))
-	for _, t := range p.order {
-		if !p.mayServe(t, a, now) {
-			continue
-		}
+	all := make([]scored, len(p.order))
+	for i, t := range p.order {
 		weight := float64(t.Slots)
 		if t.Region != p.region {
 			weight *= p.remote
 		}
-		ranked = append(ranked, scored{t, rendezvous.WeightedScore(key, t.Name, weight)})
+		all[i] = scored{t, rendezvous.WeightedScore(key, t.Name, weight)}
+	}
+	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	order := make([]*targetState, len(all))
+	for i := range all {
+		order[i] = all[i].t
 	}
-	slices.SortFunc(ranked, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	return p.firstReplicas(len(ranked), func(i int) *targetState { return ranked[i].t }, now)
+	return order
 }
 
 // hashKey returns what the targets of a request are ordered by: its object, or
@@ -262,12 +287,16 @@
 	return strconv.FormatUint(p.rand.Uint64(), 36)
 }
 
-func (p *Pool) firstReplicas(n int, at func(int) *targetState, now time.Time) []*targetState {
-	out := make([]*targetState, 0, replicas)
+// firstReplicas returns the candidates among targets in the order of an object,
+// and whether there are enough.
+func (p *Pool) firstReplicas(a *Ask, order []*targetState, now time.Time) (out []*targetState, enough bool) {
+	out = make([]*targetState, 0, replicas)
 	warm := 0
-	for i := 0; i < n && warm < replicas; i++ {
-		t := at(i)
-		if !p.mayChill(t, now) {
+	for _, t := range order {
+		if warm == replicas {
+			break
+		}
+		if !p.mayServe(t, a, now) || !p.mayChill(t, now) {
 			continue
 		}
 		out = append(out, t)
@@ -275,7 +304,7 @@
 			warm++
 		}
 	}
-	return out
+	return out, warm == replicas
 }
 
 // Take notes that a request goes to a target.
@@ -284,6 +313,9 @@
 	t.own++
 	if at.key != "" {
 		t.objects.add(at.key, now)
+		if !at.known {
+			p.newObjects[t.Name] = append(p.newObjects[t.Name], at.key)
+		}
 	}
 	if t.cold(now) {
 		t.coldSent = now
--- /dev/null
+++ b/internal/placement/sharing_test.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"masticturn/internal/admission"
+	"masticturn/internal/config"
+	"masticturn/internal/discovery"
+	"masticturn/internal/kernel"
+	"masticturn/internal/membership"
+	"masticturn/internal/peer/peertest"
+	"masticturn/internal/settings"
+	"masticturn/internal/telemetry"
+)
+
+// What another VM has at a target counts until it tells otherwise or is silent
+// for too long.
+func TestHeardUseCounts(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
+	at := mustChoose(t, p, ask("a"), start).target
+	steps := []struct {
+		after time.Duration
+		vm    string
+		use   *Use // nil: nothing is told, the pool looks again
+		want  int
+	}{
+		{0, "vm-1", &Use{Running: map[string]int{at.Name: 2}}, 2},
+		{SharePeriod, "vm-2", &Use{Running: map[string]int{at.Name: 3, "unknown": 7}}, 5},
+		{SharePeriod, "vm-1", &Use{Running: map[string]int{at.Name: 1}}, 4},
+		{2 * SharePeriod, "vm-2", &Use{}, 1},
+		{SharePeriod + shareLife, "", nil, 1},
+		{SharePeriod + shareLife + 1, "", nil, 0},
+	}
+	for i, s := range steps {
+		now := start.Add(s.after)
+		if s.use != nil {
+			p.Hear(s.vm, s.use, now)
+		} else {
+			p.countShared(now)
+		}
+		if got := at.busy(now); got != s.want {
+			t.Errorf("step %d: %d requests are believed at the target, want %d", i, got, s.want)
+		}
+	}
+}
+
+// The target's word and the VMs' tell of the same requests: the larger counts.
+func TestLargerWordCounts(t *testing.T) {
+	for _, tt := range []struct{ told, heard, want int }{{0, 0, 0}, {2, 0, 2}, {0, 2, 2}, {2, 3, 3}, {3, 2, 3}} {
+		p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
+		at := mustChoose(t, p, ask("a"), start).target
+		at.others, at.reported, at.life = tt.told, start, reportLifeLeast
+		p.Hear("vm-1", &Use{Running: map[string]int{at.Name: tt.heard}}, start)
+		if got := at.busy(start); got != tt.want {
+			t.Errorf("the target told of %d, a VM of %d: %d are believed, want %d", tt.told, tt.heard, got, tt.want)
+		}
+	}
+}
+
+// A VM tells each new object once, and what runs as long as it runs.
+func TestTellNewObjectsOnce(t *testing.T) {
+	p, _ := newTestPool(t, "ros", estiba)
+	at := mustChoose(t, p, ask("a"), start)
+	p.Take(at, start)
+	name := at.target.Name
+	first := p.Tell()
+	if first.Running[name] != 1 || len(first.Objects[name]) != 1 {
+		t.Errorf("the first word is %+v, want one request and one object at %s", first, name)
+	}
+	if second := p.Tell(); second.Running[name] != 1 || len(second.Objects) != 0 {
+		t.Errorf("the second word is %+v, want one request and no object", second)
+	}
+	finish(p, at, 100*time.Millisecond, start)
+	if third := p.Tell(); !third.Empty() {
+		t.Errorf("the third word is %+v, want nothing", third)
+	}
+	other, _ := newTestPool(t, "ros", estiba)
+	other.Hear("vm-1", first, start)
+	if again := mustChoose(t, other, ask("a"), start); !again.known {
+		t.Error("the other VM does not know that the target knows the object")
+	}
+	other.Take(mustChoose(t, other, ask("a"), start), start)
+	if u := other.Tell(); len(u.Objects) != 0 {
+		t.Errorf("the other VM tells on what it was told: %+v", u.Objects)
+	}
+}
+
+// fixedViews is a view that does not change.
+type fixedViews struct{ view *discovery.View }
+
+func (f fixedViews) View() *discovery.View { return f.view }
+func (f fixedViews) SubscribeView(func(*discovery.View)) (cancel func()) {
+	return func() {}
+}
+
+// fixedMembers is a membership that does not change.
+type fixedMembers struct{ view *membership.View }
+
+func (f fixedMembers) View() *membership.View                  { return f.view }
+func (f fixedMembers) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// regionOfVMs starts admitters of VMs of one region over a hub, and one more of
+// another region.
+func regionOfVMs(t *testing.T, size int) (*peertest.Hub, *config.ServiceIndex, map[string]*Admitter) {
+	t.Helper()
+	view, svc := site{perRegion: map[string]int{"ros": 40, "bb": 1}, slots: 4}.view(t)
+	hub := peertest.NewHub(1)
+	members := &membership.View{Members: []membership.Member{{Name: "far", Region: "bb", State: membership.Alive}}}
+	for i := range size {
+		members.Members = append(members.Members, membership.Member{Name: fmt.Sprintf("vm-%03d", i), Region: "ros", State: membership.Alive})
+	}
+	vms := make(map[string]*Admitter)
+	for _, m := range members.Members {
+		network := hub.Network(m.Name)
+		for _, other := range members.Members {
+			network.SetAddress(other.Name, peertest.Address(other.Name))
+		}
+		a := NewAdmitter(Deps{
+			Views: fixedViews{view}, Members: fixedMembers{members}, Network: network, Settled: func() bool { return true },
+			VM: settings.VM{Name: m.Name, Region: m.Region}, Policy: PolicyCompletion, Clock: kernel.SystemClock{},
+			Logger: telemetry.Discard(), Metrics: metrics.NewSet(),
+		})
+		if err := a.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = a.Stop(context.Background()) })
+		vms[m.Name] = a
+	}
+	return hub, svc, vms
+}
+
+// acquire places requests about different objects at a VM.
+func acquire(t *testing.T, a *Admitter, svc *config.ServiceIndex, n int) []admission.Permit {
+	t.Helper()
+	var permits []admission.Permit
+	for i := range n {
+		p, err := a.Acquire(t.Context(), &admission.Request{
+			Service: svc, Class: &config.Class{}, ObjectKey: fmt.Sprintf("object-%d", i),
+			Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		permits = append(permits, p)
+	}
+	return permits
+}
+
+// heardOf sums up what a VM was told of others' requests.
+func heardOf(a *Admitter) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, p := range a.pools {
+		for _, target := range p.order {
+			n += target.shared
+		}
+	}
+	return n
+}
+
+func TestVMsOfARegionTellEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, svc, vms := regionOfVMs(t, 3)
+		permits := acquire(t, vms["vm-000"], svc, 5)
+		time.Sleep(2 * SharePeriod)
+		synctest.Wait()
+		for name, want := range map[string]int{"vm-000": 0, "vm-001": 5, "vm-002": 5, "far": 0} {
+			if got := heardOf(vms[name]); got != want {
+				t.Errorf("%s was told of %d requests, want %d", name, got, want)
+			}
+		}
+		for _, p := range permits {
+			p.Release(admission.Result{})
+		}
+		time.Sleep(2 * SharePeriod)
+		synctest.Wait()
+		if got := heardOf(vms["vm-001"]); got != 0 {
+			t.Errorf("%d requests that have ended are believed to run", got)
+		}
+	})
+}
+
+func TestUseOfADeadVMIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hub, svc, vms := regionOfVMs(t, 2)
+		acquire(t, vms["vm-000"], svc, 5)
+		time.Sleep(2 * SharePeriod)
+		hub.Cut("vm-000", "vm-001")
+		time.Sleep(shareLife + SharePeriod)
+		synctest.Wait()
+		if got := heardOf(vms["vm-001"]); got != 0 {
+			t.Errorf("%d requests of a VM that is silent are believed to run", got)
+		}
+	})
+}
+
+// What telling costs a VM: nothing when nothing runs, below the budget of a
+// daemon in a region of 28 VMs, and no more in one of 60.
+func TestTellingIsBounded(t *testing.T) {
+	const (
+		budget  = 14_000 // bytes a second that a daemon may spend on control
+		framing = 90     // of a message: our frame and the headers of TCP and IP
+		seconds = 5
+	)
+	for _, tt := range []struct{ vms, running, most int }{{28, 0, 0}, {28, 12, budget}, {60, 12, budget}} {
+		synctest.Test(t, func(t *testing.T) {
+			hub, svc, vms := regionOfVMs(t, tt.vms)
+			for name, a := range vms {
+				if name != "far" {
+					acquire(t, a, svc, tt.running)
+				}
+			}
+			time.Sleep(2 * SharePeriod) // new objects were told
+			before := hub.Stats()
+			time.Sleep(seconds * time.Second)
+			after := hub.Stats()
+			bytes := after.Bytes - before.Bytes + framing*(after.Messages-before.Messages)
+			perVM := bytes / tt.vms / seconds
+			t.Logf("%d VMs with %d requests each: %d bytes/s a VM", tt.vms, tt.running, perVM)
+			if perVM > tt.most {
+				t.Errorf("%d VMs with %d requests each: %d bytes/s a VM, want %d at most", tt.vms, tt.running, perVM, tt.most)
+			}
+		})
+	}
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,6 +26,7 @@
 
 	own      int           // requests of this VM that run there
 	others   int           // requests of others that ran or waited there at the last report
+	shared   int           // requests of VMs of the region that run there, as they told
 	reported time.Time     // of that report
 	life     time.Duration // for which it counts in full
 
@@ -38,8 +39,9 @@
 }
 
 // busy is how many of the target's slots are believed to be in use or waited
-// for.
-func (t *targetState) busy(now time.Time) int { return t.own + t.othersAt(now) }
+// for. Of what the target told and what other VMs told the larger one counts:
+// each leaves out what the other may hold, and both tell of the same requests.
+func (t *targetState) busy(now time.Time) int { return t.own + max(t.shared, t.othersAt(now)) }
 
 // othersAt is how many requests of others are believed to be at the target. Its
 // word counts in full for a while and then fades, so that a target that nobody
