--- a/internal/drain/bounded_test.go
+++ b/internal/drain/bounded_test.go
@@ -1,9 +1,15 @@
 package drain
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/telemetry"
 )
 
 // A stop with a bound takes requests for a part of its time, then tells further
@@ -33,3 +39,46 @@
 		t.Errorf("with nothing in flight: %v", got)
 	}
 }
+
+// silentMembers are neighbors that never say that they know.
+type silentMembers struct{}
+
+func (silentMembers) Leave(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// idleCallers are callers without a request in flight.
+type idleCallers struct{ refused bool }
+
+func (*idleCallers) InFlight() int     { return 0 }
+func (*idleCallers) CloseConnections() {}
+func (c *idleCallers) Refuse()         { c.refused = true }
+
+// noDocument is a source that has none.
+type noDocument struct{}
+
+func (noDocument) Current() *config.Snapshot { return nil }
+func (noDocument) Subscribe(func(*config.Snapshot)) (cancel func()) {
+	return func() {}
+}
+
+// A stop with a bound does not spend it on neighbors that are dead or cut off:
+// further requests are refused on time, so that those in flight can end.
+func TestBoundedStopWithSilentNeighbors(t *testing.T) {
+	const grace = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		callers := &idleCallers{}
+		s := NewService(Deps{
+			Members: silentMembers{}, Callers: callers, Config: noDocument{}, Grace: grace,
+			Clock: kernel.SystemClock{}, Logger: telemetry.Discard(),
+		})
+		began := time.Now()
+		if err := s.Drain(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if took, most := time.Since(began), grace/2+2*tickTime; took > most || !callers.refused {
+			t.Errorf("the stop took %v, want %v at most; further requests were refused: %v", took, most, callers.refused)
+		}
+	})
+}
--- a/internal/drain/machine.go
+++ b/internal/drain/machine.go
@@ -63,6 +63,7 @@
 type machine struct {
 	times  times
 	step   Step
+	began  time.Time
 	linger time.Time // until when look-ups may name this VM
 	report time.Time
 	last   time.Time // of the last tick
@@ -80,12 +81,13 @@
 		return m.force(e)
 	case e.kind == eventBegin && m.step == StepServing:
 		m.step = StepLeaving
+		m.began = now
 		m.report = now.Add(m.times.grace)
 		return []action{actionTell}
 	case e.kind == eventTold && m.step == StepLeaving:
 		m.step = StepLingering
 		m.last = now
-		m.linger = now.Add(m.times.spread + m.times.maxAge)
+		m.linger = m.lingerFrom(now).Add(m.times.spread + m.times.maxAge)
 		return []action{actionCloseConnections}
 	case e.kind == eventTick:
 		return m.tick(e, now)
@@ -93,6 +95,15 @@
 	return nil
 }
 
+// lingerFrom returns when the time to linger begins: with the stop where the
+// stop has a bound, else when the neighbors know.
+func (m *machine) lingerFrom(told time.Time) time.Time {
+	if m.times.refuse {
+		return m.began
+	}
+	return told
+}
+
 func (m *machine) force(e event) []action {
 	m.step = StepForced
 	if e.inFlight > 0 {
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -26,6 +26,10 @@
 	// taken. What is taken at its end has the rest of the time, which is longer
 	// than all but the slowest requests last.
 	lingerShare = 0.48
+	// tellShare is the part of a bounded stop for which neighbors that are cut off
+	// are waited for: with 6 s to stop, 5 s of waiting left requests in flight to be
+	// cut. Heartbeats between regions take 0.2 s.
+	tellShare = 0.1
 )
 
 // Members tells the other VMs.
@@ -122,8 +126,16 @@
 	}
 }
 
+// tellTimeout is how long neighbors are waited for.
+func (s *Service) tellTimeout() time.Duration {
+	if s.deps.Grace == 0 {
+		return tellTimeout
+	}
+	return min(tellTimeout, time.Duration(tellShare*float64(s.deps.Grace)))
+}
+
 func (s *Service) tell(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.tellTimeout())
 	defer cancel()
 	if err := s.deps.Members.Leave(ctx); err != nil {
 		s.deps.Logger.Log(eventNotTold, telemetry.Err(trace.Wrap(err, "tell the other VMs")))
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -69,6 +69,26 @@
 	notes map[string]string   // reasons by number
 }
 
+// platformSteps are the columns of the table of the platform's troubles: what a
+// VM does, from its start to its stop.
+var platformSteps = []string{"start", "news", "look-up", "placing", "sending", "answering", "stop"}
+
+// platformTroubles are its rows: every kind of trouble that a deployment on the
+// platform may meet.
+var platformTroubles = []string{
+	"callers come in a burst", "callers move to another zone", "callers repeat at once and often", "callers leave early",
+	"targets crash or are lost", "targets turn slow", "targets fail in part", "targets are replaced in turn",
+	"an address is reused by another service", "targets are added", "targets are emptied and taken away",
+	"targets are cold, again too", "an answer is lost after the run", "answers are spoiled, doubled, without a length",
+	"VMs are killed, many or all at once, zones lose power", "a VM stands still", "a VM runs slowly",
+	"VMs are stopped in turn, while busy", "VMs are added", "connections are reset or go silent",
+	"a VM is cut from the store", "VMs or zones are cut from each other", "links lose packets",
+	"the store is down, its entries lapse", "the store refuses some VMs", "the store is slow",
+	"answers of the store are lost, writes come late", "the store forgets its history", "the document changes",
+	"documents come in quick succession", "a zone is evacuated and taken back", "the time of day jumps",
+	"settings are read again",
+}
+
 var (
 	heading  = regexp.MustCompile(`^## Machine: (.+)$`)
 	note     = regexp.MustCompile(`^([a-z][0-9]+): (.+)$`)
@@ -77,7 +97,13 @@
 	testFunc = regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9_]+)\(`)
 )
 
-// readPage returns the tables of the page by machine.
+// The table of the platform's troubles among those of machines.
+const (
+	platformHeading = "## Troubles of the platform"
+	platformTable   = "platform"
+)
+
+// readPage returns the tables of the page by machine, and that of the platform.
 func readPage(t *testing.T) map[string]*table {
 	t.Helper()
 	raw, err := os.ReadFile(page)
@@ -88,6 +114,14 @@
 	var now *table
 	for line := range strings.Lines(string(raw)) {
 		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "## ") {
+			now = nil
+		}
+		if line == platformHeading {
+			now = &table{rows: make(map[string][]string), notes: make(map[string]string)}
+			tables[platformTable] = now
+			continue
+		}
 		if m := heading.FindStringSubmatch(line); m != nil {
 			now = &table{rows: make(map[string][]string), notes: make(map[string]string)}
 			tables[m[1]] = now
@@ -114,29 +148,60 @@
 	t.rows[cells[0]] = cells[1:]
 }
 
-// testsOf returns the names of all tests below internal, by package folder.
+// testsOf returns the names of all tests below internal and of those below
+// platform, by package folder; the folder platform itself is named so.
 func testsOf(t *testing.T) map[string]bool {
 	t.Helper()
 	tests := make(map[string]bool)
-	base := filepath.Join(root, "internal")
-	err := filepath.WalkDir(base, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		raw, err := os.ReadFile(path)
+	for _, base := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(filepath.Join(root, base), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			return addTests(tests, filepath.Join(root, base), path)
+		})
 		if err != nil {
-			return err
-		}
-		pkg, err := filepath.Rel(base, filepath.Dir(path))
-		for _, m := range testFunc.FindAllStringSubmatch(string(raw), -1) {
-			tests[filepath.ToSlash(pkg)+"."+m[1]] = true
+			t.Fatal(err)
 		}
+	}
+	return tests
+}
+
+// addTests adds the tests of a file.
+func addTests(tests map[string]bool, base, path string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
 		return err
-	})
+	}
+	pkg, err := filepath.Rel(base, filepath.Dir(path))
 	if err != nil {
-		t.Fatal(err)
+		return err
+	}
+	if pkg == "." {
+		pkg = filepath.Base(base)
+	}
+	for _, m := range testFunc.FindAllStringSubmatch(string(raw), -1) {
+		tests[filepath.ToSlash(pkg)+"."+m[1]] = true
+	}
+	return nil
+}
+
+// TestEveryTroubleHasItsCells compares the table of the platform's troubles with
+// what may come.
+func TestEveryTroubleHasItsCells(t *testing.T) {
+	tab, tests := readPage(t)[platformTable], testsOf(t)
+	if tab == nil {
+		t.Fatalf("docs/FAULTS.md has no part %q", platformHeading)
+	}
+	if head := tab.rows["trouble"]; !slices.Equal(head, platformSteps) {
+		t.Errorf("columns are %v, want %v", head, platformSteps)
+	}
+	for _, trouble := range platformTroubles {
+		checkRow(t, platformTable, trouble, platformSteps, tab, tests)
+	}
+	if extra := len(tab.rows) - len(platformTroubles) - 2; extra != 0 { // the head and the rule below it
+		t.Errorf("%d rows are no trouble that may come", extra)
 	}
-	return tests
 }
 
 // TestEveryStepHasItsCells compares the page with the steps in the code.
@@ -152,27 +217,27 @@
 			t.Errorf("machine %s: columns are %v, want %v", m.name, head, faults)
 		}
 		for _, step := range m.steps {
-			checkRow(t, m.name, step, tab, tests)
+			checkRow(t, m.name, step, faults, tab, tests)
 		}
 		if extra := len(tab.rows) - len(m.steps) - 2; extra != 0 { // the head and the rule below it
 			t.Errorf("machine %s: %d rows are no step of the code", m.name, extra)
 		}
 	}
-	if len(tables) != len(machines()) {
-		t.Errorf("docs/FAULTS.md has %d machines, the code %d", len(tables), len(machines()))
+	if got := len(tables) - 1; got != len(machines()) { // without the platform's
+		t.Errorf("docs/FAULTS.md has %d machines, the code %d", got, len(machines()))
 	}
 }
 
-func checkRow(t *testing.T, machine, step string, tab *table, tests map[string]bool) {
+func checkRow(t *testing.T, machine, step string, columns []string, tab *table, tests map[string]bool) {
 	t.Helper()
 	cells := tab.rows[step]
-	if len(cells) != len(faults) {
-		t.Errorf("machine %s, step %s: %d cells, want %d", machine, step, len(cells), len(faults))
+	if len(cells) != len(columns) {
+		t.Errorf("machine %s, step %s: %d cells, want %d", machine, step, len(cells), len(columns))
 		return
 	}
 	for i, cell := range cells {
 		if err := checkCell(cell, tab, tests); err != nil {
-			t.Errorf("machine %s, step %s, fault %s: %v", machine, step, faults[i], err)
+			t.Errorf("machine %s, step %s, fault %s: %v", machine, step, columns[i], err)
 		}
 	}
 }
@@ -205,6 +270,9 @@
 func TestCountsOfCells(t *testing.T) {
 	var named, noted, open int
 	for name, tab := range readPage(t) {
+		if name == platformTable {
+			continue
+		}
 		for step, cells := range tab.rows {
 			if step == "step" || strings.HasPrefix(step, "--") {
 				continue
