--- a/internal/command/bench_placement.go
+++ b/internal/command/bench_placement.go
@@ -32,7 +32,7 @@
 			}
 			return scenarioResult{report: results}, nil
 		},
-		&cli.StringFlag{Name: flagLoad, Value: allLoads, Usage: placementLoadNames() + " or " + allLoads},
+		&cli.StringFlag{Name: flagLoad, Value: allLoads, Usage: placementLoadNames() + " or " + allLoads + " (without the grown ones)"},
 		&cli.StringSliceFlag{Name: flagPolicy, Value: []string{allPolicies}, Usage: placementPolicyNames() + " or " + allPolicies + " (may be repeated)"},
 		&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of arrivals and service times"})
 }
@@ -50,7 +50,7 @@
 
 func placementLoadNames() string {
 	var names []string
-	for _, l := range emulation.Loads() {
+	for _, l := range append(emulation.Loads(), emulation.GrownLoads()...) {
 		names = append(names, l.Name)
 	}
 	return strings.Join(names, ", ")
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -239,6 +239,7 @@
 	if a.notRun() {
 		end.Fault = FaultShed
 		end.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
+		end.SlotsFree = a.load != nil && a.load.Running < a.load.Slots
 		end.Err = errTargetRefused
 		end.RetryAfter = parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now())
 		return end
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -66,7 +66,9 @@
 	Status     int // HTTP status for the caller; 0: by fault
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
-	Err         error
+	// SlotsFree: the target told of free slots with its refusal.
+	SlotsFree bool
+	Err       error
 }
 
 // verdict is what to do after an attempt.
@@ -177,6 +179,11 @@
 // when another slot is free.
 const notRunRetryAfter = 100 * time.Millisecond
 
+// freeRetryAfter is the same where the target refused though it had slots free:
+// it refuses by chance, and nothing has to end before another one takes the
+// request. Callers of the fleet come back to another VM meanwhile.
+const freeRetryAfter = 10 * time.Millisecond
+
 // failure is the one place where the outcome of a failed request is decided.
 func (d *dispatch) failure(a attemptEnd) *outcome.Error {
 	o := outcome.NotRun
@@ -200,6 +207,9 @@
 	}
 	if o == outcome.NotRun && e.RetryAfter == 0 && a.Fault != FaultCallerGone {
 		e.RetryAfter = notRunRetryAfter
+		if a.SlotsFree {
+			e.RetryAfter = freeRetryAfter
+		}
 	}
 	return e
 }
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
@@ -142,3 +144,30 @@
 		t.Errorf("got %v, %v", resp, err)
 	}
 }
+
+// A target that refuses though it has slots free is no reason to wait for a run
+// to end; one that is full or tells nothing is.
+func TestRefusalWithFreeSlotsBringsCallersBackAtOnce(t *testing.T) {
+	tests := map[string]time.Duration{"1/4": freeRetryAfter, "4/4": notRunRetryAfter, "": notRunRetryAfter}
+	for load, want := range tests {
+		address := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(edge.HeaderTargetNotRun, "1")
+			if load != "" {
+				w.Header().Set(edge.HeaderTargetLoad, load)
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		b := newBench(t, oneAttempt(address), nil, telemetry.Discard())
+		_, body, err := b.call(t, "GET", "/svc/a", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer edge.ErrorBody
+		if err := json.Unmarshal([]byte(body), &answer); err != nil {
+			t.Fatalf("%q: %v", body, err)
+		}
+		if answer.RetryAfterMS != want.Milliseconds() {
+			t.Errorf("refused with load %q: come back after %d ms, want %v", load, answer.RetryAfterMS, want)
+		}
+	}
+}
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -10,14 +10,15 @@
 )
 
 // Loads returns the loads that the policies are compared on, made after the
-// services of the two deployments and their heaviest days.
+// services of the two deployments and their heaviest days. A play of one takes
+// about 0.1 s, one of GrownLoads some seconds.
 func Loads() []*Load {
 	return []*Load{PlanReads(), HoldConfirms(), ArchiveReads(), ScriptReads(), Bookings(), ProofListens()}
 }
 
 // LoadNamed returns the load of a name, nil when there is none.
 func LoadNamed(name string) *Load {
-	for _, l := range Loads() {
+	for _, l := range append(Loads(), GrownLoads()...) {
 		if l.Name == name {
 			return l
 		}
