--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -37,7 +37,8 @@
 	// gets an object that it is not known to know. Such a run takes 3.3 times as long
 	// as one at a target that knows the object; under load it would take the time of
 	// others. Over the six loads of package emulation it raised what callers got from
-	// 0.803 to 0.829 of what was owed (0 to 2 slots); 3 gave no more.
+	// 0.803 to 0.829 of what was owed (0 to 2 slots); 3 gave no more. A target with
+	// fewer slots must be idle.
 	spareSlots = 2
 	// queueMost is how many requests may wait at a target, for each of its slots.
 	queueMost = 1.0
@@ -56,9 +57,9 @@
 
 // Options are what a pool is made with.
 type Options struct {
-	Region string // of this VM
-	Policy Policy // how targets are chosen
-	Rand   *rand.Rand
+	Region string     // of this VM
+	Policy Policy     // how targets are chosen; empty: PolicyCompletion
+	Rand   *rand.Rand // draws where a policy leaves it to chance, and for requests without an object
 }
 
 // Pool is the targets of one service. It is not safe for concurrent use and
@@ -83,6 +84,9 @@
 
 // NewPool returns a pool without targets.
 func NewPool(o Options) *Pool {
+	if o.Policy == "" {
+		o.Policy = PolicyCompletion
+	}
 	return &Pool{
 		region:  o.Region,
 		choose:  choosers[o.Policy],
@@ -172,7 +176,7 @@
 			continue
 		}
 		known := a.Key == "" || t.objects.known(a.Key)
-		if rank > 0 && !known && t.Slots-t.busy(now) < spareSlots {
+		if rank > 0 && !known && t.Slots-t.busy(now) < min(spareSlots, t.Slots) {
 			continue
 		}
 		cost := p.wait(t, now) + p.run(t, known, rank, now) + time.Duration(rank)*rankStep
