--- a/internal/command/bench_placement.go
+++ b/internal/command/bench_placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -53,7 +52,7 @@
 	for _, l := range append(emulation.Loads(), emulation.GrownLoads()...) {
 		names = append(names, l.Name)
 	}
-	return strings.Join(names, ", ")
+	return joined(names)
 }
 
 func placementPolicies(names []string) ([]placement.Policy, error) {
@@ -80,10 +79,4 @@
 	return policy, nil
 }
 
-func placementPolicyNames() string {
-	var names []string
-	for _, p := range placement.Policies() {
-		names = append(names, string(p))
-	}
-	return strings.Join(names, ", ")
-}
+func placementPolicyNames() string { return joined(placement.Policies()) }
--- a/internal/command/bench_steering.go
+++ b/internal/command/bench_steering.go
@@ -49,12 +49,15 @@
 		&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of arrivals and service times"})
 }
 
-func policyNames() string {
-	var names []string
-	for _, p := range steering.Policies() {
-		names = append(names, string(p))
+func policyNames() string { return joined(steering.Policies()) }
+
+// joined lists names for usages and errors.
+func joined[T ~string](names []T) string {
+	var out []string
+	for _, n := range names {
+		out = append(out, string(n))
 	}
-	return strings.Join(names, ", ")
+	return strings.Join(out, ", ")
 }
 
 func policiesOf(names []string) ([]steering.PolicyName, error) {
