Targets by their starts; entries that anybody may have written

Cause: a target may start again under its id, and what was kept by id (objects it knows, requests there, connections, failures, the cold meter, leaving, what other VMs told) was then believed of a target that holds and knows nothing.

Change: a target's name is its id with the time of its start, so that all that is kept by name ends with a start on each VM, and messages between VMs carry it. An older start never replaces a newer one, an overtaken report of one start changes nothing. Whoever answers where nobody listened is taken as cold until the news of its start has come. Entries, documents, VMs' records and evacuations are checked field by field: what can't be read names no target, the others hold, told once a change and counted. Entries longer than 4 KB are kept by name only. Messages of another release are told once a kind (target use has a new number).

Ruled out: the address as identity (reused by others), the count of reports (starts anew), answers of the target (they carry neither start nor id), a reset of one connection as a sign of an end (lost answers look the same).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -58,6 +58,9 @@
 	Canceled   bool          // the caller left; says nothing about the target
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
+	// NoListener: nobody listens at the target's address, so that whoever does
+	// next has started since.
+	NoListener bool
 }
 
 // Admitter gives out permits. The error is an *outcome.Error with outcome
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -97,6 +97,7 @@
 		Shares:  func() (config.Fleet, config.Retry) { return sharesOf(w.members.View(), d.settings.Bounds) },
 		Clock:   d.opts.Clock,
 		Logger:  d.opts.Logger,
+		Metrics: d.opts.Metrics,
 	})
 	s.Subscribe(func(snap *config.Snapshot) { w.members.SetGeneration(uint64(snap.Generation), 0) })
 	return s, nil
--- a/internal/discovery/belief_test.go
+++ b/internal/discovery/belief_test.go
@@ -30,6 +30,9 @@
 }
 
 func (jsonDecoder) Target(o platform.Object) (Target, error) {
+	if o.Omitted > 0 {
+		return Target{}, ErrOmitted
+	}
 	t := Target{Instance: o.Name}
 	err := json.Unmarshal(o.Value, &t)
 	return t, err
@@ -62,7 +65,7 @@
 func newWorld(t *testing.T, targets ...string) *world {
 	w := &world{
 		t: t, b: newBelief(jsonDecoder{}, map[string]string{"z1": "r1", "z2": "r2"}),
-		docs: NewMirror(), zones: NewMirror(), targets: NewMirror(), now: time.Unix(1000, 0),
+		docs: NewMirror(platform.MaxValueBytes), zones: NewMirror(entryMost), targets: NewMirror(entryMost), now: time.Unix(1000, 0),
 	}
 	w.document(1)
 	var list []platform.Object
@@ -94,6 +97,10 @@
 	if target.Zone == "" {
 		target.Zone = "z1"
 	}
+	if target.Slots == 0 {
+		target.Slots = 1
+	}
+	target.Address = "10.0.0.1:80"
 	return platform.Object{Name: name, Version: w.version, Value: encode(w.t, target)}
 }
 
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -47,8 +47,15 @@
 		Number:  telemetry.RangeDiscovery + 103,
 		Level:   logrus.ErrorLevel,
 		Name:    "target entry not readable",
-		Meaning: "A target's entry can't be decoded and is passed over.",
-		Action:  "Look at the target's entry in the store.",
+		Meaning: "A target's entry changed and names no target to use any more: a field is missing, of another type or out of range, or it can't be read at all. The error names the field. The other entries hold.",
+		Action:  "Look at the target's entry in the store and at who wrote it.",
+	})
+	eventZoneUnknown = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 108,
+		Level:   logrus.WarnLevel,
+		Name:    "unknown zone evacuated",
+		Meaning: "An availability zone that this deployment does not have is to be evacuated, as of the version stated. It changes nothing.",
+		Action:  "Look for a mistyped name in what the operator wrote.",
 	})
 	eventTarget = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 104,
--- /dev/null
+++ b/internal/discovery/fuzz_test.go
@@ -0,0 +1,103 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"masticturn/internal/mutation"
+	"masticturn/internal/peer"
+	"masticturn/internal/platform"
+)
+
+// spoiledCases is how many spoiled copies are read in an ordinary run.
+const spoiledCases = 4000
+
+func entrySeeds() [][]byte {
+	return [][]byte{
+		[]byte(`{"Service":"svc","Zone":"z1","Slots":4,"Address":"10.0.0.1:80","Born":1764725813000,"Sequence":3}`),
+		[]byte(`{"Service":"svc","Zone":"z2","Slots":1,"Address":"[::1]:80","Leaving":true,"Cold":1000000000}`),
+	}
+}
+
+// checkEntry writes an entry that anybody may have written over a good one. The
+// view holds nothing that could not be a target, and the other target always.
+func checkEntry(t *testing.T, data []byte) {
+	w := newWorld(t, "other", "a")
+	faults := w.put("a", string(data))
+	v := w.b.view(noShares)
+	found := 0
+	for _, target := range v.Snapshot.Services()[0].AllTargets {
+		found++
+		if target.Region == "" || target.Slots < 1 || target.Address == "" || target.Instance == "" {
+			t.Errorf("%q makes a target %+v", data, target.Target)
+		}
+	}
+	if v.Snapshot.Target("other") == nil {
+		t.Errorf("%q takes the other target away", data)
+	}
+	if len(faults) > 0 && found != 1 {
+		t.Errorf("%q names no target, and there are %d", data, found)
+	}
+}
+
+func FuzzEntry(f *testing.F) {
+	for _, seed := range entrySeeds() {
+		f.Add(seed)
+	}
+	f.Fuzz(checkEntry)
+}
+
+func TestSpoiledEntries(t *testing.T) {
+	mutation.Cases(entrySeeds(), spoiledCases, func(data []byte) { checkEntry(t, data) })
+}
+
+func pollSeeds(t testing.TB) [][]byte {
+	entry := platform.Object{Kind: "targets", Name: "a", Version: 7, Value: entrySeeds()[0]}
+	var seeds [][]byte
+	for _, a := range []pollAnswer{
+		{Listed: true, Changed: []platform.Object{entry}, AsOf: 9, Age: time.Second},
+		{Changed: []platform.Object{entry}, Removed: []string{"b"}, AsOf: 9},
+	} {
+		raw, err := peer.Encode(&a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = append(seeds, raw)
+	}
+	return seeds
+}
+
+// checkPoll takes in another VM's answer to a poll. It never takes the mirror
+// back, and keeps nothing that is longer than it may be.
+func checkPoll(t *testing.T, data []byte) {
+	var a pollAnswer
+	if peer.CheckPayload(data) != nil || peer.Decode(data, &a) != nil {
+		return
+	}
+	m := NewMirror(entryMost)
+	m.Replace([]platform.Object{object("a", 5)}, 5)
+	if c := a.change("targets"); c.listed {
+		m.Replace(c.list, c.asOf)
+	} else {
+		m.Apply(c.events, c.asOf)
+	}
+	if m.AsOf() < 5 {
+		t.Errorf("%q takes the mirror back to %d", data, m.AsOf())
+	}
+	for _, o := range m.Objects() {
+		if len(o.Value)+len(o.Status) > entryMost {
+			t.Errorf("an object of %d bytes is kept", len(o.Value)+len(o.Status))
+		}
+	}
+}
+
+func FuzzPoll(f *testing.F) {
+	for _, seed := range pollSeeds(f) {
+		f.Add(seed)
+	}
+	f.Fuzz(checkPoll)
+}
+
+func TestSpoiledPolls(t *testing.T) {
+	mutation.Cases(pollSeeds(t), spoiledCases, func(data []byte) { checkPoll(t, data) })
+}
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -11,6 +11,7 @@
 // It only moves forward: what is older than what it holds is ignored, from
 // whichever source it comes. It does no I/O and is not safe for concurrent use.
 type Mirror struct {
+	most    int // bytes of an object that are kept; longer ones are kept without their content
 	asOf    platform.Version
 	objects map[string]platform.Object
 	removed map[string]platform.Version // names that are gone, with the version at which
@@ -21,9 +22,11 @@
 // of a few releases of a large deployment.
 const removedMost = 4096
 
-// NewMirror returns an empty mirror.
-func NewMirror() *Mirror {
-	return &Mirror{objects: make(map[string]platform.Object), removed: make(map[string]platform.Version)}
+// NewMirror returns an empty mirror. Of objects longer than most bytes it keeps
+// the name and version only, so that nobody can fill a VM's memory by way of
+// the store.
+func NewMirror(most int) *Mirror {
+	return &Mirror{most: most, objects: make(map[string]platform.Object), removed: make(map[string]platform.Version)}
 }
 
 // AsOf returns the version of the store that the mirror shows; 0: none yet.
@@ -113,10 +116,17 @@
 		return false
 	}
 	delete(m.removed, o.Name)
-	m.objects[o.Name] = o
+	m.objects[o.Name] = m.bounded(o)
 	return true
 }
 
+func (m *Mirror) bounded(o platform.Object) platform.Object {
+	if n := len(o.Value) + len(o.Status); n > m.most {
+		o.Value, o.Status, o.Omitted = nil, nil, n
+	}
+	return o
+}
+
 func (m *Mirror) delete(name string, at platform.Version) bool {
 	known, ok := m.objects[name]
 	if ok && known.Version > at {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 
 	"masticturn/internal/config"
@@ -26,6 +28,19 @@
 // expireEvery is how often targets that did not come back are looked for.
 const expireEvery = 200 * time.Millisecond
 
+// entryMost is the longest entry of a target or of an evacuated zone that is
+// kept, in bytes: twenty times what targets write.
+const entryMost = 4 << 10
+
+// objectsMost returns the longest object of each kind that is kept.
+func objectsMost(kinds Kinds) map[platform.Kind]int {
+	return map[platform.Kind]int{
+		kinds.Document:    platform.MaxValueBytes,
+		kinds.Evacuations: entryMost,
+		kinds.Targets:     entryMost,
+	}
+}
+
 // Deps is what a Service needs.
 type Deps struct {
 	Store   platform.Store
@@ -36,9 +51,10 @@
 	Bounds  settings.Bounds
 	// Shares returns the bounds on the fleet and this VM's share of the retry
 	// budget, which the stored document does not set.
-	Shares func() (config.Fleet, config.Retry)
-	Clock  kernel.Clock
-	Logger *telemetry.Logger
+	Shares  func() (config.Fleet, config.Retry)
+	Clock   kernel.Clock
+	Logger  *telemetry.Logger
+	Metrics *metrics.Set
 }
 
 // Service mirrors the store and hands out views.
@@ -77,9 +93,8 @@
 		subs:    make(map[int]func(*View)),
 		stopped: make(chan struct{}),
 	}
-	kinds := d.Decoder.Kinds()
-	for _, kind := range []platform.Kind{kinds.Document, kinds.Evacuations, kinds.Targets} {
-		s.mirrors[kind] = NewMirror()
+	for kind, most := range objectsMost(d.Decoder.Kinds()) {
+		s.mirrors[kind] = NewMirror(most)
 		s.news[kind] = make(chan struct{})
 	}
 	d.Network.Handle(peer.KindMirrorPoll, s.answerPoll)
@@ -248,23 +263,32 @@
 	case kinds.Document:
 		adopted, err := s.belief.setDocument(m)
 		if err != nil {
+			s.unreadable(kind).Inc()
 			s.deps.Logger.Log(eventDocumentBad, version, telemetry.Err(err))
 		}
 		if adopted {
 			s.deps.Logger.Log(eventDocument, version, telemetry.GenerationOf(uint64(s.belief.gen)))
 		}
 	case kinds.Evacuations:
-		s.belief.setZones(m, now)
+		for _, zone := range s.belief.setZones(m, now) {
+			s.deps.Logger.Log(eventZoneUnknown, version, telemetry.Value("zone", zone))
+		}
 		s.deps.Logger.Log(eventZones, version, telemetry.Value("zones", strings.Join(slices.Sorted(maps.Keys(s.belief.zones)), ",")))
 	case kinds.Targets:
 		before := s.belief.states()
-		for _, err := range s.belief.setTargets(m, now) {
-			s.deps.Logger.Log(eventTargetBad, version, telemetry.Err(err))
+		for _, f := range s.belief.setTargets(m, now) {
+			s.unreadable(kind).Inc()
+			s.deps.Logger.Log(eventTargetBad, version, telemetry.Peer(f.name), telemetry.Err(f.err))
 		}
 		s.logTargets(before, version)
 	}
 }
 
+// unreadable counts objects that were found not to hold what their kind holds.
+func (s *Service) unreadable(kind platform.Kind) *metrics.Counter {
+	return s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_unreadable_total{kind=%q}", string(kind)))
+}
+
 // logTargets writes what changed of targets.
 func (s *Service) logTargets(before map[string]string, version telemetry.Field) {
 	after := s.belief.states()
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"masticturn/internal/config"
-	"masticturn/internal/platform"
 )
 
 // View is what this VM believes at one moment. It is immutable.
@@ -19,9 +18,10 @@
 // known is a target with what this VM noted of it.
 type known struct {
 	Target
-	version   platform.Version // of the entry
-	coldUntil time.Time
-	vanished  time.Time // its entry is missing since; zero: it is there
+	reported   time.Time // when its entry was last taken in
+	coldUntil  time.Time
+	vanished   time.Time // its entry is missing since; zero: it is there
+	unreadable bool      // its entry names no target now
 }
 
 // assemble makes a view of a document and targets.
@@ -38,12 +38,12 @@
 	for _, name := range slices.Sorted(maps.Keys(targets)) {
 		t := targets[name]
 		i, ok := index[t.Service]
-		if !ok {
-			continue // a target of a service that the document does not have
+		if !ok || t.unreadable {
+			continue // the document does not have its service, or its entry names none
 		}
 		svc := &live.Services[i]
 		svc.Targets = append(svc.Targets, config.Target{
-			Name:        t.Instance,
+			Name:        t.Name(),
 			Instance:    t.Instance,
 			Address:     t.Address,
 			Zone:        t.Zone,
@@ -52,7 +52,7 @@
 			Leaving:     t.Leaving,
 		})
 		if !t.coldUntil.IsZero() {
-			v.ColdUntil[t.Instance] = t.coldUntil
+			v.ColdUntil[t.Name()] = t.coldUntil
 		}
 	}
 	v.Snapshot = config.NewLiveSnapshot(gen, &live)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -166,7 +167,12 @@
 	a.keep = rule.keep
 	conn, err := a.x.h.conns.Get(ctx, a.target, rule.limit, use)
 	if err != nil {
-		return attemptEnd{Step: outcome.StepConnect, Fault: a.faultOr(FaultRefused), Err: err}
+		return attemptEnd{
+			Step:       outcome.StepConnect,
+			Fault:      a.faultOr(FaultRefused),
+			NoListener: errors.Is(err, syscall.ECONNREFUSED),
+			Err:        err,
+		}
 	}
 	a.conn = conn
 	a.opening = conn.OpenedIn()
@@ -371,6 +377,7 @@
 		Latency:     a.x.h.deps.Clock.Now().Sub(a.sentAt),
 		ShedByPeer:  end.Fault == FaultShed,
 		Misdirected: end.Misdirected,
+		NoListener:  end.NoListener,
 		Draining:    a.draining,
 		InFlight:    inFlight,
 		Load:        a.load,
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -68,7 +68,9 @@
 	Misdirected bool
 	// SlotsFree: the target told of free slots with its refusal.
 	SlotsFree bool
-	Err       error
+	// NoListener: nobody listens at the target's address.
+	NoListener bool
+	Err        error
 }
 
 // verdict is what to do after an attempt.
--- a/internal/forward/faults_connect_test.go
+++ b/internal/forward/faults_connect_test.go
@@ -87,3 +87,23 @@
 		t.Errorf("released with %+v", r)
 	}
 }
+
+// That nobody listens at a target's address is told apart from a target that
+// can't be reached: whoever listens there next has started since.
+func TestNobodyListensAtTheTarget(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	b := newBench(t, document(closed.Addr().String()), nil, telemetry.Discard())
+	if _, _, err := b.call(t, "GET", "/svc/a", nil); err != nil {
+		t.Fatal(err)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Fatalf("%d permits are still held", n)
+	}
+	if r := b.admission.released[0]; !r.NoListener || r.Outcome != outcome.NotRun {
+		t.Errorf("released with %+v", r)
+	}
+}
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -43,4 +43,9 @@
 		Meaning: "The platform's list of VMs could not be read; seeds and known members are used.",
 		Action:  "None; see the platform's health.",
 	})
+	eventRecordBad = telemetry.Register(telemetry.Event{
+		Number: telemetry.RangePeer + 108, Level: logrus.ErrorLevel, Name: "record of a VM not readable",
+		Meaning: "A record of the platform's list of VMs changed and names no VM: it can't be read, has another name or no address. The others hold.",
+		Action:  "Look at the record in the store and at who wrote it.",
+	})
 )
--- a/internal/membership/hints.go
+++ b/internal/membership/hints.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/edge"
 	"masticturn/internal/platform"
 	"masticturn/internal/telemetry"
@@ -50,24 +54,76 @@
 		s.cfg.Logger.Log(eventHintsFailed, telemetry.Err(err))
 		return
 	}
+	candidates, faults := candidatesOf(objects)
+	s.logFaults(faults)
 	s.mu.Lock()
-	s.hints = candidatesOf(objects)
+	s.hints = candidates
 	s.mu.Unlock()
 	s.setCandidates()
 }
 
-// candidatesOf returns the VMs of the list that are not leaving. Records that
-// cannot be read are passed over: the list is a hint.
-func candidatesOf(objects []platform.Object) []Candidate {
-	var out []Candidate
+// recordFault is a record of the list that names no VM.
+type recordFault struct {
+	name    string
+	version platform.Version
+	err     error
+}
+
+// candidatesMost bounds the VMs of the list that are tried: twice the largest
+// fleet that is designed for.
+const candidatesMost = 2800
+
+// candidatesOf returns the VMs of the list that are not leaving, and the records
+// that name none, as anybody may have written them: the list is a hint, and the
+// other records hold.
+func candidatesOf(objects []platform.Object) (out []Candidate, faults []recordFault) {
 	for _, o := range objects {
-		var r edge.VMRecord
-		if err := json.Unmarshal(o.Value, &r); err != nil || r.PeerAddress == "" || r.Leaving {
+		r, err := parseRecord(&o)
+		switch {
+		case err != nil:
+			faults = append(faults, recordFault{o.Name, o.Version, err})
+		case !r.Leaving && len(out) < candidatesMost:
+			out = append(out, Candidate{Name: r.Name, Address: r.PeerAddress})
+		}
+	}
+	return out, faults
+}
+
+// recordMost is the longest record that is read, in bytes: some times what VMs write.
+const recordMost = 2 << 10
+
+// parseRecord reads a VM's record, which must bear the name under which it stands.
+func parseRecord(o *platform.Object) (*edge.VMRecord, error) {
+	if len(o.Value) > recordMost {
+		return nil, trace.BadParameter("the record has %d bytes; allowed are %d", len(o.Value), recordMost)
+	}
+	var r edge.VMRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return nil, trace.Wrap(err, "decode the record")
+	}
+	if r.Name == "" || r.Name != o.Name {
+		return nil, trace.BadParameter("the record names VM %q", r.Name)
+	}
+	host, port, err := net.SplitHostPort(r.PeerAddress)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || host == "" || number == 0 {
+		return nil, trace.BadParameter("field peer_address: got %q; allowed is host:port", r.PeerAddress)
+	}
+	return &r, nil
+}
+
+// logFaults tells of records that name no VM, once for each change of one.
+func (s *Service) logFaults(faults []recordFault) {
+	told := make(map[string]platform.Version, len(faults))
+	for _, f := range faults {
+		told[f.name] = f.version
+		if before, ok := s.faults[f.name]; ok && before == f.version {
 			continue
 		}
-		out = append(out, Candidate{Name: r.Name, Address: r.PeerAddress})
+		s.badRecords.Inc()
+		s.cfg.Logger.Log(eventRecordBad, telemetry.Peer(f.name), telemetry.Value("version", uint64(f.version)), telemetry.Err(f.err))
 	}
-	return out
+	s.faults = told
 }
 
 // setCandidates gives seeds and hints to the machine.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -38,6 +38,9 @@
 	machine *Machine
 	hints   []Candidate
 
+	faults     map[string]platform.Version // records that name no VM, as told last; of pollHints
+	badRecords *metrics.Counter
+
 	view    atomic.Pointer[View]
 	ready   atomic.Bool
 	beat    atomic.Int64 // of the last event, as time since start
@@ -87,6 +90,7 @@
 func (s *Service) register() {
 	s.cfg.Network.Handle(peer.KindHeartbeat, s.handleHeartbeat)
 	s.cfg.Network.Handle(peer.KindJoin, s.handleJoin)
+	s.badRecords = s.cfg.Metrics.GetOrCreateCounter(`masticturn_objects_unreadable_total{kind="` + string(platform.KindVM) + `"}`)
 	for _, state := range []State{Alive, Suspect, Leaving} {
 		s.cfg.Metrics.NewGauge(`masticturn_members{state="`+state.String()+`"}`, func() float64 {
 			return float64(s.View().Count(state))
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -1,17 +1,22 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"masticturn/internal/edge"
 	"masticturn/internal/peer/peertest"
 	"masticturn/internal/platform"
+	"masticturn/internal/telemetry"
 )
 
 // daemon starts a service on the hub.
@@ -127,7 +132,7 @@
 		raw, _ := json.Marshal(r)
 		out = append(out, platform.Object{Kind: platform.KindVM, Name: r.Name, Value: raw})
 	}
-	return append(out, platform.Object{Value: []byte("no record")}), 1, nil
+	return append(out, platform.Object{Name: "other", Value: []byte("no record")}), 1, nil
 }
 
 func TestListOfVMsIsAHint(t *testing.T) {
@@ -151,3 +156,60 @@
 		}
 	})
 }
+
+// Anybody may have written a record of the list: what names no VM is passed over
+// and told once a change, and the others hold.
+func TestRecordsOfOtherWriters(t *testing.T) {
+	record := func(name, value string) platform.Object {
+		return platform.Object{Kind: platform.KindVM, Name: name, Version: 1, Value: []byte(value)}
+	}
+	list := []platform.Object{
+		record("good", `{"name":"good","peer_address":"10.0.0.1:7620"}`),
+		record("leaving", `{"name":"leaving","peer_address":"10.0.0.2:7620","leaving":true}`),
+		record("bytes", "\x00{"),
+		record("null", "null"),
+		record("list", "[]"),
+		record("another", `{"name":"good","peer_address":"10.0.0.3:7620"}`),
+		record("type", `{"name":"type","peer_address":7620}`),
+		record("none", `{"name":"none"}`),
+		record("port", `{"name":"port","peer_address":"10.0.0.4:0"}`),
+		record("range", `{"name":"range","peer_address":"10.0.0.4:99999"}`),
+		record("host", `{"name":"host","peer_address":":7620"}`),
+		record("long", `{"name":"long","peer_address":"10.0.0.5:7620","x":"`+strings.Repeat("y", recordMost)+`"}`),
+	}
+	candidates, faults := candidatesOf(list)
+	if len(candidates) != 1 || candidates[0] != (Candidate{Name: "good", Address: "10.0.0.1:7620"}) {
+		t.Errorf("candidates %+v", candidates)
+	}
+	if want := len(list) - 2; len(faults) != want {
+		t.Errorf("%d faults, want %d: %+v", len(faults), want, faults)
+	}
+	var log bytes.Buffer
+	s := NewService(Config{
+		Self: Member{Name: "vm0"}, Network: peertest.NewHub(1).Network("vm0"),
+		Logger: telemetry.NewLogger(&log, telemetry.FormatJSON, logrus.InfoLevel, "vm0"),
+	})
+	s.logFaults(faults)
+	s.logFaults(faults)
+	if n := s.badRecords.Get(); int(n) != len(faults) || strings.Count(log.String(), "\n") != len(faults) {
+		t.Errorf("%d counted, log:\n%s", n, log.String())
+	}
+	changed := faults[:1]
+	changed[0].version++
+	s.logFaults(changed)
+	if n := s.badRecords.Get(); int(n) != len(list)-1 {
+		t.Errorf("%d counted after one has changed", n)
+	}
+}
+
+// A long list is not tried without bound.
+func TestCandidatesAreBounded(t *testing.T) {
+	var list []platform.Object
+	for i := range 2 * candidatesMost {
+		name := fmt.Sprint("vm-", i)
+		list = append(list, platform.Object{Name: name, Value: fmt.Appendf(nil, `{"name":%q,"peer_address":"10.0.0.1:7620"}`, name)})
+	}
+	if got, _ := candidatesOf(list); len(got) != candidatesMost {
+		t.Errorf("%d candidates", len(got))
+	}
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
 	"masticturn/internal/telemetry"
@@ -33,6 +34,7 @@
 	cancel context.CancelFunc
 	wake   chan struct{} // holds one: there is something to write
 	inbox  chan frame
+	unread [kinds]bool // kinds of one-way messages that could not be handled; of handleSends
 
 	received atomic.Uint32 // frames received that count for acks
 	acked    atomic.Uint32 // frames that the peer has received
@@ -288,8 +290,8 @@
 	for {
 		select {
 		case f := <-c.inbox:
-			if h := c.link.net.handlers[f.kind]; h != nil {
-				_, _ = h(c.ctx, c.remote, f.bytes())
+			if err := c.handleSend(f); err != nil {
+				c.tellUnread(f.kind, err)
 			}
 			f.payload.release()
 		case <-c.ctx.Done():
@@ -298,6 +300,26 @@
 	}
 }
 
+func (c *conn) handleSend(f frame) error {
+	h := c.link.net.handlers[f.kind]
+	if h == nil {
+		return trace.NotFound("no handler of kind %s (%d)", f.kind, f.kind)
+	}
+	_, err := h(c.ctx, c.remote, f.bytes())
+	return err
+}
+
+// tellUnread counts a one-way message that could not be handled, and logs the
+// first one of its kind on this connection. It is called by handleSends only.
+func (c *conn) tellUnread(kind Kind, err error) {
+	c.link.net.meters.unread.Inc()
+	if c.unread[kind] {
+		return
+	}
+	c.unread[kind] = true
+	c.link.net.opts.Logger.Log(eventUnread, telemetry.Peer(c.remote), telemetry.Value("kind", kind.String()), telemetry.Err(err))
+}
+
 // reply queues a frame on this connection, whatever the current one is. When
 // the queue is full it is dropped and the caller's deadline ends the call.
 func (c *conn) reply(typ frameType, kind Kind, id uint32, payload []byte) {
--- a/internal/peer/events.go
+++ b/internal/peer/events.go
@@ -48,4 +48,9 @@
 		Meaning: "The key files changed but cannot be used; the keys read before stay in use.",
 		Action:  "Put valid keys in place before the old ones expire.",
 	})
+	eventUnread = telemetry.Register(telemetry.Event{
+		Number: telemetry.RangePeer + 9, Level: logrus.WarnLevel, Name: "peer message not understood",
+		Meaning: "A daemon sent a one-way message of a kind or form that this one does not know, such as while two releases run side by side. Told once a kind and connection; it is dropped.",
+		Action:  "Bring both VMs to the same release.",
+	})
 )
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -97,7 +97,7 @@
 		f.payload.release()
 		return err
 	}
-	if err := checkPayload(f.payload.b); err != nil {
+	if err := CheckPayload(f.payload.b); err != nil {
 		f.payload.release()
 		return err
 	}
@@ -147,10 +147,10 @@
 
 var walkers = sync.Pool{New: func() any { return &walker{dec: msgpack.NewDecoder(nil)} }}
 
-// checkPayload verifies that a payload is one msgpack value, whole, without
+// CheckPayload verifies that a payload is one msgpack value, whole, without
 // bytes after it, and nested at most maxDepth deep. The decoder itself
 // recurses without a bound.
-func checkPayload(payload []byte) error {
+func CheckPayload(payload []byte) error {
 	w := walkers.Get().(*walker)
 	defer walkers.Put(w)
 	w.reader.Reset(payload)
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -32,7 +32,7 @@
 		{"unassigned code", []byte{0xc1}, false},
 	}
 	for _, c := range cases {
-		if err := checkPayload(c.payload); (err == nil) != c.ok {
+		if err := CheckPayload(c.payload); (err == nil) != c.ok {
 			t.Errorf("%s: got %v", c.name, err)
 		}
 	}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -28,6 +28,8 @@
 	KindGrant:        "grant",
 	KindDemand:       "demand",
 	KindKeyOwner:     "key_owner",
+	KindMirrorPoll:   "mirror_poll",
+	KindTargetUse:    "target_use",
 }
 
 // kinds is the number of values of Kind.
@@ -40,6 +42,7 @@
 	dropped  *metrics.Counter        // messages that found the queue full
 	silent   *metrics.Counter        // connections given up for their silence
 	bad      *metrics.Counter        // malformed frames
+	unread   *metrics.Counter        // one-way messages of a kind or form that this process does not know
 	refused  *metrics.Counter        // handshakes that failed
 	dials    *metrics.Counter
 	accepted *metrics.Counter
@@ -50,6 +53,7 @@
 		dropped:  set.GetOrCreateCounter("masticturn_peer_dropped_messages_total"),
 		silent:   set.GetOrCreateCounter("masticturn_peer_silent_connections_total"),
 		bad:      set.GetOrCreateCounter("masticturn_peer_malformed_frames_total"),
+		unread:   set.GetOrCreateCounter("masticturn_peer_unread_messages_total"),
 		refused:  set.GetOrCreateCounter("masticturn_peer_refused_total"),
 		dials:    set.GetOrCreateCounter("masticturn_peer_dials_total"),
 		accepted: set.GetOrCreateCounter("masticturn_peer_accepted_total"),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,7 +33,9 @@
 
 	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
 
-	KindTargetUse Kind = 70 // placement: what a VM has at targets
+	// 70 was KindTargetUse while targets were named by their id alone, whichever
+	// start of theirs was meant.
+	KindTargetUse Kind = 71 // placement: what a VM has at targets, by the names of their starts
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"masticturn/internal/telemetry"
 )
 
 func TestCallBothWaysOnOneConnection(t *testing.T) {
@@ -55,6 +61,36 @@
 	})
 }
 
+// A one-way message of a kind or form that is not known is told once for each
+// kind, and the connection goes on.
+func TestMessagesOfAnotherReleaseAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		p := newPipes()
+		a := p.start(t, "a", nil)
+		b := p.start(t, "b", func(o *Options) {
+			o.Logger = telemetry.NewLogger(&log, telemetry.FormatJSON, logrus.InfoLevel, "b")
+		})
+		defer stopAll(a, b)
+		a.SetAddress("b", "b")
+		got := 0
+		b.handlers[KindGrant] = func(context.Context, string, []byte) (any, error) { got++; return nil, nil }
+		b.handlers[KindDemand] = func(context.Context, string, []byte) (any, error) { return nil, errors.New("another form") }
+		for _, kind := range []Kind{KindRelease, KindRelease, KindDemand, KindDemand, KindGrant} {
+			if err := a.Send("b", kind, &message{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if n := strings.Count(log.String(), eventUnread.Name); n != 2 || got != 1 {
+			t.Errorf("%d lines, %d messages handled:\n%s", n, got, log.String())
+		}
+		if n := b.meters.unread.Get(); n != 4 {
+			t.Errorf("%d messages are counted, want 4", n)
+		}
+	})
+}
+
 func TestErrorsNameStepAndPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, a, _, stop := pairOf(t, nil)
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -311,6 +311,7 @@
 		Failed:  r.Outcome != outcome.Answered || r.Status >= http.StatusInternalServerError,
 		Shed:    r.ShedByPeer && !r.Misdirected,
 		Gone:    r.Misdirected,
+		Ended:   r.NoListener,
 		Left:    r.Canceled,
 	}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -71,7 +71,8 @@
 	targets  map[string]*targetState
 	order    []*targetState // by name
 	fleet    Fleet
-	coldRate float64 // requests a second that a cold target bears; 0: no bound
+	coldRate float64       // requests a second that a cold target bears; 0: no bound
+	coldTime time.Duration // how long a target stays cold after its start
 	runs     runTimes
 	trips    map[string]mean // way there and back, by region
 	remote   float64         // weight of a slot of another region
@@ -114,12 +115,13 @@
 		}
 		s.TargetIndex = t
 		s.evacuated = v.Evacuated[t.Zone]
-		s.coldUntil = v.ColdUntil[t.Name]
+		s.coldUntil = later(s.coldUntil, v.ColdUntil[t.Name])
 		next[t.Name] = s
 		p.order = append(p.order, s)
 	}
 	p.targets = next
 	p.coldRate = svc.ColdRequestsPerSecond
+	p.coldTime = svc.ColdMS.Duration()
 	p.remote = p.weighRemote()
 	p.ranking.clear()
 }
@@ -204,7 +206,7 @@
 
 // hasRoom reports whether one more request may go to a target.
 func (p *Pool) hasRoom(t *targetState, now time.Time) bool {
-	return float64(t.busy(now)) < float64(t.Slots)*(1+queueMost)
+	return t.busy(now) < t.most()
 }
 
 // wait is how long a request would wait for a slot.
@@ -334,6 +336,7 @@
 	Failed  bool          // connection or answer failed
 	Shed    bool          // the target refused for want of room
 	Gone    bool          // another instance has its address
+	Ended   bool          // nobody listens at its address
 	Left    bool          // the caller left, which says nothing
 }
 
@@ -358,6 +361,9 @@
 	if r.Connect > 0 {
 		p.learnTrip(t.Region, r.Connect)
 	}
+	if r.Ended {
+		t.endedUntil = now.Add(endedLife)
+	}
 	switch {
 	case r.Left:
 	case r.Gone:
@@ -372,6 +378,7 @@
 		}
 	default:
 		t.failures = 0
+		t.answered(p.coldTime, now)
 		p.learnRun(at, r.Latency, now)
 	}
 	return barred
--- a/internal/placement/sharing.go
+++ b/internal/placement/sharing.go
@@ -73,7 +73,7 @@
 		}
 		for name, n := range h.running {
 			if t := p.targets[name]; t != nil {
-				t.shared += n
+				t.shared += min(max(n, 0), t.most())
 			}
 		}
 	}
--- /dev/null
+++ b/internal/placement/starts_test.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"masticturn/internal/config"
+	"masticturn/internal/discovery"
+)
+
+// oneTarget is a pool with one target, of which a name is one start.
+type oneTarget struct {
+	t    *testing.T
+	pool *Pool
+}
+
+const oneTargetCold = 3 * time.Second
+
+func newOneTarget(t *testing.T, name string) *oneTarget {
+	o := &oneTarget{t: t, pool: NewPool(testOptions("r"))}
+	o.pool.SetFleet(Fleet{Self: "vm", VMs: []VM{{"vm", "r"}}, ColdFactor: 1.5, ColdSlack: 5})
+	o.starts(name, time.Time{})
+	return o
+}
+
+// starts tells the pool that the target is now the start named.
+func (o *oneTarget) starts(name string, coldUntil time.Time) {
+	doc := &config.Document{
+		Regions: []config.Region{{Name: "r", Zones: []string{"r-a"}}},
+		Services: []config.Service{{
+			Name: "svc", ColdMS: config.Millis(oneTargetCold.Milliseconds()), ColdRequestsPerSecond: 7,
+			Targets: []config.Target{{Name: name, Zone: "r-a", Slots: 6}},
+		}},
+	}
+	v := &discovery.View{Snapshot: config.NewLiveSnapshot(1, doc), ColdUntil: map[string]time.Time{name: coldUntil}}
+	o.pool.SetTargets(v.Snapshot.Service("svc"), v)
+}
+
+func (o *oneTarget) take(key string, now time.Time) *Placed {
+	o.t.Helper()
+	at := mustChoose(o.t, o.pool, ask(key), now)
+	o.pool.Take(at, now)
+	return at
+}
+
+// All that is known of a target ends with its start.
+func TestNothingOutlivesAStart(t *testing.T) {
+	o := newOneTarget(t, "i@1")
+	now := start
+	for range 5 {
+		o.pool.Give(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
+	}
+	running := o.take("a", now)
+	o.pool.Hear("other", &Use{Running: map[string]int{"i@1": 4}, Objects: map[string][]string{"i@1": {"b"}}}, now)
+	for range barAfter {
+		o.pool.Give(o.take("a", now), Result{Failed: true}, now)
+	}
+	if o.pool.Choose(ask("a"), now) != nil {
+		t.Fatal("the old start is not barred")
+	}
+
+	o.starts("i@2", time.Time{})
+	at := mustChoose(t, o.pool, ask("a"), now)
+	if at.known || at.own != 0 || at.others != 0 || at.target.busy(now) != 0 || at.target.objects.known("b") {
+		t.Errorf("the new start has what the old one had: %+v, busy %d", at, at.target.busy(now))
+	}
+	// What comes late of the old start is not the new one's.
+	o.pool.Give(running, Result{Failed: true, Gone: true, Ended: true}, now)
+	o.pool.Hear("other", &Use{Running: map[string]int{"i@1": 6}, Objects: map[string][]string{"i@1": {"c"}}}, now)
+	at = mustChoose(t, o.pool, ask("a"), now)
+	if at.target.busy(now) != 0 || at.target.objects.known("c") || at.target.cold(now) {
+		t.Errorf("the new start got what was meant for the old one: busy %d, cold %v", at.target.busy(now), at.target.cold(now))
+	}
+}
+
+// A new start has a cold meter of its own.
+func TestColdMeterBelongsToOneStart(t *testing.T) {
+	o := newOneTarget(t, "i@1")
+	o.starts("i@1", start.Add(time.Minute))
+	o.take("a", start)
+	if o.pool.Choose(ask("a"), start) != nil {
+		t.Fatal("the cold target got two requests at once")
+	}
+	o.starts("i@2", start.Add(time.Minute))
+	o.take("a", start)
+	if o.pool.Choose(ask("a"), start) != nil {
+		t.Error("the new start, cold too, got two requests at once")
+	}
+}
+
+// Where nobody listened, whoever answers next has started anew and is cold,
+// though the news of that has not come yet.
+func TestTargetThatHadEndedIsColdWhenItAnswersAgain(t *testing.T) {
+	o := newOneTarget(t, "i")
+	now := start
+	o.pool.Give(o.take("a", now), Result{Failed: true, Ended: true}, now)
+	if sent := o.sendsWithin(now, time.Second); sent != 1 {
+		t.Errorf("%d requests in a second to a target that had ended", sent)
+	}
+	now = now.Add(2 * time.Second)
+	o.pool.Give(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
+	if sent := o.sendsWithin(now.Add(coldGap), oneTargetCold-2*coldGap); sent != 1 {
+		t.Errorf("%d requests while it is still cold", sent)
+	}
+	if sent := o.sendsWithin(now.Add(oneTargetCold), time.Second); sent < 50 {
+		t.Errorf("%d requests in a second once it is warm", sent)
+	}
+}
+
+// A VM that may send nothing to cold targets, and so can't find out that this
+// one is back, does not pass it over for good.
+func TestTargetThatHadEndedIsTriedAgainByAllInTheEnd(t *testing.T) {
+	o := newOneTarget(t, "i")
+	o.pool.Give(o.take("a", start), Result{Failed: true, Ended: true}, start)
+	o.pool.SetFleet(Fleet{Self: "vm"})
+	if o.pool.Choose(ask("a"), start.Add(time.Second)) != nil {
+		t.Fatal("a VM that does not know the fleet sends to a target that may be cold")
+	}
+	if o.pool.Choose(ask("a"), start.Add(endedLife)) == nil {
+		t.Error("the target gets nothing any more")
+	}
+}
+
+// sendsWithin counts the requests that the target gets when as many come as it
+// takes.
+func (o *oneTarget) sendsWithin(from time.Time, span time.Duration) int {
+	sent := 0
+	for d := time.Duration(0); d < span; d += 10 * time.Millisecond {
+		now := from.Add(d)
+		if at := o.pool.Choose(ask("a"), now); at != nil {
+			o.pool.Take(at, now)
+			o.pool.Give(at, Result{Left: true}, now)
+			sent++
+		}
+	}
+	return sent
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -33,6 +33,7 @@
 	barredUntil time.Time // its failures bar it until then
 	failures    int       // in a row
 	gone        bool      // its address serves another instance
+	endedUntil  time.Time // nobody listened at its address, and it has not answered since
 	coldSent    time.Time // last request of this VM while it was cold
 	objects     objects
 	slow        slowness
@@ -71,8 +72,36 @@
 	return now.Sub(t.reported)
 }
 
-// cold reports whether the target bears few requests only.
-func (t *targetState) cold(now time.Time) bool { return now.Before(t.coldUntil) }
+// endedLife is how long a target at whose address nobody listened counts as one
+// that may start anew: until its entry has lapsed, after which it is gone or the
+// news of its start comes. A cut may look the same.
+const endedLife = 10 * time.Second
+
+// cold reports whether the target bears few requests only. One whose process had
+// ended and that answers under the same id has started anew. Until the news of
+// that comes, within two seconds, this VM would send it a warm target's share: up
+// to 36 requests a second from all VMs, of which the service bears 32 when cold.
+func (t *targetState) cold(now time.Time) bool {
+	return now.Before(t.coldUntil) || now.Before(t.endedUntil)
+}
+
+// answered notes a good answer.
+func (t *targetState) answered(coldTime time.Duration, now time.Time) {
+	if now.Before(t.endedUntil) {
+		t.coldUntil = later(t.coldUntil, now.Add(coldTime))
+	}
+	t.endedUntil = time.Time{}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// most is how many requests a VM places at the target at most.
+func (t *targetState) most() int { return int(math.Ceil(float64(t.Slots) * (1 + queueMost))) }
 
 // usable reports whether the target may get any request at all.
 func (t *targetState) usable(now time.Time) bool {
--- a/internal/placement/telling.go
+++ b/internal/placement/telling.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
 )
@@ -70,9 +72,12 @@
 	return names[:min(len(names), ShareMost)]
 }
 
-// hearUse takes in what another VM told. Services that it did not mention have
-// nothing of it running.
+// hearUse takes in what another VM told, if it is a member. Services that it did
+// not mention have nothing of it running.
 func (a *Admitter) hearUse(_ context.Context, from string, payload []byte) (any, error) {
+	if _, ok := a.deps.Members.View().Member(from); !ok {
+		return nil, trace.AccessDenied("VM %s is no member", from)
+	}
 	var m useMessage
 	if err := peer.Decode(payload, &m); err != nil {
 		return nil, err
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -38,6 +38,9 @@
 	// Status is what the object's owner reports of it, as JSON, for kinds of
 	// the platform's own; nil for kinds of the system.
 	Status []byte `json:"status,omitempty"`
+	// Omitted is how many bytes of value and status were left out by whoever
+	// keeps the object, as it needs no object that long; 0: it is whole.
+	Omitted int `json:"omitted,omitempty"`
 }
 
 // MaxValueBytes is the largest value the platform takes.
