--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,6 +72,7 @@
 			newDrain(),
 			newEvents(),
 			newTrace(),
+			newLosses(),
 			newStandin(),
 			newBench(),
 			newVersion(),
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -22,6 +22,7 @@
 const (
 	flagSettings = "settings"
 	flagPlatform = "platform"
+	flagLogLines = "log-lines"
 )
 
 // gcPercent is how much the heap may grow, as a percentage of what is in use,
@@ -40,6 +41,7 @@
 			&cli.StringFlag{Name: flagSettings, Usage: "settings `FILE` (JSON with comments)"},
 			&cli.BoolFlag{Name: flagPlatform, Usage: "run on the users' platform, with the settings file that " + adapter.EnvSettings + " names"},
 			&cli.StringFlag{Name: flagPolicy, Value: string(placement.PolicyCompletion), Usage: "on the platform, how targets are chosen: " + placementPolicyNames()},
+			&cli.IntFlag{Name: flagLogLines, Value: telemetry.LinesPerSecond, Usage: "most log lines a second, for requests that went well and for all else each; masticturn losses needs them all"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s, hosted, err := loadSettings(c)
@@ -57,6 +59,7 @@
 				out = telemetry.NewQueuedWriter(c.Root().Writer)
 			}
 			logger := telemetry.NewLogger(out, s.Log.Format, level, s.VM.Name)
+			logger.SetLinesPerSecond(c.Int(flagLogLines))
 			reload := func() (*settings.Settings, error) {
 				s, _, err := loadSettings(c)
 				return s, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,6 +91,8 @@
 		return trace.NewAggregate(err, d.listeners.close())
 	}
 	d.opts.Logger.Log(eventStarted,
+		telemetry.Value("zone", d.settings.VM.Zone),
+		telemetry.Value("region", d.settings.VM.Region),
 		telemetry.Value("callers", d.CallerAddress()),
 		telemetry.Value("peers", d.PeerAddress()),
 		telemetry.Value("operators", d.OperatorAddress()))
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -12,7 +12,7 @@
 		Number:  telemetry.RangeForward + 1,
 		Level:   logrus.WarnLevel,
 		Name:    "request failed",
-		Meaning: "A request ended without a whole answer; step, peer and outcome are given. At most some of these lines are written each second.",
+		Meaning: "A request ended without a whole answer; step, peer and outcome are given. left_ms is the time that the caller gave it: one that came back after a refusal has less than others of its rule. At most some of these lines are written each second.",
 		Action:  "Look at the peer that is named; when many requests fail at one step, look at the metrics by step.",
 	})
 	eventAnswerDropped = telemetry.Register(telemetry.Event{
@@ -26,7 +26,7 @@
 		Number:  telemetry.RangeForward + 6,
 		Level:   logrus.InfoLevel,
 		Name:    "request answered",
-		Meaning: "The whole answer of the target named went to the caller; status is the target's, sent_ms the time at the target.",
+		Meaning: "The whole answer of the target named went to the caller; status is the target's, sent_ms the time at the target; left_ms is the time that the caller gave it.",
 		Action:  "None.",
 		Routine: true,
 	})
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -304,14 +304,33 @@
 }
 
 func (x *exchange) logAnswered() {
-	x.h.deps.Logger.Log(eventAnswered,
-		telemetry.Value("request_id", x.id),
+	x.h.deps.Logger.Log(eventAnswered, append(x.logFields(),
 		telemetry.Peer(x.tried[len(x.tried)-1]),
 		telemetry.Value("status", x.status),
+		telemetry.Value("sent_ms", x.sentFor.Milliseconds()))...)
+}
+
+// logFields are the fields of a request's last line: what it is, and how long it
+// was under way before it came here and since.
+func (x *exchange) logFields() []telemetry.Field {
+	fields := []telemetry.Field{
+		telemetry.Value("request_id", x.id),
+		telemetry.Value("caller", x.r.RemoteAddr),
 		telemetry.Value("attempts", x.dispatch.attempts),
-		telemetry.Value("sent_ms", x.sentFor.Milliseconds()),
 		telemetry.Value("took_ms", x.h.deps.Clock.Now().Sub(x.startedAt).Milliseconds()),
-		telemetry.GenerationOf(uint64(x.snap.Generation)))
+	}
+	if x.snap == nil {
+		return fields
+	}
+	fields = append(fields, telemetry.GenerationOf(uint64(x.snap.Generation)))
+	if r := x.match.Rule; r != nil {
+		fields = append(fields,
+			telemetry.Value("rule", r.Name),
+			telemetry.Value("class", r.Class),
+			telemetry.Value("objective_ms", int64(r.ObjectiveMS)),
+			telemetry.Value("left_ms", x.wholeTimeout().Milliseconds()))
+	}
+	return fields
 }
 
 func (x *exchange) finishClaim(err *outcome.Error) {
--- a/internal/forward/faultlog.go
+++ b/internal/forward/faultlog.go
@@ -27,19 +27,12 @@
 
 // failed writes a request that ended without a whole answer.
 func (f *faultLog) failed(x *exchange, err *outcome.Error) {
-	fields := []telemetry.Field{
+	fields := append(x.logFields(),
 		telemetry.Peer(err.Peer),
 		telemetry.Step(string(err.Step)),
 		telemetry.Value("outcome", err.Outcome.String()),
-		telemetry.Value("request_id", x.id),
 		telemetry.Value("status", status(err)),
-		telemetry.Value("attempts", x.dispatch.attempts),
-		telemetry.Value("took_ms", x.h.deps.Clock.Now().Sub(x.startedAt).Milliseconds()),
 		telemetry.Value("retry_after_ms", err.RetryAfter.Milliseconds()),
-		telemetry.Err(trace.Wrap(err)),
-	}
-	if x.snap != nil {
-		fields = append(fields, telemetry.GenerationOf(uint64(x.snap.Generation)))
-	}
+		telemetry.Err(trace.Wrap(err)))
 	f.logger.Log(eventRequestFailed, fields...)
 }
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -20,11 +20,11 @@
 
 // Line is one line of a log.
 type Line struct {
-	At     time.Time
-	VM     string
-	Event  int
-	Text   string
-	Fields map[string]any // all other fields
+	At      time.Time
+	VM      string
+	Event   int
+	Message string
+	Fields  map[string]any // all other fields
 }
 
 // Fields of log lines, as package telemetry writes them.
@@ -67,7 +67,7 @@
 	}
 	l := Line{Fields: fields}
 	l.VM, _ = fields[fieldVM].(string)
-	l.Text, _ = fields[fieldMessage].(string)
+	l.Message, _ = fields[fieldMessage].(string)
 	number, ok := fields[fieldEvent].(float64)
 	l.Event = int(number)
 	text, _ := fields[fieldTime].(string)
@@ -82,16 +82,27 @@
 	return l, true
 }
 
-// text returns a field as text, "" when it is absent.
-func (l *Line) text(field string) string {
+// Text returns a field as text, "" when it is absent.
+func (l *Line) Text(field string) string {
 	s, _ := l.Fields[field].(string)
 	return s
 }
 
+// Number returns a field as a number, 0 when it is absent.
+func (l *Line) Number(field string) float64 {
+	n, _ := l.Fields[field].(float64)
+	return n
+}
+
+// Millis returns a field of whole milliseconds as a time, 0 when it is absent.
+func (l *Line) Millis(field string) time.Duration {
+	return time.Duration(l.Number(field)) * time.Millisecond
+}
+
 // String returns the line for people.
 func (l *Line) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s %d %s", l.At.UTC().Format("15:04:05.000"), l.VM, l.Event, l.Text)
+	fmt.Fprintf(&b, "%s %s %d %s", l.At.UTC().Format("15:04:05.000"), l.VM, l.Event, l.Message)
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		if v := l.Fields[name]; v != "" && v != nil {
 			fmt.Fprintf(&b, " %s=%v", name, v)
@@ -105,7 +116,7 @@
 // that served it, about anything else, from so long before its first line up to
 // its last. It is empty when no line carries the id.
 func Story(lines []Line, id string, before time.Duration) []Line {
-	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.text(fieldRequest) != id })
+	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.Text(fieldRequest) != id })
 	if len(own) == 0 {
 		return nil
 	}
@@ -114,7 +125,7 @@
 	vms, peers := make(map[string]bool), make(map[string]bool)
 	for i := range own {
 		vms[own[i].VM] = true
-		if p := own[i].text(fieldPeer); p != "" {
+		if p := own[i].Text(fieldPeer); p != "" {
 			peers[p] = true
 		}
 	}
@@ -122,10 +133,10 @@
 	for i := range lines {
 		l := &lines[i]
 		switch {
-		case l.text(fieldRequest) == id:
-		case l.text(fieldRequest) != "" || l.At.Before(from) || l.At.After(to):
+		case l.Text(fieldRequest) == id:
+		case l.Text(fieldRequest) != "" || l.At.Before(from) || l.At.After(to):
 			continue
-		case !vms[l.VM] || l.text(fieldPeer) != "" && !peers[l.text(fieldPeer)]:
+		case !vms[l.VM] || l.Text(fieldPeer) != "" && !peers[l.Text(fieldPeer)]:
 			continue
 		}
 		story = append(story, *l)
--- a/internal/logtrace/logtrace_test.go
+++ b/internal/logtrace/logtrace_test.go
@@ -25,7 +25,7 @@
 	}
 	var got []string
 	for _, l := range Story(lines, "a", time.Second) {
-		got = append(got, l.Text+" "+l.text(fieldPeer))
+		got = append(got, l.Message+" "+l.Text(fieldPeer))
 	}
 	want := "target changed t1|store lost |request placed t1|request failed t1"
 	if strings.Join(got, "|") != want {
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -82,6 +82,7 @@
 			}
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if n := strings.Count(log.String(), eventUnread.Name); n != 2 || got != 1 {
 			t.Errorf("%d lines, %d messages handled:\n%s", n, got, log.String())
 		}
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -244,6 +244,7 @@
 		telemetry.Value("region", at.index.Region),
 		telemetry.Value("own", at.own),
 		telemetry.Value("others", at.others),
+		telemetry.Value("slots", at.index.Slots),
 		telemetry.Value("age_ms", at.age.Milliseconds()),
 		telemetry.Value("waited_ms", waited.Milliseconds()))
 }
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -12,7 +12,7 @@
 		Number:  telemetry.RangeDiscovery + 401,
 		Level:   logrus.InfoLevel,
 		Name:    "request placed",
-		Meaning: "A request goes to the target named. rank is the target's place in the order of the request's object; own and others are the requests believed to run there; age_ms is the age of that belief.",
+		Meaning: "A request goes to the target named. rank is the target's place in the order of the request's object; own and others are the requests believed to run there, of so many slots; age_ms is the age of that belief.",
 		Action:  "None.",
 		Routine: true,
 	})
--- a/internal/telemetry/budget.go
+++ b/internal/telemetry/budget.go
@@ -12,9 +12,10 @@
 // the lines of requests that went well are left out in part, those of failures
 // are kept.
 const (
-	routinePerSecond = 150 // lines of events marked Routine
-	otherPerSecond   = 150 // all other lines
-	budgetBurst      = 2   // seconds' worth that may come at once
+	// LinesPerSecond is the usual bound, for events marked Routine and for all
+	// others each.
+	LinesPerSecond = 150
+	budgetBurst    = 2 // seconds' worth that may come at once
 )
 
 // lineBudget bounds the volume of the log and counts what is left out.
@@ -27,10 +28,10 @@
 	lastSum time.Time
 }
 
-func newLineBudget() *lineBudget {
+func newLineBudget(perSecond int) *lineBudget {
 	return &lineBudget{
-		routine: rate.NewLimiter(routinePerSecond, budgetBurst*routinePerSecond),
-		other:   rate.NewLimiter(otherPerSecond, budgetBurst*otherPerSecond),
+		routine: rate.NewLimiter(rate.Limit(perSecond), budgetBurst*perSecond),
+		other:   rate.NewLimiter(rate.Limit(perSecond), budgetBurst*perSecond),
 		left:    make(map[int]int),
 	}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -112,11 +112,15 @@
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	}
-	logger := &Logger{out: l, vm: vm, budget: newLineBudget()}
+	logger := &Logger{out: l, vm: vm, budget: newLineBudget(LinesPerSecond)}
 	logger.queue, _ = w.(*QueuedWriter)
 	return logger
 }
 
+// SetLinesPerSecond sets the bound of lines, for events marked Routine and for all
+// others each. Set it before use.
+func (l *Logger) SetLinesPerSecond(n int) { l.budget = newLineBudget(n) }
+
 // Flush waits for a short time until the lines so far are written.
 func (l *Logger) Flush() {
 	if l != nil && l.queue != nil {
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -95,7 +95,7 @@
 			}
 		}
 		counts, leftOut := count(t, &out)
-		most := (seconds + budgetBurst) * (routinePerSecond + otherPerSecond)
+		most := (seconds + budgetBurst) * (LinesPerSecond + LinesPerSecond)
 		if total := counts[1] + counts[2] + counts[eventLeftOut.Number]; total > most+seconds+1 {
 			t.Errorf("%d lines in %d s, want at most %d", total, seconds, most)
 		}
