--- a/internal/losses/request.go
+++ b/internal/losses/request.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -177,12 +176,3 @@
 	r.step = l.Text("step")
 	r.notRun = l.Text("outcome") == "not-run"
 }
-
-// rules returns the names of the rules of all requests, sorted.
-func (log *Log) rules() []string {
-	seen := make(map[string]bool)
-	for _, r := range log.requests {
-		seen[r.rule] = true
-	}
-	return slices.Sorted(maps.Keys(seen))
-}
