Look-ups of large regions name other VMs each time

Cause: a look-up named all VMs of the region in the order of their names; callers take in 64 of them, so that the last 3 of 67 (by calculation more than half of 155) got no caller. Test: TestLargeRegionsUseAllVMs fails with the order of names.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -1,11 +1,19 @@
 package entry
 
-import "masticturn/internal/membership"
+import (
+	"math/rand/v2"
+
+	"masticturn/internal/membership"
+)
+
+// namedMost is how many VMs a look-up names: as many as callers take in.
+const namedMost = 64
 
 // Choose returns the callers' addresses of the VMs for callers of a place:
 // those of its region that are believed to live and serve; those of all
 // regions when the region has none. Callers choose among them at random, so
-// that one VM's death moves a fair share.
+// that one VM's death moves a fair share; of more than callers take in others are
+// named each time, so that none stands idle.
 func Choose(v *membership.View, region string) []string {
 	var local, all []string
 	for i := range v.Members {
@@ -18,8 +26,12 @@
 			local = append(local, m.CallerAddress)
 		}
 	}
-	if len(local) > 0 {
+	if len(local) == 0 {
+		local = all
+	}
+	if len(local) <= namedMost {
 		return local
 	}
-	return all
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	return local[:namedMost]
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,6 +45,33 @@
 	}
 }
 
+// Callers take in 64 VMs of an answer. A region of 67 named all of them, in the order
+// of their names, so that the last three got no caller all day; in one of 155 more
+// than half would have stood idle.
+func TestLargeRegionsUseAllVMs(t *testing.T) {
+	const size, lookUps = 155, 2000
+	view := &membership.View{}
+	for i := range size {
+		view.Members = append(view.Members, member(fmt.Sprintf("a%03d", i), "a", membership.Alive, 1))
+	}
+	named := make(map[string]int)
+	for range lookUps {
+		answer := Choose(view, "a")
+		if len(answer) != namedMost {
+			t.Fatalf("%d VMs are named, want %d", len(answer), namedMost)
+		}
+		for _, address := range answer {
+			named[address]++
+		}
+	}
+	fair := lookUps * namedMost / size
+	for _, m := range view.Members {
+		if n := named[m.CallerAddress]; n < fair/2 || n > 2*fair {
+			t.Errorf("%s is named %d times, %d are fair", m.Name, n, fair)
+		}
+	}
+}
+
 type fixedMembers struct{ view *membership.View }
 
 func (f fixedMembers) View() *membership.View                  { return f.view }
