What VMs of a region have at targets goes up and down a tree

Change: the VMs form a tree of width two; words go up, the sum goes down, less often the larger it is (12 KB/s for who passes it).

Also: connections are opened ahead only where opening takes a good part of what a run leaves of the objective (110 ms of 540 ms does not); refused callers are told when a run has ended and at most a third of their time, no longer 0.6 s; a target that was full rests for a slot's time; whether a VM may send to a cold target is worked out once a view.

--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -29,7 +29,8 @@
 	KindDemand:       "demand",
 	KindKeyOwner:     "key_owner",
 	KindMirrorPoll:   "mirror_poll",
-	KindTargetUse:    "target_use",
+	KindUseReport:    "use_report",
+	KindUseSum:       "use_sum",
 }
 
 // kinds is the number of values of Kind.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,9 +33,9 @@
 
 	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
 
-	// 70 was KindTargetUse while targets were named by their id alone, whichever
-	// start of theirs was meant.
-	KindTargetUse Kind = 71 // placement: what a VM has at targets, by the names of their starts
+	// 70 and 71 were used for what each VM told some others by itself.
+	KindUseReport Kind = 72 // placement: what a VM and those below it have at targets
+	KindUseSum    Kind = 73 // placement: what all VMs of the region have at targets
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -53,10 +53,12 @@
 	cancel  []func()
 	telling sync.WaitGroup
 	metrics meter
+	toldOn  chan struct{} // a VM below told something
 
-	mu    sync.Mutex
-	pools map[string]*servicePool
-	fleet Fleet
+	mu     sync.Mutex
+	pools  map[string]*servicePool
+	fleet  Fleet
+	teller *Teller
 }
 
 // servicePool is the pool of one service with who waits for it.
@@ -75,8 +77,15 @@
 
 // NewAdmitter returns an admitter; it follows the views once started.
 func NewAdmitter(d Deps) *Admitter {
-	a := &Admitter{deps: d, pools: make(map[string]*servicePool), metrics: newMeter(d.Metrics)}
-	d.Network.Handle(peer.KindTargetUse, a.hearUse)
+	a := &Admitter{
+		deps:    d,
+		metrics: newMeter(d.Metrics),
+		toldOn:  make(chan struct{}, 1),
+		pools:   make(map[string]*servicePool),
+		teller:  NewTeller(),
+	}
+	d.Network.Handle(peer.KindUseReport, a.hearReport)
+	d.Network.Handle(peer.KindUseSum, a.hearSum)
 	return a
 }
 
@@ -118,6 +127,7 @@
 			f.VMs = append(f.VMs, VM{m.Name, m.Region})
 		}
 	}
+	a.place(a.deps.Members.View())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.fleet = f
@@ -142,9 +152,9 @@
 				name:    svc.Name,
 				waiters: make(map[*Waiting]chan struct{}),
 			}
+			p.SetFleet(a.fleet)
 			a.pools[svc.Name] = p
 		}
-		p.SetFleet(a.fleet)
 		p.SetTargets(svc, v)
 		a.serve(p, now)
 	}
@@ -211,7 +221,7 @@
 	defer a.mu.Unlock()
 	p := a.pools[svc.Name]
 	if p == nil {
-		return nil, &Waiting{Ask: ask, Refused: &Refusal{Reason: reasonNoTarget, RetryAfter: retryMost}}, nil
+		return nil, &Waiting{Ask: ask, Refused: &Refusal{Reason: reasonNoTarget, RetryAfter: retryUnknown}}, nil
 	}
 	now := a.deps.Clock.Now()
 	w := p.Enqueue(ask, now)
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -40,8 +40,17 @@
 }
 
 // sendsToCold reports whether this VM is among those that may send to a cold
-// target: as many as its bound allows, those of its own region first.
+// target: as many as its bound allows, those of its own region first. It is worked
+// out once for each view of the fleet, as that takes a look at all VMs.
 func (p *Pool) sendsToCold(t *targetState) bool {
+	if t.coldFleet != p.fleetSeen {
+		t.coldFleet = p.fleetSeen
+		t.coldSender = p.ranksForCold(t)
+	}
+	return t.coldSender
+}
+
+func (p *Pool) ranksForCold(t *targetState) bool {
 	bound := p.coldRate*p.fleet.ColdFactor + p.fleet.ColdSlack
 	senders := int(bound) - coldReserve
 	own := coldRank{local: p.region == t.Region, score: rendezvous.Score(t.Name, p.fleet.Self)}
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -1,6 +1,9 @@
 package emulation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The ways of the two deployments.
 const (
@@ -16,9 +19,16 @@
 	return []*Load{PlanReads(), HoldConfirms(), ArchiveReads(), ScriptReads(), Bookings(), ProofListens()}
 }
 
+// LargeLoads returns loads made after the services of the largest deployment, and
+// after the same with a fourteenth of its VMs, targets and requests, whose callers
+// ask for as many objects.
+func LargeLoads() []*Load {
+	return []*Load{largePlanReads(), largeArchiveReads(), sparsePlanReads()}
+}
+
 // LoadNamed returns the load of a name, nil when there is none.
 func LoadNamed(name string) *Load {
-	for _, l := range append(Loads(), GrownLoads()...) {
+	for _, l := range slices.Concat(Loads(), GrownLoads(), LargeLoads()) {
 		if l.Name == name {
 			return l
 		}
@@ -177,3 +187,37 @@
 		Rate: 249, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("de-frankfurt", 11), Length: dayLength,
 	}
 }
+
+// largePlanReads is reads of many objects over hundreds of targets.
+func largePlanReads() *Load {
+	return &Load{
+		Name: "plan-reads-large", OneWay: estibaOneWay, WithinRegion: withinRegion,
+		Regions: []Region{{"rosario", 67, 231}, {"bahia-blanca", 60, 48}, {"buenos-aires", 68, 192}},
+		Slots:   5, QueueLimit: 15, Remembers: 14, Objects: 352,
+		Work: 1536 * time.Millisecond, Spread: 0.15, KnownPart: 0.3,
+		Objective: time.Second, Deadline: 6 * time.Second, LateWorth: 0.2,
+		Rate: 1527, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("rosario", 35), Length: dayLength,
+	}
+}
+
+// largeArchiveReads is the longest reads there.
+func largeArchiveReads() *Load {
+	return &Load{
+		Name: "archive-reads-large", OneWay: estibaOneWay, WithinRegion: withinRegion,
+		Regions: []Region{{"rosario", 67, 135}, {"bahia-blanca", 60, 27}, {"buenos-aires", 68, 111}},
+		Slots:   5, QueueLimit: 15, Remembers: 8, Objects: 100,
+		Work: 6240 * time.Millisecond, Spread: 0.15, KnownPart: 0.3,
+		Objective: 3 * time.Second, Deadline: 25 * time.Second, LateWorth: 0.2,
+		Rate: 223, Swing: waveSwing, Period: wavePeriod, Events: commonEvents("rosario", 20), Length: dayLength,
+	}
+}
+
+// sparsePlanReads is rare reads of more objects than the targets remember.
+func sparsePlanReads() *Load {
+	l := largePlanReads()
+	l.Name = "plan-reads-sparse"
+	l.Regions = []Region{{"rosario", 9, 24}, {"bahia-blanca", 9, 6}, {"buenos-aires", 9, 21}}
+	l.Rate = 64
+	l.Events = nil
+	return l
+}
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -37,6 +37,9 @@
 	pool    *placement.Pool
 	waiters map[place]*request
 	ticking bool
+	teller  *placement.Teller
+	// relaying: it gathers what VMs below tell.
+	relaying bool
 
 	connections map[string]*connections // by target
 	ahead       targetconn.AheadBudget
@@ -66,6 +69,7 @@
 	events  eventHeap
 	seq     int
 	vms     []*vm
+	vmNamed map[string]*vm
 	targets []*target
 	byName  map[string]*target
 	tries   map[*try]bool // under way
@@ -79,14 +83,15 @@
 // Play plays a load with a policy. The same seed gives the same play.
 func Play(l *Load, policy placement.Policy, seed uint64) *Result {
 	r := &run{
-		load:   l,
-		policy: policy,
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		now:    start,
-		byName: make(map[string]*target),
-		tries:  make(map[*try]bool),
-		burst:  1,
-		result: newTally(l),
+		load:    l,
+		policy:  policy,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		now:     start,
+		byName:  make(map[string]*target),
+		vmNamed: make(map[string]*vm),
+		tries:   make(map[*try]bool),
+		burst:   1,
+		result:  newTally(l),
 	}
 	r.build()
 	for _, e := range l.Events {
@@ -115,7 +120,9 @@
 			r.byName[t.name] = t
 		}
 		for i := range region.VMs {
-			r.vms = append(r.vms, &vm{name: fmt.Sprintf("vm-%s-%d", region.Name, i), region: region.Name})
+			v := &vm{name: fmt.Sprintf("vm-%s-%d", region.Name, i), region: region.Name}
+			r.vms = append(r.vms, v)
+			r.vmNamed[v.name] = v
 		}
 	}
 	r.startVMs()
@@ -131,12 +138,26 @@
 		v.pool = placement.NewPool(placement.Options{Region: v.region, Policy: r.policy, Rand: r.rng})
 		fleet.Self = v.name
 		v.pool.SetFleet(fleet)
+		v.teller = placement.NewTeller()
+		position, _ := placement.PositionOf(v.name, r.namesIn(v.region))
+		v.teller.SetPosition(position)
 		v.waiters = make(map[place]*request)
 		v.connections = make(map[string]*connections)
 	}
 	r.announce()
 }
 
+// namesIn returns the names of the VMs of a region.
+func (r *run) namesIn(region string) []string {
+	var names []string
+	for _, v := range r.vms {
+		if v.region == region {
+			names = append(names, v.name)
+		}
+	}
+	return names
+}
+
 // announce tells every VM the targets.
 func (r *run) announce() {
 	doc := document(r.load, r.targets)
@@ -290,18 +311,66 @@
 	if r.load.Alone || r.now.Sub(start) > r.load.Length {
 		return
 	}
-	var others []*vm
-	for _, o := range r.vms {
-		if o != v && o.region == v.region {
-			others = append(others, o)
+	r.tell(v)
+	r.after(placement.SharePeriod, func() { r.share(v) })
+}
+
+// tell lets a VM take one turn of telling.
+func (r *run) tell(v *vm) {
+	own := func() *placement.Word {
+		w := &placement.Word{Services: make(map[string]*placement.Use)}
+		if u := v.pool.Tell(); !u.Empty() {
+			w.Services[r.load.Name] = u
 		}
+		return w
+	}
+	turn := v.teller.Take(own, r.now)
+	if turn.Sum {
+		r.hear(v, turn.Word)
+	}
+	for _, name := range turn.To {
+		to := r.vmNamed[name]
+		r.after(r.load.WithinRegion, func() {
+			if turn.Sum {
+				r.passDown(v, to, turn.Word)
+			} else {
+				r.report(v, to, turn.Word)
+			}
+		})
 	}
-	r.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	told := v.pool.Tell()
-	for _, o := range others[:min(len(others), placement.ShareMost)] {
-		r.after(r.load.WithinRegion, func() { o.pool.Hear(v.name, told, r.now) })
+}
+
+// report is the arrival of a word at the VM above.
+func (r *run) report(from, to *vm, w *placement.Word) {
+	if !to.teller.Told(from.name, w, r.now) || to.relaying {
+		return
 	}
-	r.after(placement.SharePeriod, func() { r.share(v) })
+	to.relaying = true
+	r.after(placement.RelayGap, func() {
+		to.relaying = false
+		r.tell(to)
+	})
+}
+
+// passDown is the arrival of the sum at a VM below.
+func (r *run) passDown(from, to *vm, w *placement.Word) {
+	below, ok := to.teller.Below(from.name)
+	if !ok {
+		return
+	}
+	r.hear(to, w)
+	for _, name := range below {
+		next := r.vmNamed[name]
+		r.after(r.load.WithinRegion, func() { r.passDown(to, next, w) })
+	}
+}
+
+func (r *run) hear(v *vm, w *placement.Word) {
+	u := w.Services[r.load.Name]
+	if u == nil {
+		u = &placement.Use{}
+	}
+	v.pool.Hear(u, w.Life, r.now)
 }
 
 // send takes a request to the target where it was placed.
--- a/internal/placement/expected.go
+++ b/internal/placement/expected.go
@@ -12,9 +12,8 @@
 	// expected to get another one from this VM: the VMs of a region serve the same
 	// objects, and callers choose among them at random.
 	expectedFor = 10 * time.Second
-	// openingShare is the part of a usual run that opening a connection must take
-	// for it to be worth opening ahead: 110 of 228 ms between regions that are far
-	// apart, and 24 of 180 ms, which is not, between near ones.
+	// openingShare is the part of a usual run, and of the time that a run leaves of
+	// the objective, that opening a connection must take to be worth opening ahead.
 	openingShare = 0.25
 )
 
@@ -37,10 +36,21 @@
 }
 
 // slowToOpen reports whether opening a connection to a region's targets takes a
-// good part of a run. A region to which none was opened yet is not known to be.
+// good part of a run and of the time left after one, so that callers would notice.
+// A region to which none was opened yet is not known to be.
 func (p *Pool) slowToOpen(region string) bool {
 	run := p.runs.expect(true, 0)
-	return run > 0 && float64(p.trips[region]) >= openingShare*float64(run)
+	return run > 0 && float64(p.trips[region]) >= openingShare*float64(max(run, p.objective-run))
+}
+
+// noteObjective takes in within which time a request's answer is of full use.
+func (p *Pool) noteObjective(a *Ask) {
+	if a.Rule == nil || a.Rule.ObjectiveMS <= 0 {
+		return
+	}
+	if o := a.Rule.ObjectiveMS.Duration(); p.objective == 0 || o < p.objective {
+		p.objective = o
+	}
 }
 
 // Expected implements admission.Expecter, for all services.
--- a/internal/placement/expected_test.go
+++ b/internal/placement/expected_test.go
@@ -38,15 +38,24 @@
 		name    string
 		opening time.Duration
 		run     time.Duration
+		aim     time.Duration // objective of the requests; 0: none
 		want    bool
 	}{
-		{"far regions", 110 * time.Millisecond, 228 * time.Millisecond, true},
-		{"far regions, long runs", 110 * time.Millisecond, 912 * time.Millisecond, false},
-		{"near regions", 24 * time.Millisecond, 180 * time.Millisecond, false},
+		{"far regions", 110 * time.Millisecond, 228 * time.Millisecond, 400 * time.Millisecond, true},
+		{"far regions, no objective", 110 * time.Millisecond, 228 * time.Millisecond, 0, true},
+		{"far regions, long runs", 110 * time.Millisecond, 912 * time.Millisecond, 0, false},
+		// 77,072 connections were opened for 45,512 requests, most of them ahead of
+		// requests that had half a second to spare.
+		{"far regions, an objective that leaves time", 110 * time.Millisecond, 430 * time.Millisecond, time.Second, false},
+		{"an objective that runs miss", 110 * time.Millisecond, 430 * time.Millisecond, 400 * time.Millisecond, true},
+		{"near regions", 24 * time.Millisecond, 180 * time.Millisecond, 300 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := expectedPool(tt.opening, tt.run, now).Expected(now)
+			p := expectedPool(tt.opening, tt.run, now)
+			rule := &config.Rule{ObjectiveMS: config.Millis(tt.aim.Milliseconds())}
+			p.Enqueue(&Ask{Key: "object", Rule: rule, Arrived: now, Deadline: now.Add(time.Minute)}, now)
+			got := p.Expected(now)
 			if tt.want != (len(got) == 1 && got[0].Name == "far") || !tt.want && len(got) > 0 {
 				t.Errorf("%d targets are expected to get a request, want the far one: %v", len(got), tt.want)
 			}
@@ -63,7 +72,7 @@
 	if got := p.Expected(now); len(got) > 0 {
 		t.Fatalf("%d targets are expected to get a request after a long rest", len(got))
 	}
-	p.Hear("other", &Use{Running: map[string]int{"far": 1, "near": 1, "unknown": 1, "rested": 0}}, now)
+	p.Hear(&Use{Running: map[uint32]int{shortID("far"): 1, shortID("near"): 1, shortID("unknown"): 1, shortID("rested"): 0}}, time.Second, now)
 	if got := p.Expected(now); len(got) != 1 || got[0].Name != "far" {
 		t.Errorf("%d targets are expected to get a request, want the one at which another VM has one", len(got))
 	}
@@ -73,7 +82,7 @@
 func TestExpectedInOrderOfUse(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := expectedPool(110*time.Millisecond, 228*time.Millisecond, now.Add(-100*time.Millisecond))
-	p.Hear("other", &Use{Running: map[string]int{"rested": 1}}, now)
+	p.Hear(&Use{Running: map[uint32]int{shortID("rested"): 1}}, time.Second, now)
 	if got := p.Expected(now); len(got) != 2 || got[0].Name != "rested" || got[1].Name != "far" {
 		t.Errorf("%v are expected, want rested and far", got)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -65,22 +65,27 @@
 // Pool is the targets of one service. It is not safe for concurrent use and
 // does no I/O.
 type Pool struct {
-	region   string // of this VM
-	choose   chooser
-	rand     *rand.Rand
-	targets  map[string]*targetState
-	order    []*targetState // by name
-	fleet    Fleet
-	coldRate float64       // requests a second that a cold target bears; 0: no bound
-	coldTime time.Duration // how long a target stays cold after its start
-	runs     runTimes
-	trips    map[string]mean // way there and back, by region
-	remote   float64         // weight of a slot of another region
-	queue    []*Waiting      // requests that wait, in order
-	ranking  ranking
-
-	heard      map[string]heardUse // other VMs' last words, by VM
-	newObjects map[string][]string // by target: what other VMs were not told of yet
+	region  string // of this VM
+	choose  chooser
+	rand    *rand.Rand
+	targets map[string]*targetState
+	order   []*targetState // by name
+	fleet   Fleet
+	// fleetSeen counts the views of the fleet, and of the cold bound.
+	fleetSeen uint64
+	coldRate  float64       // requests a second that a cold target bears; 0: no bound
+	coldTime  time.Duration // how long a target stays cold after its start
+	runs      runTimes
+	trips     map[string]mean // way there and back, by region
+	remote    float64         // weight of a slot of another region
+	// objective is the shortest one of the requests so far; 0: none has any.
+	objective time.Duration
+	queue     []*Waiting // requests that wait, in order
+	ranking   ranking
+
+	newObjects  map[uint32][]string // by target: what other VMs were not told of yet
+	told        map[uint32]int      // by target: requests as the others were told last
+	sharedUntil time.Time           // until then it counts what other VMs have at targets
 }
 
 // NewPool returns a pool without targets.
@@ -95,13 +100,15 @@
 		targets: make(map[string]*targetState),
 		trips:   make(map[string]mean),
 
-		heard:      make(map[string]heardUse),
-		newObjects: make(map[string][]string),
+		newObjects: make(map[uint32][]string),
 	}
 }
 
 // SetFleet tells about the other VMs.
-func (p *Pool) SetFleet(f Fleet) { p.fleet = f }
+func (p *Pool) SetFleet(f Fleet) {
+	p.fleet = f
+	p.fleetSeen++
+}
 
 // SetTargets takes over the targets of a view. What is known of those that
 // stay is kept.
@@ -111,7 +118,7 @@
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
 		if s == nil {
-			s = &targetState{}
+			s = &targetState{id: shortID(t.Name)}
 		}
 		s.TargetIndex = t
 		s.evacuated = v.Evacuated[t.Zone]
@@ -120,7 +127,10 @@
 		p.order = append(p.order, s)
 	}
 	p.targets = next
-	p.coldRate = svc.ColdRequestsPerSecond
+	if p.coldRate != svc.ColdRequestsPerSecond {
+		p.coldRate = svc.ColdRequestsPerSecond
+		p.fleetSeen++
+	}
 	p.coldTime = svc.ColdMS.Duration()
 	p.remote = p.weighRemote()
 	p.ranking.clear()
@@ -321,7 +331,7 @@
 	if at.key != "" {
 		t.objects.add(at.key, now)
 		if !at.known {
-			p.newObjects[t.Name] = append(p.newObjects[t.Name], at.key)
+			p.newObjects[t.id] = append(p.newObjects[t.id], at.key)
 		}
 	}
 	if t.cold(now) {
@@ -348,9 +358,16 @@
 	barMost  = 4 * time.Second
 	// barDoublings is after how many doublings barMost is reached.
 	barDoublings = 3
-	shedBar      = 100 * time.Millisecond // a full target has room again after about a request's time
+	// shedBar is for how long a full target gets no request at least: until about
+	// one of its slots is free again.
+	shedBar = 100 * time.Millisecond
 )
 
+// shedTime is for how long a target that was full gets no request.
+func (p *Pool) shedTime(t *targetState) time.Duration {
+	return max(shedBar, p.runs.expect(true, 0)/time.Duration(max(1, t.Slots)))
+}
+
 // Give notes the end of a request at a target. It returns for how long the
 // target is barred by it, 0 when it is not.
 func (p *Pool) Give(at *Placed, r Result, now time.Time) (barred time.Duration) {
@@ -370,7 +387,7 @@
 	case r.Gone:
 		t.gone = true
 	case r.Shed:
-		t.barredUntil = now.Add(shedBar)
+		t.barredUntil = now.Add(p.shedTime(t))
 	case r.Failed:
 		t.failures++
 		if t.failures >= barAfter {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -10,11 +10,14 @@
 // Bounds of what a refused caller is told.
 const (
 	// retryLeast keeps callers that are refused at once from coming back before
-	// anything can have changed: about half of a short run.
+	// anything can have changed.
 	retryLeast = 50 * time.Millisecond
-	// retryMost is below a third of the shortest time callers wait, two seconds,
-	// as they do not wait longer than a third of what they have left.
-	retryMost = 600 * time.Millisecond
+	// retryShare is the part of the time left after which a caller is told to come
+	// back at most: callers wait no longer than that, whatever they are told.
+	retryShare = 1.0 / 3
+	// retryUnknown is told where no run was seen yet, or no target may take the
+	// request: the news of another one comes within a second or two.
+	retryUnknown = 600 * time.Millisecond
 )
 
 // Refusal tells why a request was not given a target and when to come back.
@@ -48,9 +51,10 @@
 // run nowhere, or before which more wait than can run in time, is refused at
 // once.
 func (p *Pool) Enqueue(a *Ask, now time.Time) *Waiting {
+	p.noteObjective(a)
 	w := &Waiting{Ask: a, until: p.patience(a)}
 	if !p.possible(a, now) {
-		w.Refused = p.refusal(a, reasonNoTarget, retryMost, now)
+		w.Refused = p.refusal(a, reasonNoTarget, retryUnknown, now)
 		return w
 	}
 	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Ask) int {
@@ -112,7 +116,15 @@
 // back when those that wait now have run.
 func (p *Pool) noTime(a *Ask, now time.Time) *Refusal {
 	after := p.runs.expect(true, 0) + p.queueTime(len(p.queue))
-	return p.refusal(a, reasonNoTime, min(max(after, retryLeast), retryMost), now)
+	return p.refusal(a, reasonNoTime, after, now)
+}
+
+// boundRetry bounds when a refused caller is told to come back: a caller that comes
+// back before there is room is refused again, one that is told too long comes back
+// when it wants.
+func boundRetry(after time.Duration, a *Ask, now time.Time) time.Duration {
+	most := time.Duration(retryShare * float64(a.Deadline.Sub(now)))
+	return max(min(after, most), retryLeast)
 }
 
 func (p *Pool) refusal(a *Ask, reason string, retryAfter time.Duration, now time.Time) *Refusal {
@@ -120,7 +132,7 @@
 	for _, t := range p.candidates(a, now) {
 		targets = append(targets, fmt.Sprintf("%s %d/%d", t.Name, t.busy(now), t.Slots))
 	}
-	return &Refusal{Reason: reason, RetryAfter: retryAfter, Queued: len(p.queue), Targets: strings.Join(targets, ", ")}
+	return &Refusal{Reason: reason, RetryAfter: boundRetry(retryAfter, a, now), Queued: len(p.queue), Targets: strings.Join(targets, ", ")}
 }
 
 // Serve places and refuses requests that wait, in order, and returns those that
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -78,11 +78,51 @@
 	if done := p.Serve(until); len(done) != 1 || w.Refused == nil {
 		t.Fatal("it waits on though an answer would be late")
 	}
-	if after := w.Refused.RetryAfter; after < retryLeast || after > retryMost {
+	if after := w.Refused.RetryAfter; after < retryLeast || after > w.Ask.Deadline.Sub(until)/3 {
 		t.Errorf("it may come back after %v", after)
 	}
 }
 
+// Callers whose requests take two seconds to run were told to come back after 0.6 s,
+// when nothing could have ended, and were refused for good. They are told when a run
+// has ended, and never longer than they wait.
+func TestRetryAfterFollowsRuns(t *testing.T) {
+	for _, tt := range []struct{ run, left, least, most time.Duration }{
+		{10 * time.Millisecond, 300 * time.Millisecond, retryLeast, 100 * time.Millisecond},
+		{100 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, 600 * time.Millisecond},
+		{500 * time.Millisecond, 6 * time.Second, 500 * time.Millisecond, 2 * time.Second},
+		{1900 * time.Millisecond, 25 * time.Second, 1900 * time.Millisecond, 25 * time.Second / 3},
+		{10 * time.Second, 20 * time.Second, 20 * time.Second / 3, 20 * time.Second / 3},
+	} {
+		p, _ := fullPool(t)
+		p.runs = runTimes{warm: mean(tt.run)}
+		a := timedAsk("a", 1, start)
+		a.Deadline = start.Add(tt.left)
+		if after := p.noTime(a, start).RetryAfter; after < tt.least || after > tt.most {
+			t.Errorf("runs of %v, %v left: come back after %v, want %v to %v", tt.run, tt.left, after, tt.least, tt.most)
+		}
+	}
+}
+
+// A target that was full is left alone for about as long as one of its slots takes to
+// get free.
+func TestFullTargetRestsForASlotsTime(t *testing.T) {
+	for _, tt := range []struct {
+		run   time.Duration
+		slots int
+		want  time.Duration
+	}{{100 * time.Millisecond, 5, shedBar}, {1900 * time.Millisecond, 5, 380 * time.Millisecond}, {10 * time.Second, 4, 2500 * time.Millisecond}} {
+		p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: tt.slots})
+		p.runs = runTimes{warm: mean(tt.run)}
+		at := mustChoose(t, p, ask("a"), start)
+		p.Take(at, start)
+		p.Give(at, Result{Shed: true}, start)
+		if got := at.target.barredUntil.Sub(start); got != tt.want {
+			t.Errorf("runs of %v at %d slots: barred for %v, want %v", tt.run, tt.slots, got, tt.want)
+		}
+	}
+}
+
 func TestRequestThatMayRunNowhereIsRefusedAtOnce(t *testing.T) {
 	p, _ := newTestPool(t, "ros", estiba)
 	a := timedAsk("a", 1, start)
--- a/internal/placement/sharing.go
+++ b/internal/placement/sharing.go
@@ -1,85 +1,89 @@
 package placement
 
-import "time"
+import (
+	"hash/fnv"
+	"maps"
+	"time"
+)
 
 // The VMs of a region tell each other what they have at targets, since a
-// target's own word reaches a VM only with its answers: with 28 VMs and 100
-// targets in a region, once in several seconds. What is told helps to choose;
-// no bound rests on it, so that a lost message costs nothing but a worse choice.
-const (
-	// SharePeriod is how often a VM tells. In package emulation 0.2 s gave 1% more
-	// of what callers get on fleets of 87 VMs and 0.8 s 1% less.
-	SharePeriod = 500 * time.Millisecond
-	// ShareMost is how many VMs are told each time, drawn anew: 24 messages of 230
-	// bytes in half a second are 11 KB/s, below the 14 KB/s that a daemon may use.
-	ShareMost = 24
-	// shareLife is how long it counts: VMs of regions larger than ShareMost are
-	// heard of every other time, and one message may be lost.
-	shareLife = 3 * SharePeriod
-)
+// target's own word reaches a VM only with its answers: with 65 VMs and 240
+// targets in a region, once in half a minute. What is told helps to choose; no
+// bound rests on it, so that a lost message costs nothing but a worse choice.
 
-// Use is what one VM has at the targets of one service.
+// Use is what some VMs have at the targets of one service.
 type Use struct {
-	Running map[string]int      `msgpack:"r"` // requests at a target; absent: none
-	Objects map[string][]string `msgpack:"o"` // sent to a target for the first time since it was last told
+	Running map[uint32]int      `msgpack:"r"` // requests, by shortID of the target; absent: none
+	Objects map[uint32][]string `msgpack:"o"` // sent to a target for the first time since the last word
+}
+
+func newUse() *Use {
+	return &Use{Running: make(map[uint32]int), Objects: make(map[uint32][]string)}
 }
 
 // Empty reports whether there is nothing to tell.
 func (u *Use) Empty() bool { return len(u.Running) == 0 && len(u.Objects) == 0 }
 
-// heardUse is the last word of another VM.
-type heardUse struct {
-	running map[string]int
-	at      time.Time
+// runningMost bounds what is believed of one target: far more than any has room for.
+const runningMost = 1 << 20
+
+// addRunning and addObjects add another word to this one.
+func (u *Use) addRunning(other *Use) {
+	for id, n := range other.Running {
+		if n > 0 {
+			u.Running[id] = min(u.Running[id]+min(n, runningMost), runningMost)
+		}
+	}
+}
+
+func (u *Use) addObjects(other *Use) {
+	for id, keys := range other.Objects {
+		u.Objects[id] = append(u.Objects[id], keys...)
+	}
 }
 
-// Tell returns what to tell the other VMs now.
+// shortID stands for a target's name in what VMs tell. Two targets of one id would
+// be taken for each other, which makes a choice worse and no more.
+func shortID(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // it never fails
+	return h.Sum32()
+}
+
+// Tell returns what this VM has at targets, and what is new since the word before.
 func (p *Pool) Tell() *Use {
-	u := &Use{Running: make(map[string]int), Objects: p.newObjects}
-	p.newObjects = make(map[string][]string)
+	u := &Use{Running: make(map[uint32]int), Objects: p.newObjects}
+	p.newObjects = make(map[uint32][]string)
 	for _, t := range p.order {
 		if t.own > 0 {
-			u.Running[t.Name] = t.own
+			u.Running[t.id] = t.own
 		}
 	}
+	p.told = maps.Clone(u.Running) // sums are made in the word itself
 	return u
 }
 
-// Hear takes in what another VM told.
-func (p *Pool) Hear(vm string, u *Use, now time.Time) {
-	p.heard[vm] = heardUse{running: u.Running, at: now}
-	for name, n := range u.Running {
-		if t := p.targets[name]; t != nil && n > 0 {
+// Hear takes in what all VMs of the region have at targets, this one included as
+// it told last. It counts for life.
+func (p *Pool) Hear(all *Use, life time.Duration, now time.Time) {
+	for _, t := range p.order {
+		t.shared = min(max(all.Running[t.id]-p.told[t.id], 0), t.most())
+		if t.shared > 0 {
 			t.usedAt = now
 		}
-	}
-	for name, keys := range u.Objects {
-		t := p.targets[name]
-		if t == nil {
-			continue
-		}
-		for _, key := range keys {
+		for _, key := range all.Objects[t.id] {
 			t.objects.add(key, now)
 		}
 	}
-	p.countShared(now)
+	p.sharedUntil = now.Add(life)
 }
 
-// countShared adds up what other VMs told, and forgets those that told nothing
-// for a while.
-func (p *Pool) countShared(now time.Time) {
+// forgetOld forgets what other VMs told when it was too long ago.
+func (p *Pool) forgetOld(now time.Time) {
+	if now.Before(p.sharedUntil) {
+		return
+	}
 	for _, t := range p.order {
 		t.shared = 0
 	}
-	for vm, h := range p.heard {
-		if now.Sub(h.at) > shareLife {
-			delete(p.heard, vm)
-			continue
-		}
-		for name, n := range h.running {
-			if t := p.targets[name]; t != nil {
-				t.shared += min(max(n, 0), t.most())
-			}
-		}
-	}
 }
--- a/internal/placement/sharing_test.go
+++ b/internal/placement/sharing_test.go
@@ -19,31 +19,44 @@
 	"masticturn/internal/telemetry"
 )
 
-// What another VM has at a target counts until it tells otherwise or is silent
-// for too long.
+// useOf is what VMs have at one target.
+func useOf(t *targetState, running int, objects ...string) *Use {
+	u := newUse()
+	u.Running[t.id] = running
+	if len(objects) > 0 {
+		u.Objects[t.id] = objects
+	}
+	return u
+}
+
+// What all VMs have at a target counts, without what this one told, until the next
+// word or until it is too old.
 func TestHeardUseCounts(t *testing.T) {
+	const life = time.Second
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
-	at := mustChoose(t, p, ask("a"), start).target
+	placed := mustChoose(t, p, ask("a"), start)
+	p.Take(placed, start)
+	p.Tell()
+	at := placed.target
 	steps := []struct {
 		after time.Duration
-		vm    string
 		use   *Use // nil: nothing is told, the pool looks again
-		want  int
+		want  int  // with the one of this VM
 	}{
-		{0, "vm-1", &Use{Running: map[string]int{at.Name: 2}}, 2},
-		{SharePeriod, "vm-2", &Use{Running: map[string]int{at.Name: 3, "unknown": 7}}, 5},
-		{SharePeriod, "vm-1", &Use{Running: map[string]int{at.Name: 1}}, 4},
-		{2 * SharePeriod, "vm-2", &Use{}, 1},
-		{SharePeriod + shareLife, "", nil, 1},
-		{SharePeriod + shareLife + 1, "", nil, 0},
+		{0, useOf(at, 3), 3},
+		{SharePeriod, useOf(at, 5), 5},
+		{2 * SharePeriod, useOf(at, 1), 1},
+		{3 * SharePeriod, useOf(at, 100), 1 + at.most()},
+		{4 * SharePeriod, useOf(at, 2), 2},
+		{4*SharePeriod + life - 1, nil, 2},
+		{4*SharePeriod + life, nil, 1},
 	}
 	for i, s := range steps {
 		now := start.Add(s.after)
 		if s.use != nil {
-			p.Hear(s.vm, s.use, now)
-		} else {
-			p.countShared(now)
+			p.Hear(s.use, life, now)
 		}
+		p.forgetOld(now)
 		if got := at.busy(now); got != s.want {
 			t.Errorf("step %d: %d requests are believed at the target, want %d", i, got, s.want)
 		}
@@ -56,9 +69,9 @@
 		p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
 		at := mustChoose(t, p, ask("a"), start).target
 		at.others, at.reported, at.life = tt.told, start, reportLifeLeast
-		p.Hear("vm-1", &Use{Running: map[string]int{at.Name: tt.heard}}, start)
+		p.Hear(useOf(at, tt.heard), time.Second, start)
 		if got := at.busy(start); got != tt.want {
-			t.Errorf("the target told of %d, a VM of %d: %d are believed, want %d", tt.told, tt.heard, got, tt.want)
+			t.Errorf("the target told of %d, the VMs of %d: %d are believed, want %d", tt.told, tt.heard, got, tt.want)
 		}
 	}
 }
@@ -68,12 +81,12 @@
 	p, _ := newTestPool(t, "ros", estiba)
 	at := mustChoose(t, p, ask("a"), start)
 	p.Take(at, start)
-	name := at.target.Name
+	id := at.target.id
 	first := p.Tell()
-	if first.Running[name] != 1 || len(first.Objects[name]) != 1 {
-		t.Errorf("the first word is %+v, want one request and one object at %s", first, name)
+	if first.Running[id] != 1 || len(first.Objects[id]) != 1 {
+		t.Errorf("the first word is %+v, want one request and one object", first)
 	}
-	if second := p.Tell(); second.Running[name] != 1 || len(second.Objects) != 0 {
+	if second := p.Tell(); second.Running[id] != 1 || len(second.Objects) != 0 {
 		t.Errorf("the second word is %+v, want one request and no object", second)
 	}
 	finish(p, at, 100*time.Millisecond, start)
@@ -81,7 +94,7 @@
 		t.Errorf("the third word is %+v, want nothing", third)
 	}
 	other, _ := newTestPool(t, "ros", estiba)
-	other.Hear("vm-1", first, start)
+	other.Hear(first, time.Second, start)
 	if again := mustChoose(t, other, ask("a"), start); !again.known {
 		t.Error("the other VM does not know that the target knows the object")
 	}
@@ -169,7 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, svc, vms := regionOfVMs(t, 3)
 		permits := acquire(t, vms["vm-000"], svc, 5)
-		time.Sleep(2 * SharePeriod)
+		time.Sleep(4 * SharePeriod)
 		synctest.Wait()
 		for name, want := range map[string]int{"vm-000": 0, "vm-001": 5, "vm-002": 5, "far": 0} {
 			if got := heardOf(vms[name]); got != want {
@@ -179,7 +192,7 @@
 		for _, p := range permits {
 			p.Release(admission.Result{})
 		}
-		time.Sleep(2 * SharePeriod)
+		time.Sleep(4 * SharePeriod)
 		synctest.Wait()
 		if got := heardOf(vms["vm-001"]); got != 0 {
 			t.Errorf("%d requests that have ended are believed to run", got)
@@ -191,9 +204,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		hub, svc, vms := regionOfVMs(t, 2)
 		acquire(t, vms["vm-000"], svc, 5)
-		time.Sleep(2 * SharePeriod)
+		time.Sleep(4 * SharePeriod)
 		hub.Cut("vm-000", "vm-001")
-		time.Sleep(shareLife + SharePeriod)
+		time.Sleep(2 * shareLives * SharePeriod) // of its word, and of the sum with it
 		synctest.Wait()
 		if got := heardOf(vms["vm-001"]); got != 0 {
 			t.Errorf("%d requests of a VM that is silent are believed to run", got)
@@ -202,14 +215,14 @@
 }
 
 // What telling costs a VM: nothing when nothing runs, below the budget of a
-// daemon in a region of 28 VMs, and no more in one of 60.
+// daemon in regions of all sizes that are designed for.
 func TestTellingIsBounded(t *testing.T) {
 	const (
 		budget  = 14_000 // bytes a second that a daemon may spend on control
 		framing = 90     // of a message: our frame and the headers of TCP and IP
 		seconds = 5
 	)
-	for _, tt := range []struct{ vms, running, most int }{{28, 0, 0}, {28, 12, budget}, {60, 12, budget}} {
+	for _, tt := range []struct{ vms, running, most int }{{28, 0, 0}, {28, 12, budget}, {65, 12, budget}, {155, 12, budget}} {
 		synctest.Test(t, func(t *testing.T) {
 			hub, svc, vms := regionOfVMs(t, tt.vms)
 			for name, a := range vms {
--- a/internal/placement/starts_test.go
+++ b/internal/placement/starts_test.go
@@ -51,7 +51,7 @@
 		o.pool.Give(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
 	}
 	running := o.take("a", now)
-	o.pool.Hear("other", &Use{Running: map[string]int{"i@1": 4}, Objects: map[string][]string{"i@1": {"b"}}}, now)
+	o.pool.Hear(&Use{Running: map[uint32]int{shortID("i@1"): 4}, Objects: map[uint32][]string{shortID("i@1"): {"b"}}}, time.Second, now)
 	for range barAfter {
 		o.pool.Give(o.take("a", now), Result{Failed: true}, now)
 	}
@@ -66,7 +66,7 @@
 	}
 	// What comes late of the old start is not the new one's.
 	o.pool.Give(running, Result{Failed: true, Gone: true, Ended: true}, now)
-	o.pool.Hear("other", &Use{Running: map[string]int{"i@1": 6}, Objects: map[string][]string{"i@1": {"c"}}}, now)
+	o.pool.Hear(&Use{Running: map[uint32]int{shortID("i@1"): 6}, Objects: map[uint32][]string{shortID("i@1"): {"c"}}}, time.Second, now)
 	at = mustChoose(t, o.pool, ask("a"), now)
 	if at.target.busy(now) != 0 || at.target.objects.known("c") || at.target.cold(now) {
 		t.Errorf("the new start got what was meant for the old one: busy %d, cold %v", at.target.busy(now), at.target.cold(now))
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -21,6 +21,7 @@
 // targetState is what this VM knows of one target.
 type targetState struct {
 	*config.TargetIndex
+	id        uint32 // shortID of its name
 	coldUntil time.Time
 	evacuated bool
 
@@ -35,6 +36,8 @@
 	gone        bool      // its address serves another instance
 	endedUntil  time.Time // nobody listened at its address, and it has not answered since
 	coldSent    time.Time // last request of this VM while it was cold
+	coldFleet   uint64    // view of the fleet in which coldSender was worked out; 0: none
+	coldSender  bool      // this VM may send to it while it is cold
 	usedAt      time.Time // last known request of a VM of the region
 	objects     objects
 	slow        slowness
--- a/internal/placement/telling.go
+++ b/internal/placement/telling.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,86 +10,124 @@
 	"masticturn/internal/peer"
 )
 
-// useMessage is what a VM tells others of its region (peer.KindTargetUse).
-type useMessage struct {
-	Services map[string]*Use `msgpack:"s"` // by name; without those of which there is nothing to tell
-}
-
-// tellLoop tells the other VMs of the region what this one has at targets, until
-// the context is done.
+// tellLoop tells the other VMs of the region what this one and those below it have
+// at targets, until the context is done.
 func (a *Admitter) tellLoop(ctx context.Context) {
 	ticker := time.NewTicker(SharePeriod)
 	defer ticker.Stop()
-	told := false
+	var relay <-chan time.Time // set while words of VMs below are gathered
 	for {
 		select {
 		case <-ticker.C:
-			told = a.tell(told)
+			a.tell()
+		case <-relay:
+			relay = nil
+			a.tell()
+		case <-a.toldOn:
+			if relay == nil {
+				relay = time.After(RelayGap)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// tell tells once. It reports whether there was anything to tell; after that
-// the others are also told when there is nothing any more.
-func (a *Admitter) tell(before bool) bool {
-	m := a.gather()
-	if len(m.Services) == 0 && !before {
-		return false
+// tell takes one turn.
+func (a *Admitter) tell() {
+	a.mu.Lock()
+	now := a.deps.Clock.Now()
+	for _, p := range a.pools {
+		p.forgetOld(now)
 	}
-	for _, vm := range a.listeners() {
-		_ = a.deps.Network.Send(vm, peer.KindTargetUse, m) // the next one makes a lost one good
+	turn := a.teller.Take(a.ownUse, now)
+	kind := peer.KindUseReport
+	if turn.Sum {
+		kind = peer.KindUseSum
+		a.hear(turn.Word, now)
 	}
-	return len(m.Services) > 0
+	a.mu.Unlock()
+	a.send(turn.To, kind, turn.Word)
 }
 
-func (a *Admitter) gather() *useMessage {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	m := &useMessage{Services: make(map[string]*Use)}
-	now := a.deps.Clock.Now()
+// send sends a word; the next one makes a lost one good.
+func (a *Admitter) send(to []string, kind peer.Kind, w *Word) {
+	for _, vm := range to {
+		_ = a.deps.Network.Send(vm, kind, w)
+	}
+}
+
+// ownUse returns what this VM itself has to tell; a.mu is held.
+func (a *Admitter) ownUse() *Word {
+	w := &Word{Services: make(map[string]*Use)}
 	for name, p := range a.pools {
-		p.countShared(now)
 		if u := p.Tell(); !u.Empty() {
-			m.Services[name] = u
+			w.Services[name] = u
+		}
+	}
+	return w
+}
+
+// hear takes in what all VMs of the region have; a.mu is held. Of services that
+// are not mentioned there is nothing.
+func (a *Admitter) hear(w *Word, now time.Time) {
+	for name, p := range a.pools {
+		u := w.Services[name]
+		if u == nil {
+			u = newUse()
 		}
+		p.Hear(u, min(w.Life, wordLifeMost), now)
 	}
-	return m
 }
 
-// listeners returns the VMs to tell this time: all others of the region, or
-// ShareMost of them drawn by chance.
-func (a *Admitter) listeners() []string {
+// place takes over this VM's position among those of its region.
+func (a *Admitter) place(v *membership.View) {
 	var names []string
-	for _, m := range a.deps.Members.View().Members {
-		if m.State == membership.Alive && m.Region == a.deps.VM.Region && m.Name != a.deps.VM.Name {
+	for _, m := range v.Members {
+		if m.State == membership.Alive && m.Region == a.deps.VM.Region {
 			names = append(names, m.Name)
 		}
 	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(len(names), ShareMost)]
+	p, _ := PositionOf(a.deps.VM.Name, names) // one that leaves tells nobody
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.teller.SetPosition(p)
 }
 
-// hearUse takes in what another VM told, if it is a member. Services that it did
-// not mention have nothing of it running.
-func (a *Admitter) hearUse(_ context.Context, from string, payload []byte) (any, error) {
-	if _, ok := a.deps.Members.View().Member(from); !ok {
-		return nil, trace.AccessDenied("VM %s is no member", from)
+// hearReport takes in what a VM and those below it have.
+func (a *Admitter) hearReport(_ context.Context, from string, payload []byte) (any, error) {
+	var w Word
+	if err := peer.Decode(payload, &w); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	on := a.teller.Told(from, &w, a.deps.Clock.Now())
+	a.mu.Unlock()
+	if !on {
+		return nil, nil
+	}
+	select {
+	case a.toldOn <- struct{}{}:
+	default: // it is gathering already
 	}
-	var m useMessage
-	if err := peer.Decode(payload, &m); err != nil {
+	return nil, nil
+}
+
+// hearSum takes in what all VMs of the region have, and passes it on.
+func (a *Admitter) hearSum(_ context.Context, from string, payload []byte) (any, error) {
+	var w Word
+	if err := peer.Decode(payload, &w); err != nil {
 		return nil, err
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	for name, p := range a.pools {
-		u := m.Services[name]
-		if u == nil {
-			u = &Use{}
-		}
-		p.Hear(from, u, now)
+	below, ok := a.teller.Below(from)
+	if ok {
+		a.hear(&w, a.deps.Clock.Now())
+	}
+	a.mu.Unlock()
+	if !ok {
+		return nil, trace.AccessDenied("VM %s is not above this one", from)
 	}
+	a.send(below, peer.KindUseSum, &w)
 	return nil, nil
 }
