--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -26,9 +26,8 @@
 )
 
 // gcPercent is how much the heap may grow, as a percentage of what is in use,
-// before garbage is collected. On VMs where memory is dear: 13.3 and 10.4 MB at the peak
-// in place of 17.5 and 13.2 at 100, for a sixth more of the processor time, which
-// is 0.017 of a core.
+// before garbage is collected: memory at its peak is dearer than the little
+// processor time that collecting it more often takes.
 const gcPercent = 30
 
 func newServe() *cli.Command {
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -49,8 +49,7 @@
 }
 
 // hostedRegionAfter is when members of a region that is silent are no longer
-// named to callers: well under the seven seconds in which the first
-// deployments want it.
+// named to callers: some beats longer than a VM's.
 const hostedRegionAfter = 4 * time.Second
 
 // hostedJoinInterval is the time between attempts to join: the seeds may start a
@@ -146,8 +145,8 @@
 )
 
 // sharesOf returns the bounds on the fleet and this VM's share of the retry
-// budget. One retry may always be saved up: 87 VMs with one each are within the
-// slack of the deployments that large, 206.
+// budget. One retry may always be saved up: deployments state a slack of about two
+// for each VM.
 func sharesOf(v *membership.View, b settings.Bounds) (config.Fleet, config.Retry) {
 	vms := max(leastFleet, int(fleetGrowth*float64(len(v.Members))))
 	return config.Fleet{MaxVMs: vms, MaxVMsPerRegion: vms}, config.Retry{
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -3,7 +3,7 @@
 import "time"
 
 // objectsMost is how many objects a VM remembers to have sent to one target.
-// Targets remember 25 to 49 objects themselves.
+// Targets remember some tens themselves.
 const objectsMost = 64
 
 // objects remembers which objects were sent to a target, the latest ones.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,27 +18,22 @@
 )
 
 const (
-	// replicas is how many targets may serve an object. A target knows 25 to 49
-	// objects and a service of 12 to 14 targets has 72 to 165, so that three copies
-	// of each would fit; two need fewer fresh runs, which are late. On the most
-	// loaded day two earned 0.67, three 0.64, four 0.61 and one 0.64.
+	// replicas is how many targets may serve an object: a second one takes what the
+	// first has no room for, each further one means another run that is late.
 	replicas = 2
 	// A slot of another region weighs remoteWeightLeast against one of this region
 	// in the choice of an object's targets where this region has its share of the
-	// slots, and remoteWeightMost where it has half of that or less. With 2 of 14
-	// targets and a third of the callers, about half of a region's objects go
-	// elsewhere; with 6 of 14 one in twenty. The share is steady, whatever the load.
+	// slots, and remoteWeightMost where it has half of that or less. The share is
+	// steady, whatever the load, so that requests do not move between regions with it.
 	remoteWeightLeast = 0.03
 	remoteWeightMost  = 0.15
 	// rankStep is what it must gain to use an object's next target in place of the
 	// one before.
 	rankStep = 100 * time.Millisecond
 	// spareSlots is how many slots of an object's next target must be free before it
-	// gets an object that it is not known to know. Such a run takes 3.3 times as long
-	// as one at a target that knows the object; under load it would take the time of
-	// others. Over the six loads of package emulation it raised what callers got from
-	// 0.803 to 0.829 of what was owed (0 to 2 slots); 3 gave no more. A target with
-	// fewer slots must be idle.
+	// gets an object that it is not known to know: such a run takes several times as
+	// long as one at a target that knows the object, and under load the time of
+	// others. A target with fewer slots must be idle.
 	spareSlots = 2
 	// queueMost is how many requests may wait at a target, for each of its slots.
 	queueMost = 1.0
@@ -405,8 +400,7 @@
 // reportLife returns how long a target's word on its load counts in full: as
 // long as what it told of takes to run, with some that arrives meanwhile. A full
 // queue of long runs lasts for seconds, and VMs that forget it sooner fill the
-// queue again: archive reads at nine tenths of what their targets carry earned
-// 0.42 with a fixed time of 0.6 s and 0.58 so, in package emulation.
+// queue again.
 func (p *Pool) reportLife(t *targetState, load *edge.Load) time.Duration {
 	if t.Slots == 0 {
 		return reportLifeLeast
--- a/internal/placement/ranking.go
+++ b/internal/placement/ranking.go
@@ -1,16 +1,16 @@
 package placement
 
 const (
-	// rankedMost is how many objects' rankings are kept. The largest service known
-	// has 960 objects.
+	// rankedMost is how many objects' rankings are kept, to bound the memory; with
+	// more objects they are worked out again.
 	rankedMost = 2048
 	// rankedDepth is how many targets of each are kept: of the first 16 all would
 	// have to be out of use for the rest to be needed.
 	rankedDepth = 16
 )
 
-// ranking keeps the first targets of each object, since to rank 276 targets takes
-// 37 us (BenchmarkRank), and a waiting request looks at its targets a hundred times a second.
+// ranking keeps the first targets of each object, since ranking hashes all targets
+// and a waiting request looks at its targets a hundred times a second.
 type ranking struct {
 	byKey map[string][]*targetState
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,11 +10,10 @@
 
 const (
 	// reportLifeLeast is the least time for which a target's own word on its load
-	// counts in full. At twenty answers a second from a busy target, a VM of ten
-	// hears from it about every half second.
+	// counts in full: about as often a VM of a small fleet hears from a busy target.
 	reportLifeLeast = 600 * time.Millisecond
 	// reportRuns is how many times the time that a target needs for what it told of
-	// its word counts: 1.5 earned most of 1, 1.5, 2 and 3 in package emulation.
+	// its word counts: some more arrives meanwhile.
 	reportRuns = 1.5
 )
 
@@ -83,8 +82,7 @@
 
 // cold reports whether the target bears few requests only. One whose process had
 // ended and that answers under the same id has started anew. Until the news of
-// that comes, within two seconds, this VM would send it a warm target's share: up
-// to 36 requests a second from all VMs, of which the service bears 32 when cold.
+// that comes, within two seconds, this VM would send it a warm target's share.
 func (t *targetState) cold(now time.Time) bool {
 	return now.Before(t.coldUntil) || now.Before(t.endedUntil)
 }
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -21,7 +21,7 @@
 }
 
 // freshRatio tells a run at a target that did not know the object from one that
-// did: the first takes about 3.3 times as long, and runs vary by 0.15.
+// did, which takes a small part of the time.
 const freshRatio = 1.8
 
 // runTimes is how long requests of a service run at a target that knows the
--- a/internal/targetconn/budget.go
+++ b/internal/targetconn/budget.go
@@ -10,14 +10,13 @@
 	// get requests are looked at.
 	AheadInterval = 250 * time.Millisecond
 	// aheadPerRequest bounds the connections opened ahead of requests to so many
-	// for each request to another region: a VM of 25 that gets 10 requests a second
-	// needs 4.2 to have one open for 97 of 100 such requests, one that gets 24 needs
-	// 2.2.
+	// for each request to another region. A VM that gets few requests needs several
+	// to have one open for nearly all of them.
 	aheadPerRequest = 4
 	// aheadBurst is how many may be saved up: those of some seconds of that VM.
 	aheadBurst = 64
-	// AheadMost is to how many targets connections are opened ahead: those of the
-	// largest deployment known are 372, and 512 idle connections are 10 MB.
+	// AheadMost is to how many targets connections are opened ahead, to bound the
+	// memory of idle ones.
 	AheadMost = 512
 )
 
--- a/internal/targetconn/stale.go
+++ b/internal/targetconn/stale.go
@@ -10,10 +10,8 @@
 	staleFor = 10 * time.Second
 	// staleWeight is the weight of one use of an idle connection in the share of
 	// stale ones, and staleLeast the share from which on idle times are shortened:
-	// three in a row, or a quarter over some time. The connections of a target whose
-	// address another one has got are stale too; days with such targets lost 0.015
-	// of their worth and opened 9,308 connections in place of 3,841 when one of them
-	// was enough.
+	// three in a row, or a quarter over some time. Fewer are no reason: the connections
+	// of a target whose address another one has got are stale too.
 	staleWeight = 0.1
 	staleLeast  = 0.25
 	// stalePart is the part of a stale connection's idle time for which others are
@@ -23,21 +21,17 @@
 	// resetTrips and resetSlack bound how long the reset of a stale connection
 	// takes: one way there and back, as the shortest opening of a connection to the
 	// target took, with some time for the processes. A target that resets after a
-	// run does so later: of runs known, the shortest takes 72 ms beside a way there
-	// and back of 70 ms.
+	// run does so later.
 	resetTrips = 1.25
 	resetSlack = 15 * time.Millisecond
-	// idleLeast is how long a connection must have been idle to be stale; the
-	// shortest time after which targets are known to drop them is 190 ms.
+	// idleLeast is how long a connection must have been idle to be stale: no target
+	// drops one sooner.
 	idleLeast = 150 * time.Millisecond
 )
 
 // staleness is what this VM has seen of stale connections: idle ones that were reset
 // by the next request, as their targets had dropped them. When there are many, no
-// request should go on a connection that was idle for long: with half of the targets
-// dropping connections that were idle for 320 ms, 29 of 11,654 requests of the region
-// with most requests to others failed; 185 with connections opened ahead, and 30 with
-// that and this, while their part answered in time rose from 0.885 to 0.897.
+// request should go on a connection that was idle for long.
 type staleness struct {
 	mu    sync.Mutex
 	share float64       // of the latest uses of idle connections
--- a/internal/telemetry/format.go
+++ b/internal/telemetry/format.go
@@ -12,8 +12,8 @@
 )
 
 // lineFormatter writes a log line as one JSON object. The formatter of logrus
-// encodes by reflection, which took 8.0 us a line of eleven fields; this one takes the types
-// that fields have, and 2.5 us (BenchmarkLine).
+// encodes by reflection, which takes a good part of a VM's processor time; this one
+// takes the types that fields have.
 type lineFormatter struct{}
 
 var _ logrus.Formatter = lineFormatter{}
