--- a/internal/placement/emulation/emulation_test.go
+++ b/internal/placement/emulation/emulation_test.go
@@ -83,7 +83,9 @@
 	const gain = 0.02
 	grown := grownPlanReads()
 	grown.Length /= 8
-	for _, l := range []*Load{ArchiveReads(), ProofListens(), grown} {
+	large := largeArchiveReads()
+	large.Length /= 4
+	for _, l := range []*Load{ArchiveReads(), ProofListens(), grown, large} {
 		t.Run(l.Name, func(t *testing.T) {
 			t.Parallel()
 			told := play(l, placement.PolicyCompletion, seedsToCompare)
