--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -18,6 +18,8 @@
 	settlePause = 200 * time.Millisecond
 	// startPause is the pause between looks for VMs to hear from at the start.
 	startPause = 20 * time.Millisecond
+	// pollPause is the pause when all VMs to hear from are passed over.
+	pollPause = 100 * time.Millisecond
 	// askFirstFor bounds one of a VM's first polls: who is asked may not have started
 	// yet.
 	askFirstFor = 250 * time.Millisecond
@@ -82,20 +84,21 @@
 		if len(from) == 0 {
 			break
 		}
-		w.askFirst(patient, w.parent(from))
+		if vm := w.parent(from); vm != "" {
+			w.askFirst(patient, vm)
+		}
+		sleep(patient, startPause)
 	}
 	w.readNow = w.asOf == 0
 }
 
-// askFirst asks a VM, "" for none, for the first list.
+// askFirst asks a VM for the first list.
 func (w *watcher) askFirst(ctx context.Context, vm string) {
-	asking, cancel := context.WithTimeout(ctx, askFirstFor)
+	ctx, cancel := context.WithTimeout(ctx, askFirstFor)
 	defer cancel()
-	if vm != "" && w.poll(asking, vm) == nil {
-		return
+	if w.poll(ctx, vm) != nil {
+		w.avoid[vm] = w.clock.Now().Add(avoidBriefly)
 	}
-	w.avoid[vm] = w.clock.Now().Add(avoidBriefly)
-	sleep(ctx, startPause)
 }
 
 // step makes one call.
@@ -110,7 +113,7 @@
 			w.failed(ctx, err)
 		}
 	case vm == "":
-		sleep(ctx, avoidBriefly)
+		sleep(ctx, pollPause)
 	default:
 		w.ask(ctx, vm, &ways)
 	}
