A fleet that starts again reads the store at once

Cause: VMs that start gave the others half a second to tell what the store holds, and VMs of a fleet that had ended waited for others that knew nothing either.

Change: a VM that knows nothing says so, and who hears that reads the store, but when the whole fleet starts for the first time. 0.3 s of patience, joining at once and every 0.1 s. TestFleetThatStartsAgainReadsAtOnce fails with the patience of before.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -54,15 +54,7 @@
 
 // hostedJoinInterval is the time between attempts to join: the seeds may start a
 // little later than this VM, and nothing is served before it has joined.
-const hostedJoinInterval = 200 * time.Millisecond
-
-// How long a VM that starts gives the others to tell what the store holds. They
-// need a way between regions or two; in a fleet that starts for the first time no
-// caller waits yet.
-const (
-	startPatience      = 500 * time.Millisecond
-	firstStartPatience = 2 * time.Second
-)
+const hostedJoinInterval = 100 * time.Millisecond
 
 // hostedModules lists the services of a daemon on a platform.
 func (d *Daemon) hostedModules() []kernel.Module {
@@ -106,31 +98,23 @@
 
 func (d *Daemon) newDiscovery(w *wiring) (kernel.Service, error) {
 	s := discovery.NewService(discovery.Deps{
-		Store:    w.store,
-		Decoder:  d.opts.Hosted.Decoder,
-		Members:  w.members,
-		Network:  w.network,
-		Joined:   w.members.Ready,
-		Patience: d.patience(),
-		Places:   d.settings.Places,
-		Bounds:   d.settings.Bounds,
-		Shares:   func() (config.Fleet, config.Retry) { return sharesOf(w.members.View(), d.settings.Bounds) },
-		Clock:    d.opts.Clock,
-		Logger:   d.opts.Logger,
-		Metrics:  d.opts.Metrics,
+		Store:      w.store,
+		Decoder:    d.opts.Hosted.Decoder,
+		Members:    w.members,
+		Network:    w.network,
+		Joined:     w.members.Ready,
+		FirstStart: d.settings.Peers.FirstStart,
+		Places:     d.settings.Places,
+		Bounds:     d.settings.Bounds,
+		Shares:     func() (config.Fleet, config.Retry) { return sharesOf(w.members.View(), d.settings.Bounds) },
+		Clock:      d.opts.Clock,
+		Logger:     d.opts.Logger,
+		Metrics:    d.opts.Metrics,
 	})
 	s.Subscribe(func(snap *config.Snapshot) { w.members.SetGeneration(uint64(snap.Generation), 0) })
 	return s, nil
 }
 
-// patience is how long the others are given to tell what the store holds.
-func (d *Daemon) patience() time.Duration {
-	if d.settings.Peers.FirstStart {
-		return firstStartPatience
-	}
-	return startPatience
-}
-
 // Shares of what binds all VMs together: a target's connections and the retry
 // budget. A VM keeps the budget's ratio on its own requests, so that the sum keeps
 // it; the slack is divided by the VMs there may be.
--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -86,7 +87,7 @@
 		}
 		f.restart("vm-000")
 		f.change()
-		time.Sleep(f.patience + time.Second)
+		time.Sleep(startPatience + time.Second)
 		synctest.Wait()
 		if v := f.vms["vm-000"].View(); v == nil || v.Snapshot.Generation != f.gen {
 			t.Error("no document")
@@ -94,6 +95,29 @@
 	})
 }
 
+// When all VMs end and start again callers wait. They were told half a second later
+// than need be, while each VM waited for others that knew nothing either.
+func TestFleetThatStartsAgainReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 30)
+		time.Sleep(5 * time.Second)
+		for _, s := range f.vms {
+			_ = s.Stop(context.Background())
+		}
+		f.change()
+		for _, m := range f.view.Members {
+			f.startAgain(m.Name)
+		}
+		time.Sleep(startPatience / 2)
+		synctest.Wait()
+		for name, s := range f.vms {
+			if v := s.View(); v == nil || v.Snapshot.Generation != f.gen {
+				t.Errorf("%s has no document after %v", name, startPatience/2)
+			}
+		}
+	})
+}
+
 // What is told is what was packed; nothing that comes is unpacked without bound.
 func TestPackedLists(t *testing.T) {
 	objects := []platform.Object{
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -79,7 +79,7 @@
 	gen   config.Generation
 	bound time.Duration // on news
 
-	patience time.Duration // with other VMs at a start
+	firstStart bool // of the whole fleet
 }
 
 // newFleet starts VMs in three regions, with a document in force everywhere.
@@ -88,7 +88,7 @@
 // newBoundFleet is newFleet in a deployment with another bound on news.
 func newBoundFleet(t *testing.T, size int, bound time.Duration) *fleet {
 	f := &fleet{
-		bound: bound, patience: time.Second,
+		bound: bound, firstStart: true,
 		t: t, hub: peertest.NewHub(1), store: platformtest.NewStore(),
 		vms: make(map[string]*Service), reach: make(map[string]*reach), view: &membership.View{},
 	}
@@ -106,6 +106,7 @@
 	}
 	t.Cleanup(f.stop)
 	f.wantEverywhere("at the start")
+	f.firstStart = false
 	return f
 }
 
@@ -123,7 +124,7 @@
 	f.reach[name] = &reach{Store: f.store}
 	f.vms[name] = NewService(Deps{
 		Store: f.reach[name], Decoder: jsonDecoder{}, Members: fixedMembers{&view}, Network: network,
-		Joined: func() bool { return true }, Patience: f.patience,
+		Joined: func() bool { return true }, FirstStart: f.firstStart,
 		Places: map[string]string{"z1": "r0"}, Bounds: f.bounds(), Shares: noShares,
 		Clock: kernel.SystemClock{}, Logger: telemetry.Discard(),
 	})
@@ -134,8 +135,13 @@
 
 // restart ends a VM's process and starts it again.
 func (f *fleet) restart(name string) {
-	calls := f.reach[name].calls.Load()
 	_ = f.vms[name].Stop(context.Background())
+	f.startAgain(name)
+}
+
+// startAgain starts the process of a VM that has ended.
+func (f *fleet) startAgain(name string) {
+	calls := f.reach[name].calls.Load()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
 	f.start(ctx, name)
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -133,7 +133,11 @@
 	return rendezvous.Top("watchers", out, len(out), func(m membership.Member) string { return m.Region })
 }
 
-var errStale = errors.New("what the VM knows of the store is too old")
+// What a VM that does not help answers.
+var (
+	errStale    = errors.New("what the VM knows of the store is too old")
+	errStarting = errors.New("the VM is starting and knows nothing of the store yet")
+)
 
 // relaySource reads from another VM.
 type relaySource struct {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -53,11 +53,10 @@
 	Network peer.Network
 	// Joined reports whether this VM knows the others, or that there are none.
 	Joined func() bool
-	// Patience is how long the other VMs are given, from the start, to tell what
-	// the store holds before this VM reads it.
-	Patience time.Duration
-	Places   map[string]string // availability zone to region
-	Bounds   settings.Bounds
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
+	Places     map[string]string // availability zone to region
+	Bounds     settings.Bounds
 	// Shares returns the bounds on the fleet and this VM's share of the retry
 	// budget, which the stored document does not set.
 	Shares  func() (config.Fleet, config.Retry)
@@ -139,8 +138,8 @@
 			logger:  s.deps.Logger,
 			publish: s.take,
 
-			patience: s.deps.Patience,
-			avoid:    make(map[string]time.Time),
+			firstStart: s.deps.FirstStart,
+			avoid:      make(map[string]time.Time),
 		}
 		s.wg.Go(func() { w.run(ctx) })
 	}
@@ -274,6 +273,9 @@
 		return nil, 0
 	}
 	if s.heard[r.Kind].IsZero() { // this VM is starting itself
+		if !s.deps.FirstStart {
+			return nil, 0
+		}
 		return s.news[r.Kind], s.staleAfter(r.Kind)
 	}
 	age := s.deps.Clock.Now().Sub(s.heard[r.Kind])
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -16,6 +16,11 @@
 	// settlePause lets further changes gather before the next watch, since each
 	// answer is a call that is paid for.
 	settlePause = 200 * time.Millisecond
+	// startPatience is how long a VM that starts gives the others to tell what the
+	// store holds: joining takes a way between regions or two. Callers wait for it, but
+	// not yet where the whole fleet starts for the first time.
+	startPatience      = 300 * time.Millisecond
+	firstStartPatience = 2 * time.Second
 	// startPause is the pause between looks for VMs to hear from at the start.
 	startPause = 20 * time.Millisecond
 	// pollPause is the pause when all VMs to hear from are passed over.
@@ -54,13 +59,13 @@
 	logger  *telemetry.Logger
 	publish func(change change)
 
-	patience time.Duration        // from the start, for other VMs to tell what there is
-	asOf     platform.Version     // 0: a list is needed
-	avoid    map[string]time.Time // VMs that are passed over until then
-	stales   int                  // answers of VMs that are out of touch themselves, since the last news
-	outage   bool                 // neither VMs nor the store tell anything new
-	lostAt   time.Time
-	readNow  bool // read the store next, whatever VMs there are to ask
+	firstStart bool                 // the whole fleet starts for the first time
+	asOf       platform.Version     // 0: a list is needed
+	avoid      map[string]time.Time // VMs that are passed over until then
+	stales     int                  // answers of VMs that are out of touch themselves, since the last news
+	outage     bool                 // neither VMs nor the store tell anything new
+	lostAt     time.Time
+	readNow    bool // read the store next, whatever VMs there are to ask
 }
 
 // run reads until the context is done.
@@ -71,34 +76,46 @@
 	}
 }
 
-// begin gets the first list. Other VMs have it as a rule, so that a fleet that
-// starts does not read the store once for each VM.
+// begin gets the first list. Other VMs have it as a rule, so that a start does not
+// cost calls to the store; where they have nothing either it is read at once, unless
+// no caller waits yet.
 func (w *watcher) begin(ctx context.Context) {
-	patient, cancel := context.WithTimeout(ctx, w.patience)
+	patient, cancel := context.WithTimeout(ctx, w.patience())
 	defer cancel()
 	for patient.Err() == nil && !w.joined() {
 		sleep(patient, startPause)
 	}
 	for patient.Err() == nil && w.asOf == 0 {
 		from := w.ways().vms
-		if len(from) == 0 {
+		if len(from) == 0 || w.askFirst(patient, w.parent(from)) {
 			break
 		}
-		if vm := w.parent(from); vm != "" {
-			w.askFirst(patient, vm)
-		}
 		sleep(patient, startPause)
 	}
 	w.readNow = w.asOf == 0
 }
 
-// askFirst asks a VM for the first list.
-func (w *watcher) askFirst(ctx context.Context, vm string) {
+func (w *watcher) patience() time.Duration {
+	if w.firstStart {
+		return firstStartPatience
+	}
+	return startPatience
+}
+
+// askFirst asks a VM, "" for none, for the first list. It reports whether there is
+// no more to ask for.
+func (w *watcher) askFirst(ctx context.Context, vm string) bool {
+	if vm == "" {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, askFirstFor)
 	defer cancel()
-	if w.poll(ctx, vm) != nil {
-		w.avoid[vm] = w.clock.Now().Add(avoidBriefly)
+	err := w.poll(ctx, vm)
+	if err == nil {
+		return true
 	}
+	w.avoid[vm] = w.clock.Now().Add(avoidBriefly)
+	return errors.Is(err, errStarting) && !w.firstStart
 }
 
 // step makes one call.
@@ -141,7 +158,7 @@
 	if !w.outage {
 		w.logger.Log(eventRelayLost, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
 	}
-	if errors.Is(err, errStale) {
+	if errors.Is(err, errStale) || errors.Is(err, errStarting) {
 		w.avoid[vm] = now.Add(avoidStaleFor)
 		w.noteStale(ways)
 		return
@@ -172,6 +189,9 @@
 	if err != nil {
 		return err
 	}
+	if a.AsOf == 0 {
+		return errStarting
+	}
 	if a.Age > w.stale {
 		return errStale
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -190,6 +190,7 @@
 func (s *Service) tick() {
 	ticker := time.NewTicker(s.cfg.Options.TickInterval)
 	defer ticker.Stop()
+	s.handle(s.machine.Tick) // joins at once
 	for {
 		select {
 		case <-s.ctx.Done():
