Targets that are missing are looked for only while some are

Ruled out for now: looking at connections less often: two tests show a silent one found 0.1 s too late.

--- a/internal/discovery/belief.go
+++ b/internal/discovery/belief.go
@@ -227,6 +227,16 @@
 	}
 }
 
+// missing reports whether targets are believed in whose entries are gone.
+func (b *belief) missing() bool {
+	for _, k := range b.targets {
+		if !k.vanished.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // expire drops the targets that did not come back in time. It reports whether
 // there were any.
 func (b *belief) expire(now time.Time) bool {
--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -223,3 +223,31 @@
 		}
 	}
 }
+
+// Targets whose entries lapsed in an outage and that do not come back are dropped,
+// also by VMs that read nothing themselves.
+func TestTargetsThatDoNotComeBack(t *testing.T) {
+	const targets = 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 30)
+		name := func(i int) string { return fmt.Sprint("target-", i) }
+		for i := range targets {
+			f.store.Put("targets", name(i), encode(t, Target{Instance: name(i), Service: "svc", Zone: "z1", Slots: 1, Address: "10.0.0.1:80"}))
+		}
+		time.Sleep(f.bound)
+		for _, r := range f.reach {
+			r.refused.Store(true)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range targets {
+			f.store.Remove("targets", name(i))
+		}
+		for _, r := range f.reach {
+			r.refused.Store(false)
+		}
+		time.Sleep(time.Second)
+		f.wantTargets("a second after the outage", targets)
+		time.Sleep(rejoinGrace + expireEvery + time.Second)
+		f.wantTargets("when the grace is over", 0)
+	})
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -72,6 +72,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	stopped chan struct{} // closed by Stop
+	missing chan struct{} // targets are missing after an outage
 	gate    gate          // of calls to the store
 
 	mu      sync.Mutex // guards all below and orders publication
@@ -110,6 +111,7 @@
 		packed:  make(map[platform.Kind]packedList),
 		subs:    make(map[int]func(*View)),
 		stopped: make(chan struct{}),
+		missing: make(chan struct{}, 1),
 	}
 	for kind, most := range objectsMost(d.Decoder.Kinds()) {
 		s.mirrors[kind] = NewMirror(most)
@@ -213,6 +215,12 @@
 		s.believe(c.kind, s.mirrors[c.kind], now)
 		s.publish()
 	}
+	if s.belief.missing() {
+		select {
+		case s.missing <- struct{}{}:
+		default: // they are looked for already
+		}
+	}
 }
 
 // mirror brings a kind's mirror up to date; it reports whether it changed.
@@ -376,16 +384,33 @@
 	}
 }
 
-// expire drops targets whose entries did not come back after an outage.
+// expire drops targets whose entries did not come back after an outage. It looks
+// for them only while some are missing.
 func (s *Service) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expireEvery)
-		s.mu.Lock()
-		before := s.belief.states()
-		if s.belief.expire(s.deps.Clock.Now()) {
-			s.logTargets(before, telemetry.Value("cause", "did not come back after the outage"))
-			s.publish()
+		select {
+		case <-s.missing:
+		case <-ctx.Done():
+			return
+		}
+		for s.expireOnce() {
+			sleep(ctx, expireEvery)
 		}
-		s.mu.Unlock()
 	}
 }
+
+// expireOnce drops what did not come back in time, and reports whether some are
+// missing still.
+func (s *Service) expireOnce() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.belief.missing() {
+		return false
+	}
+	before := s.belief.states()
+	if s.belief.expire(s.deps.Clock.Now()) {
+		s.logTargets(before, telemetry.Value("cause", "did not come back after the outage"))
+		s.publish()
+	}
+	return s.belief.missing()
+}
