Connections are looked at less often while none is silent

Change: a look every 200 ms, and every 50 ms while an ack is overdue by more than 0.1 s. When an ack was last waited for is noted when it happens, no longer at the next look, so that a silent connection is found as soon as before: the bounds of its tests stay.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -38,7 +38,7 @@
 
 	received atomic.Uint32 // frames received that count for acks
 	acked    atomic.Uint32 // frames that the peer has received
-	progress atomic.Bool   // acked rose, or frames began to wait for acks, since the last check
+	progress atomic.Int64  // when acked rose, or frames began to wait for acks, last: ns from since; 0: not since the last check
 	used     atomic.Bool   // messages went either way since the last check
 
 	// Guarded by link.mu.
@@ -149,11 +149,13 @@
 
 func (c *conn) expectAcks(frames uint32) {
 	if c.sent == c.acked.Load() {
-		c.progress.Store(true)
+		c.noteProgress()
 	}
 	c.sent += frames
 }
 
+func (c *conn) noteProgress() { c.progress.Store(int64(max(time.Since(c.since), 1))) }
+
 func (c *conn) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -232,7 +234,7 @@
 		}
 		if int32(f.ack-c.acked.Load()) > 0 {
 			c.acked.Store(f.ack)
-			c.progress.Store(true)
+			c.noteProgress()
 		}
 		if err := c.dispatch(f); err != nil {
 			return err
@@ -362,12 +364,12 @@
 	if c.used.Swap(false) {
 		c.lastUse = now
 	}
+	if at := c.progress.Swap(0); at != 0 {
+		c.unackedSince, c.pinged = c.since.Add(time.Duration(at)), false
+	}
 	if paused > sweepInterval {
 		c.unackedSince = c.unackedSince.Add(paused)
 	}
-	if c.progress.Swap(false) {
-		c.unackedSince, c.pinged = now, false
-	}
 	if c.sent != c.acked.Load() {
 		if err := c.checkSilence(now.Sub(c.unackedSince)); err != nil {
 			return err
@@ -376,6 +378,11 @@
 	return c.checkIdle(now)
 }
 
+// silentAt reports whether an ack is overdue.
+func (c *conn) silentAt(now time.Time) bool {
+	return c.sent != c.acked.Load() && now.Sub(c.unackedSince) > silentAfter
+}
+
 func (c *conn) checkSilence(silent time.Duration) error {
 	o := &c.link.net.opts
 	if silent >= o.DeadAfter {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -343,8 +343,8 @@
 }
 
 // sweep looks after the connections and reports whether the link holds
-// nothing any more.
-func (l *link) sweep(now time.Time, paused time.Duration) (empty bool) {
+// nothing any more, and whether a connection is silent.
+func (l *link) sweep(now time.Time, paused time.Duration) (empty, silent bool) {
 	l.mu.Lock()
 	var ended []*conn
 	var causes []error
@@ -353,11 +353,12 @@
 			ended = append(ended, c)
 			causes = append(causes, err)
 		}
+		silent = silent || c.silentAt(now)
 	}
 	empty = l.unused(now)
 	l.mu.Unlock()
 	for i, c := range ended {
 		c.close(causes[i])
 	}
-	return empty
+	return empty, silent
 }
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -17,9 +17,16 @@
 // ServiceName is the name under which the kernel knows the network.
 const ServiceName = "peer.network"
 
-// sweepInterval is how often connections are looked at: it adds to the time
-// in which a silent one is found.
-const sweepInterval = 50 * time.Millisecond
+// How often connections are looked at: every sweepInterval while one is silent,
+// which adds to the time in which it is found, else every sweepRest, as each look
+// wakes a process that may have nothing else to do. A connection counts as silent
+// when an ack is overdue by more than silentAfter; with sweepRest that is well before
+// anything is done about it.
+const (
+	sweepInterval = 50 * time.Millisecond
+	sweepRest     = 200 * time.Millisecond
+	silentAfter   = 100 * time.Millisecond
+)
 
 // keyCheckInterval is how often the key files are looked at.
 const keyCheckInterval = 5 * time.Second
@@ -311,16 +318,36 @@
 // process is not taken for silence of the peers.
 func (t *TCP) sweep() {
 	last := time.Now()
-	wait.Every(t.ctx, sweepInterval, func() {
+	interval := sweepRest
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-timer.C:
+		}
 		now := time.Now()
-		paused := now.Sub(last) - sweepInterval
+		paused := now.Sub(last) - interval
 		last = now
-		for _, l := range t.snapshot() {
-			if l.sweep(now, paused) {
-				t.forget(l)
-			}
+		interval = sweepRest
+		if t.sweepLinks(now, paused) {
+			interval = sweepInterval
 		}
-	})
+		timer.Reset(interval)
+	}
+}
+
+// sweepLinks looks after all connections once and reports whether one is silent.
+func (t *TCP) sweepLinks(now time.Time, paused time.Duration) (silent bool) {
+	for _, l := range t.snapshot() {
+		empty, waits := l.sweep(now, paused)
+		silent = silent || waits
+		if empty {
+			t.forget(l)
+		}
+	}
+	return silent
 }
 
 // forget removes a link that holds nothing; the next message makes it again.
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -186,7 +186,7 @@
 		l.mu.Lock()
 		c := l.current
 		c.sent, c.unackedSince = c.acked.Load()+1, time.Now()
-		c.progress.Store(false)
+		c.progress.Store(0)
 		later := time.Now().Add(time.Minute)
 		err := c.check(later, time.Minute)
 		l.mu.Unlock()
--- a/internal/placement/sharing_test.go
+++ b/internal/placement/sharing_test.go
@@ -153,18 +153,24 @@
 	t.Helper()
 	var permits []admission.Permit
 	for i := range n {
-		p, err := a.Acquire(t.Context(), &admission.Request{
-			Service: svc, Class: &config.Class{}, ObjectKey: fmt.Sprintf("object-%d", i),
-			Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		permits = append(permits, p)
+		permits = append(permits, acquireObject(t, a, svc, fmt.Sprintf("object-%d", i)))
 	}
 	return permits
 }
 
+// acquireObject places a request about an object at a VM.
+func acquireObject(t *testing.T, a *Admitter, svc *config.ServiceIndex, object string) admission.Permit {
+	t.Helper()
+	p, err := a.Acquire(t.Context(), &admission.Request{
+		Service: svc, Class: &config.Class{}, ObjectKey: object,
+		Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 // heardOf sums up what a VM was told of others' requests.
 func heardOf(a *Admitter) int {
 	a.mu.Lock()
--- a/internal/placement/teller_test.go
+++ b/internal/placement/teller_test.go
@@ -5,9 +5,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"masticturn/internal/admission"
-	"masticturn/internal/config"
 )
 
 // vmNames returns the names of so many VMs.
@@ -128,7 +125,7 @@
 			time.Sleep(time.Second)
 			for _, a := range vms {
 				if a.deps.VM.Region == "ros" {
-					acquireObject(t, a, svc.Name, a.deps.VM.Name)
+					acquireObject(t, a, svc, a.deps.VM.Name)
 				}
 			}
 			time.Sleep(time.Second)
@@ -148,18 +145,6 @@
 	}
 }
 
-// acquireObject places a request about an object at a VM.
-func acquireObject(t *testing.T, a *Admitter, service, object string) {
-	t.Helper()
-	_, err := a.Acquire(t.Context(), &admission.Request{
-		Service: a.deps.Views.View().Snapshot.Service(service), Class: &config.Class{}, ObjectKey: object,
-		Arrived: time.Now(), Deadline: time.Now().Add(time.Minute),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // knownTo counts the objects that a VM believes targets to know.
 func knownTo(a *Admitter) int {
 	a.mu.Lock()
