--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -367,7 +367,7 @@
 		for _, m := range view.Members {
 			own := *view
 			own.Self = m.Name
-			if p := parents(&own); len(p) > 0 {
+			if p := waysOf(&own).vms; len(p) > 0 {
 				first[m.Name] = p[0]
 				told[p[0]]++
 			} else {
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -33,7 +33,7 @@
 	// them.
 	readers = 3
 	// avoidFor is how long a VM that did not answer in time is passed over,
-	// avoidStaleFor one that is out of touch itself, which tells so at once, and
+	// avoidStaleFor one that is out of touch itself and says so, and
 	// avoidBriefly one that did not help this VM to start.
 	avoidFor      = time.Second
 	avoidStaleFor = 500 * time.Millisecond
@@ -96,9 +96,6 @@
 	return w
 }
 
-// parents returns the VMs from which the VM of a view hears of the store.
-func parents(v *membership.View) []string { return waysOf(v).vms }
-
 func appendNew(names []string, name string) []string {
 	if slices.Contains(names, name) {
 		return names
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -199,8 +199,8 @@
 }
 
 // noteStale takes in that a VM is out of touch with the store itself. Readers then
-// read it. Of the others few do in each round: calls in an outage must not grow with
-// the fleet.
+// read it. Of the others few do, drawn by the time since the last draw: calls in an
+// outage must not grow with the fleet.
 func (w *watcher) noteStale(ways *ways) {
 	w.stales++
 	w.readNow = ways.reader
