Requests have an identity in the log; broken runs tell whether their target ended

Event 5009, a digest in 5001 and 5005, and masticturn_broken_runs_total are added. No decision changes.

--- /dev/null
+++ b/internal/digest/digest_test.go
@@ -0,0 +1,97 @@
+package digest
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+)
+
+type request struct {
+	method, host, uri, caller, body string
+}
+
+func (r request) digest() Digest {
+	return HeadOf(r.method, r.host, r.uri, r.caller).Of([]byte(r.body))
+}
+
+func TestRequestsThatDifferInOnePartDiffer(t *testing.T) {
+	base := request{"POST", "one.example", "/p/a?q=1", "Bearer x", "body"}
+	seen := map[Digest]string{base.digest(): "the base"}
+	for name, r := range map[string]request{
+		"method":      {"PUT", "one.example", "/p/a?q=1", "Bearer x", "body"},
+		"host":        {"POST", "two.example", "/p/a?q=1", "Bearer x", "body"},
+		"path":        {"POST", "one.example", "/p/b?q=1", "Bearer x", "body"},
+		"query":       {"POST", "one.example", "/p/a?q=2", "Bearer x", "body"},
+		"no query":    {"POST", "one.example", "/p/a", "Bearer x", "body"},
+		"caller":      {"POST", "one.example", "/p/a?q=1", "Bearer y", "body"},
+		"body":        {"POST", "one.example", "/p/a?q=1", "Bearer x", "bodx"},
+		"longer body": {"POST", "one.example", "/p/a?q=1", "Bearer x", "body "},
+		"no body":     {"POST", "one.example", "/p/a?q=1", "Bearer x", ""},
+		"moved bytes": {"POST", "one.example/p", "/a?q=1", "Bearer x", "body"},
+	} {
+		if other, ok := seen[r.digest()]; ok {
+			t.Errorf("%s: the same digest as %s", name, other)
+		}
+		seen[r.digest()] = name
+	}
+	same := request{"POST", "ONE.example", "/p/a?q=1", "Bearer x", "body"}
+	if same.digest() != base.digest() {
+		t.Error("the case of the host counts")
+	}
+}
+
+func TestPiecesOfABodyDoNotMatter(t *testing.T) {
+	head := HeadOf("POST", "one.example", "/p/")
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, length := range []int{0, 1, LeadBytes - 1, LeadBytes, 3*LeadBytes + 7} {
+		body := make([]byte, length)
+		for i := range body {
+			body[i] = byte(random.Uint32())
+		}
+		pieces := head.Body()
+		for rest := body; len(rest) > 0; {
+			n := 1 + random.IntN(len(rest))
+			_, _ = pieces.Write(rest[:n])
+			rest = rest[n:]
+		}
+		if pieces.Whole() != head.Of(body) {
+			t.Errorf("%d bytes: another digest in pieces", length)
+		}
+		lead, ok := pieces.Lead()
+		if ok != (length >= LeadBytes) {
+			t.Errorf("%d bytes: lead known: %v", length, ok)
+		}
+		if ok && lead == head.Of(body[:LeadBytes]) {
+			t.Errorf("%d bytes: the beginning of a body is taken for a whole one", length)
+		}
+	}
+}
+
+func TestLongBodiesCountUpToABound(t *testing.T) {
+	head := HeadOf("POST", "one.example", "/p/")
+	long := bytes.Repeat([]byte("x"), BodyMost+1)
+	pieces := head.Body()
+	_, _ = pieces.Write(long)
+	if head.Of(long) != head.Of(long[:BodyMost]) || pieces.Whole() != head.Of(long) {
+		t.Error("what follows the bound counts")
+	}
+}
+
+func TestParse(t *testing.T) {
+	d := HeadOf("GET", "h", "/").Of(nil)
+	if got, err := Parse(d.String()); err != nil || got != d {
+		t.Errorf("got %v, %v", got, err)
+	}
+	for _, bad := range []string{"", "00", d.String() + "00", "zz" + d.String()[2:]} {
+		if _, err := Parse(bad); err == nil {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
+
+func BenchmarkSmallRequest(b *testing.B) {
+	body := make([]byte, 1000)
+	for b.Loop() {
+		HeadOf("POST", "one.example", "/p/a?q=1", "").Of(body)
+	}
+}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -14,6 +14,8 @@
 	ObjectKey       string // from the caller: the object a request is about
 	IdempotencyKey  string // from the caller
 	NoRetry         string // from the caller: "1" makes the request unrepeatable
+	// Credentials are the headers by which a caller is known.
+	Credentials []string
 
 	TargetRequestID  string // both ways
 	TargetDeadlineMS string // to the target: milliseconds left
@@ -42,6 +44,10 @@
 	Slots   int
 }
 
+// Credentials lists the headers of HTTP by which a caller is known (RFC 9110,
+// section 11.6.2; RFC 6265, section 5.4).
+func Credentials() []string { return []string{"Authorization", "Cookie"} }
+
 // Native is the dialect of the system's own interface.
 func Native() *Dialect {
 	return &Dialect{
@@ -49,6 +55,7 @@
 		CallerTimeoutMS:  HeaderTimeoutMS,
 		IdempotencyKey:   HeaderIdempotencyKey,
 		NoRetry:          HeaderNoRetry,
+		Credentials:      Credentials(),
 		TargetRequestID:  HeaderTargetRequestID,
 		TargetDeadlineMS: HeaderTargetDeadlineMS,
 		TargetNotRun:     HeaderTargetNotRun,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,6 +130,7 @@
 	if a.target != nil {
 		end.Peer = a.target.Name
 	}
+	a.noteBroken(end)
 	a.giveBack(end)
 }
 
@@ -187,7 +188,8 @@
 	a.opening = conn.OpenedIn()
 	if a.number > 1 {
 		a.x.h.deps.Logger.Log(eventRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
-			telemetry.Value("attempt", a.number), telemetry.Value("after", a.x.dispatch.last.Fault.String()))
+			telemetry.Value("digest", a.x.digestText()), telemetry.Value("attempt", a.number),
+			telemetry.Value("after", a.x.dispatch.last.Fault.String()))
 	}
 	a.x.h.budget.attemptedAt(a.target.Name, &a.x.snap.Document.Retry)
 	return attemptEnd{}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"masticturn/internal/digest"
 	"masticturn/internal/kernel"
 )
 
@@ -34,8 +35,10 @@
 	idle  time.Duration // longest pause between bytes
 	left  int64         // bytes that may still come
 	watch *watchdog     // nil while no attempt runs
+	sum   *digest.Body  // of the request, up to what was read
 
-	ended   bool // the body's end was read
+	whole   atomic.Pointer[digest.Digest] // nil until the body's end was read
+	ended   bool                          // the body's end was read
 	state   atomic.Uint32
 	waiting atomic.Bool // for the caller
 	failed  atomic.Pointer[error]
@@ -52,11 +55,14 @@
 	}
 	n, err := u.read(p)
 	u.left -= int64(n)
+	_, _ = u.sum.Write(p[:n])
 	switch {
 	case u.left < 0:
 		return 0, u.fail(errBodyTooLarge)
 	case err == io.EOF:
 		u.ended = true
+		whole := u.sum.Whole()
+		u.whole.Store(&whole)
 		if u.watch != nil {
 			u.watch.sent()
 		}
@@ -102,7 +108,7 @@
 	if !u.state.CompareAndSwap(uploadUnread, uploadRevoked) {
 		return nil, false
 	}
-	return &upload{body: u.body, rc: u.rc, clock: u.clock, idle: u.idle, left: u.left}, true
+	return &upload{body: u.body, rc: u.rc, clock: u.clock, idle: u.idle, left: u.left, sum: u.sum}, true
 }
 
 // Close implements io.Closer. The server closes the caller's body itself.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -58,6 +58,13 @@
 		Meaning: "Requests of this VM in the two seconds that end now, by the region of their target: placed when the target was chosen, sent when they were written to its connection.",
 		Action:  "None. When a region's requests seem to have moved, add up the lines of its VMs: placed tells whether other targets were chosen.",
 	})
+	eventRunBroken = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 9,
+		Level:   logrus.WarnLevel,
+		Name:    "run broken by its target",
+		Meaning: "The target ended the connection of a run before its whole answer, ran_ms after it was sent. Target tells what a new connection found: ended (nobody listens), listening, or unknown. Digest is that of the whole request, the same whenever it comes again.",
+		Action:  "When lines of several targets that ended carry one digest, that request may end them: look for who sends it.",
+	})
 	eventAheadFailed = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 8,
 		Level:   logrus.DebugLevel,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/digest"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
 	"masticturn/internal/telemetry"
@@ -30,8 +31,10 @@
 	deadline   time.Time
 	region     string // of the caller
 
-	body   []byte  // the whole body when it is small
-	stream *upload // otherwise; nil when there is no body
+	head   digest.Head
+	whole  digest.Digest // of the request, where its body is small
+	body   []byte        // the whole body when it is small
+	stream *upload       // otherwise; nil when there is no body
 	claim  idempotency.Claim
 	record *recording // nil when there is no claim
 
@@ -185,8 +188,10 @@
 // readBody reads a small body whole, before a slot at a target is taken, and
 // prepares to stream a larger one.
 func (x *exchange) readBody() *outcome.Error {
+	x.head = x.headDigest()
 	length := x.r.ContentLength
 	if length == 0 {
+		x.whole = x.head.Of(nil)
 		return nil
 	}
 	limits := &x.snap.Document.Limits
@@ -196,6 +201,7 @@
 		clock: x.h.deps.Clock,
 		idle:  limits.IdleTimeoutMS.Duration(),
 		left:  x.maxBody(),
+		sum:   x.head.Body(),
 	}
 	if length < 0 || length > limits.ReplayBodyBytes || len(x.r.Trailer) > 0 {
 		return nil
@@ -205,6 +211,7 @@
 		return refuse(outcome.StepParse, http.StatusRequestTimeout, "the body could not be read")
 	}
 	x.body, x.stream = body, nil
+	x.whole = x.head.Of(body)
 	return nil
 }
 
--- a/internal/forward/faultlog.go
+++ b/internal/forward/faultlog.go
@@ -29,6 +29,7 @@
 func (f *faultLog) failed(x *exchange, err *outcome.Error) {
 	fields := append(x.logFields(),
 		telemetry.Peer(err.Peer),
+		telemetry.Value("digest", x.digestText()),
 		telemetry.Step(string(err.Step)),
 		telemetry.Value("outcome", err.Outcome.String()),
 		telemetry.Value("status", status(err)),
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,6 +62,7 @@
 	faults     *faultLog
 	splits     *splitter
 	regions    *regionTally
+	ends       *endProbe
 	ahead      targetconn.AheadBudget
 	repeatable *repeatableShares
 	buffers    sync.Pool
@@ -86,6 +87,7 @@
 		splits:     newSplitter(),
 		regions:    newRegionTally(d.Logger, d.Metrics, d.Clock),
 		repeatable: newRepeatableShares(),
+		ends:       newEndProbe(d),
 	}
 	h.buffers.New = func() any { return new([bufferBytes]byte) }
 	return h
