A failing test: a request that crashes targets is sent on to further ones

Daemons take a function that opens their listeners, and internal/standin/network has a network without sockets, so that whole daemons run in fake time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,12 +20,16 @@
 // DialFunc opens a connection; benches put delays and faults there.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
+// ListenFunc opens a listener.
+type ListenFunc = func(network, address string) (net.Listener, error)
+
 // Options are what a daemon takes besides its settings. All are optional.
 type Options struct {
 	Logger *telemetry.Logger // nil: no log
 	Clock  kernel.Clock      // nil: the machine's
 	Store  platform.Store    // nil: an HTTP client of settings.Platform
 	Dial   DialFunc          // nil: a plain net.Dialer; used towards peers, targets and the platform
+	Listen ListenFunc        // nil: net.Listen
 	// Metrics takes the metrics of the daemon; nil: a set of its own.
 	Metrics *metrics.Set
 	// Hosted makes the daemon run on a platform; nil: it stands alone.
@@ -55,10 +59,13 @@
 	if opts.Dial == nil {
 		opts.Dial = newDialer().DialContext
 	}
+	if opts.Listen == nil {
+		opts.Listen = net.Listen
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
-	l, err := openListeners(s.Listen)
+	l, err := openListeners(s.Listen, opts.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -16,7 +16,7 @@
 	ready, lookup             net.Listener // nil where the settings name no address
 }
 
-func openListeners(l settings.Listen) (listeners, error) {
+func openListeners(l settings.Listen, listen ListenFunc) (listeners, error) {
 	var opened listeners
 	for _, want := range []struct {
 		field, address string
@@ -31,7 +31,7 @@
 		if want.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", want.address)
+		listener, err := listen("tcp", want.address)
 		if err != nil {
 			return listeners{}, trace.NewAggregate(
 				trace.ConnectionProblem(err, "%s: cannot listen on %s: %v", want.field, want.address, err),
--- /dev/null
+++ b/internal/e2e/memtarget_test.go
@@ -0,0 +1,192 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"masticturn/internal/standin/network"
+)
+
+type netListener = net.Listener
+
+const (
+	// memBack is how long a target that has crashed is away, and memLapse after which
+	// time its entry is gone.
+	memBack  = 1500 * time.Millisecond
+	memLapse = 4500 * time.Millisecond
+	// memCrash is how long a request runs before it crashes its target.
+	memCrash = 80 * time.Millisecond
+)
+
+// memTarget is a target of the memory fleet.
+type memTarget struct {
+	fleet *memFleet
+	host  network.Host
+
+	mu      sync.Mutex
+	start   *memStart // nil while it is away
+	starts  int
+	refuse  time.Duration // it wants nothing for so long
+	refused map[string]int
+	leaving bool
+}
+
+// memStart is one start of a target.
+type memStart struct {
+	target  *memTarget
+	id      string
+	server  *http.Server
+	slots   chan struct{}
+	running atomic.Int64
+}
+
+func (f *memFleet) addTarget(zone, ip string) {
+	g := &memTarget{fleet: f, host: network.Host{Name: ip, Zone: zone, IP: ip}}
+	f.net.Add(g.host)
+	f.targets = append(f.targets, g)
+	g.begin()
+}
+
+// begin starts the target anew, under another id.
+func (g *memTarget) begin() {
+	g.fleet.mu.Lock()
+	over := g.fleet.over
+	g.fleet.mu.Unlock()
+	if over {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l, err := g.fleet.net.Listen(g.host.IP + ":8000")
+	if err != nil {
+		g.fleet.t.Error(err)
+		return
+	}
+	g.starts++
+	s := &memStart{target: g, id: fmt.Sprintf("i-%s-%d", g.host.IP, g.starts), slots: make(chan struct{}, memSlots)}
+	s.server = &http.Server{Handler: s}
+	g.start = s
+	g.leaving = false
+	go func() { _ = s.server.Serve(l) }()
+	g.fleet.objects.Put("servers", s.id, s.entry("ready"))
+}
+
+func (s *memStart) entry(state string) []byte {
+	return fmt.Appendf(nil, `{"address":"%s:8000","info":{"service":"s","version":"v1","zone":%q,"slots":%d},`+
+		`"status":{"state":%q,"sequence":1,"coldRemaining":"0ms"}}`, s.target.host.IP, s.target.host.Zone, memSlots, state)
+}
+
+// crash ends the target's process; it comes back a little later.
+func (g *memTarget) crash() {
+	g.mu.Lock()
+	s := g.start
+	g.start = nil
+	g.mu.Unlock()
+	if s == nil {
+		return // it has ended already
+	}
+	f := g.fleet
+	f.mu.Lock()
+	f.losses = append(f.losses, time.Now())
+	f.mu.Unlock()
+	f.net.End(g.host)
+	_ = s.server.Close()
+	time.AfterFunc(memLapse, func() { f.objects.Remove("servers", s.id) })
+	time.AfterFunc(memBack, g.begin)
+}
+
+// end ends the target for good.
+func (g *memTarget) end() {
+	g.mu.Lock()
+	s := g.start
+	g.start = nil
+	g.mu.Unlock()
+	if s != nil {
+		f := g.fleet
+		f.net.End(g.host)
+		_ = s.server.Close()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *memStart) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Masticturn-Request-Id", r.Header.Get("Masticturn-Request-Id"))
+	if r.Header.Get("Masticturn-Expected-Instance") != s.id {
+		w.Header().Set("Masticturn-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if s.target.turnsAway(w, r) {
+		return
+	}
+	s.note(r)
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if crashes(r, raw) {
+		time.Sleep(memCrash)
+		s.target.crash()
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(memWork):
+	case <-r.Context().Done():
+		return
+	}
+	s.answer(w)
+}
+
+func (s *memStart) answer(w http.ResponseWriter) {
+	w.Header().Set("Masticturn-Server-Load", fmt.Sprintf("%d,0,%d", max(s.running.Load()-1, 0), memSlots))
+	w.Header().Set("Masticturn-Server-Signature", s.id)
+	s.target.mu.Lock()
+	leaving := s.target.leaving
+	s.target.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	_, _ = io.WriteString(w, "answer")
+}
+
+// crashes reports whether a request crashes what begins to run it: by its path, or
+// by its body alone.
+func crashes(r *http.Request, body []byte) bool {
+	return strings.Contains(r.URL.Path, "/crash") || strings.Contains(string(body), "crash")
+}
+
+// turnsAway answers 503 with Retry-After while the target wants nothing.
+func (g *memTarget) turnsAway(w http.ResponseWriter, r *http.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refuse == 0 {
+		return false
+	}
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	g.refused[from]++
+	w.Header().Set("Masticturn-Not-Executed", "1")
+	w.Header().Set("Retry-After", fmt.Sprint(int(g.refuse.Seconds())))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// note notes that a request has reached the target.
+func (s *memStart) note(r *http.Request) {
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	sent, _ := strconv.ParseInt(r.Header.Get("X-Sent"), 10, 64)
+	f := s.target.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs = append(f.runs, memRun{at: time.Now(), path: r.URL.RequestURI(), from: from, target: s.id, sent: time.Unix(0, sent)})
+}
