--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -73,6 +73,7 @@
 			newEvents(),
 			newTrace(),
 			newLosses(),
+			newQuarantine(),
 			newStandin(),
 			newBench(),
 			newVersion(),
