--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -326,6 +326,7 @@
 		a.conn.TargetKeeps(keeps)
 	}
 	a.draining = first(h, d.TargetDraining) == "1"
+	a.logWord(h)
 	shed := a.notRun()
 	if !a.draining && !shed {
 		return
@@ -340,6 +341,22 @@
 	})
 }
 
+// logWord writes what the target says of the requests that it wants.
+func (a *attempt) logWord(h http.Header) {
+	if a.draining {
+		a.x.h.series.leaving.Inc()
+		a.x.h.deps.Logger.Log(eventTargetLeaves, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id))
+	}
+	if after := first(h, "Retry-After"); after != "" && a.resp.StatusCode == http.StatusServiceUnavailable {
+		a.x.h.series.pausing.Inc()
+		a.x.h.deps.Logger.Log(eventTargetPauses, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id),
+			telemetry.Value("retry_after", after[:min(len(after), shownMost)]))
+	}
+}
+
+// shownMost bounds how much of a header that may hold anything is logged, in bytes.
+const shownMost = 64
+
 // reportedLoad returns the load the target told of on its answer; -1 and 0 when
 // it told none.
 func (a *attempt) reportedLoad() (inFlight, slots int) {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -72,6 +72,20 @@
 		Meaning: "The request was not run, as targets have crashed under it: crashes of them, the last one age_ms ago. Verdict suspect: another run of it is under way; quarantined: it is refused until a trial, an acquittal or an operator clears it.",
 		Action:  "See 5302 lines and OPERATIONS.",
 	})
+	eventTargetLeaves = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 11,
+		Level:   logrus.InfoLevel,
+		Name:    "target says that it leaves",
+		Meaning: "An answer of the target told that it is leaving, whether or not the store knows.",
+		Action:  "None.",
+	})
+	eventTargetPauses = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 12,
+		Level:   logrus.InfoLevel,
+		Name:    "target says when to return",
+		Meaning: "The target answered 503 with Retry-After, which is given as it came.",
+		Action:  "None by itself; many targets of one service that do so lack room.",
+	})
 	eventAheadFailed = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 8,
 		Level:   logrus.DebugLevel,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,6 +18,8 @@
 	latency sync.Map // seriesKey -> *metrics.Histogram
 	retries *metrics.Counter
 	hedges  *metrics.Counter
+	leaving *metrics.Counter
+	pausing *metrics.Counter
 	ended   sync.Map // endKey -> *metrics.Counter
 }
 
@@ -31,6 +33,8 @@
 		set:     set,
 		retries: set.GetOrCreateCounter("masticturn_retries_total"),
 		hedges:  set.GetOrCreateCounter("masticturn_hedges_total"),
+		leaving: set.GetOrCreateCounter(`masticturn_target_words_total{word="leaving"}`),
+		pausing: set.GetOrCreateCounter(`masticturn_target_words_total{word="retry-after"}`),
 	}
 }
 
