--- a/internal/e2e/memtarget_test.go
+++ b/internal/e2e/memtarget_test.go
@@ -33,9 +33,17 @@
 	mu      sync.Mutex
 	start   *memStart // nil while it is away
 	starts  int
-	refuse  time.Duration // it wants nothing for so long
-	refused map[string]int
 	leaving bool
+	told    map[string]time.Time // by IP of the VM: first answer since it leaves
+	refuse  string               // Retry-After with which it turns all away; empty: it does not
+	came    []memArrival
+}
+
+// memArrival is a request that came to a target.
+type memArrival struct {
+	from    string // IP of the VM
+	at      time.Time
+	refused bool
 }
 
 // memStart is one start of a target.
@@ -73,7 +81,7 @@
 	s := &memStart{target: g, id: fmt.Sprintf("i-%s-%d", g.host.IP, g.starts), slots: make(chan struct{}, memSlots)}
 	s.server = &http.Server{Handler: s}
 	g.start = s
-	g.leaving = false
+	g.leaving, g.told = false, make(map[string]time.Time)
 	go func() { _ = s.server.Serve(l) }()
 	g.fleet.objects.Put("servers", s.id, s.entry("ready"))
 }
@@ -145,16 +153,13 @@
 	case <-r.Context().Done():
 		return
 	}
-	s.answer(w)
+	s.answer(w, r)
 }
 
-func (s *memStart) answer(w http.ResponseWriter) {
+func (s *memStart) answer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Masticturn-Server-Load", fmt.Sprintf("%d,0,%d", max(s.running.Load()-1, 0), memSlots))
 	w.Header().Set("Masticturn-Server-Signature", s.id)
-	s.target.mu.Lock()
-	leaving := s.target.leaving
-	s.target.mu.Unlock()
-	if leaving {
+	if s.target.tells(r) {
 		w.Header().Set("Server-Leaving", "1")
 	}
 	_, _ = io.WriteString(w, "answer")
@@ -178,17 +183,42 @@
 	f.mended = true
 }
 
-// turnsAway answers 503 with Retry-After while the target wants nothing.
+// leave makes the target say in its answers that it leaves.
+func (g *memTarget) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// tells notes whether an answer tells a VM that the target leaves.
+func (g *memTarget) tells(r *http.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if _, ok := g.told[from]; g.leaving && !ok {
+		g.told[from] = time.Now()
+	}
+	return g.leaving
+}
+
+// turnAway makes the target answer all requests 503 with Retry-After, or none any more.
+func (g *memTarget) turnAway(after string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refuse = after
+}
+
+// turnsAway answers for a target that wants nothing.
 func (g *memTarget) turnsAway(w http.ResponseWriter, r *http.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.refuse == 0 {
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	g.came = append(g.came, memArrival{from, time.Now(), g.refuse != ""})
+	if g.refuse == "" {
 		return false
 	}
-	from, _, _ := net.SplitHostPort(r.RemoteAddr)
-	g.refused[from]++
 	w.Header().Set("Masticturn-Not-Executed", "1")
-	w.Header().Set("Retry-After", fmt.Sprint(int(g.refuse.Seconds())))
+	w.Header().Set("Retry-After", g.refuse)
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
 }
