A target's own word that it leaves binds the VM that passed it on

Cause: VMs learned of leaving targets from the store alone. The platform's dialect did not name the header, and placement, which chooses targets on the platform, had no way to hear what an answer says before it ends; with the store away nothing told. Class: a fact that its owner states is taken from a copy only.

Another instance's word (421) does not count.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,6 +44,17 @@
 	Valid() bool
 }
 
+// Word is what a target says of itself with the head of an answer.
+type Word struct {
+	Leaving bool // it gets no new work any more, as long as this process of it runs
+}
+
+// Hearer is implemented by permits whose admitter takes in such words at once.
+type Hearer interface {
+	// Hear is called between Acquire and Release.
+	Hear(w Word)
+}
+
 // Result tells what a dispatch showed of the target.
 type Result struct {
 	Outcome    outcome.Outcome
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -327,6 +327,7 @@
 	}
 	a.draining = first(h, d.TargetDraining) == "1"
 	a.logWord(h)
+	a.passWord()
 	shed := a.notRun()
 	if !a.draining && !shed {
 		return
@@ -341,6 +342,18 @@
 	})
 }
 
+// passWord tells the admitter what the target says of itself. An answer from another
+// instance at its address tells nothing of it.
+func (a *attempt) passWord() {
+	hearer, ok := a.permit.(admission.Hearer)
+	if !ok || a.resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if w := (admission.Word{Leaving: a.draining}); w != (admission.Word{}) {
+		hearer.Hear(w)
+	}
+}
+
 // logWord writes what the target says of the requests that it wants.
 func (a *attempt) logWord(h http.Header) {
 	if a.draining {
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -1,13 +1,17 @@
 package forward
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
 	"masticturn/internal/measure"
@@ -171,3 +175,75 @@
 		}
 	}
 }
+
+// hearingAdmission hands out permits that note what targets say.
+type hearingAdmission struct {
+	*roundRobin
+	mu    sync.Mutex
+	heard []admission.Word
+}
+
+type hearingPermit struct {
+	admission.Permit
+	a *hearingAdmission
+}
+
+func (a *hearingAdmission) Acquire(ctx context.Context, r *admission.Request) (admission.Permit, error) {
+	p, err := a.roundRobin.Acquire(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return hearingPermit{p, a}, nil
+}
+
+func (p hearingPermit) Hear(w admission.Word) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.a.heard = append(p.a.heard, w)
+}
+
+func (a *hearingAdmission) words() []admission.Word {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.heard)
+}
+
+// A target's word counts from the head of its answer on, and only if it is the
+// instance that is meant.
+func TestTargetsWordsAreHeardWithTheHead(t *testing.T) {
+	finish := make(chan struct{})
+	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(edge.HeaderTargetDraining, "1")
+		if strings.HasSuffix(r.URL.Path, "/other") {
+			w.Header().Set(edge.HeaderTargetNotRun, "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		_, _ = w.Write(make([]byte, 100_000))
+		_ = http.NewResponseController(w).Flush()
+		<-finish
+	})
+	a := &hearingAdmission{roundRobin: &roundRobin{}}
+	b := newBench(t, oneAttempt(target), nil, telemetry.Discard())
+	b.handler.deps.Admission = a
+	b.admission = a.roundRobin
+	if _, _, err := b.call(t, "GET", "/svc/other", nil); err != nil || len(a.words()) != 0 {
+		t.Errorf("another instance's word is heard: %v, %v", a.words(), err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = b.call(t, "GET", "/svc/long", nil)
+	}()
+	for range 500 {
+		if len(a.words()) > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := a.words(); len(got) != 1 || !got[0].Leaving {
+		t.Errorf("heard %+v while the answer comes, want that the target leaves", got)
+	}
+	close(finish)
+	<-done
+}
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -290,7 +290,11 @@
 	once     sync.Once
 }
 
-var _ admission.Permit = (*permit)(nil)
+var (
+	_ admission.Permit  = (*permit)(nil)
+	_ admission.Checked = (*permit)(nil)
+	_ admission.Hearer  = (*permit)(nil)
+)
 
 // Target implements admission.Permit.
 func (p *permit) Target() *config.TargetIndex { return p.index }
@@ -298,6 +302,25 @@
 // Shifted implements admission.Permit.
 func (p *permit) Shifted() bool { return p.index.Region != p.admitter.deps.VM.Region }
 
+// Valid implements admission.Checked: false when the target has said meanwhile that
+// it wants no request.
+func (p *permit) Valid() bool {
+	a := p.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return p.pool.Wanted(p.index.Name)
+}
+
+// Hear implements admission.Hearer.
+func (p *permit) Hear(w admission.Word) {
+	a := p.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p.pool.NoteWord(p.index.Name, w, a.deps.Clock.Now()) {
+		a.deps.Logger.Log(eventUnwanted, telemetry.Peer(p.index.Name))
+	}
+}
+
 // Release implements admission.Permit. A second call does nothing.
 func (p *permit) Release(r admission.Result) {
 	p.once.Do(func() {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -78,6 +78,7 @@
 	queue     []*Waiting // requests that wait, in order
 	ranking   ranking
 
+	words       words               // of targets
 	newObjects  map[uint32][]string // by target: what other VMs were not told of yet
 	told        map[uint32]int      // by target: requests as the others were told last
 	sharedUntil time.Time           // until then it counts what other VMs have at targets
@@ -94,6 +95,7 @@
 		rand:    o.Rand,
 		targets: make(map[string]*targetState),
 		trips:   make(map[string]mean),
+		words:   make(words),
 
 		newObjects: make(map[uint32][]string),
 	}
@@ -113,7 +115,7 @@
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
 		if s == nil {
-			s = &targetState{id: shortID(t.Name)}
+			s = &targetState{id: shortID(t.Name), word: p.words.of(t.Name)}
 		}
 		s.TargetIndex = t
 		s.evacuated = v.Evacuated[t.Zone]
@@ -122,6 +124,7 @@
 		p.order = append(p.order, s)
 	}
 	p.targets = next
+	p.words.forget(next)
 	if p.coldRate != svc.ColdRequestsPerSecond {
 		p.coldRate = svc.ColdRequestsPerSecond
 		p.fleetSeen++
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -30,6 +30,7 @@
 	reported time.Time     // of that report
 	life     time.Duration // for which it counts in full
 
+	word        *word     // what it said of itself
 	barredUntil time.Time // its failures bar it until then
 	failures    int       // in a row
 	gone        bool      // its address serves another instance
@@ -107,5 +108,5 @@
 
 // usable reports whether the target may get any request at all.
 func (t *targetState) usable(now time.Time) bool {
-	return !t.Leaving && !t.evacuated && !t.gone && !now.Before(t.barredUntil)
+	return !t.Leaving && !t.evacuated && !t.gone && !t.word.leaving && !now.Before(t.barredUntil)
 }
