Targets that turn requests away with Retry-After are left alone for so long

Besides, a caller whose request found no target was told a target's own time to return, also a date in 2099.

Cause: the same class as with leaving targets: the word was read for callers only, where it does not belong (it is between that target and that VM), and placement barred the target for a tenth of a second.

Why it works: the time is kept by the start of the target, ten minutes at most, and binds what the word that a target leaves binds: new requests, waiting ones, retries, connections opened ahead. When it is over the target is used at once. Where all that could serve say so, a request is refused at once with the soonest of these times, those that wait too; callers are not told a single target's time where others may serve. Digits with a fraction or a date count, anything else is no time. In fleets that stand alone a target gets nothing for as long (TestLocalLeavesTargetsThatWantNothingForAWhile), in place of a tenth of a second.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,6 +47,9 @@
 // Word is what a target says of itself with the head of an answer.
 type Word struct {
 	Leaving bool // it gets no new work any more, as long as this process of it runs
+	// Pause is for how long it wants nothing, which it tells with a refusal; 0: it
+	// does not say.
+	Pause time.Duration
 }
 
 // Hearer is implemented by permits whose admitter takes in such words at once.
@@ -64,6 +67,7 @@
 	Status     int           // HTTP status, 0 when there was none
 	ShedByPeer bool          // the target said 'not run'
 	Draining   bool          // the target said that it leaves
+	Pause      time.Duration // for which the target wants nothing, as it said; 0: it did not
 	InFlight   int           // load the target reported on the answer; -1 unknown
 	Load       *edge.Load    // the whole of that load; nil unknown
 	// Canceled: the end says nothing about the target, as the caller left or the
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -287,6 +287,7 @@
 		Draining:   r.Draining,
 		InFlight:   r.InFlight,
 		Canceled:   r.Canceled,
+		Pause:      r.Pause,
 	}
 }
 
@@ -300,5 +301,6 @@
 		Draining:   r.Draining,
 		InFlight:   r.InFlight,
 		Canceled:   r.Canceled,
+		Pause:      r.Pause,
 	}
 }
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -207,6 +207,9 @@
 	case r.Draining:
 		c.left[t.Name] = now.Add(leftFor)
 		c.pool.SetLimit(t, 0)
+	case r.Pause > 0:
+		c.left[t.Name] = now.Add(r.Pause)
+		c.pool.SetLimit(t, 0)
 	case r.ShedByPeer:
 		c.paused[t.Name] = now.Add(shedPause)
 		c.pool.SetLimit(t, min(t.Limit(), max(1, t.InFlight()-1)))
--- a/internal/admission/local_test.go
+++ b/internal/admission/local_test.go
@@ -138,6 +138,36 @@
 	})
 }
 
+func TestLocalLeavesTargetsThatWantNothingForAWhile(t *testing.T) {
+	const pause = 3 * time.Second
+	d := testDeps(testDocument("p2c", 2))
+	runLocal(t, d, func(t *testing.T, l *Local) {
+		p, err := l.Acquire(t.Context(), testRequest(d, "read", time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		paused, began := p.Target().Name, time.Now()
+		p.Release(Result{Outcome: outcome.NotRun, Step: outcome.StepReceive, ShedByPeer: true, Pause: pause, InFlight: -1})
+		used := false
+		for time.Since(began) < pause+time.Second {
+			p, err := l.Acquire(t.Context(), testRequest(d, "read", time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			again := p.Target().Name == paused
+			if again && time.Since(began) < pause {
+				t.Errorf("used %v after it wanted nothing for %v", time.Since(began), pause)
+			}
+			used = used || again
+			p.Release(answered)
+			time.Sleep(20 * time.Millisecond)
+		}
+		if !used {
+			t.Error("not used again")
+		}
+	})
+}
+
 func TestLocalEjectsByOwnOutcomes(t *testing.T) {
 	d := testDeps(testDocument("p2c", 4))
 	runLocal(t, d, func(t *testing.T, l *Local) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,7 @@
 	opening  time.Duration // of the connection; 0: it was open
 	load     *edge.Load    // that the target reported; nil: none
 	draining bool
+	pause    time.Duration // for which the target wants nothing; 0: it did not say
 	released bool
 }
 
@@ -266,7 +267,7 @@
 		end.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
 		end.SlotsFree = a.load != nil && a.load.Running < a.load.Slots
 		end.Err = errTargetRefused
-		end.RetryAfter = parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now())
+		end.Pause = a.pause
 		return end
 	}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
@@ -308,7 +309,6 @@
 	if a.resp.StatusCode == http.StatusGatewayTimeout {
 		return attemptEnd{}
 	}
-	end.RetryAfter = parseRetryAfter(first(a.resp.Header, "Retry-After"), a.x.h.deps.Clock.Now())
 	end.Fault = FaultUnavailable
 	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.mayAfford(a.target.Name) {
 		return end
@@ -326,6 +326,9 @@
 		a.conn.TargetKeeps(keeps)
 	}
 	a.draining = first(h, d.TargetDraining) == "1"
+	if a.resp.StatusCode == http.StatusServiceUnavailable {
+		a.pause = min(parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now()), pauseMost)
+	}
 	a.logWord(h)
 	a.passWord()
 	shed := a.notRun()
@@ -349,7 +352,7 @@
 	if !ok || a.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if w := (admission.Word{Leaving: a.draining}); w != (admission.Word{}) {
+	if w := (admission.Word{Leaving: a.draining, Pause: a.pause}); w != (admission.Word{}) {
 		hearer.Hear(w)
 	}
 }
@@ -367,6 +370,9 @@
 	}
 }
 
+// pauseMost bounds for how long a target is believed to want nothing.
+const pauseMost = 10 * time.Minute
+
 // shownMost bounds how much of a header that may hold anything is logged, in bytes.
 const shownMost = 64
 
@@ -431,6 +437,7 @@
 		Misdirected: end.Misdirected,
 		NoListener:  end.NoListener,
 		Draining:    a.draining,
+		Pause:       a.pause,
 		InFlight:    inFlight,
 		Load:        a.load,
 		Canceled:    end.Stale || end.Fault == FaultCallerGone || end.Fault == FaultCallerSlow,
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -64,7 +64,8 @@
 	Consumed   bool   // the body was read from the caller and is not kept
 	Relayed    bool   // a byte of the answer may have reached the caller
 	RetryAfter time.Duration
-	Status     int // HTTP status for the caller; 0: by fault
+	Pause      time.Duration // for which the target wants nothing; 0: it did not say
+	Status     int           // HTTP status for the caller; 0: by fault
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
 	// SlotsFree: the target told of free slots with its refusal.
@@ -136,8 +137,7 @@
 		d.mayRun = true
 	}
 	if a.Step == outcome.StepAdmit && a.Fault == FaultRefused && d.attempts > 1 {
-		// No other target is left: what the last one did is the news.
-		return decision{verdict: verdictFail, err: d.failure(d.last)}
+		return decision{verdict: verdictFail, err: d.noneLeft(a)}
 	}
 	d.last = a
 	if a.Stale {
@@ -203,6 +203,22 @@
 // request. Callers of the fleet come back to another VM meanwhile.
 const freeRetryAfter = 10 * time.Millisecond
 
+// noneLeft is the failure of a request for which no other target is left: what the
+// last one did is the news, and when one is expected to be free again.
+func (d *dispatch) noneLeft(a attemptEnd) *outcome.Error {
+	e := d.failure(d.last)
+	if e.Outcome != outcome.NotRun {
+		return e
+	}
+	var cause *outcome.Error
+	if errors.As(a.Err, &cause) && cause.RetryAfter > 0 {
+		e.RetryAfter = cause.RetryAfter
+	} else if d.last.Pause > 0 {
+		e.RetryAfter = d.last.Pause
+	}
+	return e
+}
+
 // failure is the one place where the outcome of a failed request is decided.
 func (d *dispatch) failure(a attemptEnd) *outcome.Error {
 	o := outcome.NotRun
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -62,23 +62,38 @@
 	return true
 }
 
-// maxRetryAfterSeconds bounds what a target may ask for; a day is no advice.
-const maxRetryAfterSeconds = 86400
+// maxRetryAfter bounds what the Retry-After header is read as.
+const maxRetryAfter = 24 * time.Hour
 
-// parseRetryAfter reads the Retry-After header in seconds or as a date.
+// retryAfterDigits is how many digits of seconds are looked at; more are the bound.
+const retryAfterDigits = 9
+
+// parseRetryAfter reads the Retry-After header: seconds, also with a fraction, or a
+// date (RFC 9110, section 10.2.3). Anything else is 0.
 func parseRetryAfter(value string, now time.Time) time.Duration {
-	if value == "" {
-		return 0
-	}
-	if s, err := strconv.ParseFloat(value, 64); err == nil && s >= 0 && s < maxRetryAfterSeconds {
-		return time.Duration(s * float64(time.Second))
+	whole, fraction, _ := strings.Cut(value, ".")
+	if isDigits(whole) && (fraction == "" || isDigits(fraction)) {
+		if len(whole) > retryAfterDigits {
+			return maxRetryAfter
+		}
+		seconds, _ := strconv.ParseFloat(value, 64) // digits are a number
+		return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
 	}
 	if at, err := http.ParseTime(value); err == nil && at.After(now) {
-		return at.Sub(now)
+		return min(at.Sub(now), maxRetryAfter)
 	}
 	return 0
 }
 
+func isDigits(text string) bool {
+	for i := range len(text) {
+		if text[i] < '0' || text[i] > '9' {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // keepAliveTimeout returns the time for which the other side says that it keeps
 // an idle connection (timeout of Keep-Alive, in whole seconds); 0 when it does
 // not say.
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -308,7 +308,7 @@
 	a := p.admitter
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return p.pool.Wanted(p.index.Name)
+	return p.pool.Wanted(p.index.Name, a.deps.Clock.Now())
 }
 
 // Hear implements admission.Hearer.
@@ -317,7 +317,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p.pool.NoteWord(p.index.Name, w, a.deps.Clock.Now()) {
-		a.deps.Logger.Log(eventUnwanted, telemetry.Peer(p.index.Name))
+		a.deps.Logger.Log(eventUnwanted, telemetry.Peer(p.index.Name), telemetry.Value("for_ms", w.Pause.Milliseconds()))
 	}
 }
 
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -27,7 +27,7 @@
 		Number:  telemetry.RangeDiscovery + 404,
 		Level:   logrus.InfoLevel,
 		Name:    "target wants no requests",
-		Meaning: "The target has said in an answer that it leaves. This VM sends nothing more to this start of it, whatever the store says.",
+		Meaning: "The target has said in an answer that it leaves (for_ms 0), or wants nothing for so long. This VM sends nothing more to this start of it, for good or until then, whatever the store says.",
 		Action:  "None.",
 	})
 	eventBarred = telemetry.Register(telemetry.Event{
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -244,7 +244,12 @@
 
 // mayServe reports whether a target is usable and may get the request.
 func (p *Pool) mayServe(t *targetState, a *Ask, now time.Time) bool {
-	if !t.usable(now) || slices.Contains(a.Exclude, t.Name) {
+	return t.usable(now) && p.couldServe(t, a)
+}
+
+// couldServe reports whether a target may get the request, now or a little later.
+func (p *Pool) couldServe(t *targetState, a *Ask) bool {
+	if !t.inUse() || slices.Contains(a.Exclude, t.Name) {
 		return false
 	}
 	return a.Rule == nil || a.Rule.Allows(t.Region)
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -31,6 +31,7 @@
 // The reasons of refusals.
 const (
 	reasonNoTarget = "no target may take the request"
+	reasonPaused   = "all targets want no request for a while"
 	reasonNoTime   = "no target has room in time"
 	reasonLeft     = "the caller left or its time was over"
 )
@@ -54,7 +55,7 @@
 	p.noteObjective(a)
 	w := &Waiting{Ask: a, until: p.patience(a)}
 	if !p.possible(a, now) {
-		w.Refused = p.refusal(a, reasonNoTarget, retryUnknown, now)
+		w.Refused = p.noTarget(a, now)
 		return w
 	}
 	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Ask) int {
@@ -112,6 +113,22 @@
 	return a.Arrived.Add(max(least, whole-time.Duration(turnRuns*float64(p.runs.expect(true, 0)))))
 }
 
+// noTarget refuses a request that no target may take. Where all have said for how long
+// they want none, the caller may come back when the first of these times is over.
+func (p *Pool) noTarget(a *Ask, now time.Time) *Refusal {
+	r := p.refusal(a, reasonNoTarget, retryUnknown, now)
+	if at, ok := p.pausedUntil(a, now); ok {
+		r.Reason, r.RetryAfter = reasonPaused, max(at.Sub(now), retryLeast)
+	}
+	return r
+}
+
+// closed reports whether no target will take a request before a time.
+func (p *Pool) closed(a *Ask, until, now time.Time) bool {
+	at, ok := p.opens(a, now)
+	return !ok || at.After(until)
+}
+
 // noTime refuses a request that can't be answered in time. The caller may come
 // back when those that wait now have run.
 func (p *Pool) noTime(a *Ask, now time.Time) *Refusal {
@@ -145,6 +162,8 @@
 			w.Placed = at
 		} else if !now.Before(w.until) {
 			w.Refused = p.noTime(w.Ask, now)
+		} else if p.closed(w.Ask, w.until, now) {
+			w.Refused = p.noTarget(w.Ask, now)
 		}
 		if w.decided() {
 			done = append(done, w)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -108,5 +108,10 @@
 
 // usable reports whether the target may get any request at all.
 func (t *targetState) usable(now time.Time) bool {
-	return !t.Leaving && !t.evacuated && !t.gone && !t.word.leaving && !now.Before(t.barredUntil)
+	return t.inUse() && t.word.wanted(now) && !now.Before(t.barredUntil)
+}
+
+// inUse reports whether the target gets requests, now or a little later.
+func (t *targetState) inUse() bool {
+	return !t.Leaving && !t.evacuated && !t.gone && !t.word.leaving
 }
--- a/internal/placement/words.go
+++ b/internal/placement/words.go
@@ -15,9 +15,13 @@
 // word is what a target has said of itself in answers.
 type word struct {
 	leaving bool
+	pause   time.Time // until then it wants nothing
 	heard   time.Time // zero: it has said nothing
 }
 
+// wanted reports whether the target has not said that it wants no request now.
+func (w *word) wanted(now time.Time) bool { return !w.leaving && !now.Before(w.pause) }
+
 // words holds them by the name of a target's start, also while its entry is away: an
 // entry may lapse in an outage and come back.
 type words map[string]*word
@@ -59,15 +63,53 @@
 // NoteWord takes in what a target says of itself. It reports whether that is news.
 func (p *Pool) NoteWord(name string, said admission.Word, now time.Time) bool {
 	w := p.words.of(name)
-	if !said.Leaving || w.leaving {
-		return false
+	w.heard = now
+	news := said.Leaving && !w.leaving
+	w.leaving = w.leaving || said.Leaving
+	if until := now.Add(said.Pause); said.Pause > 0 && until.After(w.pause) {
+		news = news || w.wanted(now)
+		w.pause = until
 	}
-	w.leaving, w.heard = true, now
-	return true
+	return news
 }
 
-// Wanted reports whether a target has not said that it wants no request.
-func (p *Pool) Wanted(name string) bool {
+// Wanted reports whether a target has not said that it wants no request now.
+func (p *Pool) Wanted(name string, now time.Time) bool {
 	w := p.words[name]
-	return w == nil || !w.leaving
+	return w == nil || w.wanted(now)
+}
+
+// opens returns when some target may take a request; false when none will as far as is
+// known.
+func (p *Pool) opens(a *Ask, now time.Time) (at time.Time, ok bool) {
+	for _, t := range p.order {
+		if !p.couldServe(t, a) {
+			continue
+		}
+		free := later(t.word.pause, t.barredUntil)
+		if !now.Before(free) {
+			return now, true
+		}
+		if !ok || free.Before(at) {
+			at, ok = free, true
+		}
+	}
+	return at, ok
+}
+
+// pausedUntil returns when the first target wants requests again, where all that
+// could serve one have said that they want none now.
+func (p *Pool) pausedUntil(a *Ask, now time.Time) (at time.Time, ok bool) {
+	for _, t := range p.order {
+		if !p.couldServe(t, a) {
+			continue
+		}
+		if t.word.wanted(now) {
+			return time.Time{}, false
+		}
+		if !ok || t.word.pause.Before(at) {
+			at, ok = t.word.pause, true
+		}
+	}
+	return at, ok
 }
--- a/internal/placement/words_test.go
+++ b/internal/placement/words_test.go
@@ -58,8 +58,8 @@
 		if got := chosen(p, now); got["ros-0"] || !got["ros-1"] {
 			t.Errorf("%s: chosen are %v", name, got)
 		}
-		if p.Wanted("ros-0") || !p.Wanted("ros-1") {
-			t.Errorf("%s: requests on their way: ros-0 %v, ros-1 %v", name, p.Wanted("ros-0"), p.Wanted("ros-1"))
+		if p.Wanted("ros-0", now) || !p.Wanted("ros-1", now) {
+			t.Errorf("%s: requests on their way: ros-0 %v, ros-1 %v", name, p.Wanted("ros-0", now), p.Wanted("ros-1", now))
 		}
 		if len(chosen(p, now)) < 5 {
 			t.Errorf("%s: others are not chosen either", name)
@@ -87,7 +87,79 @@
 	if most := wordsMost + len(p.targets); len(p.words) > most {
 		t.Errorf("%d words, at most %d are allowed", len(p.words), most)
 	}
-	if p.Wanted("ros-0") || p.Wanted(fmt.Sprint("gone ", 2*wordsMost-1)) || !p.Wanted("gone 0") {
+	if p.Wanted("ros-0", start) || p.Wanted(fmt.Sprint("gone ", 2*wordsMost-1), start) || !p.Wanted("gone 0", start) {
 		t.Error("the wrong words were forgotten")
 	}
 }
+
+func TestTargetThatWantsNothingIsUsedAgainInTime(t *testing.T) {
+	p, _ := newTestPool(t, "ros", estiba)
+	p.NoteWord("ros-0", admission.Word{Pause: 3 * time.Second}, start)
+	p.NoteWord("ros-0", admission.Word{Pause: time.Second}, start) // the longer one counts
+	for _, s := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {3*time.Second - 1, false}, {3 * time.Second, true}} {
+		now := start.Add(s.after)
+		if got := chosen(p, now)["ros-0"]; got != s.want || p.Wanted("ros-0", now) != s.want {
+			t.Errorf("after %v: chosen %v, want %v", s.after, got, s.want)
+		}
+	}
+	estiba.without(t, p, "ros-0")
+	estiba.without(t, p)
+	if chosen(p, start.Add(time.Second))["ros-0"] {
+		t.Error("its word is forgotten while its entry is away")
+	}
+}
+
+func TestRefusalNamesTheSoonestTimeWhereAllWantNothing(t *testing.T) {
+	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 3}, slots: 1})
+	waiting := admit(p, timedAsk("running", 1, start), start)
+	for i := range 3 {
+		p.NoteWord(fmt.Sprintf("ros-%d", i), admission.Word{Pause: time.Duration(4-i) * time.Second}, start)
+	}
+	if waiting.Placed == nil {
+		t.Fatal("not placed")
+	}
+	w := admit(p, timedAsk("x", 1, start), start.Add(500*time.Millisecond))
+	if w.Refused == nil || w.Refused.Reason != reasonPaused || w.Refused.RetryAfter != 1500*time.Millisecond {
+		t.Errorf("%+v, want it refused for 1.5 s", w.Refused)
+	}
+	p.NoteWord("ros-2", admission.Word{Leaving: true}, start)
+	if w := admit(p, timedAsk("y", 1, start), start); w.Refused == nil || w.Refused.RetryAfter != 3*time.Second {
+		t.Errorf("%+v, want it refused for 3 s", w.Refused)
+	}
+	for i := range 2 {
+		p.NoteWord(fmt.Sprintf("ros-%d", i), admission.Word{Leaving: true}, start)
+	}
+	if w := admit(p, timedAsk("z", 1, start), start); w.Refused == nil || w.Refused.Reason != reasonNoTarget {
+		t.Errorf("%+v, want that no target may take it", w.Refused)
+	}
+}
+
+// Requests that wait when all targets say that they want nothing are refused then.
+func TestWaitingRequestsAreRefusedWhenAllWantNothing(t *testing.T) {
+	p, _ := fullPool(t)
+	w := admit(p, timedAsk("waits", 1, start), start)
+	if w.decided() {
+		t.Fatal("it does not wait")
+	}
+	p.NoteWord("ros-0", admission.Word{Pause: 3 * time.Second}, start.Add(time.Millisecond))
+	done := p.Serve(start.Add(time.Millisecond))
+	if len(done) != 1 || w.Refused == nil || w.Refused.RetryAfter != 3*time.Second {
+		t.Errorf("%+v, want it refused at once", w.Refused)
+	}
+}
+
+// A target that fails for a moment does not end the wait for it.
+func TestRequestsWaitForBarredTargets(t *testing.T) {
+	p, running := fullPool(t)
+	w := admit(p, timedAsk("waits", 1, start), start)
+	p.Give(running[0], Result{Shed: true}, start) // bars it for a tenth of a second
+	if done := p.Serve(start); len(done) != 0 {
+		t.Errorf("%+v, want it to wait", w.Refused)
+	}
+	if done := p.Serve(start.Add(shedBar)); len(done) != 1 || w.Placed == nil {
+		t.Errorf("%+v, want it placed", w.Refused)
+	}
+}
