An unmarked 421 of another instance is not relayed to the caller

Cause: a target that is not the instance named answers 421; without the header that says not run it passed for the target's own answer. TestUnmarkedAnswerOfAnotherInstanceIsNotRelayed failed with 421, now the other target's answer comes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -289,10 +289,16 @@
 var errTargetRefused = errors.New("the target answered that it did not run the request")
 
 // notRun reports whether the target says by protocol that it did not run the
-// request. A bad request is the caller's to know.
+// request. A bad request is the caller's to know. Another instance than the one named
+// says so by its status alone.
 func (a *attempt) notRun() bool {
-	if a.resp.StatusCode == http.StatusBadRequest {
+	switch a.resp.StatusCode {
+	case http.StatusBadRequest:
 		return false
+	case http.StatusMisdirectedRequest:
+		if a.target.Instance != "" {
+			return true
+		}
 	}
 	return first(a.resp.Header, a.x.h.deps.Dialect.TargetNotRun) != ""
 }
--- a/internal/forward/dialect_test.go
+++ b/internal/forward/dialect_test.go
@@ -163,6 +163,23 @@
 
 // A refusal without such a word may have run: it is not sent once more when it
 // must not run twice.
+// Another instance than the one that was named has run nothing, whether or not it
+// marks its answer; the caller is not told of the mistake.
+func TestUnmarkedAnswerOfAnotherInstanceIsNotRelayed(t *testing.T) {
+	moved := newTarget(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	good := newTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	doc := document(moved, good)
+	doc.Services[0].Targets[0].Instance = "instance-7"
+	b := newForeignBench(t, doc)
+	resp, body, err := b.call(t, "POST", "/svc/a", strings.NewReader("book"))
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("got %v %q %v, want the other target's answer", resp, body, err)
+	}
+	if first := b.admission.released[0]; !first.Misdirected || first.Outcome != outcome.NotRun {
+		t.Errorf("released with %+v", first)
+	}
+}
+
 func TestUnmarkedRefusalIsRelayed(t *testing.T) {
 	runs := 0
 	target := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
