Requests at crashes of several culprits are not blamed for them

Cause: blame went to the request with most crashes among those that ran at a target, and a culprit that is held stays at three. A crash at a target where a held request ran now counts against that one alone, unless another one was at all its crashes as well; requests that were held before their culprit are let go. TestRequestAtCrashesOfSeveralCulpritsIsNotBlamed failed on the ledger before (quarantined, 4 crashes).

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -94,6 +94,8 @@
 	records map[digest.Digest]*record
 	targets map[uint32][]digest.Digest // requests that ran at a target that crashed
 	heads   map[digest.Digest]int      // records by head
+
+	released []digest.Digest // since they were taken
 }
 
 // NewLedger returns an empty ledger.
@@ -165,20 +167,45 @@
 	}
 	if convicts(l.attributed(d, r)) {
 		r.held = now
+		l.release(d, r)
 	}
 }
 
+// release lets requests run again whose crashes are explained by one that is held
+// now.
+func (l *Ledger) release(d digest.Digest, r *record) {
+	for _, c := range r.crashes {
+		for _, other := range l.targets[c.Target] {
+			o := l.records[other]
+			if other == d || o.held.IsZero() || o.bare || convicts(l.attributed(other, o)) {
+				continue
+			}
+			o.held, o.trials, o.stored = time.Time{}, 0, false
+			l.released = append(l.released, other)
+		}
+	}
+}
+
+// TakeReleased returns the requests that were released since it was last called.
+func (l *Ledger) TakeReleased() []digest.Digest {
+	out := l.released
+	l.released = nil
+	return out
+}
+
 // convicts reports whether crashes are enough to quarantine a request.
 func convicts(crashes []Crash) bool {
 	return len(crashes) >= quarantineCrashes && sequence(crashes) >= quarantineSequence
 }
 
-// attributed returns the crashes that count against a request: of the requests that
-// ran at a target when it crashed, those that have crashed most.
+// attributed returns the crashes that count against a request. One at a target where
+// another request ran that is held counts against that one alone, unless this one was
+// at all crashes of the other, so that it explains them as well.
 func (l *Ledger) attributed(d digest.Digest, r *record) []Crash {
 	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool {
 		for _, other := range l.targets[c.Target] {
-			if o := l.records[other]; other != d && o != nil && len(o.crashes) > len(r.crashes) {
+			o := l.records[other]
+			if other != d && !o.held.IsZero() && !o.within(r) {
 				return true
 			}
 		}
@@ -186,6 +213,17 @@
 	})
 }
 
+// within reports whether another request ran at all targets that crashed under this
+// one.
+func (r *record) within(other *record) bool {
+	for _, c := range r.crashes {
+		if !slices.ContainsFunc(other.crashes, func(x Crash) bool { return x.Target == c.Target }) {
+			return false
+		}
+	}
+	return true
+}
+
 // sequence returns the length of the longest sequence of crashes, which are in the
 // order of their ends.
 func sequence(crashes []Crash) int {
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -89,6 +89,48 @@
 	}
 }
 
+// A popular request is at crashes under several culprits and is not one itself; one
+// that was held before its culprit is let go.
+func TestRequestAtCrashesOfSeveralCulpritsIsNotBlamed(t *testing.T) {
+	l := NewLedger()
+	target := 0
+	for c := range 4 {
+		for n := range 3 {
+			target++
+			ended := float64(target)
+			play(l, fmt.Sprint("/culprit/", c), crash(target, ended-0.1, ended))
+			if n == 1 {
+				play(l, "/popular", crash(target, ended-0.3, ended))
+			}
+		}
+	}
+	if got := l.Judge(digestOf("/popular"), at(20)); got.Verdict != Clear || got.Crashes != 4 {
+		t.Errorf("the popular request: %+v, want it clear", got)
+	}
+	early := NewLedger()
+	for n := range 3 {
+		ended := float64(n)
+		play(early, "/popular", crash(n, ended-0.3, ended))
+		if n > 0 {
+			play(early, "/culprit", crash(n, ended-0.1, ended))
+		}
+	}
+	if early.Judge(digestOf("/popular"), at(3)).Verdict != Quarantined {
+		t.Fatal("the popular request is not held before")
+	}
+	for n := 3; n < 8; n++ {
+		ended := float64(n)
+		play(early, "/culprit", crash(n, ended-0.1, ended))
+	}
+	if got := early.Judge(digestOf("/culprit"), at(10)).Verdict; got != Quarantined {
+		t.Errorf("the culprit is %v", got)
+	}
+	released := early.TakeReleased()
+	if early.Judge(digestOf("/popular"), at(10)).Verdict != Clear || len(released) != 1 {
+		t.Errorf("the popular request is %v, released: %v", early.Judge(digestOf("/popular"), at(10)).Verdict, released)
+	}
+}
+
 func TestTrialsOfAQuarantinedRequest(t *testing.T) {
 	l, d := NewLedger(), digestOf("/x")
 	play(l, "/x", crash(1, 0, 0.1), crash(2, 0.1, 0.2), crash(3, 0.3, 0.4))
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -101,7 +101,7 @@
 		ended := timeOf(max(c.AgeMS, 1), now)
 		news = l.addCrash(d, r, Crash{c.Target, ended.Add(-time.Duration(c.RanMS) * time.Millisecond), ended}) || news
 	}
-	taken, refuted := r.takeHeld(&report, now)
+	taken, refuted := l.takeHeld(d, r, &report, now)
 	news = news || taken
 	if at := timeOf(report.SeenMS, now); at.After(r.seen.Add(askedEvery)) {
 		r.seen = at
@@ -121,20 +121,21 @@
 }
 
 // takeHeld takes in since when others hold the request. Where crashes are told, they
-// must be enough without those before the acquittal, of which the other VM may not
-// have heard: else it is refuted.
-func (r *record) takeHeld(report *Report, now time.Time) (taken, refuted bool) {
+// must be enough without those before the acquittal and those that another request
+// explains, of which the other VM may not have heard: else it is refuted.
+func (l *Ledger) takeHeld(d digest.Digest, r *record, report *Report, now time.Time) (taken, refuted bool) {
 	at := timeOf(report.HeldMS, now)
 	if at.IsZero() || !r.held.IsZero() && report.Trials <= r.trials {
 		return false, false
 	}
 	bare := len(report.Crashes) == 0
-	if bare && !at.After(r.acquitted) || !bare && !convicts(r.crashes) {
+	if bare && !at.After(r.acquitted) || !bare && !convicts(l.attributed(d, r)) {
 		return false, true
 	}
 	r.bare = bare && r.held.IsZero()
 	r.held = at
 	r.trials = max(r.trials, report.Trials)
+	l.release(d, r)
 	return true, false
 }
 
