--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -33,6 +33,9 @@
 	suspectSequence    = 2
 	quarantineCrashes  = 3
 	quarantineSequence = 2
+	// certainCrashes convict a request though others explain some of them: several may
+	// crash the same targets.
+	certainCrashes = 6
 )
 
 // Times for which records are kept since their last crash, or since the request was
@@ -94,8 +97,6 @@
 	records map[digest.Digest]*record
 	targets map[uint32][]digest.Digest // requests that ran at a target that crashed
 	heads   map[digest.Digest]int      // records by head
-
-	released []digest.Digest // since they were taken
 }
 
 // NewLedger returns an empty ledger.
@@ -165,32 +166,14 @@
 	if !r.held.IsZero() {
 		return
 	}
-	if convicts(l.attributed(d, r)) {
+	if l.convicted(d, r) {
 		r.held = now
-		l.release(d, r)
-	}
-}
-
-// release lets requests run again whose crashes are explained by one that is held
-// now.
-func (l *Ledger) release(d digest.Digest, r *record) {
-	for _, c := range r.crashes {
-		for _, other := range l.targets[c.Target] {
-			o := l.records[other]
-			if other == d || o.held.IsZero() || o.bare || convicts(l.attributed(other, o)) {
-				continue
-			}
-			o.held, o.trials, o.stored = time.Time{}, 0, false
-			l.released = append(l.released, other)
-		}
 	}
 }
 
-// TakeReleased returns the requests that were released since it was last called.
-func (l *Ledger) TakeReleased() []digest.Digest {
-	out := l.released
-	l.released = nil
-	return out
+// convicted reports whether a request's crashes are enough to quarantine it.
+func (l *Ledger) convicted(d digest.Digest, r *record) bool {
+	return convicts(l.attributed(d, r)) || len(r.crashes) >= certainCrashes && convicts(r.crashes)
 }
 
 // convicts reports whether crashes are enough to quarantine a request.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -129,13 +129,12 @@
 		return false, false
 	}
 	bare := len(report.Crashes) == 0
-	if bare && !at.After(r.acquitted) || !bare && !convicts(l.attributed(d, r)) {
+	if bare && !at.After(r.acquitted) || !bare && !l.convicted(d, r) {
 		return false, true
 	}
 	r.bare = bare && r.held.IsZero()
 	r.held = at
 	r.trials = max(r.trials, report.Trials)
-	l.release(d, r)
 	return true, false
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -284,22 +284,10 @@
 	}
 	s.tell(d, from)
 	s.logChange(d, &before, cause, now)
-	s.noteReleased(now)
 	s.count()
 	return true
 }
 
-// noteReleased tells and logs the requests that another one's crashes have cleared;
-// s.mu is held.
-func (s *Service) noteReleased(now time.Time) {
-	for _, d := range s.ledger.TakeReleased() {
-		s.tell(d, "")
-		s.keeper.release(d)
-		held := Judgement{Verdict: Quarantined}
-		s.logChange(d, &held, "another request explains its crashes", now)
-	}
-}
-
 // logChange writes that the verdict on a request has changed; s.mu is held.
 func (s *Service) logChange(d digest.Digest, before *Judgement, cause string, now time.Time) {
 	after := s.ledger.Judge(d, now)
