The emulator learns requests that crash targets, and targets' words

Loads may have requests that crash what runs them, and targets that say in answers that they leave, or that they want nothing for a while; VMs have ledgers and tell each other.

--- a/internal/placement/emulation/load.go
+++ b/internal/placement/emulation/load.go
@@ -36,7 +36,9 @@
 	Swing  float64       // of each region's rate around its mean
 	Period time.Duration // of that wave; regions are a third of it apart
 	Events []Event
-	Length time.Duration
+	// Crashing are requests that crash targets, which count for no worth.
+	Crashing []Crashing
+	Length   time.Duration
 
 	Alone   bool // VMs tell each other nothing
 	Connect bool // a request waits for its connection to be opened where none is idle
@@ -53,9 +55,17 @@
 type Event struct {
 	At     time.Duration
 	Kind   EventKind
-	Factor float64 // of BurstStarts: of the usual load
-	Region string  // of TargetsLeave
-	Count  int     // of TargetsLeave: how many
+	Factor float64       // of BurstStarts: of the usual load
+	Region string        // of the targets
+	Count  int           // of targets: how many
+	Length time.Duration // of TargetsWantNothing: for which they want nothing, as they say
+}
+
+// Crashing is one request that crashes the targets that begin to run it.
+type Crashing struct {
+	At     time.Duration // it comes first
+	Every  time.Duration // it comes again, at any VM
+	Length time.Duration // for which it comes
 }
 
 // EventKind tells what happens.
@@ -63,10 +73,13 @@
 
 // The kinds of events.
 const (
-	BurstStarts   EventKind = iota // the load is multiplied by Factor
-	BurstEnds                      // the load is as before
-	TargetsLeave                   // Count targets of Region end their requests and take no more
-	FleetRestarts                  // all VMs forget what they know, all targets their objects
+	BurstStarts         EventKind = iota // the load is multiplied by Factor
+	BurstEnds                            // the load is as before
+	TargetsLeave                         // Count targets of Region end their requests and take no more
+	FleetRestarts                        // all VMs forget what they know, all targets their objects
+	TargetsSayTheyLeave                  // Count targets of Region say so in their answers
+	TargetsWantNothing                   // ... turn all away, with the time for which they want nothing
+	TargetsWantRequests                  // ... take requests again
 )
 
 // Result is what callers got.
@@ -93,6 +106,9 @@
 	// MostShifted is the largest part of a region's requests that changed the
 	// region in which they run from one span of two seconds to the next.
 	MostShifted float64 `json:"most_shifted"`
+	Lost        int     `json:"lost"`       // targets that requests have crashed
+	AfterWord   int     `json:"after_word"` // arrivals at targets that had told the VM that they leave
+	WhileAway   int     `json:"while_away"` // arrivals at targets that had told the VM that they want none
 	// EndShift is the same for the last region's requests and the span that
 	// begins when callers stop, less three standard deviations of a share counted
 	// over as few requests as begin to run then.
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -11,6 +11,7 @@
 	"masticturn/internal/discovery"
 	"masticturn/internal/edge"
 	"masticturn/internal/placement"
+	"masticturn/internal/quarantine"
 	"masticturn/internal/targetconn"
 )
 
@@ -43,6 +44,7 @@
 
 	connections map[string]*connections // by target
 	ahead       targetconn.AheadBudget
+	ledger      *quarantine.Ledger // of requests that crash targets
 }
 
 // request is what one caller wants, over all its tries.
@@ -58,6 +60,8 @@
 	exclude   []string
 	decided   bool
 	arrived   time.Time // at its VM, this time
+	number    int       // of the request among all
+	crashing  *crashing // it crashes the targets that run it; nil: it does not
 }
 
 // run is one play of a load.
@@ -74,6 +78,7 @@
 	byName  map[string]*target
 	tries   map[*try]bool // under way
 	burst   float64
+	asked   int // requests so far
 	result  tally
 }
 
@@ -100,6 +105,9 @@
 	for i := range l.Regions {
 		r.nextArrival(i)
 	}
+	for _, c := range l.Crashing {
+		r.startCrashing(&crashing{Crashing: c})
+	}
 	for _, v := range r.vms {
 		r.after(time.Duration(r.rng.Float64()*float64(placement.SharePeriod)), func() { r.share(v) })
 		r.openAhead(v)
@@ -143,6 +151,7 @@
 		v.teller.SetPosition(position)
 		v.waiters = make(map[place]*request)
 		v.connections = make(map[string]*connections)
+		v.ledger = quarantine.NewLedger()
 	}
 	r.announce()
 }
@@ -177,6 +186,12 @@
 		r.leave(e.Region, e.Count)
 	case FleetRestarts:
 		r.restart()
+	case TargetsSayTheyLeave:
+		r.each(e, func(t *target) { t.leaving = true })
+	case TargetsWantNothing:
+		r.each(e, func(t *target) { t.wantsNothing = e.Length })
+	case TargetsWantRequests:
+		r.each(e, func(t *target) { t.wantsNothing = 0 })
 	}
 }
 
@@ -221,7 +236,7 @@
 		return
 	}
 	r.after(gap, func() {
-		q := &request{region: l.Regions[region].Name, asked: r.now}
+		q := r.newRequest(l.Regions[region].Name)
 		q.object = fmt.Sprintf("%s-%d", q.region, r.rng.IntN(l.Objects))
 		r.result.ask(q)
 		r.after(l.Deadline, func() { r.expire(q) })
@@ -242,6 +257,10 @@
 		}
 	}
 	q.vm = near[r.rng.IntN(len(near))]
+	if !r.mayRun(q) {
+		r.finish(q, outcomeRefused)
+		return
+	}
 	q.arrived = r.now
 	q.tries = 0
 	q.exclude = nil
@@ -305,74 +324,6 @@
 	return r.load.OneWay
 }
 
-// share lets a VM tell the others of its region what it has at targets, again
-// and again.
-func (r *run) share(v *vm) {
-	if r.load.Alone || r.now.Sub(start) > r.load.Length {
-		return
-	}
-	r.tell(v)
-	r.after(placement.SharePeriod, func() { r.share(v) })
-}
-
-// tell lets a VM take one turn of telling.
-func (r *run) tell(v *vm) {
-	own := func() *placement.Word {
-		w := &placement.Word{Services: make(map[string]*placement.Use)}
-		if u := v.pool.Tell(); !u.Empty() {
-			w.Services[r.load.Name] = u
-		}
-		return w
-	}
-	turn := v.teller.Take(own, r.now)
-	if turn.Sum {
-		r.hear(v, turn.Word)
-	}
-	for _, name := range turn.To {
-		to := r.vmNamed[name]
-		r.after(r.load.WithinRegion, func() {
-			if turn.Sum {
-				r.passDown(v, to, turn.Word)
-			} else {
-				r.report(v, to, turn.Word)
-			}
-		})
-	}
-}
-
-// report is the arrival of a word at the VM above.
-func (r *run) report(from, to *vm, w *placement.Word) {
-	if !to.teller.Told(from.name, w, r.now) || to.relaying {
-		return
-	}
-	to.relaying = true
-	r.after(placement.RelayGap, func() {
-		to.relaying = false
-		r.tell(to)
-	})
-}
-
-// passDown is the arrival of the sum at a VM below.
-func (r *run) passDown(from, to *vm, w *placement.Word) {
-	below, ok := to.teller.Below(from.name)
-	if !ok {
-		return
-	}
-	r.hear(to, w)
-	for _, name := range below {
-		next := r.vmNamed[name]
-		r.after(r.load.WithinRegion, func() { r.passDown(to, next, w) })
-	}
-}
-
-func (r *run) hear(v *vm, w *placement.Word) {
-	u := w.Services[r.load.Name]
-	if u == nil {
-		u = &placement.Use{}
-	}
-	v.pool.Hear(u, w.Life, r.now)
-}
-
 // send takes a request to the target where it was placed.
 func (r *run) send(q *request, w place) {
 	q.tries++
@@ -390,9 +341,17 @@
 		return
 	}
 	t := y.target
+	if t.down {
+		r.after(r.way(t.region, y.req.region), func() { r.broken(y, placement.Result{Failed: true, Ended: true}) })
+		return
+	}
 	t.arrivals++
 	r.result.arrivals++
+	r.result.arrive(y, r.now)
 	switch {
+	case t.wantsNothing > 0:
+		pause := t.wantsNothing
+		r.after(r.way(t.region, y.req.region), func() { r.turnedAway(y, pause) })
 	case t.running < t.slots:
 		r.begin(y)
 	case len(t.waiting) < t.queueLimit:
@@ -409,6 +368,10 @@
 	t.running++
 	y.running = true
 	r.result.run(y, r.now)
+	if y.req.crashing != nil {
+		r.after(crashAfter, func() { r.crash(y) })
+		return
+	}
 	work := float64(r.load.Work) * max(0.1, 1+r.load.Spread*r.rng.NormFloat64())
 	if t.use(y.req.object) {
 		work *= r.load.KnownPart
@@ -440,7 +403,9 @@
 	t := y.target
 	r.free(t)
 	load := &edge.Load{Running: t.running, Waiting: len(t.waiting), Slots: t.slots}
+	leaving := t.leaving
 	r.after(r.way(t.region, y.req.region), func() {
+		r.answered(y, leaving)
 		y.vm.toTarget(t.name).put(r.now)
 		y.vm.pool.Give(y.place.Placed, placement.Result{Load: load, Connect: y.opening, Latency: r.now.Sub(y.sent)}, r.now)
 		r.finish(y.req, outcomeAnswered)
@@ -450,19 +415,26 @@
 
 // shed is the arrival of a target's word that it has no room.
 func (r *run) shed(y *try) {
-	q := y.req
+	y.over = true
+	delete(r.tries, y)
 	y.vm.toTarget(y.target.name).put(r.now)
 	load := &edge.Load{Running: y.target.running, Waiting: len(y.target.waiting), Slots: y.target.slots}
 	y.vm.pool.Give(y.place.Placed, placement.Result{Load: load, Shed: true}, r.now)
+	r.elsewhere(y)
+}
+
+// elsewhere sends a request to another target, or lets its caller come back.
+func (r *run) elsewhere(y *try) {
+	q := y.req
 	q.try = nil
-	if !q.decided {
-		if q.tries < triesMost {
-			q.exclude = append(q.exclude, y.target.name)
-			r.enqueue(q)
-		} else {
-			q.waiting.Refused = &placement.Refusal{RetryAfter: shedRetryAfter}
-			r.refused(q)
-		}
+	switch {
+	case q.decided:
+	case q.tries < triesMost:
+		q.exclude = append(q.exclude, y.target.name)
+		r.enqueue(q)
+	default:
+		q.waiting.Refused = &placement.Refusal{RetryAfter: shedRetryAfter}
+		r.refused(q)
 	}
 	r.serve(y.vm)
 }
@@ -497,36 +469,3 @@
 	q.decided = true
 	r.result.decide(q, o, r.now)
 }
-
-// event is something that is due.
-type event struct {
-	at  time.Time
-	seq int // events of one moment happen in the order in which they were planned
-	do  func()
-}
-
-func (r *run) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.events, event{r.now.Add(d), r.seq, do})
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].at.Before(h[j].at)
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-
-func (h *eventHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
--- a/internal/placement/emulation/tally.go
+++ b/internal/placement/emulation/tally.go
@@ -45,11 +45,37 @@
 	shed     int
 	arrivals int
 	fresh    int
+
+	lost      int
+	told      map[way]time.Time // since when a VM knows that a target leaves
+	away      map[way]time.Time // until when a target wants nothing of a VM
+	afterWord int
+	whileAway int
+}
+
+// way is from a VM to a target.
+type way struct {
+	vm     *vm
+	target *target
+}
+
+// arrive notes that a request has come to a target.
+func (t *tally) arrive(y *try, now time.Time) {
+	w := way{y.vm, y.target}
+	if at, ok := t.told[w]; ok && y.sent.After(at) {
+		t.afterWord++
+	}
+	if y.sent.Before(t.away[w]) {
+		t.whileAway++
+	}
 }
 
 func newTally(l *Load) tally {
 	windows := int(l.Length/windowLength) + 1
-	t := tally{load: l, regions: make(map[string]*earned), windows: make([]earned, windows), runs: make(map[string][]map[string]int)}
+	t := tally{
+		load: l, regions: make(map[string]*earned), windows: make([]earned, windows), runs: make(map[string][]map[string]int),
+		told: make(map[way]time.Time), away: make(map[way]time.Time),
+	}
 	for _, r := range l.Regions {
 		t.regions[r.Name] = &earned{}
 		t.runs[r.Name] = make([]map[string]int, windows)
@@ -134,6 +160,9 @@
 }
 
 func (t *tally) decide(q *request, o outcome, now time.Time) {
+	if q.crashing != nil {
+		return
+	}
 	worth := 0.0
 	switch o {
 	case outcomeRefused:
@@ -165,6 +194,7 @@
 		Load: t.load.Name, Policy: policy, Asked: t.all.asked, InTime: t.inTime, Late: t.late, Refused: t.refused, Failed: t.failed,
 		Shed: t.shed, Arrivals: t.arrivals, Fresh: t.fresh, Worth: t.all.part(), WorstWindow: 1, WorstRegion: 1,
 		Busiest: busiest(targets), MostShifted: t.mostShifted(), EndShift: t.endShift(),
+		Lost: t.lost, AfterWord: t.afterWord, WhileAway: t.whileAway,
 	}
 	for i := range t.windows {
 		if float64(t.windows[i].asked) >= windowLeast*float64(t.all.asked)/float64(len(t.windows)) {
--- a/internal/placement/emulation/target.go
+++ b/internal/placement/emulation/target.go
@@ -18,7 +18,12 @@
 	running    int
 	waiting    []*try
 	gone       bool
-	arrivals   int
+	down       bool // it has crashed
+	starts     int
+	leaving    bool // it says so in its answers
+	// wantsNothing is for how long it says to want nothing; 0: it wants requests.
+	wantsNothing time.Duration
+	arrivals     int
 
 	known map[string]*list.Element
 	order *list.List // of objects, the one used last in front
