--- a/internal/forward/screen.go
+++ b/internal/forward/screen.go
@@ -106,9 +106,9 @@
 }
 
 // awaitProbe waits a little for the word whether the last run's target crashed, where
-// requests are on record.
+// others have under the request.
 func (x *exchange) awaitProbe(ctx context.Context) {
-	if s := x.h.deps.Screen; s == nil || !s.Active() || x.probed == nil {
+	if s := x.h.deps.Screen; s == nil || x.probed == nil || !s.Active() || !s.Has(x.subject()) {
 		return
 	}
 	timer := time.NewTimer(probePatience)
--- a/internal/forward/screen_test.go
+++ b/internal/forward/screen_test.go
@@ -29,6 +29,7 @@
 }
 
 func (f *fixedScreen) Active() bool                 { return true }
+func (f *fixedScreen) Has(quarantine.Subject) bool  { return true }
 func (f *fixedScreen) HasHead(h digest.Digest) bool { return f.heads[h] }
 
 func (f *fixedScreen) Enter(_ context.Context, s quarantine.Subject) (*quarantine.Pass, *quarantine.Refusal) {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -115,13 +115,11 @@
 	if s.deps.Store == nil || !s.deps.Joined() {
 		return false
 	}
-	view := s.deps.Members.View()
-	apart := view.Count(membership.Suspect) > 0
-	first := s.order("quarantine")[0] == s.deps.Self
+	apart := s.deps.Members.View().Count(membership.Suspect) > 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
-	if s.keeper.loaded && !apart || !first || now.Before(s.keeper.loadNext) {
+	if s.keeper.loaded && !apart || now.Before(s.keeper.loadNext) || s.order("quarantine")[0] != s.deps.Self {
 		return false
 	}
 	s.keeper.loadNext = now.Add(loadPause)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,8 @@
 type Screen interface {
 	// Active reports whether any request is on record. It costs next to nothing.
 	Active() bool
+	// Has reports whether a request is on record.
+	Has(s Subject) bool
 	// HasHead reports whether a request with this head and a streamed body is on
 	// record, so that the body is needed to tell them apart.
 	HasHead(head digest.Digest) bool
@@ -232,6 +235,13 @@
 // Active implements Screen.
 func (s *Service) Active() bool { return s.active.Load() }
 
+// Has implements Screen.
+func (s *Service) Has(subject Subject) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(subject.digests(), s.ledger.Has)
+}
+
 // HasHead implements Screen.
 func (s *Service) HasHead(head digest.Digest) bool {
 	s.mu.Lock()
