--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,18 +44,17 @@
 	Valid() bool
 }
 
-// Word is what a target says of itself with the head of an answer.
-type Word struct {
-	Leaving bool // it gets no new work any more, as long as this process of it runs
-	// Pause is for how long it wants nothing, which it tells with a refusal; 0: it
-	// does not say.
-	Pause time.Duration
+// Notice is what a target announces with the head of an answer.
+type Notice struct {
+	Leaving bool // it is draining
+	// Backoff is its Retry-After with a refusal; 0: none.
+	Backoff time.Duration
 }
 
-// Hearer is implemented by permits whose admitter takes in such words at once.
-type Hearer interface {
-	// Hear is called between Acquire and Release.
-	Hear(w Word)
+// NoticeReceiver is implemented by permits whose admitter acts on notices at once.
+type NoticeReceiver interface {
+	// Notify is called between Acquire and Release.
+	Notify(w Notice)
 }
 
 // Result tells what a dispatch showed of the target.
@@ -67,7 +66,7 @@
 	Status     int           // HTTP status, 0 when there was none
 	ShedByPeer bool          // the target said 'not run'
 	Draining   bool          // the target said that it leaves
-	Pause      time.Duration // for which the target wants nothing, as it said; 0: it did not
+	Backoff    time.Duration // Retry-After of the target; 0: none
 	InFlight   int           // load the target reported on the answer; -1 unknown
 	Load       *edge.Load    // the whole of that load; nil unknown
 	// Canceled: the end says nothing about the target, as the caller left or the
--- a/internal/admission/broker_slots.go
+++ b/internal/admission/broker_slots.go
@@ -287,7 +287,7 @@
 		Draining:   r.Draining,
 		InFlight:   r.InFlight,
 		Canceled:   r.Canceled,
-		Pause:      r.Pause,
+		Backoff:    r.Backoff,
 	}
 }
 
@@ -301,6 +301,6 @@
 		Draining:   r.Draining,
 		InFlight:   r.InFlight,
 		Canceled:   r.Canceled,
-		Pause:      r.Pause,
+		Backoff:    r.Backoff,
 	}
 }
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -207,8 +207,8 @@
 	case r.Draining:
 		c.left[t.Name] = now.Add(leftFor)
 		c.pool.SetLimit(t, 0)
-	case r.Pause > 0:
-		c.left[t.Name] = now.Add(r.Pause)
+	case r.Backoff > 0:
+		c.left[t.Name] = now.Add(r.Backoff)
 		c.pool.SetLimit(t, 0)
 	case r.ShedByPeer:
 		c.paused[t.Name] = now.Add(shedPause)
--- a/internal/admission/local_test.go
+++ b/internal/admission/local_test.go
@@ -147,7 +147,7 @@
 			t.Fatal(err)
 		}
 		paused, began := p.Target().Name, time.Now()
-		p.Release(Result{Outcome: outcome.NotRun, Step: outcome.StepReceive, ShedByPeer: true, Pause: pause, InFlight: -1})
+		p.Release(Result{Outcome: outcome.NotRun, Step: outcome.StepReceive, ShedByPeer: true, Backoff: pause, InFlight: -1})
 		used := false
 		for time.Since(began) < pause+time.Second {
 			p, err := l.Acquire(t.Context(), testRequest(d, "read", time.Second))
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -99,7 +99,7 @@
 	Draining   bool
 	InFlight   int
 	Canceled   bool
-	Pause      time.Duration
+	Backoff    time.Duration
 }
 
 // inventory tells a broker all that a process holds (peer.KindInventory).
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,7 +45,7 @@
 	opening  time.Duration // of the connection; 0: it was open
 	load     *edge.Load    // that the target reported; nil: none
 	draining bool
-	pause    time.Duration // for which the target wants nothing; 0: it did not say
+	backoff  time.Duration // Retry-After of the target; 0: none
 	released bool
 }
 
@@ -110,7 +110,7 @@
 		if end := a.connect(); end.Fault != FaultNone {
 			return end
 		}
-		if end := a.barred(); end.Fault != FaultNone {
+		if end := a.screenAgain(); end.Fault != FaultNone {
 			return end
 		}
 		checked, ok := a.permit.(admission.Checked)
@@ -267,7 +267,7 @@
 		end.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
 		end.SlotsFree = a.load != nil && a.load.Running < a.load.Slots
 		end.Err = errTargetRefused
-		end.Pause = a.pause
+		end.Backoff = a.backoff
 		return end
 	}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
@@ -333,10 +333,10 @@
 	}
 	a.draining = first(h, d.TargetDraining) == "1"
 	if a.resp.StatusCode == http.StatusServiceUnavailable {
-		a.pause = min(parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now()), pauseMost)
+		a.backoff = min(parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now()), maxBackoff)
 	}
-	a.logWord(h)
-	a.passWord()
+	a.logNotice(h)
+	a.notifyAdmission()
 	shed := a.notRun()
 	if !a.draining && !shed {
 		return
@@ -351,36 +351,36 @@
 	})
 }
 
-// passWord tells the admitter what the target says of itself. An answer from another
-// instance at its address tells nothing of it.
-func (a *attempt) passWord() {
-	hearer, ok := a.permit.(admission.Hearer)
+// notifyAdmission passes the target's notice on. An answer from another instance at its
+// address is none.
+func (a *attempt) notifyAdmission() {
+	hearer, ok := a.permit.(admission.NoticeReceiver)
 	if !ok || a.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if w := (admission.Word{Leaving: a.draining, Pause: a.pause}); w != (admission.Word{}) {
-		hearer.Hear(w)
+	if w := (admission.Notice{Leaving: a.draining, Backoff: a.backoff}); w != (admission.Notice{}) {
+		hearer.Notify(w)
 	}
 }
 
-// logWord writes what the target says of the requests that it wants.
-func (a *attempt) logWord(h http.Header) {
+// logNotice logs what the target announces.
+func (a *attempt) logNotice(h http.Header) {
 	if a.draining {
 		a.x.h.series.leaving.Inc()
 		a.x.h.deps.Logger.Log(eventTargetLeaves, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id))
 	}
 	if after := first(h, "Retry-After"); after != "" && a.resp.StatusCode == http.StatusServiceUnavailable {
-		a.x.h.series.pausing.Inc()
-		a.x.h.deps.Logger.Log(eventTargetPauses, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id),
-			telemetry.Value("retry_after", after[:min(len(after), shownMost)]))
+		a.x.h.series.backoffs.Inc()
+		a.x.h.deps.Logger.Log(eventTargetBackoff, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id),
+			telemetry.Value("retry_after", after[:min(len(after), maxLoggedHeader)]))
 	}
 }
 
-// pauseMost bounds for how long a target is believed to want nothing.
-const pauseMost = 10 * time.Minute
+// maxBackoff bounds a target's Retry-After.
+const maxBackoff = 10 * time.Minute
 
-// shownMost bounds how much of a header that may hold anything is logged, in bytes.
-const shownMost = 64
+// maxLoggedHeader bounds the logged part of a header, in bytes.
+const maxLoggedHeader = 64
 
 // reportedLoad returns the load the target told of on its answer; -1 and 0 when
 // it told none.
@@ -443,7 +443,7 @@
 		Misdirected: end.Misdirected,
 		NoListener:  end.NoListener,
 		Draining:    a.draining,
-		Pause:       a.pause,
+		Backoff:     a.backoff,
 		InFlight:    inFlight,
 		Load:        a.load,
 		Canceled:    end.Stale || end.Fault == FaultCallerGone || end.Fault == FaultCallerSlow,
@@ -479,7 +479,7 @@
 
 // maxAttempts is the bound of the rule where there is one.
 func (x *exchange) maxAttempts(c *config.Retry) int {
-	if x.pass.Alone() {
+	if x.pass.Exclusive() {
 		return 1
 	}
 	if r := x.match.Rule; r != nil && r.MaxAttempts > 0 {
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -76,7 +76,7 @@
 	return n, err
 }
 
-// digest takes in a piece of the body.
+// digest adds a piece of the body to the digest.
 func (u *upload) digest(p []byte) {
 	_, _ = u.sum.Write(p)
 	if u.lead.Load() != nil {
@@ -124,8 +124,8 @@
 	return &upload{body: u.body, rc: u.rc, clock: u.clock, idle: u.idle, left: u.left, sum: u.sum}, true
 }
 
-// after returns an upload of bytes that were read and of what follows them.
-func (u *upload) after(read []byte) *upload {
+// replay returns an upload that starts with bytes already read.
+func (u *upload) replay(read []byte) *upload {
 	next := &upload{body: u.body, rc: u.rc, clock: u.clock, idle: u.idle, left: u.left + int64(len(read)), sum: u.sum}
 	next.body = io.MultiReader(bytes.NewReader(read), u.body)
 	return next
--- a/internal/forward/brokenrun.go
+++ b/internal/forward/brokenrun.go
@@ -13,42 +13,42 @@
 	"masticturn/internal/telemetry"
 )
 
-// targetState is whether a target's process was found to live.
+// targetState is the result of a probe.
 type targetState string
 
-// The states of a target after one of its connections broke.
+// The results of a probe after a connection broke.
 const (
-	targetEnded     targetState = "ended"     // nobody listens at its address
-	targetListening targetState = "listening" // it took a new connection
-	targetUnknown   targetState = "unknown"   // it could not be reached
+	targetEnded     targetState = "ended"     // connection refused
+	targetListening targetState = "listening" // connection accepted
+	targetUnknown   targetState = "unknown"   // no answer
 )
 
-// brokenRun is a run whose connection the target ended before the whole answer.
+// brokenRun is a run whose connection broke before the whole answer.
 type brokenRun struct {
 	subject quarantine.Subject
-	digest  string // of the request; empty: its body had not arrived
+	digest  string // of the request; empty if its body had not arrived
 	id      string // of the request
 	target  *config.TargetIndex
 	began   time.Time
 	ended   time.Time
-	told    chan struct{} // closed when the state of the target is known
+	done    chan struct{} // closed after the probe
 }
 
-// endProbe finds out whether targets whose connections broke have ended.
+// endProbe probes targets whose connections broke, to tell crashes from resets.
 type endProbe struct {
 	deps Deps
 
 	mu      sync.Mutex
-	running map[string][]*brokenRun // by target: those that wait for one answer
+	running map[string][]*brokenRun // by target: those waiting for its probe
 }
 
 func newEndProbe(d Deps) *endProbe {
 	return &endProbe{deps: d, running: make(map[string][]*brokenRun)}
 }
 
-// note begins to find out about a run's target. The channel is closed when that is
-// known.
-func (p *endProbe) note(r *brokenRun) <-chan struct{} {
+// start probes a run's target, or joins a probe in progress. The channel is closed when
+// the result is known.
+func (p *endProbe) start(r *brokenRun) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiting, running := p.running[r.target.Name]
@@ -56,7 +56,7 @@
 	if !running {
 		go p.probe(r.target)
 	}
-	return r.told
+	return r.done
 }
 
 func (p *endProbe) probe(t *config.TargetIndex) {
@@ -66,7 +66,7 @@
 	delete(p.running, t.Name)
 	p.mu.Unlock()
 	for _, r := range runs {
-		p.tell(r, state)
+		p.report(r, state)
 	}
 }
 
@@ -84,7 +84,7 @@
 	return targetUnknown
 }
 
-func (p *endProbe) tell(r *brokenRun, state targetState) {
+func (p *endProbe) report(r *brokenRun, state targetState) {
 	p.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_broken_runs_total{target=%q}", string(state))).Inc()
 	p.deps.Logger.Log(eventRunBroken,
 		telemetry.Peer(r.target.Name),
@@ -92,9 +92,9 @@
 		telemetry.Value("digest", r.digest),
 		telemetry.Value("ran_ms", r.ended.Sub(r.began).Milliseconds()),
 		telemetry.Value("target", string(state)))
-	// A target that is leaving is expected to end.
+	// A draining target is expected to end.
 	if state == targetEnded && !r.target.Leaving && p.deps.Screen != nil {
 		p.deps.Screen.Crashed(r.subject, r.target.Name, r.began, r.ended)
 	}
-	close(r.told)
+	close(r.done)
 }
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -24,7 +24,7 @@
 	FaultCallerGone        // the caller left
 	FaultCallerSlow        // the caller's body or its reading stopped for too long
 	FaultDeadline          // the request's deadline has passed
-	FaultHeld              // targets have crashed under the request
+	FaultHeld              // the request is suspect or in quarantine
 	faultCount
 )
 
@@ -64,7 +64,7 @@
 	Consumed   bool   // the body was read from the caller and is not kept
 	Relayed    bool   // a byte of the answer may have reached the caller
 	RetryAfter time.Duration
-	Pause      time.Duration // for which the target wants nothing; 0: it did not say
+	Backoff    time.Duration // Retry-After of the target; 0: none
 	Status     int           // HTTP status for the caller; 0: by fault
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
@@ -137,7 +137,7 @@
 		d.mayRun = true
 	}
 	if a.Step == outcome.StepAdmit && a.Fault == FaultRefused && d.attempts > 1 {
-		return decision{verdict: verdictFail, err: d.noneLeft(a)}
+		return decision{verdict: verdictFail, err: d.noTargetLeft(a)}
 	}
 	d.last = a
 	if a.Stale {
@@ -203,9 +203,9 @@
 // request. Callers of the fleet come back to another VM meanwhile.
 const freeRetryAfter = 10 * time.Millisecond
 
-// noneLeft is the failure of a request for which no other target is left: what the
-// last one did is the news, and when one is expected to be free again.
-func (d *dispatch) noneLeft(a attemptEnd) *outcome.Error {
+// noTargetLeft is the failure of a request that has no other target: the last attempt's,
+// with the time at which a target is expected to be available.
+func (d *dispatch) noTargetLeft(a attemptEnd) *outcome.Error {
 	e := d.failure(d.last)
 	if e.Outcome != outcome.NotRun {
 		return e
@@ -213,8 +213,8 @@
 	var cause *outcome.Error
 	if errors.As(a.Err, &cause) && cause.RetryAfter > 0 {
 		e.RetryAfter = cause.RetryAfter
-	} else if d.last.Pause > 0 {
-		e.RetryAfter = d.last.Pause
+	} else if d.last.Backoff > 0 {
+		e.RetryAfter = d.last.Backoff
 	}
 	return e
 }
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -69,22 +69,22 @@
 		Number:  telemetry.RangeForward + 10,
 		Level:   logrus.WarnLevel,
 		Name:    "request held back",
-		Meaning: "The request was not run, as targets have crashed under it: crashes of them, the last one age_ms ago. Verdict suspect: another run of it is under way; quarantined: it is refused until a trial, an acquittal or an operator clears it.",
+		Meaning: "The request was rejected because targets have crashed while running it: their number, and the age of the last crash. Verdict suspect: another run holds the lease; quarantined: rejected until a trial, an answered run or an operator clears it.",
 		Action:  "See 5302 lines and OPERATIONS.",
 	})
 	eventTargetLeaves = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 11,
 		Level:   logrus.InfoLevel,
-		Name:    "target says that it leaves",
-		Meaning: "An answer of the target told that it is leaving, whether or not the store knows.",
+		Name:    "target is leaving",
+		Meaning: "An answer of the target carries the leaving header.",
 		Action:  "None.",
 	})
-	eventTargetPauses = telemetry.Register(telemetry.Event{
+	eventTargetBackoff = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 12,
 		Level:   logrus.InfoLevel,
-		Name:    "target says when to return",
-		Meaning: "The target answered 503 with Retry-After, which is given as it came.",
-		Action:  "None by itself; many targets of one service that do so lack room.",
+		Name:    "target asks for backoff",
+		Meaning: "The target answered 503 with Retry-After; its value is logged unparsed.",
+		Action:  "None by itself; if many targets of a service do so, the service is overloaded.",
 	})
 	eventAheadFailed = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 8,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -54,7 +54,7 @@
 
 // serve takes the request through all steps.
 func (x *exchange) serve() {
-	defer x.leaveScreen()
+	defer x.releaseScreen()
 	err := x.prepare()
 	if err == nil && x.claim != nil && x.claim.Replay() != nil {
 		x.replay(x.claim.Replay())
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -2,8 +2,8 @@
 
 import "masticturn/internal/digest"
 
-// headDigest returns the identity of the request's head. The address of the caller
-// is no part of it: one that asks again may come from another.
+// headDigest returns the identity of the request's head. The caller's address is no part
+// of it since it may change between attempts.
 func (x *exchange) headDigest() digest.Head {
 	names := x.h.deps.Dialect.Credentials
 	caller := make([]string, len(names))
@@ -13,8 +13,7 @@
 	return digest.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI(), caller...)
 }
 
-// digest returns the identity of the whole request; ok is false before its body
-// has arrived.
+// digest returns the identity of the whole request; false until its body has arrived.
 func (x *exchange) digest() (d digest.Digest, ok bool) {
 	if x.stream == nil || x.whole != (digest.Digest{}) {
 		return x.whole, x.whole != digest.Digest{}
@@ -25,7 +24,7 @@
 	return digest.Digest{}, false
 }
 
-// digestText is the digest for logs, empty while it is not known.
+// digestText returns the digest for logs, empty if unknown.
 func (x *exchange) digestText() string {
 	if d, ok := x.digest(); ok {
 		return d.String()
@@ -33,20 +32,20 @@
 	return ""
 }
 
-// noteBroken finds out about the target of a run whose connection it ended.
+// noteBroken probes the target if it broke the connection of a run.
 func (a *attempt) noteBroken(end *attemptEnd) {
 	broken := end.Fault == FaultBroken || end.Fault == FaultShort
 	if !broken || !end.Sent || end.Stale {
 		return
 	}
-	probed := a.x.h.ends.note(&brokenRun{
+	probed := a.x.h.ends.start(&brokenRun{
 		subject: a.x.subject(),
 		digest:  a.x.digestText(),
 		id:      a.x.id,
 		target:  a.target,
 		began:   a.sentAt,
 		ended:   a.x.h.deps.Clock.Now(),
-		told:    make(chan struct{}),
+		done:    make(chan struct{}),
 	})
 	if !a.hedged { // it may end beside the first attempt
 		a.x.probed = probed
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -176,41 +176,40 @@
 	}
 }
 
-// hearingAdmission hands out permits that note what targets say.
-type hearingAdmission struct {
+// noticeAdmission hands out permits that record notices.
+type noticeAdmission struct {
 	*roundRobin
-	mu    sync.Mutex
-	heard []admission.Word
+	mu  sync.Mutex
+	got []admission.Notice
 }
 
-type hearingPermit struct {
+type noticePermit struct {
 	admission.Permit
-	a *hearingAdmission
+	a *noticeAdmission
 }
 
-func (a *hearingAdmission) Acquire(ctx context.Context, r *admission.Request) (admission.Permit, error) {
+func (a *noticeAdmission) Acquire(ctx context.Context, r *admission.Request) (admission.Permit, error) {
 	p, err := a.roundRobin.Acquire(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	return hearingPermit{p, a}, nil
+	return noticePermit{p, a}, nil
 }
 
-func (p hearingPermit) Hear(w admission.Word) {
+func (p noticePermit) Notify(n admission.Notice) {
 	p.a.mu.Lock()
 	defer p.a.mu.Unlock()
-	p.a.heard = append(p.a.heard, w)
+	p.a.got = append(p.a.got, n)
 }
 
-func (a *hearingAdmission) words() []admission.Word {
+func (a *noticeAdmission) notices() []admission.Notice {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Clone(a.heard)
+	return slices.Clone(a.got)
 }
 
-// A target's word counts from the head of its answer on, and only if it is the
-// instance that is meant.
-func TestTargetsWordsAreHeardWithTheHead(t *testing.T) {
+// A notice counts from the head of the answer on, and only from the expected instance.
+func TestNoticesCountFromTheHeadOfAnAnswer(t *testing.T) {
 	finish := make(chan struct{})
 	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(edge.HeaderTargetDraining, "1")
@@ -223,12 +222,12 @@
 		_ = http.NewResponseController(w).Flush()
 		<-finish
 	})
-	a := &hearingAdmission{roundRobin: &roundRobin{}}
+	a := &noticeAdmission{roundRobin: &roundRobin{}}
 	b := newBench(t, oneAttempt(target), nil, telemetry.Discard())
 	b.handler.deps.Admission = a
 	b.admission = a.roundRobin
-	if _, _, err := b.call(t, "GET", "/svc/other", nil); err != nil || len(a.words()) != 0 {
-		t.Errorf("another instance's word is heard: %v, %v", a.words(), err)
+	if _, _, err := b.call(t, "GET", "/svc/other", nil); err != nil || len(a.notices()) != 0 {
+		t.Errorf("another instance's notice is taken: %v, %v", a.notices(), err)
 	}
 	done := make(chan struct{})
 	go func() {
@@ -236,13 +235,13 @@
 		_, _, _ = b.call(t, "GET", "/svc/long", nil)
 	}()
 	for range 500 {
-		if len(a.words()) > 0 {
+		if len(a.notices()) > 0 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if got := a.words(); len(got) != 1 || !got[0].Leaving {
-		t.Errorf("heard %+v while the answer comes, want that the target leaves", got)
+	if got := a.notices(); len(got) != 1 || !got[0].Leaving {
+		t.Errorf("got %+v while the answer is streamed, want the notice", got)
 	}
 	close(finish)
 	<-done
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -14,13 +14,13 @@
 
 // seriesCache finds the metrics of a request without formatting names.
 type seriesCache struct {
-	set     *metrics.Set
-	latency sync.Map // seriesKey -> *metrics.Histogram
-	retries *metrics.Counter
-	hedges  *metrics.Counter
-	leaving *metrics.Counter
-	pausing *metrics.Counter
-	ended   sync.Map // endKey -> *metrics.Counter
+	set      *metrics.Set
+	latency  sync.Map // seriesKey -> *metrics.Histogram
+	retries  *metrics.Counter
+	hedges   *metrics.Counter
+	leaving  *metrics.Counter
+	backoffs *metrics.Counter
+	ended    sync.Map // endKey -> *metrics.Counter
 }
 
 type endKey struct {
@@ -30,11 +30,11 @@
 
 func newSeriesCache(set *metrics.Set) *seriesCache {
 	return &seriesCache{
-		set:     set,
-		retries: set.GetOrCreateCounter("masticturn_retries_total"),
-		hedges:  set.GetOrCreateCounter("masticturn_hedges_total"),
-		leaving: set.GetOrCreateCounter(`masticturn_target_words_total{word="leaving"}`),
-		pausing: set.GetOrCreateCounter(`masticturn_target_words_total{word="retry-after"}`),
+		set:      set,
+		retries:  set.GetOrCreateCounter("masticturn_retries_total"),
+		hedges:   set.GetOrCreateCounter("masticturn_hedges_total"),
+		leaving:  set.GetOrCreateCounter(`masticturn_target_words_total{word="leaving"}`),
+		backoffs: set.GetOrCreateCounter(`masticturn_target_words_total{word="retry-after"}`),
 	}
 }
 
--- a/internal/forward/screen.go
+++ b/internal/forward/screen.go
@@ -17,18 +17,17 @@
 )
 
 const (
-	// probePatience is how long another attempt waits for the word whether the last
-	// one's target crashed.
-	probePatience = 300 * time.Millisecond
-	// readAheadBytes bounds the bodies that are read ahead at one time.
-	readAheadBytes = 32 << 20
-	// readAheadPiece is by how much the memory for a body grows.
+	// probeTimeout bounds the wait of a retry for the probe of the last target.
+	probeTimeout = 300 * time.Millisecond
+	// maxReadAhead bounds the memory of bodies read ahead, in bytes.
+	maxReadAhead = 32 << 20
+	// readAheadPiece is the step in which that memory is reserved, in bytes.
 	readAheadPiece = 64 << 10
-	// readAheadPause is when a caller may come back where there is no memory.
-	readAheadPause = 500 * time.Millisecond
+	// readAheadRetryAfter is the retry advice if it is used up.
+	readAheadRetryAfter = 500 * time.Millisecond
 )
 
-// subject is what is known of the request's identity.
+// subject returns the request's identity as far as it is known.
 func (x *exchange) subject() quarantine.Subject {
 	var s quarantine.Subject
 	s.Whole, _ = x.digest()
@@ -43,7 +42,7 @@
 	return s
 }
 
-// screen asks whether the request may run.
+// screen rejects requests that crash targets.
 func (x *exchange) screen() *outcome.Error {
 	screen := x.h.deps.Screen
 	if screen == nil || !screen.Active() {
@@ -58,15 +57,15 @@
 	defer cancel()
 	pass, refusal := screen.Enter(ctx, x.subject())
 	if refusal != nil {
-		return x.heldBack(refusal)
+		return x.rejectHeld(refusal)
 	}
 	x.pass = pass
 	return nil
 }
 
-// heldBack is the error of a request that may not run. One in quarantine gets a
-// status after which clients do not ask again.
-func (x *exchange) heldBack(r *quarantine.Refusal) *outcome.Error {
+// rejectHeld is the error of a held request. In quarantine its status is one that
+// clients do not retry.
+func (x *exchange) rejectHeld(r *quarantine.Refusal) *outcome.Error {
 	x.h.deps.Logger.Log(eventHeldBack,
 		telemetry.Value("request_id", x.id),
 		telemetry.Value("digest", r.Digest.String()),
@@ -75,43 +74,42 @@
 		telemetry.Value("age_ms", r.Age.Milliseconds()),
 		telemetry.Value("trials", r.Trials))
 	if r.Verdict == quarantine.Quarantined {
-		return refuse(outcome.StepScreen, http.StatusBadRequest, "targets have crashed under this request; it is in quarantine")
+		return refuse(outcome.StepScreen, http.StatusBadRequest, "targets have crashed while running this request; it is in quarantine")
 	}
-	err := refuse(outcome.StepScreen, http.StatusServiceUnavailable, "targets have crashed under this request; another run of it is under way")
+	err := refuse(outcome.StepScreen, http.StatusServiceUnavailable, "targets have crashed while running this request; another run is in progress")
 	err.RetryAfter = r.RetryAfter
 	return err
 }
 
-// barred holds a request back of which more has become known while it waited.
-func (a *attempt) barred() attemptEnd {
+// screenAgain screens a request that may have become suspect while it waited.
+func (a *attempt) screenAgain() attemptEnd {
 	x := a.x
-	if x.h.deps.Screen == nil || x.pass.Alone() {
+	if x.h.deps.Screen == nil || x.pass.Exclusive() {
 		return attemptEnd{}
 	}
 	refusal := x.h.deps.Screen.Barred(x.subject())
 	if refusal == nil {
 		return attemptEnd{}
 	}
-	err := x.heldBack(refusal)
+	err := x.rejectHeld(refusal)
 	a.permit.Release(admission.Result{Outcome: outcome.NotRun, Step: outcome.StepScreen, InFlight: -1, Canceled: true})
 	a.released = true
 	return attemptEnd{Step: outcome.StepScreen, Fault: FaultHeld, Err: err, Status: err.Status, RetryAfter: err.RetryAfter}
 }
 
-// noteAnswered takes in that a target answered the request.
+// noteAnswered records that a target answered the request.
 func (x *exchange) noteAnswered() {
 	if s := x.h.deps.Screen; s != nil && s.Active() {
 		s.Answered(x.subject())
 	}
 }
 
-// awaitProbe waits a little for the word whether the last run's target crashed, where
-// others have under the request.
+// awaitProbe waits for the probe of the last target if the request has crashed others.
 func (x *exchange) awaitProbe(ctx context.Context) {
 	if s := x.h.deps.Screen; s == nil || x.probed == nil || !s.Active() || !s.Has(x.subject()) {
 		return
 	}
-	timer := time.NewTimer(probePatience)
+	timer := time.NewTimer(probeTimeout)
 	defer timer.Stop()
 	select {
 	case <-x.probed:
@@ -120,36 +118,36 @@
 	}
 }
 
-// leaveScreen gives back what the request held to be screened.
-func (x *exchange) leaveScreen() {
+// releaseScreen releases the request's lease and body memory.
+func (x *exchange) releaseScreen() {
 	x.h.bodies.free(x.kept)
-	if !x.pass.Alone() {
+	if !x.pass.Exclusive() {
 		return
 	}
 	if x.probed == nil {
-		x.pass.Return()
+		x.pass.Release()
 		return
 	}
 	go func(pass *quarantine.Pass, probed <-chan struct{}) {
 		<-probed
-		pass.Return()
+		pass.Release()
 	}(x.pass, x.probed)
 }
 
-// readAhead reads the body of a request that can't be told from one on record by its
-// head. What is longer than counts for its identity is streamed.
+// readAhead reads the body of a request whose head is on record, up to the part that
+// counts for its digest.
 func (x *exchange) readAhead() *outcome.Error {
 	var read bytes.Buffer
 	for read.Len() < digest.BodyMost {
 		if !x.h.bodies.take(readAheadPiece) {
 			err := refuse(outcome.StepScreen, http.StatusServiceUnavailable, "too many bodies are read ahead")
-			err.RetryAfter = readAheadPause
+			err.RetryAfter = readAheadRetryAfter
 			return err
 		}
 		x.kept += readAheadPiece
 		_, err := io.CopyN(&read, x.stream, readAheadPiece)
 		if errors.Is(err, io.EOF) {
-			x.keepBody(read.Bytes())
+			x.adoptBody(read.Bytes())
 			return nil
 		}
 		if err != nil {
@@ -157,21 +155,21 @@
 		}
 	}
 	x.whole = x.stream.sum.Whole()
-	x.stream = x.stream.after(read.Bytes())
+	x.stream = x.stream.replay(read.Bytes())
 	return nil
 }
 
-// keepBody takes over a body that was read whole. One with trailers is streamed still.
-func (x *exchange) keepBody(body []byte) {
+// adoptBody keeps a body that was read whole. One with trailers is still streamed.
+func (x *exchange) adoptBody(body []byte) {
 	x.whole = *x.stream.whole.Load()
 	if len(x.r.Trailer) > 0 {
-		x.stream = x.stream.after(body)
+		x.stream = x.stream.replay(body)
 		return
 	}
 	x.body, x.stream = body, nil
 }
 
-// bodyFailed is the error of a body that could not be read before it was sent on.
+// bodyFailed is the error of a body that could not be read ahead.
 func (x *exchange) bodyFailed(err error) *outcome.Error {
 	if errors.Is(err, errBodyTooLarge) {
 		return refuse(outcome.StepScreen, http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
@@ -179,11 +177,11 @@
 	return refuse(outcome.StepScreen, http.StatusRequestTimeout, "the body could not be read")
 }
 
-// bodyBudget bounds the memory of bodies that are read ahead. Its zero value is empty.
+// bodyBudget bounds the memory of bodies read ahead. Its zero value is unused.
 type bodyBudget struct{ used atomic.Int64 }
 
 func (b *bodyBudget) take(n int64) bool {
-	if b.used.Add(n) <= readAheadBytes {
+	if b.used.Add(n) <= maxReadAhead {
 		return true
 	}
 	b.used.Add(-n)
--- a/internal/forward/screen_test.go
+++ b/internal/forward/screen_test.go
@@ -149,12 +149,12 @@
 	s := &fixedScreen{}
 	b := screened(t, s, newTarget(t, func(http.ResponseWriter, *http.Request) {}))
 	s.heads = map[digest.Digest]bool{b.headOf("POST", "/svc/a").Key(): true}
-	b.handler.bodies.take(readAheadBytes - readAheadPiece)
+	b.handler.bodies.take(maxReadAhead - readAheadPiece)
 	resp, _, err := b.call(t, "POST", "/svc/a", bytes.NewReader(make([]byte, 3*readAheadPiece)))
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("%v %v, want it refused for a while", resp, err)
 	}
-	b.handler.bodies.free(readAheadBytes - readAheadPiece)
+	b.handler.bodies.free(maxReadAhead - readAheadPiece)
 	if used := b.handler.bodies.used.Load(); used != 0 {
 		t.Errorf("%d bytes are still held for bodies", used)
 	}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -32,10 +32,10 @@
 	KindUseReport:    "use_report",
 	KindUseSum:       "use_sum",
 
-	KindQuarantineNews:   "quarantine_news",
-	KindQuarantineSync:   "quarantine_sync",
-	KindQuarantineLease:  "quarantine_lease",
-	KindQuarantineReturn: "quarantine_return",
+	KindQuarantineReports: "quarantine_news",
+	KindQuarantineSync:    "quarantine_sync",
+	KindQuarantineLease:   "quarantine_lease",
+	KindQuarantineRelease: "quarantine_return",
 }
 
 // kinds is the number of values of Kind.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,10 +37,10 @@
 	KindUseReport Kind = 72 // placement: what a VM and those below it have at targets
 	KindUseSum    Kind = 73 // placement: what all VMs of the region have at targets
 
-	KindQuarantineNews   Kind = 80 // quarantine: requests under which targets have crashed
-	KindQuarantineSync   Kind = 81 // quarantine: compares what two VMs suspect
-	KindQuarantineLease  Kind = 82 // quarantine: asks for the one run of a suspect request
-	KindQuarantineReturn Kind = 83 // quarantine: gives that back
+	KindQuarantineReports Kind = 80 // quarantine: requests under which targets have crashed
+	KindQuarantineSync    Kind = 81 // quarantine: compares what two VMs suspect
+	KindQuarantineLease   Kind = 82 // quarantine: asks for the one run of a suspect request
+	KindQuarantineRelease Kind = 83 // quarantine: gives that back
 )
 
 // Handler answers one message. The payload is msgpack and is valid during the
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -291,9 +291,9 @@
 }
 
 var (
-	_ admission.Permit  = (*permit)(nil)
-	_ admission.Checked = (*permit)(nil)
-	_ admission.Hearer  = (*permit)(nil)
+	_ admission.Permit         = (*permit)(nil)
+	_ admission.Checked        = (*permit)(nil)
+	_ admission.NoticeReceiver = (*permit)(nil)
 )
 
 // Target implements admission.Permit.
@@ -302,22 +302,21 @@
 // Shifted implements admission.Permit.
 func (p *permit) Shifted() bool { return p.index.Region != p.admitter.deps.VM.Region }
 
-// Valid implements admission.Checked: false when the target has said meanwhile that
-// it wants no request.
+// Valid implements admission.Checked: false if the target has stopped accepting requests.
 func (p *permit) Valid() bool {
 	a := p.admitter
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return p.pool.Wanted(p.index.Name, a.deps.Clock.Now())
+	return p.pool.Accepting(p.index.Name, a.deps.Clock.Now())
 }
 
-// Hear implements admission.Hearer.
-func (p *permit) Hear(w admission.Word) {
+// Notify implements admission.Hearer.
+func (p *permit) Notify(w admission.Notice) {
 	a := p.admitter
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if p.pool.NoteWord(p.index.Name, w, a.deps.Clock.Now()) {
-		a.deps.Logger.Log(eventUnwanted, telemetry.Peer(p.index.Name), telemetry.Value("for_ms", w.Pause.Milliseconds()))
+	if p.pool.RecordNotice(p.index.Name, w, a.deps.Clock.Now()) {
+		a.deps.Logger.Log(eventTargetNotice, telemetry.Peer(p.index.Name), telemetry.Value("for_ms", w.Backoff.Milliseconds()))
 	}
 }
 
--- a/internal/placement/emulation/troubles.go
+++ b/internal/placement/emulation/troubles.go
@@ -164,7 +164,7 @@
 	delete(r.tries, y)
 	r.result.away[way{y.vm, y.target}] = r.now.Add(pause)
 	y.vm.toTarget(y.target.name).put(r.now)
-	y.vm.pool.NoteWord(y.target.name, admission.Word{Pause: pause}, r.now)
+	y.vm.pool.RecordNotice(y.target.name, admission.Notice{Backoff: pause}, r.now)
 	y.vm.pool.Give(y.place.Placed, placement.Result{Shed: true}, r.now)
 	r.elsewhere(y)
 }
@@ -172,7 +172,7 @@
 // answered takes in what an answer says besides.
 func (r *run) answered(y *try, leaving bool) {
 	if leaving {
-		y.vm.pool.NoteWord(y.target.name, admission.Word{Leaving: true}, r.now)
+		y.vm.pool.RecordNotice(y.target.name, admission.Notice{Leaving: true}, r.now)
 		if _, ok := r.result.told[way{y.vm, y.target}]; !ok {
 			r.result.told[way{y.vm, y.target}] = r.now
 		}
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -23,11 +23,11 @@
 		Meaning: "A request was told that it was not run, for the reason stated, with the time after which it may come back. queued is how many waited; targets are the object's, each with what is believed to run there of its slots.",
 		Action:  "When there are many: look at the targets' load in the region, and at which targets are barred.",
 	})
-	eventUnwanted = telemetry.Register(telemetry.Event{
+	eventTargetNotice = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 404,
 		Level:   logrus.InfoLevel,
-		Name:    "target wants no requests",
-		Meaning: "The target has said in an answer that it leaves (for_ms 0), or wants nothing for so long. This VM sends nothing more to this start of it, for good or until then, whatever the store says.",
+		Name:    "target takes no requests",
+		Meaning: "An answer of the target announced that it is leaving (for_ms 0), or asked for backoff. This VM sends it nothing more, or nothing until then, whatever its entry in the store says.",
 		Action:  "None.",
 	})
 	eventBarred = telemetry.Register(telemetry.Event{
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -78,7 +78,7 @@
 	queue     []*Waiting // requests that wait, in order
 	ranking   ranking
 
-	words       words               // of targets
+	notices     notices             // of targets
 	newObjects  map[uint32][]string // by target: what other VMs were not told of yet
 	told        map[uint32]int      // by target: requests as the others were told last
 	sharedUntil time.Time           // until then it counts what other VMs have at targets
@@ -95,7 +95,7 @@
 		rand:    o.Rand,
 		targets: make(map[string]*targetState),
 		trips:   make(map[string]mean),
-		words:   make(words),
+		notices: make(notices),
 
 		newObjects: make(map[uint32][]string),
 	}
@@ -115,7 +115,7 @@
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
 		if s == nil {
-			s = &targetState{id: shortID(t.Name), word: p.words.of(t.Name)}
+			s = &targetState{id: shortID(t.Name), notice: p.notices.of(t.Name)}
 		}
 		s.TargetIndex = t
 		s.evacuated = v.Evacuated[t.Zone]
@@ -124,7 +124,7 @@
 		p.order = append(p.order, s)
 	}
 	p.targets = next
-	p.words.forget(next)
+	p.notices.forget(next)
 	if p.coldRate != svc.ColdRequestsPerSecond {
 		p.coldRate = svc.ColdRequestsPerSecond
 		p.fleetSeen++
@@ -244,12 +244,12 @@
 
 // mayServe reports whether a target is usable and may get the request.
 func (p *Pool) mayServe(t *targetState, a *Ask, now time.Time) bool {
-	return t.usable(now) && p.couldServe(t, a)
+	return t.usable(now) && p.eligible(t, a)
 }
 
-// couldServe reports whether a target may get the request, now or a little later.
-func (p *Pool) couldServe(t *targetState, a *Ask) bool {
-	if !t.inUse() || slices.Contains(a.Exclude, t.Name) {
+// eligible reports whether a target may get the request, apart from pauses.
+func (p *Pool) eligible(t *targetState, a *Ask) bool {
+	if !t.inService() || slices.Contains(a.Exclude, t.Name) {
 		return false
 	}
 	return a.Rule == nil || a.Rule.Allows(t.Region)
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -31,7 +31,7 @@
 // The reasons of refusals.
 const (
 	reasonNoTarget = "no target may take the request"
-	reasonPaused   = "all targets want no request for a while"
+	reasonBackoff  = "all targets have asked for backoff"
 	reasonNoTime   = "no target has room in time"
 	reasonLeft     = "the caller left or its time was over"
 )
@@ -113,19 +113,19 @@
 	return a.Arrived.Add(max(least, whole-time.Duration(turnRuns*float64(p.runs.expect(true, 0)))))
 }
 
-// noTarget refuses a request that no target may take. Where all have said for how long
-// they want none, the caller may come back when the first of these times is over.
+// noTarget refuses a request that no target may take. If all have asked for backoff, the
+// caller may retry at the earliest end.
 func (p *Pool) noTarget(a *Ask, now time.Time) *Refusal {
 	r := p.refusal(a, reasonNoTarget, retryUnknown, now)
-	if at, ok := p.pausedUntil(a, now); ok {
-		r.Reason, r.RetryAfter = reasonPaused, max(at.Sub(now), retryLeast)
+	if at, ok := p.backoffEnd(a, now); ok {
+		r.Reason, r.RetryAfter = reasonBackoff, max(at.Sub(now), retryLeast)
 	}
 	return r
 }
 
-// closed reports whether no target will take a request before a time.
-func (p *Pool) closed(a *Ask, until, now time.Time) bool {
-	at, ok := p.opens(a, now)
+// unavailableUntil reports whether no target will take the request before a time.
+func (p *Pool) unavailableUntil(a *Ask, until, now time.Time) bool {
+	at, ok := p.availableAt(a, now)
 	return !ok || at.After(until)
 }
 
@@ -162,7 +162,7 @@
 			w.Placed = at
 		} else if !now.Before(w.until) {
 			w.Refused = p.noTime(w.Ask, now)
-		} else if p.closed(w.Ask, w.until, now) {
+		} else if p.unavailableUntil(w.Ask, w.until, now) {
 			w.Refused = p.noTarget(w.Ask, now)
 		}
 		if w.decided() {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -30,7 +30,7 @@
 	reported time.Time     // of that report
 	life     time.Duration // for which it counts in full
 
-	word        *word     // what it said of itself
+	notice      *notice   // what it announced
 	barredUntil time.Time // its failures bar it until then
 	failures    int       // in a row
 	gone        bool      // its address serves another instance
@@ -108,10 +108,10 @@
 
 // usable reports whether the target may get any request at all.
 func (t *targetState) usable(now time.Time) bool {
-	return t.inUse() && t.word.wanted(now) && !now.Before(t.barredUntil)
+	return t.inService() && t.notice.accepting(now) && !now.Before(t.barredUntil)
 }
 
-// inUse reports whether the target gets requests, now or a little later.
-func (t *targetState) inUse() bool {
-	return !t.Leaving && !t.evacuated && !t.gone && !t.word.leaving
+// inService reports whether the target is to get requests, apart from pauses.
+func (t *targetState) inService() bool {
+	return !t.Leaving && !t.evacuated && !t.gone && !t.notice.leaving
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -374,7 +374,7 @@
 		var granted []*Pass
 		for _, v := range f.vms {
 			pass, refusal := v.Enter(ctx, subjectOf("/x"))
-			if pass.Alone() {
+			if pass.Exclusive() {
 				granted = append(granted, pass)
 			} else if refusal == nil || refusal.Verdict != Suspect || refusal.RetryAfter <= 0 {
 				t.Errorf("%s: %+v without a lease", v.name, refusal)
@@ -383,9 +383,9 @@
 		if len(granted) != 1 {
 			t.Fatalf("%d leases, want one", len(granted))
 		}
-		granted[0].Return()
-		time.Sleep(deniedLeast + 100*time.Millisecond)
-		if pass, _ := f.vms[3].Enter(ctx, subjectOf("/x")); !pass.Alone() {
+		granted[0].Release()
+		time.Sleep(denialInterval + 100*time.Millisecond)
+		if pass, _ := f.vms[3].Enter(ctx, subjectOf("/x")); !pass.Exclusive() {
 			t.Error("a lease that was given back is not given out again")
 		}
 	})
@@ -398,7 +398,7 @@
 		defer cancel()
 		var holder *vm
 		for _, v := range f.vms {
-			if pass, _ := v.Enter(ctx, subjectOf("/x")); pass.Alone() {
+			if pass, _ := v.Enter(ctx, subjectOf("/x")); pass.Exclusive() {
 				holder = v
 			}
 		}
@@ -411,7 +411,7 @@
 			if v == holder {
 				continue
 			}
-			if pass, _ := v.Enter(t.Context(), subjectOf("/x")); pass.Alone() {
+			if pass, _ := v.Enter(t.Context(), subjectOf("/x")); pass.Exclusive() {
 				return
 			}
 		}
@@ -482,7 +482,7 @@
 		"wrong head":   {Digest: good[:], Head: []byte{1}},
 		"old":          {Digest: good[:], SeenMS: 1 << 31, Crashes: []ReportedCrash{{1, 1 << 31, 1 << 31}}},
 	} {
-		if l.Merge(r, at(0)) != Known || l.Len() != 0 {
+		if l.Merge(r, at(0)) != Unchanged || l.Len() != 0 {
 			t.Errorf("%s: taken", name)
 		}
 	}
@@ -491,7 +491,7 @@
 		many.Crashes = append(many.Crashes, ReportedCrash{uint32(n), 1, uint32(n * 2000)})
 	}
 	l.Merge(many, at(0))
-	if n := l.Judge(good, at(0)).Crashes; n > crashesMost {
-		t.Errorf("%d crashes are kept, at most %d are allowed", n, crashesMost)
+	if n := l.Judge(good, at(0)).Crashes; n > maxCrashes {
+		t.Errorf("%d crashes are kept, at most %d are allowed", n, maxCrashes)
 	}
 }
--- a/internal/quarantine/lease.go
+++ b/internal/quarantine/lease.go
@@ -11,24 +11,22 @@
 )
 
 const (
-	// leaseMost bounds how long a lease lasts whose holder does not return it.
-	leaseMost = 30 * time.Second
-	// leasePatience is how long the VM that gives out leases may take to answer.
-	leasePatience = 400 * time.Millisecond
-	// deniedLeast is how long a VM does not ask again that was denied a lease.
-	deniedLeast = 100 * time.Millisecond
+	// maxLease bounds leases that are never released.
+	maxLease = 30 * time.Second
+	// leaseTimeout bounds the call to the lease owner.
+	leaseTimeout = 400 * time.Millisecond
+	// denialInterval is the least time between two lease requests after a denial.
+	denialInterval = 100 * time.Millisecond
 )
 
-// leases are the runs of suspect requests that one VM has allowed. It is not safe for
-// concurrent use.
+// leases are those granted by this VM. It is not safe for concurrent use.
 type leases struct {
 	until map[digest.Digest]time.Time
 }
 
 func newLeases() *leases { return &leases{until: make(map[digest.Digest]time.Time)} }
 
-// grant allows one run; else it returns after how long one may be allowed, 0 where
-// nobody can tell.
+// grant grants one run, or returns the delay until one may be granted; 0: unknown.
 func (l *leases) grant(d digest.Digest, j Judgement, length time.Duration, now time.Time) (granted bool, again time.Duration) {
 	if until := l.until[d]; now.Before(until) {
 		return false, until.Sub(now)
@@ -36,11 +34,11 @@
 	if j.Verdict == Quarantined && j.TrialIn != 0 {
 		return false, max(j.TrialIn, 0)
 	}
-	l.until[d] = now.Add(min(length, leaseMost))
+	l.until[d] = now.Add(min(length, maxLease))
 	return true, 0
 }
 
-func (l *leases) giveBack(d digest.Digest) { delete(l.until, d) }
+func (l *leases) release(d digest.Digest) { delete(l.until, d) }
 
 func (l *leases) sweep(now time.Time) {
 	for d, until := range l.until {
@@ -59,39 +57,39 @@
 // leaseAnswer is its answer.
 type leaseAnswer struct {
 	Granted bool
-	AgainMS uint32 // when it was not: after how long it may be; 0: not known
+	AgainMS uint32 // if denied: delay until a lease may be granted; 0: unknown
 }
 
-// leaseReturn is the message of peer.KindQuarantineReturn, one way.
-type leaseReturn struct {
+// leaseRelease is the message of peer.KindQuarantineReturn, one way.
+type leaseRelease struct {
 	Digest []byte
-	Report Report // of what the run has shown
+	Report Report // with the outcome of the run
 }
 
-// Pass allows a request to run.
+// Pass admits a request, with a lease if it is suspect.
 type Pass struct {
 	service *Service
 	digest  digest.Digest
-	owner   string // of the lease; empty: there is none
+	owner   string // of the lease; empty: no lease
 }
 
-// Alone reports whether the request may run once only.
-func (p *Pass) Alone() bool { return p != nil && p.owner != "" }
+// Exclusive reports whether the request holds a lease, so that it runs once only.
+func (p *Pass) Exclusive() bool { return p != nil && p.owner != "" }
 
-// Return gives the lease back once what the run has shown is known.
-func (p *Pass) Return() {
-	if !p.Alone() {
+// Release releases the lease after the outcome of the run was recorded.
+func (p *Pass) Release() {
+	if !p.Exclusive() {
 		return
 	}
 	s := p.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p.owner == s.deps.Self {
-		s.leases.giveBack(p.digest)
+		s.leases.release(p.digest)
 		return
 	}
 	report, _ := s.ledger.Report(p.digest, s.deps.Clock.Now())
-	_ = s.deps.Network.Send(p.owner, peer.KindQuarantineReturn, &leaseReturn{p.digest[:], report}) // a lost one lapses
+	_ = s.deps.Network.Send(p.owner, peer.KindQuarantineRelease, &leaseRelease{p.digest[:], report}) // a lost release expires
 }
 
 // Enter implements Screen.
@@ -104,7 +102,7 @@
 		return nil, s.refuse(d, j, denied)
 	}
 	owner := s.ownerOf(d)
-	granted, again := s.askLease(ctx, owner, d)
+	granted, again := s.requestLease(ctx, owner, d)
 	if !granted {
 		s.deny(d)
 		return nil, s.refuse(d, j, again)
@@ -112,8 +110,8 @@
 	return &Pass{service: s, digest: d, owner: owner}, nil
 }
 
-// enter returns the verdict on a request that arrives, and for how long this VM
-// will get no lease.
+// enter returns the verdict on an arriving request and how long lease requests are
+// suppressed.
 func (s *Service) enter(subject Subject) (d digest.Digest, j Judgement, denied time.Duration) {
 	if !s.Active() {
 		return d, j, 0
@@ -122,11 +120,11 @@
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
 	d, j = s.judge(subject)
-	if s.ledger.Asked(d, now) {
-		s.tell(d, "")
+	if s.ledger.Touch(d, now) {
+		s.publish(d, "")
 	}
 	if j.Verdict == Quarantined {
-		s.keeper.asked(d, now)
+		s.persisted.touch(d, now)
 	}
 	return d, j, max(s.denied[d].Sub(now), 0)
 }
@@ -135,20 +133,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if again <= 0 {
-		again = suspectPause
+		again = suspectRetryAfter
 	}
-	return s.refusal(d, j, min(max(again, deniedLeast), suspectPause))
+	return s.refusal(d, j, min(max(again, denialInterval), suspectRetryAfter))
 }
 
-// deny notes that no lease was to be had.
+// deny suppresses further lease requests for a while.
 func (s *Service) deny(d digest.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.denied[d] = s.deps.Clock.Now().Add(deniedLeast)
+	s.denied[d] = s.deps.Clock.Now().Add(denialInterval)
 }
 
-// ownerOf returns the VM that gives out the leases of a request, on which all VMs
-// with the same view agree.
+// ownerOf returns the VM that grants the leases of a request. VMs with the same view
+// agree on it.
 func (s *Service) ownerOf(d digest.Digest) string {
 	owners := s.order(d.String())
 	if len(owners) == 0 {
@@ -157,8 +155,7 @@
 	return owners[0]
 }
 
-// order returns the VMs that are alive, this one included, in an order that differs
-// by key.
+// order ranks the VMs that are alive, this one included, for a key.
 func (s *Service) order(key string) []string {
 	names := []string{s.deps.Self}
 	for _, m := range s.deps.Members.View().Members {
@@ -169,15 +166,15 @@
 	return rendezvous.Top(key, names, len(names), func(name string) string { return name })
 }
 
-func (s *Service) askLease(ctx context.Context, owner string, d digest.Digest) (granted bool, again time.Duration) {
-	length := leaseMost
+func (s *Service) requestLease(ctx context.Context, owner string, d digest.Digest) (granted bool, again time.Duration) {
+	length := maxLease
 	if deadline, ok := ctx.Deadline(); ok {
 		length = deadline.Sub(s.deps.Clock.Now())
 	}
 	if owner == s.deps.Self {
 		return s.grant(d, length)
 	}
-	ctx, cancel := context.WithTimeout(ctx, leasePatience)
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	var a leaseAnswer
 	request := &leaseRequest{d[:], uint32(max(length.Milliseconds(), 0))}
@@ -207,8 +204,8 @@
 	return &leaseAnswer{granted, uint32(again.Milliseconds())}, nil
 }
 
-func (s *Service) handleReturn(_ context.Context, from string, payload []byte) (any, error) {
-	var r leaseReturn
+func (s *Service) handleRelease(_ context.Context, from string, payload []byte) (any, error) {
+	var r leaseRelease
 	if err := peer.Decode(payload, &r); err != nil {
 		return nil, err
 	}
@@ -219,6 +216,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merge(from, &r.Report)
-	s.leases.giveBack(d)
+	s.leases.release(d)
 	return nil, nil
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,6 +1,5 @@
-// Package quarantine keeps requests that crash the targets that run them away from
-// further targets. VMs tell each other under which requests targets have crashed; a
-// request is held back by what they know together.
+// Package quarantine rejects requests that crash the targets that run them. VMs share
+// the crashes that they see, by the digest of the request.
 package quarantine
 
 import (
@@ -13,89 +12,86 @@
 	"masticturn/internal/digest"
 )
 
-// Verdict is what may be done with a request.
+// Verdict is the state of a request.
 type Verdict uint8
 
 // The verdicts.
 const (
-	Clear       Verdict = iota // it may run
-	Suspect                    // it may run once at a time in the whole fleet
-	Quarantined                // it is refused, but for a trial now and then
+	Clear       Verdict = iota // runs without restriction
+	Suspect                    // runs under a lease, one at a time across the fleet
+	Quarantined                // rejected, except for rare trials
 )
 
 // String returns the name used in logs, metrics and for operators.
 func (v Verdict) String() string { return [...]string{"clear", "suspect", "quarantined"}[v] }
 
-// Thresholds of the verdicts. Crashes are in sequence when each run began after the
-// crash before it: targets that are lost at one moment, as with an availability zone,
-// are no sequence, however many run the request.
+// Thresholds of the verdicts. Crashes are sequential if each run began after the
+// previous crash; targets lost at the same moment, as with an availability zone, are not.
 const (
 	suspectSequence    = 2
 	quarantineCrashes  = 3
 	quarantineSequence = 2
-	// certainCrashes convict a request though others explain some of them: several may
-	// crash the same targets.
+	// certainCrashes quarantine a request even if other requests explain some of them.
 	certainCrashes = 6
 )
 
-// Times for which records are kept since their last crash, or since the request was
-// last asked for where it is quarantined.
+// Retention of records after their last crash or, in quarantine, the last arrival of
+// the request.
 const (
 	keepSingle      = time.Minute
 	keepSuspect     = 10 * time.Minute
 	keepQuarantined = time.Hour
-	// keepAcquitted is how long an acquittal outlives reports that were on their way.
+	// keepAcquitted exceeds the delay of reports sent before the acquittal.
 	keepAcquitted = 10 * time.Second
 )
 
-// trialAfter is how long a request is quarantined before it is tried, by how many
-// trials have crashed a target. After the last one only an operator lifts it.
+// trialAfter is the delay before each trial. After the last one fails, only an
+// operator lifts the quarantine.
 var trialAfter = [...]time.Duration{30 * time.Second, 5 * time.Minute}
 
-// neverTried is in place of the time of a trial where none will be made.
+// neverTried replaces the delay when no trial is left.
 const neverTried = -time.Second
 
-// Bounds of the memory of a ledger. When there are too many records, those with the
-// fewest crashes are dropped first, of these the oldest.
+// Memory bounds. The record with the fewest crashes is evicted first, then the oldest.
 const (
-	recordsMost = 4096
-	crashesMost = 16 // of one record
+	maxRecords = 4096
+	maxCrashes = 16 // of one record
 )
 
-// settle is how far the times of one event may differ as VMs tell them.
-const settle = time.Second
+// clockTolerance bounds the difference between two VMs' times of one event.
+const clockTolerance = time.Second
 
 // Crash is the end of a target's process during a run of a request.
 type Crash struct {
 	Target uint32    // TargetID
-	Began  time.Time // the run
+	Began  time.Time // start of the run
 	Ended  time.Time
 }
 
-// TargetID stands for the name of a target's start.
+// TargetID returns the short ID of a target instance.
 func TargetID(name string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name)) // it never fails
 	return h.Sum32()
 }
 
-// record is what is known of one request.
+// record is the state of one request.
 type record struct {
-	head      digest.Digest // of requests whose body was streamed, else zero
-	crashes   []Crash       // since the acquittal, by end
-	acquitted time.Time     // a run was answered, or an operator lifted it; zero: never
-	held      time.Time     // quarantined since, or since the last trial; zero: it is not
-	bare      bool          // it is held without a word on crashes, as the store tells
-	seen      time.Time     // last crash, or last asked for while it was held
-	trials    int           // that crashed a target
-	stored    bool          // the store has it
+	head      digest.Digest // set if the request has a body
+	crashes   []Crash       // since the acquittal, ordered by end
+	acquitted time.Time     // last answered run or lift by an operator; zero: never
+	held      time.Time     // start of the quarantine or of its last failed trial; zero: not held
+	bare      bool          // held without crash details, as loaded from the store
+	lastSeen  time.Time     // last crash or, while held, last arrival
+	trials    int           // failed ones
+	stored    bool          // persisted in the store
 }
 
 // Ledger decides which requests may run. It does no I/O and is not safe for
 // concurrent use.
 type Ledger struct {
 	records map[digest.Digest]*record
-	targets map[uint32][]digest.Digest // requests that ran at a target that crashed
+	targets map[uint32][]digest.Digest // requests running on each target that crashed
 	heads   map[digest.Digest]int      // records by head
 }
 
@@ -114,18 +110,17 @@
 // Has reports whether a request is on record.
 func (l *Ledger) Has(d digest.Digest) bool { return l.records[d] != nil }
 
-// HasHead reports whether a request with this head, whose body was streamed, is on
-// record.
+// HasHead reports whether a request with this head and a body is on record.
 func (l *Ledger) HasHead(head digest.Digest) bool { return l.heads[head] > 0 }
 
-// Crashed takes in that a target crashed during a run. It reports whether that is
-// news.
+// Crashed records the crash of a target during a run. It reports whether the record
+// changed.
 func (l *Ledger) Crashed(d, head digest.Digest, c Crash, now time.Time) bool {
 	r := l.record(d, head, now)
 	if !l.addCrash(d, r, c) {
 		return false
 	}
-	if !r.held.IsZero() && c.Began.After(r.held.Add(settle)) {
+	if !r.held.IsZero() && c.Began.After(r.held.Add(clockTolerance)) {
 		r.trials++
 		r.held = now
 	}
@@ -133,17 +128,17 @@
 	return true
 }
 
-// addCrash adds a crash to a record, unless it is there or was acquitted.
+// addCrash adds a crash unless it is a duplicate or precedes the acquittal.
 func (l *Ledger) addCrash(d digest.Digest, r *record, c Crash) bool {
 	if !c.Ended.After(r.acquitted) {
 		return false
 	}
 	for _, known := range r.crashes {
-		if known.Target == c.Target && known.Ended.Sub(c.Ended).Abs() < settle {
+		if known.Target == c.Target && known.Ended.Sub(c.Ended).Abs() < clockTolerance {
 			return false
 		}
 	}
-	if len(r.crashes) >= crashesMost {
+	if len(r.crashes) >= maxCrashes {
 		if !c.Ended.After(r.crashes[0].Ended) {
 			return false
 		}
@@ -152,8 +147,8 @@
 	}
 	at, _ := slices.BinarySearchFunc(r.crashes, c, func(x, c Crash) int { return x.Ended.Compare(c.Ended) })
 	r.crashes = slices.Insert(r.crashes, at, c)
-	if c.Ended.After(r.seen) {
-		r.seen = c.Ended
+	if c.Ended.After(r.lastSeen) {
+		r.lastSeen = c.Ended
 	}
 	if !slices.Contains(l.targets[c.Target], d) {
 		l.targets[c.Target] = append(l.targets[c.Target], d)
@@ -161,7 +156,7 @@
 	return true
 }
 
-// hold puts a request into quarantine when its crashes ask for it.
+// hold quarantines a request once its crashes suffice.
 func (l *Ledger) hold(d digest.Digest, r *record, now time.Time) {
 	if !r.held.IsZero() {
 		return
@@ -171,24 +166,23 @@
 	}
 }
 
-// convicted reports whether a request's crashes are enough to quarantine it.
+// convicted reports whether a request's record suffices for quarantine.
 func (l *Ledger) convicted(d digest.Digest, r *record) bool {
-	return convicts(l.attributed(d, r)) || len(r.crashes) >= certainCrashes && convicts(r.crashes)
+	return convicts(l.unexplained(d, r)) || len(r.crashes) >= certainCrashes && convicts(r.crashes)
 }
 
-// convicts reports whether crashes are enough to quarantine a request.
+// convicts reports whether crashes suffice for quarantine.
 func convicts(crashes []Crash) bool {
 	return len(crashes) >= quarantineCrashes && sequence(crashes) >= quarantineSequence
 }
 
-// attributed returns the crashes that count against a request. One at a target where
-// another request ran that is held counts against that one alone, unless this one was
-// at all crashes of the other, so that it explains them as well.
-func (l *Ledger) attributed(d digest.Digest, r *record) []Crash {
+// unexplained returns the crashes not explained by another request: a held one that ran
+// on the same target, unless this request was present at all crashes of the other.
+func (l *Ledger) unexplained(d digest.Digest, r *record) []Crash {
 	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool {
 		for _, other := range l.targets[c.Target] {
 			o := l.records[other]
-			if other != d && !o.held.IsZero() && !o.within(r) {
+			if other != d && !o.held.IsZero() && !o.subsetOf(r) {
 				return true
 			}
 		}
@@ -196,9 +190,8 @@
 	})
 }
 
-// within reports whether another request ran at all targets that crashed under this
-// one.
-func (r *record) within(other *record) bool {
+// subsetOf reports whether all of the record's crashes are in another record too.
+func (r *record) subsetOf(other *record) bool {
 	for _, c := range r.crashes {
 		if !slices.ContainsFunc(other.crashes, func(x Crash) bool { return x.Target == c.Target }) {
 			return false
@@ -207,8 +200,8 @@
 	return true
 }
 
-// sequence returns the length of the longest sequence of crashes, which are in the
-// order of their ends.
+// sequence returns the length of the longest chain of sequential crashes. The crashes
+// are ordered by end.
 func sequence(crashes []Crash) int {
 	n := 0
 	var last time.Time
@@ -221,8 +214,8 @@
 	return n
 }
 
-// Acquit takes in that a target answered a run, or that an operator lets the request
-// run again. It reports whether that is news.
+// Acquit clears a request after an answered run or a lift by an operator. It reports
+// whether the record changed.
 func (l *Ledger) Acquit(d digest.Digest, now time.Time) bool {
 	r := l.records[d]
 	if r == nil || len(r.crashes) == 0 && r.held.IsZero() {
@@ -232,7 +225,7 @@
 	return true
 }
 
-// acquit takes what happened up to a time from a request's record.
+// acquit removes the crashes up to a time from a record.
 func (l *Ledger) acquit(d digest.Digest, r *record, at time.Time) {
 	var later []Crash
 	for _, c := range r.crashes {
@@ -247,12 +240,12 @@
 	if !r.held.After(at) || !r.bare && !convicts(r.crashes) {
 		r.held, r.bare, r.trials, r.stored = time.Time{}, false, 0, false
 	}
-	if at.After(r.seen) {
-		r.seen = at
+	if at.After(r.lastSeen) {
+		r.lastSeen = at
 	}
 }
 
-// unlink forgets that a request ran at a target that crashed.
+// unlink removes a request from the index of a crashed target.
 func (l *Ledger) unlink(d digest.Digest, c Crash) {
 	rest := slices.DeleteFunc(l.targets[c.Target], func(x digest.Digest) bool { return x == d })
 	if len(rest) == 0 {
@@ -262,14 +255,14 @@
 	l.targets[c.Target] = rest
 }
 
-// Judgement is the verdict on a request with what it rests on.
+// Judgement is a verdict with its evidence.
 type Judgement struct {
 	Verdict Verdict
-	Stored  bool          // the store has it
-	Crashes int           // targets that crashed under it
-	Age     time.Duration // of the last of these
-	Trials  int           // that crashed a target
-	// TrialIn is after how long it is tried; 0: now. Negative: never.
+	Stored  bool          // persisted in the store
+	Crashes int           // since the last acquittal
+	Age     time.Duration // of the last crash
+	Trials  int           // failed ones
+	// TrialIn is the delay until the next trial; 0: due. Negative: never.
 	TrialIn time.Duration
 }
 
@@ -287,7 +280,7 @@
 	case !r.held.IsZero():
 		j.Verdict = Quarantined
 		j.TrialIn = trialIn(r, now)
-	case sequence(l.attributed(d, r)) >= suspectSequence:
+	case sequence(l.unexplained(d, r)) >= suspectSequence:
 		j.Verdict = Suspect
 	}
 	return j
@@ -300,21 +293,20 @@
 	return max(r.held.Add(trialAfter[r.trials]).Sub(now), 0)
 }
 
-// askedEvery is how often it is noted that a quarantined request is still asked for.
-const askedEvery = keepQuarantined / 6
+// seenInterval is the resolution of a held record's last arrival.
+const seenInterval = keepQuarantined / 6
 
-// Asked notes that a request is asked for. It reports whether others should know.
-func (l *Ledger) Asked(d digest.Digest, now time.Time) bool {
+// Touch records the arrival of a request. It reports whether the record changed.
+func (l *Ledger) Touch(d digest.Digest, now time.Time) bool {
 	r := l.records[d]
-	if r == nil || r.held.IsZero() || now.Sub(r.seen) < askedEvery {
+	if r == nil || r.held.IsZero() || now.Sub(r.lastSeen) < seenInterval {
 		return false
 	}
-	r.seen = now
+	r.lastSeen = now
 	return true
 }
 
-// SetStored notes that the store has a request in quarantine. It reports whether
-// that is news.
+// SetStored marks a held record as persisted. It reports whether the record changed.
 func (l *Ledger) SetStored(d digest.Digest) bool {
 	r := l.records[d]
 	if r == nil || r.held.IsZero() || r.stored {
@@ -324,19 +316,19 @@
 	return true
 }
 
-// Hold puts a request into quarantine of which the store tells. It reports whether
-// that is news.
+// Hold quarantines a request loaded from the store. It reports whether the record
+// changed.
 func (l *Ledger) Hold(d, head digest.Digest, now time.Time) bool {
 	r := l.record(d, head, now)
 	if !r.held.IsZero() || now.Sub(r.acquitted) < keepAcquitted {
 		return l.SetStored(d)
 	}
-	r.held, r.seen, r.stored, r.bare = now, now, true, len(r.crashes) == 0
+	r.held, r.lastSeen, r.stored, r.bare = now, now, true, len(r.crashes) == 0
 	return true
 }
 
-// Unstored returns the requests in quarantine that the store does not have, with
-// the time since when they are.
+// Unstored returns the held requests that are not persisted, with the start of their
+// quarantine.
 func (l *Ledger) Unstored() map[digest.Digest]time.Time {
 	out := make(map[digest.Digest]time.Time)
 	for d, r := range l.records {
@@ -347,11 +339,11 @@
 	return out
 }
 
-// record returns the record of a request, which is made if there is none.
+// record returns the record of a request, creating it if needed.
 func (l *Ledger) record(d, head digest.Digest, now time.Time) *record {
 	r := l.records[d]
 	if r == nil {
-		l.makeRoom(now)
+		l.evict(now)
 		r = &record{}
 		l.records[d] = r
 	}
@@ -362,26 +354,26 @@
 	return r
 }
 
-// makeRoom drops a record when there are too many.
-func (l *Ledger) makeRoom(now time.Time) {
-	if len(l.records) < recordsMost {
+// evict makes room for one record.
+func (l *Ledger) evict(now time.Time) {
+	if len(l.records) < maxRecords {
 		return
 	}
 	l.Sweep(now)
-	if len(l.records) < recordsMost {
+	if len(l.records) < maxRecords {
 		return
 	}
 	first := slices.MinFunc(slices.Collect(maps.Keys(l.records)), func(a, b digest.Digest) int {
 		x, y := l.records[a], l.records[b]
-		return cmp.Or(cmp.Compare(x.weight(), y.weight()), x.seen.Compare(y.seen))
+		return cmp.Or(cmp.Compare(x.severity(), y.severity()), x.lastSeen.Compare(y.lastSeen))
 	})
 	l.drop(first)
 }
 
-// weight orders records by how dear their loss is.
-func (r *record) weight() int {
+// severity orders records for eviction, the least severe first.
+func (r *record) severity() int {
 	if !r.held.IsZero() {
-		return crashesMost + 1
+		return maxCrashes + 1
 	}
 	return len(r.crashes)
 }
@@ -397,10 +389,10 @@
 	delete(l.records, d)
 }
 
-// Sweep drops records that have been kept for long enough.
+// Sweep drops expired records.
 func (l *Ledger) Sweep(now time.Time) {
 	for d, r := range l.records {
-		if now.Sub(r.seen) > r.keep() {
+		if now.Sub(r.lastSeen) > r.keep() {
 			l.drop(d)
 		}
 	}
@@ -429,7 +421,7 @@
 	return n
 }
 
-// Head returns the head of a request on record whose body was streamed, else zero.
+// Head returns the head digest of a recorded request that has a body, else zero.
 func (l *Ledger) Head(d digest.Digest) digest.Digest {
 	if r := l.records[d]; r != nil {
 		return r.head
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -177,7 +177,7 @@
 			t.Errorf("after %v: %d records, want %d", s.after, l.Len(), s.left)
 		}
 	}
-	if !l.Asked(digestOf("/held"), at(0.5).Add(keepQuarantined)) {
+	if !l.Touch(digestOf("/held"), at(0.5).Add(keepQuarantined)) {
 		t.Error("that it is still asked for is no news")
 	}
 	l.Sweep(at(1).Add(keepQuarantined))
@@ -194,11 +194,11 @@
 	l := NewLedger()
 	play(l, "/held", crash(-2, 0, 0.1), crash(-3, 0.2, 0.3), crash(-4, 0.4, 0.5))
 	play(l, "/twice", crash(-5, 0, 0.1), crash(-6, 0.2, 0.3))
-	for n := range recordsMost + 100 {
+	for n := range maxRecords + 100 {
 		play(l, fmt.Sprint("/", n), crash(n, 1, 1+float64(n)/1e6))
 	}
-	if l.Len() != recordsMost {
-		t.Errorf("%d records, at most %d are allowed", l.Len(), recordsMost)
+	if l.Len() != maxRecords {
+		t.Errorf("%d records, at most %d are allowed", l.Len(), maxRecords)
 	}
 	if !l.Has(digestOf("/held")) || !l.Has(digestOf("/twice")) || l.Has(digestOf("/0")) {
 		t.Error("the wrong ones were dropped")
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/persistence.go
@@ -13,83 +13,80 @@
 	"masticturn/internal/telemetry"
 )
 
-// What is in quarantine stands in the store as well, for VMs that hear from no other
-// one, and for fleets that start again whole. An operator lifts it by deleting the
-// object there.
+// Held requests are persisted in the store, for fleets that restart as a whole and for
+// VMs without a path to others. Operators lift one by deleting its object.
 const (
-	// keepers is how many VMs write a request to the store, keeperPause apart, until
-	// one of them has.
-	keepers     = 3
-	keeperPause = 2 * time.Second
+	// writers is how many VMs try to persist a record, writerDelay apart.
+	writers     = 3
+	writerDelay = 2 * time.Second
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
-	// loadPause is the pause between lists of the store, while some VMs can't be heard
-	// from and may have put requests there.
-	loadPause = 2 * time.Second
-	// checkPause is the least time between looks whether a request that comes again
-	// and again was lifted, checkShare for how many VMs it holds: more share the looks.
-	checkPause = 10 * time.Second
-	checkShare = 4
-	// releaseMost bounds the requests that are to be taken out of the store.
-	releaseMost = 256
+	// loadInterval is the time between lists of the store while members are suspect.
+	loadInterval = 2 * time.Second
+	// checkInterval is the time between looks for a deleted object in a fleet of
+	// checkShare VMs; in larger ones each VM looks less often.
+	checkInterval = 10 * time.Second
+	checkShare    = 4
+	// maxDeletes bounds the queue of objects to delete.
+	maxDeletes = 256
 )
 
 // Stored is the value of an object of platform.KindQuarantine, whose name is the
 // digest.
 type Stored struct {
-	Head      string    `json:"head,omitempty"` // of requests whose body was streamed
+	Head      string    `json:"head,omitempty"` // of requests with a body
 	Crashes   int       `json:"crashes"`
 	Since     time.Time `json:"since"`
 	WrittenBy string    `json:"written_by"`
 }
 
-// keeper is what a VM knows of the store. It is not safe for concurrent use.
-type keeper struct {
-	loaded   bool      // all that the store has is known here
-	loadNext time.Time // when it may be listed again
+// persistence tracks the store's content. It is not safe for concurrent use.
+type persistence struct {
+	loaded   bool      // the store's content is known
+	loadNext time.Time // earliest time of the next list
 	retry    map[digest.Digest]time.Time
-	checks   map[digest.Digest]time.Time // when it was looked last whether it is there
-	wanted   map[digest.Digest]bool      // requests that came again since
-	releases []digest.Digest             // to be taken out
+	checks   map[digest.Digest]time.Time // last look for the object
+	touched  map[digest.Digest]bool      // arrived since the last look
+	deletes  []digest.Digest             // objects to delete
 }
 
-func newKeeper() keeper {
-	return keeper{
-		retry:  make(map[digest.Digest]time.Time),
-		checks: make(map[digest.Digest]time.Time),
-		wanted: make(map[digest.Digest]bool),
+func newKeeper() persistence {
+	return persistence{
+		retry:   make(map[digest.Digest]time.Time),
+		checks:  make(map[digest.Digest]time.Time),
+		touched: make(map[digest.Digest]bool),
 	}
 }
 
-// release notes that a request is to be taken out of the store.
-func (k *keeper) release(d digest.Digest) {
-	if len(k.releases) < releaseMost && !slices.Contains(k.releases, d) {
-		k.releases = append(k.releases, d)
+// scheduleDelete queues the deletion of a request's object.
+func (k *persistence) scheduleDelete(d digest.Digest) {
+	if len(k.deletes) < maxDeletes && !slices.Contains(k.deletes, d) {
+		k.deletes = append(k.deletes, d)
 	}
 }
 
-// asked notes that a request in quarantine has come again.
-func (k *keeper) asked(d digest.Digest, now time.Time) {
+// touch records the arrival of a held request.
+func (k *persistence) touch(d digest.Digest, now time.Time) {
 	if _, ok := k.checks[d]; !ok {
 		k.checks[d] = now
 	}
-	k.wanted[d] = true
+	k.touched[d] = true
 }
 
-// sweep forgets requests that are not on record any more.
-func (k *keeper) sweep(l *Ledger) {
+// sweep drops requests that are not on record any more.
+func (k *persistence) sweep(l *Ledger) {
 	for _, times := range []map[digest.Digest]time.Time{k.retry, k.checks} {
 		for d := range times {
 			if !l.Has(d) {
 				delete(times, d)
-				delete(k.wanted, d)
+				delete(k.touched, d)
 			}
 		}
 	}
 }
 
-// load lists the store where nobody tells this VM what is there: when the whole
-// fleet starts again, and while some VMs can't be heard from.
+// load lists the store after a restart of the whole fleet, and while members are
+// suspect, since a partition may hide new objects.
 func (s *Service) load(ctx context.Context) {
 	if !s.mayLoad() {
 		return
@@ -103,14 +100,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keeper.loaded = true
+	s.persisted.loaded = true
 	for i := range list {
-		s.take(&list[i])
+		s.importObject(&list[i])
 	}
 }
 
-// mayLoad reports whether this VM is to list the store now: the first one of those
-// that it can hear from does.
+// mayLoad reports whether a list is due and this VM ranks first among the reachable.
 func (s *Service) mayLoad() bool {
 	if s.deps.Store == nil || !s.deps.Joined() {
 		return false
@@ -119,15 +115,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
-	if s.keeper.loaded && !apart || now.Before(s.keeper.loadNext) || s.order("quarantine")[0] != s.deps.Self {
+	if s.persisted.loaded && !apart || now.Before(s.persisted.loadNext) || s.order("quarantine")[0] != s.deps.Self {
 		return false
 	}
-	s.keeper.loadNext = now.Add(loadPause)
+	s.persisted.loadNext = now.Add(loadInterval)
 	return true
 }
 
-// take takes in an object of the store; s.mu is held.
-func (s *Service) take(o *platform.Object) {
+// importObject merges an object of the store; s.mu is held.
+func (s *Service) importObject(o *platform.Object) {
 	d, err := digest.Parse(o.Name)
 	var value Stored
 	if err == nil {
@@ -137,28 +133,28 @@
 		s.deps.Logger.Log(eventObjectBad, telemetry.Value("name", o.Name), telemetry.Err(err))
 		return
 	}
-	head, _ := digest.Parse(value.Head) // none where the body was not streamed
+	head, _ := digest.Parse(value.Head) // absent for requests without a body
 	s.change(d, "", "kept in the store", func(now time.Time) bool { return s.ledger.Hold(d, head, now) })
 }
 
-// keep brings the store up to date.
-func (s *Service) keep(ctx context.Context) {
+// persist brings the store up to date.
+func (s *Service) persist(ctx context.Context) {
 	if s.deps.Store == nil {
 		return
 	}
-	for _, d := range s.toWrite() {
+	for _, d := range s.dueWrites() {
 		s.write(ctx, d)
 	}
-	for _, d := range s.toRelease() {
+	for _, d := range s.dueDeletes() {
 		s.remove(ctx, d)
 	}
-	for _, d := range s.toCheck() {
+	for _, d := range s.dueChecks() {
 		s.check(ctx, d)
 	}
 }
 
-// toWrite returns the requests that this VM is to put into the store now.
-func (s *Service) toWrite() []digest.Digest {
+// dueWrites returns the requests that this VM is to persist now.
+func (s *Service) dueWrites() []digest.Digest {
 	s.mu.Lock()
 	unstored := s.ledger.Unstored()
 	s.mu.Unlock()
@@ -166,12 +162,12 @@
 	for d, since := range unstored {
 		rank := slices.Index(s.order(d.String()), s.deps.Self)
 		now := s.deps.Clock.Now()
-		if rank >= keepers || now.Sub(since) < time.Duration(rank)*keeperPause {
+		if rank >= writers || now.Sub(since) < time.Duration(rank)*writerDelay {
 			continue
 		}
 		s.mu.Lock()
-		if due := !now.Before(s.keeper.retry[d]); due {
-			s.keeper.retry[d] = now.Add(keepers * keeperPause)
+		if due := !now.Before(s.persisted.retry[d]); due {
+			s.persisted.retry[d] = now.Add(writers * writerDelay)
 			out = append(out, d)
 		}
 		s.mu.Unlock()
@@ -205,12 +201,12 @@
 	return raw
 }
 
-// toRelease returns the requests that are to be taken out of the store.
-func (s *Service) toRelease() []digest.Digest {
+// dueDeletes dequeues the objects to delete.
+func (s *Service) dueDeletes() []digest.Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.keeper.releases
-	s.keeper.releases = nil
+	out := s.persisted.deletes
+	s.persisted.deletes = nil
 	return out
 }
 
@@ -227,24 +223,23 @@
 	s.deps.Logger.Log(eventStoreFailed, telemetry.Step("delete"), telemetry.Value("digest", d.String()), telemetry.Err(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keeper.release(d)
+	s.persisted.scheduleDelete(d)
 }
 
-// toCheck returns the requests of which this VM is to look whether they are in the
-// store still: those that come again and again.
-func (s *Service) toCheck() []digest.Digest {
+// dueChecks returns the held requests whose objects this VM is to look for now.
+func (s *Service) dueChecks() []digest.Digest {
 	alive := s.deps.Members.View().Count(membership.Alive)
-	every := checkPause * time.Duration(max(alive, checkShare)) / checkShare
+	every := checkInterval * time.Duration(max(alive, checkShare)) / checkShare
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
 	var out []digest.Digest
-	for d := range s.keeper.wanted {
-		if now.Sub(s.keeper.checks[d]) < every {
+	for d := range s.persisted.touched {
+		if now.Sub(s.persisted.checks[d]) < every {
 			continue
 		}
-		delete(s.keeper.wanted, d)
-		s.keeper.checks[d] = now
+		delete(s.persisted.touched, d)
+		s.persisted.checks[d] = now
 		if s.ledger.Judge(d, now).Stored {
 			out = append(out, d)
 		}
@@ -252,7 +247,7 @@
 	return out
 }
 
-// check lifts a request that is not in the store any more.
+// check lifts a request whose object was deleted.
 func (s *Service) check(ctx context.Context, d digest.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -2,21 +2,19 @@
 
 import (
 	"bytes"
-	"maps"
 	"slices"
 	"time"
 
 	"masticturn/internal/digest"
 )
 
-// Report is what one VM tells another of a request. Times travel as ages, since
-// clocks differ; a report is younger by its way than it seems.
+// Report is a record on the wire. Times are sent as ages since clocks differ; the
+// transit time is not added.
 type Report struct {
 	Digest  []byte
-	Head    []byte // empty: the body was not streamed
+	Head    []byte // empty: the request has no body
 	Crashes []ReportedCrash
-	// AcquittedMS, HeldMS and SeenMS are ages in milliseconds, of which 0 means
-	// never and 1 a millisecond at most.
+	// AcquittedMS, HeldMS and SeenMS are ages in milliseconds, rounded up; 0: never.
 	AcquittedMS uint32
 	HeldMS      uint32
 	SeenMS      uint32
@@ -27,28 +25,28 @@
 // ReportedCrash is a crash in a report.
 type ReportedCrash struct {
 	Target uint32
-	RanMS  uint32 // from the run's begin to the crash
+	RanMS  uint32 // duration of the run
 	AgeMS  uint32
 }
 
-// ageMost bounds ages: what is older is forgotten by all.
-const ageMost = 2 * keepQuarantined
+// maxAge bounds ages; older events have expired everywhere.
+const maxAge = 2 * keepQuarantined
 
 func ageOf(at, now time.Time) uint32 {
 	if at.IsZero() {
 		return 0
 	}
-	return uint32(max(min(now.Sub(at), ageMost).Milliseconds(), 1))
+	return uint32(max(min(now.Sub(at), maxAge).Milliseconds(), 1))
 }
 
 func timeOf(ageMS uint32, now time.Time) time.Time {
 	if ageMS == 0 {
 		return time.Time{}
 	}
-	return now.Add(-min(time.Duration(ageMS)*time.Millisecond, ageMost))
+	return now.Add(-min(time.Duration(ageMS)*time.Millisecond, maxAge))
 }
 
-// Report returns what is known of a request; false when it is not on record.
+// Report returns the record of a request; false if there is none.
 func (l *Ledger) Report(d digest.Digest, now time.Time) (Report, bool) {
 	r := l.records[d]
 	if r == nil {
@@ -58,7 +56,7 @@
 		Digest:      d[:],
 		AcquittedMS: ageOf(r.acquitted, now),
 		HeldMS:      ageOf(r.held, now),
-		SeenMS:      ageOf(r.seen, now),
+		SeenMS:      ageOf(r.lastSeen, now),
 		Trials:      r.trials,
 		Stored:      r.stored,
 	}
@@ -71,29 +69,29 @@
 	return report, true
 }
 
-// Merged is what a report was found to be.
-type Merged uint8
+// MergeResult is the effect of a report.
+type MergeResult uint8
 
-// What a report may be.
+// The effects of a report.
 const (
-	Known     Merged = iota // it tells nothing new
-	News                    // the other VMs should hear of it
-	Objection               // whoever sent it should hear what is known here
+	Unchanged MergeResult = iota // nothing new
+	Updated                      // to be forwarded to other VMs
+	Refuted                      // the local record is to be sent back
 )
 
-// Merge takes in a report. One that can't be of any VM tells nothing.
-func (l *Ledger) Merge(report Report, now time.Time) Merged {
+// Merge merges a report. Malformed reports are ignored.
+func (l *Ledger) Merge(report Report, now time.Time) MergeResult {
 	if len(report.Digest) != digest.Size || len(report.Head) != 0 && len(report.Head) != digest.Size {
-		return Known
+		return Unchanged
 	}
 	d, head := digest.Digest(report.Digest), digest.Digest{}
 	copy(head[:], report.Head)
 	if !l.Has(d) && now.Sub(timeOf(report.SeenMS, now)) > report.keep() {
-		return Known
+		return Unchanged
 	}
 	r := l.record(d, head, now)
 	news := false
-	if at := timeOf(report.AcquittedMS, now); at.After(r.acquitted.Add(settle)) {
+	if at := timeOf(report.AcquittedMS, now); at.After(r.acquitted.Add(clockTolerance)) {
 		l.acquit(d, r, at)
 		news = true
 	}
@@ -101,10 +99,10 @@
 		ended := timeOf(max(c.AgeMS, 1), now)
 		news = l.addCrash(d, r, Crash{c.Target, ended.Add(-time.Duration(c.RanMS) * time.Millisecond), ended}) || news
 	}
-	taken, refuted := l.takeHeld(d, r, &report, now)
+	taken, refuted := l.mergeHeld(d, r, &report, now)
 	news = news || taken
-	if at := timeOf(report.SeenMS, now); at.After(r.seen.Add(askedEvery)) {
-		r.seen = at
+	if at := timeOf(report.SeenMS, now); at.After(r.lastSeen.Add(seenInterval)) {
+		r.lastSeen = at
 		news = true
 	}
 	if report.Stored {
@@ -113,17 +111,16 @@
 	l.hold(d, r, now)
 	switch {
 	case refuted && r.held.IsZero():
-		return Objection
+		return Refuted
 	case news:
-		return News
+		return Updated
 	}
-	return Known
+	return Unchanged
 }
 
-// takeHeld takes in since when others hold the request. Where crashes are told, they
-// must be enough without those before the acquittal and those that another request
-// explains, of which the other VM may not have heard: else it is refuted.
-func (l *Ledger) takeHeld(d digest.Digest, r *record, report *Report, now time.Time) (taken, refuted bool) {
+// mergeHeld adopts another VM's quarantine. It is refuted if the crashes do not suffice
+// after local acquittals and explanations, which the other VM may not know.
+func (l *Ledger) mergeHeld(d digest.Digest, r *record, report *Report, now time.Time) (taken, refuted bool) {
 	at := timeOf(report.HeldMS, now)
 	if at.IsZero() || !r.held.IsZero() && report.Trials <= r.trials {
 		return false, false
@@ -138,31 +135,23 @@
 	return true, false
 }
 
-// keep is how long what a report tells of is kept.
+// keep returns the retention of the reported record.
 func (r *Report) keep() time.Duration {
-	like := record{crashes: make([]Crash, min(len(r.Crashes), crashesMost))}
+	like := record{crashes: make([]Crash, min(len(r.Crashes), maxCrashes))}
 	if r.HeldMS != 0 {
 		like.held = time.Unix(1, 0)
 	}
 	return like.keep()
 }
 
-// Suspicious returns the requests that VMs tell each other of again and again: all
-// but those under which a single target has crashed.
+// Suspicious returns the requests with more than one crash, and those held, sorted.
 func (l *Ledger) Suspicious() []digest.Digest {
 	var out []digest.Digest
 	for d, r := range l.records {
-		if r.weight() >= suspectSequence {
+		if r.severity() >= suspectSequence {
 			out = append(out, d)
 		}
 	}
 	slices.SortFunc(out, func(a, b digest.Digest) int { return bytes.Compare(a[:], b[:]) })
 	return out
 }
-
-// All returns all requests on record, sorted.
-func (l *Ledger) All() []digest.Digest {
-	out := slices.Collect(maps.Keys(l.records))
-	slices.SortFunc(out, func(a, b digest.Digest) int { return bytes.Compare(a[:], b[:]) })
-	return out
-}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -21,11 +21,11 @@
 // ServiceName is the name under which the service is registered.
 const ServiceName = "quarantine"
 
-// Subject is what is known of a request's identity.
+// Subject is the identity of a request as far as it is known.
 type Subject struct {
-	Whole digest.Digest // zero while the body has not arrived whole
-	Lead  digest.Digest // of the head and the beginning of the body; zero where none was streamed
-	Head  digest.Digest // of requests whose body was streamed, else zero
+	Whole digest.Digest // zero until the whole body has arrived
+	Lead  digest.Digest // of the head and the beginning of a streamed body, else zero
+	Head  digest.Digest // of requests with a body, else zero
 }
 
 // digests returns the digests that are known.
@@ -39,7 +39,7 @@
 	return out
 }
 
-// best returns the digest that identifies the request best; zero: none does.
+// best returns the most specific digest; zero if none is known.
 func (s Subject) best() digest.Digest {
 	if s.Whole != (digest.Digest{}) {
 		return s.Whole
@@ -47,31 +47,30 @@
 	return s.Lead
 }
 
-// Refusal tells why a request may not run.
+// Refusal is a rejection with its evidence.
 type Refusal struct {
 	Digest digest.Digest
 	Judgement
-	// RetryAfter is when the request may come again; 0: it should not.
+	// RetryAfter is when the caller may retry; 0: it should not.
 	RetryAfter time.Duration
 }
 
-// Screen decides which requests may run and learns from their ends.
+// Screen decides which requests may run, and records the outcomes of runs.
 type Screen interface {
-	// Active reports whether any request is on record. It costs next to nothing.
+	// Active reports whether any request is on record. It is one atomic load.
 	Active() bool
 	// Has reports whether a request is on record.
 	Has(s Subject) bool
-	// HasHead reports whether a request with this head and a streamed body is on
-	// record, so that the body is needed to tell them apart.
+	// HasHead reports whether a request with this head and a body is on record, so that
+	// the body is needed to identify the request.
 	HasHead(head digest.Digest) bool
-	// Enter asks whether a request may run. It may ask another VM.
+	// Enter screens an arriving request. For a lease it calls another VM.
 	Enter(ctx context.Context, s Subject) (*Pass, *Refusal)
-	// Barred returns why a request that has entered without a lease may not be sent
-	// on, nil where it may.
+	// Barred screens a request without a lease again before it is sent; nil: it may be.
 	Barred(s Subject) *Refusal
-	// Crashed takes in that a target crashed during a run.
+	// Crashed records the crash of a target during a run.
 	Crashed(s Subject, target string, began, ended time.Time)
-	// Answered takes in that a target answered a run.
+	// Answered records an answered run.
 	Answered(s Subject)
 }
 
@@ -79,16 +78,16 @@
 type Deps struct {
 	Self    string // name of this VM
 	Members membership.Source
-	// Partners returns the VMs to which news goes from this one; over them it reaches
-	// all VMs.
+	// Partners returns the VMs to which this one floods changes. The graph of partners
+	// must be connected.
 	Partners func() []string
-	// Joined reports whether this VM knows the others, or that there are none.
+	// Joined reports whether this VM has the member list, or is alone.
 	Joined func() bool
-	// FirstStart tells that the whole fleet starts for the first time, so that the
-	// store has nothing.
+	// FirstStart is set when the whole fleet starts for the first time, with an empty
+	// store.
 	FirstStart bool
 	Network    peer.Network
-	Store      platform.Store // nil: quarantine does not outlive the fleet
+	Store      platform.Store // nil: nothing is persisted
 	Clock      kernel.Clock
 	Logger     *telemetry.Logger
 	Metrics    *metrics.Set
@@ -96,26 +95,26 @@
 
 // Service runs a Ledger and shares it with the other VMs.
 type Service struct {
-	deps   Deps
-	meter  meter
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	news   chan struct{} // there is some to tell
-	backs  chan struct{} // partners are alive again
-	active atomic.Bool
+	deps    Deps
+	meter   meter
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	updates chan struct{} // records are queued
+	returns chan struct{} // partners are alive again
+	active  atomic.Bool
 
 	unsubscribe func()
 
-	mu      sync.Mutex // guards all below
-	ledger  *Ledger
-	pending map[digest.Digest]string // news, with the VM that told it
-	budget  *rate.Limiter            // of bytes told of single crashes
-	leases  *leases
-	denied  map[digest.Digest]time.Time // no lease is asked for before
-	keeper  keeper
-	turn    int             // of comparing with partners
-	alive   map[string]bool // VMs that were alive at the last view
-	back    []string        // partners that are alive again
+	mu        sync.Mutex // guards all below
+	ledger    *Ledger
+	pending   map[digest.Digest]string // queued records with the VM they came from
+	budget    *rate.Limiter            // bytes of single-crash reports
+	leases    *leases
+	denied    map[digest.Digest]time.Time // next lease request
+	persisted persistence
+	turn      int             // of anti-entropy
+	alive     map[string]bool // in the last view
+	returned  []string        // partners that are alive again
 }
 
 var (
@@ -129,22 +128,22 @@
 		d.Metrics = metrics.NewSet()
 	}
 	s := &Service{
-		deps:    d,
-		meter:   newMeter(d.Metrics),
-		news:    make(chan struct{}, 1),
-		backs:   make(chan struct{}, 1),
-		ledger:  NewLedger(),
-		pending: make(map[digest.Digest]string),
-		budget:  rate.NewLimiter(singleBytesPerSecond, singleBytesBurst),
-		leases:  newLeases(),
-		denied:  make(map[digest.Digest]time.Time),
-		keeper:  newKeeper(),
+		deps:      d,
+		meter:     newMeter(d.Metrics),
+		updates:   make(chan struct{}, 1),
+		returns:   make(chan struct{}, 1),
+		ledger:    NewLedger(),
+		pending:   make(map[digest.Digest]string),
+		budget:    rate.NewLimiter(singleBytesPerSecond, singleBytesBurst),
+		leases:    newLeases(),
+		denied:    make(map[digest.Digest]time.Time),
+		persisted: newKeeper(),
 	}
-	s.keeper.loaded = d.Store == nil || d.FirstStart
-	d.Network.Handle(peer.KindQuarantineNews, s.handleNews)
+	s.persisted.loaded = d.Store == nil || d.FirstStart
+	d.Network.Handle(peer.KindQuarantineReports, s.handleReports)
 	d.Network.Handle(peer.KindQuarantineSync, s.handleSync)
 	d.Network.Handle(peer.KindQuarantineLease, s.handleLease)
-	d.Network.Handle(peer.KindQuarantineReturn, s.handleReturn)
+	d.Network.Handle(peer.KindQuarantineRelease, s.handleRelease)
 	return s
 }
 
@@ -156,7 +155,7 @@
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.unsubscribe = s.deps.Members.Subscribe(s.follow)
 	s.wg.Go(func() { s.run(ctx) })
-	s.wg.Go(func() { s.spread(ctx) })
+	s.wg.Go(func() { s.publishLoop(ctx) })
 	return nil
 }
 
@@ -171,17 +170,17 @@
 	return nil
 }
 
-// tickInterval is how often records are swept and VMs compare what they know.
+// tickInterval is the period of expiry, anti-entropy and persistence.
 const tickInterval = time.Second
 
 func (s *Service) run(ctx context.Context) {
-	s.begin(ctx)
+	s.bootstrap(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.backs:
-			s.greet(ctx)
+		case <-s.returns:
+			s.syncReturned(ctx)
 		case <-ticker.C:
 			s.tick(ctx)
 		case <-ctx.Done():
@@ -197,7 +196,7 @@
 	}
 	s.sweep()
 	s.compare(ctx)
-	s.keep(ctx)
+	s.persist(ctx)
 }
 
 func (s *Service) sweep() {
@@ -211,22 +210,22 @@
 			delete(s.denied, d)
 		}
 	}
-	s.keeper.sweep(s.ledger)
+	s.persisted.sweep(s.ledger)
 	s.count()
 	if len(s.pending) > 0 {
-		signal(s.news)
+		signal(s.updates)
 	}
 }
 
-// signal wakes whoever waits on a channel.
+// signal wakes the receiver of a channel.
 func signal(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
-	default: // it is awake already
+	default: // already signalled
 	}
 }
 
-// count sets what depends on the number of records; s.mu is held.
+// count updates what depends on the number of records; s.mu is held.
 func (s *Service) count() {
 	s.active.Store(s.ledger.Len() > 0)
 	s.meter.count(s.ledger)
@@ -275,30 +274,30 @@
 	}
 }
 
-// acquit takes a request from the records for a reason; s.mu is held.
+// acquit clears a request; s.mu is held.
 func (s *Service) acquit(d digest.Digest, cause string) {
 	stored := s.ledger.Judge(d, s.deps.Clock.Now()).Stored
 	acquitted := s.change(d, "", cause, func(now time.Time) bool { return s.ledger.Acquit(d, now) })
 	if acquitted && stored {
-		s.keeper.release(d)
+		s.persisted.scheduleDelete(d)
 	}
 }
 
-// change changes the record of a request, and tells the others and the log when that
-// is news; s.mu is held. From is the VM that told it, empty for this one.
+// change applies a change to a record, and publishes and logs it if it had an effect;
+// s.mu is held. From is the VM it came from, empty for this one.
 func (s *Service) change(d digest.Digest, from, cause string, do func(now time.Time) bool) bool {
 	now := s.deps.Clock.Now()
 	before := s.ledger.Judge(d, now)
 	if !do(now) {
 		return false
 	}
-	s.tell(d, from)
+	s.publish(d, from)
 	s.logChange(d, &before, cause, now)
 	s.count()
 	return true
 }
 
-// logChange writes that the verdict on a request has changed; s.mu is held.
+// logChange logs a change of the verdict; s.mu is held.
 func (s *Service) logChange(d digest.Digest, before *Judgement, cause string, now time.Time) {
 	after := s.ledger.Judge(d, now)
 	if after.Verdict == before.Verdict {
@@ -329,11 +328,10 @@
 	if j.Verdict == Clear {
 		return nil
 	}
-	return s.refusal(d, j, suspectPause)
+	return s.refusal(d, j, suspectRetryAfter)
 }
 
-// judge returns the worst verdict on a request, and on which digest it is; s.mu is
-// held.
+// judge returns the worst verdict on a request's digests; s.mu is held.
 func (s *Service) judge(subject Subject) (digest.Digest, Judgement) {
 	var worst digest.Digest
 	var j Judgement
@@ -346,11 +344,10 @@
 	return worst, j
 }
 
-// suspectPause is after how long a caller may ask again whose request waits for the
-// outcome of another run of it, where nothing better is known.
-const suspectPause = 500 * time.Millisecond
+// suspectRetryAfter is the retry advice while another run holds the lease.
+const suspectRetryAfter = 500 * time.Millisecond
 
-// refusal returns why a request is refused; s.mu is held.
+// refusal returns a rejection; s.mu is held.
 func (s *Service) refusal(d digest.Digest, j Judgement, again time.Duration) *Refusal {
 	s.meter.refused(j.Verdict).Inc()
 	r := &Refusal{Digest: d, Judgement: j}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -14,47 +14,44 @@
 	"masticturn/internal/peer"
 )
 
-// News goes from VM to VM at once: each tells its partners what it did not know. VMs
-// that suspect requests compare all that they suspect with one partner after the
-// other, which makes lost messages and healed partitions good.
+// Changed records are flooded: each VM forwards to its heartbeat partners what was new
+// to it. Anti-entropy with one partner at a time repairs lost messages and partitions.
 const (
-	// singleBytesPerSecond and singleBytesBurst bound what a VM tells of requests
-	// under which a single target has crashed; that of others goes first and is not
-	// bounded. An availability zone that is lost may crash thousands of runs.
+	// singleBytesPerSecond and singleBytesBurst limit reports of single crashes, of
+	// which the loss of an availability zone causes thousands. Others are not limited.
 	singleBytesPerSecond = 4 << 10
 	singleBytesBurst     = 64 << 10
-	// singleStale is the age at which a single crash is told no more, so that the word
-	// on later ones does not wait behind those of a lost zone.
-	singleStale = 2 * time.Second
-	// reportBytes and crashBytes are about the size of a report and of a crash in it.
+	// singleMaxAge is the age from which single crashes are not reported, to keep the
+	// backlog short.
+	singleMaxAge = 2 * time.Second
+	// reportBytes and crashBytes are the approximate sizes of a report and of a crash.
 	reportBytes = 40
 	crashBytes  = 12
-	// compareEvery is after how many ticks a VM compares with a partner.
+	// compareEvery is the number of ticks between two rounds of anti-entropy.
 	compareEvery = 2
-	// comparePatience bounds how long a partner may take.
-	comparePatience = time.Second
-	// beginPause and beginPatience are the pause between looks for VMs to hear from at
+	// compareTimeout bounds the call to a partner.
+	compareTimeout = time.Second
+	// bootstrapPause and beginPatience are the pause between looks for VMs to hear from at
 	// the start, and how long each may take.
-	beginPause    = 50 * time.Millisecond
-	beginPatience = 300 * time.Millisecond
-	beginTries    = 20
+	bootstrapPause    = 50 * time.Millisecond
+	bootstrapTimeout  = 300 * time.Millisecond
+	bootstrapAttempts = 20
 )
 
-// tell notes that the partners are to hear of a request, but for the VM from which
-// this one has heard of it; s.mu is held.
-func (s *Service) tell(d digest.Digest, from string) {
+// publish queues a record for all partners but the one that sent it; s.mu is held.
+func (s *Service) publish(d digest.Digest, from string) {
 	if before, ok := s.pending[d]; ok && before != from {
 		from = ""
 	}
 	s.pending[d] = from
-	signal(s.news)
+	signal(s.updates)
 }
 
-// spread tells news as it comes.
-func (s *Service) spread(ctx context.Context) {
+// publishLoop sends queued records.
+func (s *Service) publishLoop(ctx context.Context) {
 	for {
 		select {
-		case <-s.news:
+		case <-s.updates:
 			s.flush()
 		case <-ctx.Done():
 			return
@@ -62,7 +59,7 @@
 	}
 }
 
-// flush tells the partners what is pending.
+// flush sends the queued records that the limit allows.
 func (s *Service) flush() {
 	partners := s.deps.Partners()
 	s.mu.Lock()
@@ -76,36 +73,36 @@
 			}
 		}
 		if len(reports) > 0 {
-			_ = s.deps.Network.Send(partner, peer.KindQuarantineNews, reports) // compare makes a lost one good
+			_ = s.deps.Network.Send(partner, peer.KindQuarantineReports, reports) // anti-entropy repairs a lost one
 		}
 	}
 }
 
-// pendingNews is news with the VM that told it.
-type pendingNews struct {
+// pendingReport is a queued report with the VM it came from, if any.
+type pendingReport struct {
 	report Report
 	from   string
 }
 
-// single reports whether the news is of a single crash at most.
-func (n *pendingNews) single() bool {
+// single reports whether the report is of a single crash at most.
+func (n *pendingReport) single() bool {
 	return len(n.report.Crashes) < suspectSequence && n.report.HeldMS == 0
 }
 
-// rank orders news by how much it matters to the others.
-func (n *pendingNews) rank() int {
+// priority orders reports; lower ones go first.
+func (n *pendingReport) priority() int {
 	if n.single() {
 		return 1
 	}
 	return 0
 }
 
-// takePending takes what may be told now; s.mu is held.
-func (s *Service) takePending(partners int) []pendingNews {
+// takePending dequeues the reports to send now; s.mu is held.
+func (s *Service) takePending(partners int) []pendingReport {
 	now := s.deps.Clock.Now()
 	all := s.pendingReports(now)
-	slices.SortFunc(all, func(a, b pendingNews) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.report.SeenMS, b.report.SeenMS))
+	slices.SortFunc(all, func(a, b pendingReport) int {
+		return cmp.Or(cmp.Compare(a.priority(), b.priority()), cmp.Compare(a.report.SeenMS, b.report.SeenMS))
 	})
 	for i := range all {
 		r := &all[i].report
@@ -117,13 +114,13 @@
 	return all
 }
 
-// pendingReports returns what is pending and worth telling; s.mu is held.
-func (s *Service) pendingReports(now time.Time) []pendingNews {
-	var out []pendingNews
+// pendingReports returns the queued reports, dropping outdated ones; s.mu is held.
+func (s *Service) pendingReports(now time.Time) []pendingReport {
+	var out []pendingReport
 	for d, from := range s.pending {
 		report, ok := s.ledger.Report(d, now)
-		n := pendingNews{report, from}
-		if !ok || n.single() && report.SeenMS > uint32(singleStale.Milliseconds()) {
+		n := pendingReport{report, from}
+		if !ok || n.single() && report.SeenMS > uint32(singleMaxAge.Milliseconds()) {
 			delete(s.pending, d)
 			continue
 		}
@@ -132,7 +129,7 @@
 	return out
 }
 
-func (s *Service) handleNews(_ context.Context, from string, payload []byte) (any, error) {
+func (s *Service) handleReports(_ context.Context, from string, payload []byte) (any, error) {
 	var reports []Report
 	if err := peer.Decode(payload, &reports); err != nil {
 		return nil, err
@@ -149,18 +146,18 @@
 	}
 }
 
-// merge takes in what another VM tells of a request; s.mu is held.
+// merge merges a report from another VM; s.mu is held.
 func (s *Service) merge(from string, report *Report) {
 	d, err := digest.FromBytes(report.Digest)
 	if err != nil {
 		return
 	}
-	s.change(d, from, "told by "+from, func(now time.Time) bool {
+	s.change(d, from, "reported by "+from, func(now time.Time) bool {
 		switch s.ledger.Merge(*report, now) {
-		case News:
+		case Updated:
 			return true
-		case Objection:
-			s.tell(d, "")
+		case Refuted:
+			s.publish(d, "")
 		}
 		return false
 	})
@@ -168,17 +165,17 @@
 
 // syncRequest is the message of peer.KindQuarantineSync, a call.
 type syncRequest struct {
-	Sum uint64 // of what the VM suspects
+	Sum uint64 // checksum of the suspicious records
 }
 
 // syncAnswer is its answer.
 type syncAnswer struct {
 	Sum     uint64
-	Loaded  bool     // the VM knows what the store has
-	Reports []Report // of all that the VM suspects, when the sums differ
+	Loaded  bool     // the store's content is known to the VM
+	Reports []Report // all suspicious records, if the sums differ
 }
 
-// sum returns a sum of what is suspected; s.mu is held.
+// sum returns a checksum of the suspicious records; s.mu is held.
 func (s *Service) sum() uint64 {
 	h := xxhash.New()
 	now := s.deps.Clock.Now()
@@ -190,7 +187,7 @@
 	return h.Sum64()
 }
 
-// suspected returns reports of all that is suspected; s.mu is held.
+// suspected returns reports of all suspicious records; s.mu is held.
 func (s *Service) suspected() []Report {
 	var out []Report
 	for _, d := range s.ledger.Suspicious() {
@@ -208,15 +205,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := &syncAnswer{Sum: s.sum(), Loaded: s.keeper.loaded}
+	a := &syncAnswer{Sum: s.sum(), Loaded: s.persisted.loaded}
 	if a.Sum != r.Sum {
 		a.Reports = s.suspected()
 	}
 	return a, nil
 }
 
-// syncWith takes in what a partner suspects, and tells it what this VM suspects
-// where that differs still. It reports whether the partner answered.
+// syncWith exchanges suspicious records with a partner. It reports whether the partner
+// answered.
 func (s *Service) syncWith(ctx context.Context, partner string) bool {
 	s.mu.Lock()
 	sum := s.sum()
@@ -228,17 +225,17 @@
 	s.mergeAll(partner, a.Reports)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keeper.loaded = s.keeper.loaded || a.Loaded
+	s.persisted.loaded = s.persisted.loaded || a.Loaded
 	if s.sum() == a.Sum {
 		return true
 	}
 	if reports := s.suspected(); len(reports) > 0 {
-		_ = s.deps.Network.Send(partner, peer.KindQuarantineNews, reports) // it is compared again
+		_ = s.deps.Network.Send(partner, peer.KindQuarantineReports, reports) // repeated in the next round
 	}
 	return true
 }
 
-// compare compares what is suspected with the next partner.
+// compare runs anti-entropy with the next partner.
 func (s *Service) compare(ctx context.Context) {
 	partners := s.deps.Partners()
 	s.mu.Lock()
@@ -248,13 +245,12 @@
 	if idle || len(partners) == 0 || turn%compareEvery != 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, comparePatience)
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	s.syncWith(ctx, partners[turn/compareEvery%len(partners)])
 }
 
-// follow notes the partners that are alive again, as after a cut: one of the two may
-// know what the other does not.
+// follow queues anti-entropy with partners that are alive again, as after a partition.
 func (s *Service) follow(v *membership.View) {
 	alive := make(map[string]bool, len(v.Members))
 	for i := range v.Members {
@@ -267,52 +263,52 @@
 	defer s.mu.Unlock()
 	for _, partner := range partners {
 		if alive[partner] && s.alive != nil && !s.alive[partner] {
-			s.back = append(s.back, partner)
+			s.returned = append(s.returned, partner)
 		}
 	}
 	s.alive = alive
-	if len(s.back) > 0 {
-		signal(s.backs)
+	if len(s.returned) > 0 {
+		signal(s.returns)
 	}
 }
 
-// greet compares what is suspected with partners that are alive again.
-func (s *Service) greet(ctx context.Context) {
+// syncReturned runs anti-entropy with partners that are alive again.
+func (s *Service) syncReturned(ctx context.Context) {
 	s.mu.Lock()
-	back := s.back
-	s.back = nil
+	back := s.returned
+	s.returned = nil
 	if len(s.ledger.Suspicious()) == 0 {
 		back = nil
 	}
 	s.mu.Unlock()
 	for _, partner := range back {
-		asked, cancel := context.WithTimeout(ctx, beginPatience)
+		asked, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 		s.syncWith(asked, partner)
 		cancel()
 	}
 }
 
-// begin takes over what the other VMs suspect when this one starts, or what the store
-// has where all start again.
-func (s *Service) begin(ctx context.Context) {
+// bootstrap loads the records from partners or, if all VMs have restarted, from the
+// store.
+func (s *Service) bootstrap(ctx context.Context) {
 	for ctx.Err() == nil && !s.deps.Joined() {
-		pause(ctx, beginPause)
+		pause(ctx, bootstrapPause)
 	}
-	for try := 0; try < beginTries && ctx.Err() == nil && !s.askPartners(ctx); try++ {
+	for try := 0; try < bootstrapAttempts && ctx.Err() == nil && !s.bootstrapFromPartners(ctx); try++ {
 		s.load(ctx)
-		pause(ctx, beginPause)
+		pause(ctx, bootstrapPause)
 	}
 }
 
-// askPartners asks the partners in turn until one knows what the store has. It
-// reports whether this VM knows.
-func (s *Service) askPartners(ctx context.Context) bool {
+// bootstrapFromPartners asks partners until one has loaded the store. It reports whether
+// the store's content is known now.
+func (s *Service) bootstrapFromPartners(ctx context.Context) bool {
 	for _, partner := range s.deps.Partners() {
-		asked, cancel := context.WithTimeout(ctx, beginPatience)
+		asked, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 		s.syncWith(asked, partner)
 		cancel()
 		s.mu.Lock()
-		loaded := s.keeper.loaded
+		loaded := s.persisted.loaded
 		s.mu.Unlock()
 		if loaded {
 			return true
