--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -29,8 +29,8 @@
 	KindDemand:       "demand",
 	KindKeyOwner:     "key_owner",
 	KindMirrorPoll:   "mirror_poll",
-	KindUseReport:    "use_report",
-	KindUseSum:       "use_sum",
+	KindUsageReport:  "usage_report",
+	KindUsageTotal:   "usage_total",
 
 	KindQuarantineReports: "quarantine_news",
 	KindQuarantineSync:    "quarantine_sync",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,8 +34,8 @@
 	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
 
 	// 70 and 71 were used for what each VM told some others by itself.
-	KindUseReport Kind = 72 // placement: what a VM and those below it have at targets
-	KindUseSum    Kind = 73 // placement: what all VMs of the region have at targets
+	KindUsageReport Kind = 72 // placement: what a VM and those below it have at targets
+	KindUsageTotal  Kind = 73 // placement: what all VMs of the region have at targets
 
 	KindQuarantineReports Kind = 80 // quarantine: requests under which targets have crashed
 	KindQuarantineSync    Kind = 81 // quarantine: compares what two VMs suspect
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -23,11 +23,11 @@
 // ServiceName is the name under which the service is registered.
 const ServiceName = "placement"
 
-// lookAgain is how often queues are looked at without an event: what is
-// believed of other VMs' requests ages by itself.
-const lookAgain = 10 * time.Millisecond
+// retryInterval is the interval at which waiting requests are tried without an event,
+// since load reports age by themselves.
+const retryInterval = 10 * time.Millisecond
 
-// Views hands out what is believed of targets.
+// Views provides the catalog of targets.
 type Views interface {
 	View() *discovery.View
 	SubscribeView(f func(*discovery.View)) (cancel func())
@@ -47,21 +47,21 @@
 	Metrics *metrics.Set
 }
 
-// Admitter gives out slots at targets by pools of this VM alone.
+// Admitter grants slots at targets. Each VM decides for itself.
 type Admitter struct {
-	deps    Deps
-	cancel  []func()
-	telling sync.WaitGroup
-	metrics meter
-	toldOn  chan struct{} // a VM below told something
-
-	mu     sync.Mutex
-	pools  map[string]*servicePool
-	fleet  Fleet
-	teller *Teller
+	deps           Deps
+	cancel         []func()
+	reporting      sync.WaitGroup
+	metrics        meter
+	reportReceived chan struct{} // signals a child's load report
+
+	mu         sync.Mutex
+	pools      map[string]*servicePool
+	fleet      Fleet
+	aggregator *Aggregator
 }
 
-// servicePool is the pool of one service with who waits for it.
+// servicePool is the pool of one service with its waiting requests.
 type servicePool struct {
 	*Pool
 	name    string
@@ -78,14 +78,14 @@
 // NewAdmitter returns an admitter; it follows the views once started.
 func NewAdmitter(d Deps) *Admitter {
 	a := &Admitter{
-		deps:    d,
-		metrics: newMeter(d.Metrics),
-		toldOn:  make(chan struct{}, 1),
-		pools:   make(map[string]*servicePool),
-		teller:  NewTeller(),
+		deps:           d,
+		metrics:        newMeter(d.Metrics),
+		reportReceived: make(chan struct{}, 1),
+		pools:          make(map[string]*servicePool),
+		aggregator:     NewAggregator(),
 	}
-	d.Network.Handle(peer.KindUseReport, a.hearReport)
-	d.Network.Handle(peer.KindUseSum, a.hearSum)
+	d.Network.Handle(peer.KindUsageReport, a.handleReport)
+	d.Network.Handle(peer.KindUsageTotal, a.handleTotal)
 	return a
 }
 
@@ -96,7 +96,7 @@
 func (a *Admitter) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	a.cancel = append(a.cancel, cancel)
-	a.telling.Go(func() { a.tellLoop(ctx) })
+	a.reporting.Go(func() { a.reportLoop(ctx) })
 	a.cancel = append(a.cancel,
 		a.deps.Views.SubscribeView(a.adopt),
 		a.deps.Members.Subscribe(func(*membership.View) { a.setFleet() }))
@@ -115,11 +115,11 @@
 	for _, cancel := range a.cancel {
 		cancel()
 	}
-	a.telling.Wait()
+	a.reporting.Wait()
 	return nil
 }
 
-// setFleet tells the pools about the other VMs.
+// setFleet passes the member list to the pools.
 func (a *Admitter) setFleet() {
 	f := Fleet{Self: a.deps.VM.Name, ColdFactor: a.deps.Bounds.ColdFactor, ColdSlack: a.deps.Bounds.ColdSlack}
 	if a.deps.Settled() {
@@ -127,7 +127,7 @@
 			f.VMs = append(f.VMs, VM{m.Name, m.Region})
 		}
 	}
-	a.place(a.deps.Members.View())
+	a.updateTreePosition(a.deps.Members.View())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.fleet = f
@@ -160,7 +160,7 @@
 	}
 }
 
-// serve decides on requests that wait; a.mu is held.
+// serve decides on waiting requests; a.mu is held.
 func (a *Admitter) serve(p *servicePool, now time.Time) {
 	for _, w := range p.Serve(now) {
 		if done := p.waiters[w]; done != nil {
@@ -171,14 +171,13 @@
 	a.tick(p)
 }
 
-// tick looks at a queue again a little later, as long as somebody waits; a.mu
-// is held.
+// tick schedules another serve while requests wait; a.mu is held.
 func (a *Admitter) tick(p *servicePool) {
 	if p.ticking || p.Queued() == 0 {
 		return
 	}
 	p.ticking = true
-	time.AfterFunc(lookAgain, func() {
+	time.AfterFunc(retryInterval, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		p.ticking = false
@@ -188,7 +187,7 @@
 
 // Acquire implements admission.Admitter.
 func (a *Admitter) Acquire(ctx context.Context, r *admission.Request) (admission.Permit, error) {
-	ask := &Ask{
+	req := &Request{
 		ID:       r.ID,
 		Key:      r.ObjectKey,
 		Rule:     r.Rule,
@@ -197,7 +196,7 @@
 		Arrived:  r.Arrived,
 		Deadline: r.Deadline,
 	}
-	p, w, done := a.admit(r.Service, ask)
+	p, w, done := a.admit(r.Service, req)
 	if done != nil {
 		select {
 		case <-done:
@@ -206,25 +205,25 @@
 		}
 	}
 	if w.Refused != nil {
-		return nil, a.refuse(r, ask, w.Refused)
+		return nil, a.refuse(r, req, w.Refused)
 	}
-	waited := a.deps.Clock.Now().Sub(ask.Arrived)
-	a.metrics.placed(r, w.Placed, waited)
-	a.logPlaced(r, ask, w.Placed, waited)
-	return &permit{admitter: a, pool: p, at: w.Placed, index: w.Placed.index}, nil
+	waited := a.deps.Clock.Now().Sub(req.Arrived)
+	a.metrics.placed(r, w.Selected, waited)
+	a.logPlaced(r, req, w.Selected, waited)
+	return &permit{admitter: a, pool: p, at: w.Selected, index: w.Selected.index}, nil
 }
 
-// admit hands a request to its pool. The channel is closed when it is decided;
-// nil when it is already.
-func (a *Admitter) admit(svc *config.ServiceIndex, ask *Ask) (*servicePool, *Waiting, <-chan struct{}) {
+// admit enqueues a request. The channel is closed on the decision; nil if it has been
+// decided.
+func (a *Admitter) admit(svc *config.ServiceIndex, req *Request) (*servicePool, *Waiting, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pools[svc.Name]
 	if p == nil {
-		return nil, &Waiting{Ask: ask, Refused: &Refusal{Reason: reasonNoTarget, RetryAfter: retryUnknown}}, nil
+		return nil, &Waiting{Request: req, Refused: &Refusal{Reason: reasonNoTarget, RetryAfter: unknownRetryAfter}}, nil
 	}
 	now := a.deps.Clock.Now()
-	w := p.Enqueue(ask, now)
+	w := p.Enqueue(req, now)
 	a.serve(p, now)
 	if w.decided() {
 		return p, w, nil
@@ -234,8 +233,7 @@
 	return p, w, done
 }
 
-// leave takes a request out whose caller waits no more. One that was placed
-// meanwhile keeps its place.
+// leave cancels a waiting request. One that has been placed keeps its slot.
 func (a *Admitter) leave(p *servicePool, w *Waiting) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -244,12 +242,12 @@
 	}
 }
 
-func (a *Admitter) logPlaced(r *admission.Request, ask *Ask, at *Placed, waited time.Duration) {
+func (a *Admitter) logPlaced(r *admission.Request, req *Request, at *Selection, waited time.Duration) {
 	a.deps.Logger.Log(eventPlaced,
-		telemetry.Value("request_id", ask.ID),
+		telemetry.Value("request_id", req.ID),
 		telemetry.Peer(at.index.Name),
 		telemetry.Value("service", r.Service.Name),
-		telemetry.Value("object", ask.Key),
+		telemetry.Value("object", req.Key),
 		telemetry.Value("rank", at.rank),
 		telemetry.Value("known", at.known),
 		telemetry.Value("region", at.index.Region),
@@ -260,17 +258,17 @@
 		telemetry.Value("waited_ms", waited.Milliseconds()))
 }
 
-// refuse says no to a request that was not run.
-func (a *Admitter) refuse(r *admission.Request, ask *Ask, why *Refusal) *outcome.Error {
+// refuse returns the error of a request that was not run.
+func (a *Admitter) refuse(r *admission.Request, req *Request, why *Refusal) *outcome.Error {
 	a.metrics.refused(r, why.Reason)
 	a.deps.Logger.Log(eventRefused,
-		telemetry.Value("request_id", ask.ID),
+		telemetry.Value("request_id", req.ID),
 		telemetry.Value("service", r.Service.Name),
 		telemetry.Value("reason", why.Reason),
 		telemetry.Value("queued", why.Queued),
 		telemetry.Value("targets", why.Targets),
-		telemetry.Value("object", ask.Key),
-		telemetry.Value("waited_ms", a.deps.Clock.Now().Sub(ask.Arrived).Milliseconds()),
+		telemetry.Value("object", req.Key),
+		telemetry.Value("waited_ms", a.deps.Clock.Now().Sub(req.Arrived).Milliseconds()),
 		telemetry.Value("retry_after_ms", why.RetryAfter.Milliseconds()))
 	return &outcome.Error{
 		Outcome:    outcome.NotRun,
@@ -281,11 +279,11 @@
 	}
 }
 
-// permit is a slot at a target.
+// permit holds one slot at a target.
 type permit struct {
 	admitter *Admitter
 	pool     *servicePool
-	at       *Placed
+	at       *Selection
 	index    *config.TargetIndex
 	once     sync.Once
 }
@@ -302,7 +300,7 @@
 // Shifted implements admission.Permit.
 func (p *permit) Shifted() bool { return p.index.Region != p.admitter.deps.VM.Region }
 
-// Valid implements admission.Checked: false if the target has stopped accepting requests.
+// Valid implements admission.Checked: false after the target stopped accepting requests.
 func (p *permit) Valid() bool {
 	a := p.admitter
 	a.mu.Lock()
@@ -310,7 +308,7 @@
 	return p.pool.Accepting(p.index.Name, a.deps.Clock.Now())
 }
 
-// Notify implements admission.Hearer.
+// Notify implements admission.NoticeReceiver.
 func (p *permit) Notify(w admission.Notice) {
 	a := p.admitter
 	a.mu.Lock()
@@ -327,7 +325,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		now := a.deps.Clock.Now()
-		if barred := p.pool.Give(p.at, resultOf(&r), now); barred > 0 {
+		if barred := p.pool.Release(p.at, resultOf(&r), now); barred > 0 {
 			a.deps.Logger.Log(eventBarred,
 				telemetry.Peer(p.index.Name),
 				telemetry.Step(string(r.Step)),
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -6,13 +6,12 @@
 	"time"
 )
 
-// BenchmarkChoose places requests about 300 objects on 276 targets: 0.45 us each
-// with rankings kept; without, BenchmarkRank comes on top of it, 37 us.
+// BenchmarkChoose picks targets for 300 objects among 276 targets, with rankings cached.
 func BenchmarkChoose(b *testing.B) {
 	view, svc := site{perRegion: map[string]int{"ros": 92, "bb": 92, "bsas": 92}, slots: 3}.view(b)
 	p := NewPool(testOptions("ros"))
 	p.SetTargets(svc, view)
-	asks := make([]*Ask, 300)
+	asks := make([]*Request, 300)
 	for i := range asks {
 		asks[i] = ask(fmt.Sprintf("object-%d", i))
 	}
@@ -21,8 +20,8 @@
 	i := 0
 	for b.Loop() {
 		at := p.Choose(asks[i%len(asks)], now)
-		p.Take(at, now)
-		p.Give(at, Result{Latency: 100 * time.Millisecond}, now)
+		p.Acquire(at, now)
+		p.Release(at, Result{Latency: 100 * time.Millisecond}, now)
 		i++
 	}
 }
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -6,14 +6,13 @@
 	"masticturn/internal/rendezvous"
 )
 
-// Fleet is what a pool must know of the other VMs to keep a bound with them
-// without a message: each VM sends a cold target at most one request in
-// coldGap, and no more VMs send than the bound has room for.
+// Fleet lists the VMs that share the limit of a cold target. They keep it without
+// messages: each VM sends a cold target one request per coldGap, and only as many VMs
+// send as the limit allows.
 type Fleet struct {
 	Self string
-	VMs  []VM // all VMs that may send, this one included; empty: not known yet
-	// A cold target bears ColdFactor times the rate that its service states and
-	// ColdSlack more within one second, from all VMs together.
+	VMs  []VM // that may send, this one included; empty: unknown
+	// The limit within one second is ColdFactor times the service's rate plus ColdSlack.
 	ColdFactor float64
 	ColdSlack  float64
 }
@@ -22,35 +21,33 @@
 type VM struct{ Name, Region string }
 
 const (
-	// coldGap is the least time between two requests of one VM to a cold target:
-	// a little over the second over which they are counted, as their ways differ.
+	// coldGap is the time between two requests of a VM to a cold target: the second of
+	// the limit with some jitter.
 	coldGap = 1100 * time.Millisecond
-	// coldReserve is how many requests of the bound are left for VMs that see
-	// another fleet, such as those that were cut off.
+	// coldReserve is left for VMs with another member list, as after a partition.
 	coldReserve = 3
 )
 
-// mayChill reports whether the target may get one more request of this VM, if
-// it is cold.
-func (p *Pool) mayChill(t *targetState, now time.Time) bool {
+// mayUseCold reports whether the target is warm or may take one more request of this
+// VM.
+func (p *Pool) mayUseCold(t *targetState, now time.Time) bool {
 	if !t.cold(now) || p.coldRate == 0 {
 		return true
 	}
 	return now.Sub(t.coldSent) >= coldGap && p.sendsToCold(t)
 }
 
-// sendsToCold reports whether this VM is among those that may send to a cold
-// target: as many as its bound allows, those of its own region first. It is worked
-// out once for each view of the fleet, as that takes a look at all VMs.
+// sendsToCold reports whether this VM is among the senders of a cold target: as many as
+// its limit allows, those of its region first. It is computed once per fleetVersion.
 func (p *Pool) sendsToCold(t *targetState) bool {
-	if t.coldFleet != p.fleetSeen {
-		t.coldFleet = p.fleetSeen
-		t.coldSender = p.ranksForCold(t)
+	if t.coldFleet != p.fleetVersion {
+		t.coldFleet = p.fleetVersion
+		t.coldSender = p.isColdSender(t)
 	}
 	return t.coldSender
 }
 
-func (p *Pool) ranksForCold(t *targetState) bool {
+func (p *Pool) isColdSender(t *targetState) bool {
 	bound := p.coldRate*p.fleet.ColdFactor + p.fleet.ColdSlack
 	senders := int(bound) - coldReserve
 	own := coldRank{local: p.region == t.Region, score: rendezvous.Score(t.Name, p.fleet.Self)}
@@ -65,9 +62,9 @@
 	return known && ahead < senders
 }
 
-// coldRank orders the VMs that may send to a cold target.
+// coldRank orders the senders of a cold target.
 type coldRank struct {
-	local bool // it is in the target's region
+	local bool // in the target's region
 	score uint64
 }
 
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// coldFleet is the pools of some VMs over the same cold target.
+// coldFleet is the pools of n VMs with the same cold target.
 func coldFleet(t *testing.T, vms int, perSecond float64, known func(vm, other int) bool) []*Pool {
 	t.Helper()
 	s := site{perRegion: map[string]int{"r0": 1}, slots: 1000, cold: perSecond}
@@ -27,8 +27,7 @@
 	return pools
 }
 
-// Whatever the VMs want, all of them together keep the bound of a cold target
-// in every second, in small fleets and in large ones, without a message.
+// The VMs of fleets of all sizes together keep the limit of a cold target in every second.
 func TestColdBoundHoldsOverAllVMs(t *testing.T) {
 	const perSecond = 7.4
 	bound := perSecond*1.5 + 5
@@ -44,12 +43,12 @@
 					now := start.Add(time.Duration(tick) * 5 * time.Millisecond)
 					for _, p := range pools {
 						if at := p.Choose(ask("a"), now); at != nil {
-							p.Take(at, now)
+							p.Acquire(at, now)
 							sent = append(sent, now)
 						}
 					}
 				}
-				if most := mostWithin(sent, time.Second); float64(most) > bound || most == 0 {
+				if most := maxWithin(sent, time.Second); float64(most) > bound || most == 0 {
 					t.Errorf("%d requests in one second, bound %.1f", most, bound)
 				}
 			})
@@ -57,8 +56,8 @@
 	}
 }
 
-// mostWithin returns the largest number of times in any span.
-func mostWithin(times []time.Time, span time.Duration) int {
+// maxWithin returns the largest number of times within any span.
+func maxWithin(times []time.Time, span time.Duration) int {
 	most, first := 0, 0
 	for i, at := range times {
 		for at.Sub(times[first]) >= span {
@@ -69,7 +68,7 @@
 	return most
 }
 
-// A VM that does not know the fleet yet leaves cold targets alone.
+// A VM without a member list sends nothing to cold targets.
 func TestUnsettledVMSendsNothingToColdTargets(t *testing.T) {
 	p := coldFleet(t, 1, 7.4, nil)[0]
 	p.SetFleet(Fleet{Self: "vm-0", ColdFactor: 1.5, ColdSlack: 5})
@@ -81,12 +80,11 @@
 func TestTargetsWithoutAColdRateAreNotBounded(t *testing.T) {
 	p := coldFleet(t, 1, 0, nil)[0]
 	for range 100 {
-		p.Take(mustChoose(t, p, ask("a"), start), start)
+		p.Acquire(mustChoose(t, p, ask("a"), start), start)
 	}
 }
 
-// While the targets of an object are cold, the next ones serve it: nothing is
-// refused that other targets have room for.
+// While an object's targets are cold, the next ones serve it.
 func TestObjectsOfColdTargetsAreServedElsewhere(t *testing.T) {
 	p, v := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 6}, slots: 100, cold: 7.4})
 	p.SetFleet(Fleet{Self: "vm", VMs: []VM{{"vm", "ros"}}, ColdFactor: 1.5, ColdSlack: 5})
@@ -97,7 +95,7 @@
 	v.ColdUntil[home] = start.Add(3 * time.Second)
 	p.SetTargets(v.Snapshot.Service("svc"), v)
 	for range 100 {
-		p.Take(mustChoose(t, p, ask("a"), start), start)
+		p.Acquire(mustChoose(t, p, ask("a"), start), start)
 	}
 	later := start.Add(3 * time.Second)
 	if at := mustChoose(t, p, ask("a"), later); at.target.Name != home {
--- a/internal/placement/emulation/connections.go
+++ b/internal/placement/emulation/connections.go
@@ -6,25 +6,24 @@
 	"masticturn/internal/targetconn"
 )
 
-// targetKeeps is how long emulated targets keep idle connections, and say so.
-const targetKeeps = 10 * time.Second
+// targetIdleTimeout is the keep-alive timeout that emulated targets announce.
+const targetIdleTimeout = 10 * time.Second
 
-// connections is the connections of one VM to one target.
+// connections are those of one VM to one target.
 type connections struct {
 	inUse     int
 	opening   bool
-	idleSince []time.Time // of the idle ones, the one used last at the end
+	idleSince []time.Time // of the idle ones, the most recently used last
 }
 
-// idle reports whether one is idle and may still be used.
+// idle reports whether an idle connection is fresh enough for use.
 func (c *connections) idle(now time.Time) bool {
 	n := len(c.idleSince)
-	return n > 0 && now.Sub(c.idleSince[n-1]) <= targetconn.KeptLimit(targetKeeps)
+	return n > 0 && now.Sub(c.idleSince[n-1]) <= targetconn.KeptLimit(targetIdleTimeout)
 }
 
-// take takes the connection that was used last; false when there is none that
-// may still be used.
-func (c *connections) take(now time.Time) bool {
+// acquire uses the most recently used connection; false if a new one must be opened.
+func (c *connections) acquire(now time.Time) bool {
 	c.inUse++
 	if !c.idle(now) {
 		c.idleSince = nil
@@ -34,13 +33,13 @@
 	return true
 }
 
-// put takes a connection back after an exchange.
-func (c *connections) put(now time.Time) {
+// release returns a connection after an exchange.
+func (c *connections) release(now time.Time) {
 	c.inUse--
 	c.idleSince = append(c.idleSince, now)
 }
 
-// drop closes a connection whose exchange was broken off.
+// drop closes a connection whose exchange broke.
 func (c *connections) drop() { c.inUse-- }
 
 // toTarget returns the VM's connections to a target.
@@ -53,8 +52,8 @@
 	return c
 }
 
-// opening returns how long a request waits for a connection: a way there and
-// back where none is open. Loads without connections have them always open.
+// opening returns the time to open a connection: a round trip if none is open. Loads
+// without connections always have one.
 func (r *run) opening(v *vm, t *target) time.Duration {
 	if !r.load.Connect {
 		return 0
@@ -62,14 +61,13 @@
 	if t.region != v.region {
 		v.ahead.Earn()
 	}
-	if v.toTarget(t.name).take(r.now) {
+	if v.toTarget(t.name).acquire(r.now) {
 		return 0
 	}
-	return 2 * r.way(v.region, t.region)
+	return 2 * r.delay(v.region, t.region)
 }
 
-// openAhead lets a VM open connections to the targets that are expected to get
-// requests, again and again.
+// openAhead regularly opens connections to targets that are expected to get requests.
 func (r *run) openAhead(v *vm) {
 	if !r.load.Connect || r.now.Sub(start) > r.load.Length {
 		return
@@ -83,7 +81,7 @@
 			break
 		}
 		c.opening = true
-		r.after(2*r.way(v.region, t.Region), func() {
+		r.after(2*r.delay(v.region, t.Region), func() {
 			c.opening = false
 			c.idleSince = append(c.idleSince, r.now)
 		})
--- a/internal/placement/emulation/emulation_test.go
+++ b/internal/placement/emulation/emulation_test.go
@@ -6,13 +6,13 @@
 	"masticturn/internal/placement"
 )
 
-// Plays of a load that a figure is the mean of.
+// Numbers of plays that a mean is taken of.
 const (
 	seedsToCompare = 3
 	seedsToMeasure = 4
 )
 
-// figures are the means of some plays.
+// figures are means over several plays.
 type figures struct{ worth, window, region, shed, fresh float64 }
 
 func play(l *Load, policy placement.Policy, seeds int) figures {
@@ -28,8 +28,7 @@
 	return f
 }
 
-// The default policy serves callers better than each of the others on every
-// load, and the worst-served region too.
+// The default policy beats all others on every load, in the worst-served region too.
 func TestCompletionServesBest(t *testing.T) {
 	for _, l := range Loads() {
 		t.Run(l.Name, func(t *testing.T) {
@@ -49,14 +48,11 @@
 	}
 }
 
-// What callers get of each load, with bounds a little below what was measured.
+// Callers get the stated worth of each load.
 func TestWhatCallersGet(t *testing.T) {
 	tests := map[string]figures{
 		"plan-reads":    {worth: 0.93, window: 0.55, region: 0.91, shed: 0.001, fresh: 0.05},
 		"hold-confirms": {worth: 0.91, window: 0.43, region: 0.88, shed: 0.001, fresh: 0.06},
-		// 0.42 of the worth and 0.33 in the worst region when loads were forgotten
-		// after 0.6 s and objects went to targets without spare slots; 0.65 and 0.61
-		// when VMs told each other nothing.
 		"archive-reads": {worth: 0.66, window: 0.21, region: 0.62, shed: 0.002, fresh: 0.12},
 		"script-reads":  {worth: 0.86, window: 0.33, region: 0.82, shed: 0.001, fresh: 0.05},
 		"bookings":      {worth: 0.90, window: 0.35, region: 0.88, shed: 0.001, fresh: 0.09},
@@ -77,9 +73,8 @@
 	}
 }
 
-// VMs that tell each other what they have at targets serve callers better, the
-// more so the larger the fleet is, and targets shed next to nothing.
-func TestTellingServesBetter(t *testing.T) {
+// Load reports improve what callers get, and targets shed next to nothing.
+func TestLoadReportsServeBetter(t *testing.T) {
 	const gain = 0.02
 	grown := grownPlanReads()
 	grown.Length /= 8
@@ -103,8 +98,8 @@
 	}
 }
 
-// Waves and bursts move few requests between regions, as an object's targets do
-// not depend on load: 0.08 of a region's at most, where the deployments allow 0.15.
+// Waves and bursts move few requests between regions, as an object's targets do not
+// depend on the load.
 func TestRegionsStaySteady(t *testing.T) {
 	t.Parallel()
 	l := grownPlanReads()
@@ -114,7 +109,7 @@
 	}
 }
 
-// The same seed gives the same play, and every request ends once.
+// A seed determines the play, and every request ends once.
 func TestPlaysRepeat(t *testing.T) {
 	l := ArchiveReads()
 	l.Length /= 4
@@ -129,7 +124,7 @@
 	}
 }
 
-// An emulated target remembers the objects that it handled last.
+// An emulated target caches its latest objects.
 func TestTargetRemembers(t *testing.T) {
 	target := newTarget("t", "r", &Load{Slots: 1, Remembers: 2})
 	steps := []struct {
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The ways of the two deployments.
+// The network delays of the two deployments.
 const (
 	estibaOneWay  = 55 * time.Millisecond
 	lydsporOneWay = 12 * time.Millisecond
@@ -44,7 +44,7 @@
 	waveSwing  = 0.55
 )
 
-// commonEvents is a burst, targets that leave and an end of the whole fleet.
+// commonEvents is a burst, leaving targets and a restart of the fleet.
 func commonEvents(region string, leave int) []Event {
 	return []Event{
 		{At: 7 * time.Second, Kind: TargetsLeave, Region: region, Count: leave},
@@ -54,12 +54,12 @@
 	}
 }
 
-// estiba returns the places of the first deployment with the targets of a service.
+// estiba returns the regions of the first deployment with a service's targets.
 func estiba(ros, bb, bsas int) []Region {
 	return []Region{{"rosario", 3, ros}, {"bahia-blanca", 3, bb}, {"buenos-aires", 4, bsas}}
 }
 
-// lydspor returns the places of the second deployment; a region has few targets.
+// lydspor returns the regions of the second deployment.
 func lydspor(aar, fra, sto int) []Region {
 	return []Region{{"dk-aarhus", 3, aar}, {"de-frankfurt", 3, fra}, {"se-stockholm", 3, sto}}
 }
@@ -86,8 +86,8 @@
 	}
 }
 
-// ArchiveReads is long reads near what the targets can carry: known objects use
-// seven to nine tenths of the slots, unknown ones two and a half times all.
+// ArchiveReads is long reads near the targets' capacity: cached objects use seven to
+// nine tenths of the slots, others two and a half times all.
 func ArchiveReads() *Load {
 	return &Load{
 		Name: "archive-reads", Regions: estiba(6, 2, 4), OneWay: estibaOneWay, WithinRegion: withinRegion,
--- a/internal/placement/emulation/tally.go
+++ b/internal/placement/emulation/tally.go
@@ -30,7 +30,7 @@
 	return e.worth / float64(e.asked)
 }
 
-// tally counts what callers got.
+// tally collects what callers got.
 type tally struct {
 	load     *Load
 	all      earned
@@ -46,27 +46,27 @@
 	arrivals int
 	fresh    int
 
-	lost      int
-	told      map[way]time.Time // since when a VM knows that a target leaves
-	away      map[way]time.Time // until when a target wants nothing of a VM
-	afterWord int
-	whileAway int
+	lost          int
+	leavingSince  map[path]time.Time // when the target announced to the VM that it leaves
+	backoffUntil  map[path]time.Time // end of the backoff that the target asked of the VM
+	afterLeaving  int
+	duringBackoff int
 }
 
-// way is from a VM to a target.
-type way struct {
+// path is from a VM to a target.
+type path struct {
 	vm     *vm
 	target *target
 }
 
-// arrive notes that a request has come to a target.
+// arrive records that a request has reached a target.
 func (t *tally) arrive(y *try, now time.Time) {
-	w := way{y.vm, y.target}
-	if at, ok := t.told[w]; ok && y.sent.After(at) {
-		t.afterWord++
+	w := path{y.vm, y.target}
+	if at, ok := t.leavingSince[w]; ok && y.sent.After(at) {
+		t.afterLeaving++
 	}
-	if y.sent.Before(t.away[w]) {
-		t.whileAway++
+	if y.sent.Before(t.backoffUntil[w]) {
+		t.duringBackoff++
 	}
 }
 
@@ -74,7 +74,7 @@
 	windows := int(l.Length/windowLength) + 1
 	t := tally{
 		load: l, regions: make(map[string]*earned), windows: make([]earned, windows), runs: make(map[string][]map[string]int),
-		told: make(map[way]time.Time), away: make(map[way]time.Time),
+		leavingSince: make(map[path]time.Time), backoffUntil: make(map[path]time.Time),
 	}
 	for _, r := range l.Regions {
 		t.regions[r.Name] = &earned{}
@@ -94,7 +94,7 @@
 	t.regions[q.region].asked++
 }
 
-// run notes where a request runs.
+// run records where a request runs.
 func (t *tally) run(y *try, now time.Time) {
 	if i := int(now.Sub(start) / windowLength); i < len(t.windows) {
 		t.runs[y.req.region][i][y.target.region]++
@@ -117,9 +117,9 @@
 	// certainty is how many standard deviations a share must differ for the
 	// difference to count as shown.
 	certainty = 3
-	// shareDeviationMost is the standard deviation of whether one request is of a
-	// share, where it is largest: at a half.
-	shareDeviationMost = 0.5
+	// maxShareDeviation is the largest standard deviation of one request's membership
+	// in a share, which is that of one half.
+	maxShareDeviation = 0.5
 )
 
 // endShift returns the largest part of a region's requests that is shown to have
@@ -132,7 +132,7 @@
 		if total(windows[last]) == 0 || total(windows[last-1]) == 0 {
 			continue
 		}
-		deviation := shareDeviationMost / math.Sqrt(float64(total(windows[last])))
+		deviation := maxShareDeviation / math.Sqrt(float64(total(windows[last])))
 		most = max(most, shifted(windows[last-1], windows[last])-certainty*deviation)
 	}
 	return most
@@ -185,19 +185,19 @@
 	t.regions[q.region].worth += worth
 }
 
-// windowLeast is how many requests a window must have to count, as a part of
-// the mean: the last one is cut short.
-const windowLeast = 0.5
+// minWindowShare is the share of the mean number of requests that a window needs to
+// count, as the last one is cut short.
+const minWindowShare = 0.5
 
 func (t *tally) summary(policy placement.Policy, targets []*target) *Result {
 	r := &Result{
 		Load: t.load.Name, Policy: policy, Asked: t.all.asked, InTime: t.inTime, Late: t.late, Refused: t.refused, Failed: t.failed,
 		Shed: t.shed, Arrivals: t.arrivals, Fresh: t.fresh, Worth: t.all.part(), WorstWindow: 1, WorstRegion: 1,
 		Busiest: busiest(targets), MostShifted: t.mostShifted(), EndShift: t.endShift(),
-		Lost: t.lost, AfterWord: t.afterWord, WhileAway: t.whileAway,
+		Lost: t.lost, AfterLeaving: t.afterLeaving, DuringBackoff: t.duringBackoff,
 	}
 	for i := range t.windows {
-		if float64(t.windows[i].asked) >= windowLeast*float64(t.all.asked)/float64(len(t.windows)) {
+		if float64(t.windows[i].asked) >= minWindowShare*float64(t.all.asked)/float64(len(t.windows)) {
 			r.WorstWindow = min(r.WorstWindow, t.windows[i].part())
 		}
 	}
--- a/internal/placement/emulation/target.go
+++ b/internal/placement/emulation/target.go
@@ -7,8 +7,7 @@
 	"masticturn/internal/config"
 )
 
-// target is an emulated target: slots, a queue in order of arrival, and the
-// objects that it handled last.
+// target emulates a target: slots, a FIFO queue and an LRU cache of objects.
 type target struct {
 	name       string
 	region     string
@@ -18,12 +17,11 @@
 	running    int
 	waiting    []*try
 	gone       bool
-	down       bool // it has crashed
+	down       bool // crashed
 	starts     int
-	leaving    bool // it says so in its answers
-	// wantsNothing is for how long it says to want nothing; 0: it wants requests.
-	wantsNothing time.Duration
-	arrivals     int
+	leaving    bool          // announced in its answers
+	backoff    time.Duration // Retry-After of its refusals; 0: it takes requests
+	arrivals   int
 
 	known map[string]*list.Element
 	order *list.List // of objects, the one used last in front
@@ -40,8 +38,7 @@
 	t.order = list.New()
 }
 
-// use notes that a run about an object starts and reports whether the target
-// knew the object before.
+// use records a run for an object and reports whether the object was cached.
 func (t *target) use(object string) bool {
 	if e, ok := t.known[object]; ok {
 		t.order.MoveToFront(e)
--- a/internal/placement/emulation/troubles.go
+++ b/internal/placement/emulation/troubles.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// crashAfter is how long a request runs until it crashes its target, and backAfter
-	// how long that is away.
-	crashAfter = 80 * time.Millisecond
-	backAfter  = 1500 * time.Millisecond
+	// crashAfter is the run time until a request crashes its target, and restartAfter how
+	// long that is down.
+	crashAfter   = 80 * time.Millisecond
+	restartAfter = 1500 * time.Millisecond
 )
 
-// crashing is a request that crashes targets, with what runs of it.
+// crashing is a request that crashes targets.
 type crashing struct {
 	Crashing
 	number int
@@ -39,7 +39,7 @@
 	}
 }
 
-// startCrashing lets a request that crashes targets come again and again.
+// startCrashing schedules a request that crashes targets.
 func (r *run) startCrashing(c *crashing) {
 	r.asked++
 	c.number = r.asked
@@ -54,7 +54,7 @@
 	}
 }
 
-// digest identifies a request; those that crash targets are the same each time.
+// digest identifies a request. Repetitions of a crashing one have the same digest.
 func (q *request) digest() digest.Digest {
 	number := q.number
 	if q.crashing != nil {
@@ -63,7 +63,7 @@
 	return digest.HeadOf("GET", "", fmt.Sprint(number)).Of(nil)
 }
 
-// mayRun asks the VM's ledger. A suspect request runs once at a time.
+// mayRun applies the VM's ledger. A suspect request runs once at a time.
 func (r *run) mayRun(q *request) bool {
 	if q.vm.ledger.Len() == 0 {
 		return true
@@ -77,7 +77,7 @@
 	return true
 }
 
-// runs reports whether a request that crashes targets is under way.
+// runs reports whether a crashing request is in flight.
 func (r *run) runs(c *crashing) bool {
 	for y := range r.tries {
 		if c != nil && y.req.crashing == c {
@@ -87,7 +87,7 @@
 	return false
 }
 
-// crash ends a target's process with all that runs and waits there.
+// crash ends a target's process with all its requests.
 func (r *run) crash(y *try) {
 	t := y.target
 	if y.over || t.down {
@@ -103,7 +103,7 @@
 	}
 	t.running, t.waiting = 0, nil
 	t.forget()
-	r.after(backAfter, func() { t.down = false })
+	r.after(restartAfter, func() { t.down = false })
 }
 
 func contains(list []*try, y *try) bool {
@@ -115,11 +115,11 @@
 	return false
 }
 
-// crashed is the end of a run with its target; its VM sees that a way later.
+// crashed ends a run with its target. Its VM sees the closed connection one delay later.
 func (r *run) crashed(y *try) {
 	began, ended := y.sent, r.now
 	start := quarantine.TargetID(fmt.Sprint(y.target.name, y.target.starts))
-	r.after(r.way(y.target.region, y.req.region), func() {
+	r.after(r.delay(y.target.region, y.req.region), func() {
 		v, d := y.vm, y.req.digest()
 		if v.ledger.Crashed(d, digest.Digest{}, quarantine.Crash{Target: start, Began: began, Ended: ended}, r.now) {
 			r.spread(v, d)
@@ -128,17 +128,17 @@
 	})
 }
 
-// spread tells all VMs what one knows of a request.
+// spread sends a VM's record of a request to all others.
 func (r *run) spread(from *vm, d digest.Digest) {
 	report, _ := from.ledger.Report(d, r.now)
 	for _, to := range r.vms {
 		if to != from {
-			r.after(r.way(from.region, to.region), func() { to.ledger.Merge(report, r.now) })
+			r.after(r.delay(from.region, to.region), func() { to.ledger.Merge(report, r.now) })
 		}
 	}
 }
 
-// broken ends a try whose target broke it off or could not be reached.
+// broken ends a try whose connection broke or was refused.
 func (r *run) broken(y *try, result placement.Result) {
 	if y.over {
 		return
@@ -146,7 +146,7 @@
 	y.over = true
 	delete(r.tries, y)
 	y.vm.toTarget(y.target.name).drop()
-	y.vm.pool.Give(y.place.Placed, result, r.now)
+	y.vm.pool.Release(y.place.Selected, result, r.now)
 	if r.mayRun(y.req) {
 		r.elsewhere(y)
 		return
@@ -154,27 +154,26 @@
 	r.finish(y.req, outcomeFailed)
 }
 
-// turnedAway is the arrival of a refusal with the time for which the target wants
-// nothing.
-func (r *run) turnedAway(y *try, pause time.Duration) {
+// backedOff delivers a refusal with Retry-After.
+func (r *run) backedOff(y *try, retryAfter time.Duration) {
 	if y.over {
 		return
 	}
 	y.over = true
 	delete(r.tries, y)
-	r.result.away[way{y.vm, y.target}] = r.now.Add(pause)
-	y.vm.toTarget(y.target.name).put(r.now)
-	y.vm.pool.RecordNotice(y.target.name, admission.Notice{Backoff: pause}, r.now)
-	y.vm.pool.Give(y.place.Placed, placement.Result{Shed: true}, r.now)
+	r.result.backoffUntil[path{y.vm, y.target}] = r.now.Add(retryAfter)
+	y.vm.toTarget(y.target.name).release(r.now)
+	y.vm.pool.RecordNotice(y.target.name, admission.Notice{Backoff: retryAfter}, r.now)
+	y.vm.pool.Release(y.place.Selected, placement.Result{Shed: true}, r.now)
 	r.elsewhere(y)
 }
 
-// answered takes in what an answer says besides.
+// answered applies what an answer announces.
 func (r *run) answered(y *try, leaving bool) {
 	if leaving {
 		y.vm.pool.RecordNotice(y.target.name, admission.Notice{Leaving: true}, r.now)
-		if _, ok := r.result.told[way{y.vm, y.target}]; !ok {
-			r.result.told[way{y.vm, y.target}] = r.now
+		if _, ok := r.result.leavingSince[path{y.vm, y.target}]; !ok {
+			r.result.leavingSince[path{y.vm, y.target}] = r.now
 		}
 	}
 	if y.vm.ledger.Len() > 0 && y.vm.ledger.Acquit(y.req.digest(), r.now) {
--- a/internal/placement/emulation/troubles_test.go
+++ b/internal/placement/emulation/troubles_test.go
@@ -7,8 +7,7 @@
 	"masticturn/internal/placement"
 )
 
-// A request that crashes targets reaches three of them, and three more at most;
-// callers of others get next to what they get without it.
+// Crashing requests are contained, and other callers lose little.
 func TestEmulatedRequestsThatCrashTargets(t *testing.T) {
 	const most, loss = 6, 0.03
 	for _, l := range []*Load{PlanReads(), Bookings(), grownPlanReads()} {
@@ -39,9 +38,8 @@
 	}
 }
 
-// Targets that say in answers that they leave, or with refusals that they want nothing
-// for a while, get nothing of the VMs that heard it, and callers lose little.
-func TestEmulatedWordsOfTargets(t *testing.T) {
+// VMs respect announcements of targets, and callers lose little.
+func TestEmulatedNotices(t *testing.T) {
 	const loss = 0.1
 	for _, l := range []*Load{PlanReads(), ScriptReads()} {
 		t.Run(l.Name, func(t *testing.T) {
@@ -51,18 +49,18 @@
 			plain := Play(l, placement.PolicyCompletion, 1)
 			region := l.Regions[0].Name
 			l.Events = []Event{
-				{At: 4 * time.Second, Kind: TargetsSayTheyLeave, Region: region, Count: 1},
+				{At: 4 * time.Second, Kind: TargetsDrain, Region: region, Count: 1},
 				{At: 14 * time.Second, Kind: TargetsLeave, Region: region, Count: 1},
 			}
-			if got := Play(l, placement.PolicyCompletion, 1); got.AfterWord > 0 || got.Worth < plain.Worth-loss {
-				t.Errorf("a target leaves: %d arrivals after its word, %.3f of the worth, %.3f without", got.AfterWord, got.Worth, plain.Worth)
+			if got := Play(l, placement.PolicyCompletion, 1); got.AfterLeaving > 0 || got.Worth < plain.Worth-loss {
+				t.Errorf("a target leaves: %d arrivals after its word, %.3f of the worth, %.3f without", got.AfterLeaving, got.Worth, plain.Worth)
 			}
 			l.Events = []Event{
-				{At: 4 * time.Second, Kind: TargetsWantNothing, Region: region, Count: 1, Length: 3 * time.Second},
-				{At: 14 * time.Second, Kind: TargetsWantRequests, Region: region, Count: 1},
+				{At: 4 * time.Second, Kind: TargetsBackOff, Region: region, Count: 1, Length: 3 * time.Second},
+				{At: 14 * time.Second, Kind: TargetsResume, Region: region, Count: 1},
 			}
-			if got := Play(l, placement.PolicyCompletion, 1); got.WhileAway > 0 || got.Worth < plain.Worth-loss {
-				t.Errorf("a target wants nothing: %d arrivals meanwhile, %.3f of the worth, %.3f without", got.WhileAway, got.Worth, plain.Worth)
+			if got := Play(l, placement.PolicyCompletion, 1); got.DuringBackoff > 0 || got.Worth < plain.Worth-loss {
+				t.Errorf("a target wants nothing: %d arrivals meanwhile, %.3f of the worth, %.3f without", got.DuringBackoff, got.Worth, plain.Worth)
 			}
 		})
 	}
--- a/internal/placement/expected.go
+++ b/internal/placement/expected.go
@@ -8,22 +8,20 @@
 )
 
 const (
-	// expectedFor is how long after a request of any VM of the region a target is
-	// expected to get another one from this VM: the VMs of a region serve the same
-	// objects, and callers choose among them at random.
-	expectedFor = 10 * time.Second
-	// openingShare is the part of a usual run, and of the time that a run leaves of
-	// the objective, that opening a connection must take to be worth opening ahead.
+	// expectedTTL is how long after a request of the region a target is expected to get
+	// one of this VM: callers pick a VM of the region at random.
+	expectedTTL = 10 * time.Second
+	// openingShare is the share of a run, and of the objective's slack, from which the
+	// time to connect justifies opening ahead.
 	openingShare = 0.25
 )
 
-// Expected returns the targets that are likely to get a request of this VM soon
-// and take long to connect to, the one used last first. Those that are cold, or
-// take no requests now, are left out.
+// Expected returns the warm, usable targets that are likely to get a request soon and
+// are slow to connect to, the most recently used first.
 func (p *Pool) Expected(now time.Time) []*config.TargetIndex {
 	var expected []*targetState
 	for _, t := range p.order {
-		if p.slowToOpen(t.Region) && now.Sub(t.usedAt) <= expectedFor && t.usable(now) && !t.cold(now) {
+		if p.slowToOpen(t.Region) && now.Sub(t.usedAt) <= expectedTTL && t.usable(now) && !t.cold(now) {
 			expected = append(expected, t)
 		}
 	}
@@ -35,16 +33,14 @@
 	return targets
 }
 
-// slowToOpen reports whether opening a connection to a region's targets takes a
-// good part of a run and of the time left after one, so that callers would notice.
-// A region to which none was opened yet is not known to be.
+// slowToOpen reports whether callers would notice the time to connect to a region.
 func (p *Pool) slowToOpen(region string) bool {
 	run := p.runs.expect(true, 0)
-	return run > 0 && float64(p.trips[region]) >= openingShare*float64(max(run, p.objective-run))
+	return run > 0 && float64(p.roundTrips[region]) >= openingShare*float64(max(run, p.objective-run))
 }
 
-// noteObjective takes in within which time a request's answer is of full use.
-func (p *Pool) noteObjective(a *Ask) {
+// recordObjective records the shortest objective.
+func (p *Pool) recordObjective(a *Request) {
 	if a.Rule == nil || a.Rule.ObjectiveMS <= 0 {
 		return
 	}
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -81,7 +81,7 @@
 
 // availableAt returns the earliest time at which a target may take the request; false if
 // no such time is known.
-func (p *Pool) availableAt(a *Ask, now time.Time) (at time.Time, ok bool) {
+func (p *Pool) availableAt(a *Request, now time.Time) (at time.Time, ok bool) {
 	for _, t := range p.order {
 		if !p.eligible(t, a) {
 			continue
@@ -99,7 +99,7 @@
 
 // backoffEnd returns the earliest end of a backoff if all eligible targets have asked for
 // one.
-func (p *Pool) backoffEnd(a *Ask, now time.Time) (at time.Time, ok bool) {
+func (p *Pool) backoffEnd(a *Request, now time.Time) (at time.Time, ok bool) {
 	for _, t := range p.order {
 		if !p.eligible(t, a) {
 			continue
--- a/internal/placement/notices_test.go
+++ b/internal/placement/notices_test.go
@@ -8,7 +8,7 @@
 	"masticturn/internal/admission"
 )
 
-// without returns a site's view without some targets.
+// without returns a site's view without the named targets.
 func (s site) without(t *testing.T, p *Pool, names ...string) {
 	t.Helper()
 	v, svc := s.view(t)
@@ -26,7 +26,7 @@
 	p.SetTargets(&rest, v)
 }
 
-// chosen returns the targets that get requests about many objects.
+// chosen returns the targets picked for many objects.
 func chosen(p *Pool, now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for n := range 200 {
@@ -118,7 +118,7 @@
 	for i := range 3 {
 		p.RecordNotice(fmt.Sprintf("ros-%d", i), admission.Notice{Backoff: time.Duration(4-i) * time.Second}, start)
 	}
-	if waiting.Placed == nil {
+	if waiting.Selected == nil {
 		t.Fatal("not placed")
 	}
 	w := admit(p, timedAsk("x", 1, start), start.Add(500*time.Millisecond))
@@ -155,11 +155,11 @@
 func TestRequestsWaitForBarredTargets(t *testing.T) {
 	p, running := fullPool(t)
 	w := admit(p, timedAsk("waits", 1, start), start)
-	p.Give(running[0], Result{Shed: true}, start) // bars it for a tenth of a second
+	p.Release(running[0], Result{Shed: true}, start) // bars it for a tenth of a second
 	if done := p.Serve(start); len(done) != 0 {
 		t.Errorf("%+v, want it to wait", w.Refused)
 	}
-	if done := p.Serve(start.Add(shedBar)); len(done) != 1 || w.Placed == nil {
+	if done := p.Serve(start.Add(minShedBar)); len(done) != 1 || w.Selected == nil {
 		t.Errorf("%+v, want it placed", w.Refused)
 	}
 }
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -2,11 +2,10 @@
 
 import "time"
 
-// objectsMost is how many objects a VM remembers to have sent to one target.
-// Targets remember some tens themselves.
-const objectsMost = 64
+// maxObjects bounds the objects remembered per target. Targets cache some tens.
+const maxObjects = 64
 
-// objects remembers which objects were sent to a target, the latest ones.
+// objects holds the latest objects sent to a target.
 type objects struct {
 	last map[string]time.Time
 }
@@ -16,13 +15,12 @@
 	return ok
 }
 
-// add notes a request about an object; the one that was not asked for longest
-// makes room.
+// add records a request for an object; the least recently used one is evicted.
 func (o *objects) add(key string, now time.Time) {
 	if o.last == nil {
 		o.last = make(map[string]time.Time)
 	}
-	if _, ok := o.last[key]; !ok && len(o.last) >= objectsMost {
+	if _, ok := o.last[key]; !ok && len(o.last) >= maxObjects {
 		o.dropOldest()
 	}
 	o.last[key] = now
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -6,30 +6,26 @@
 	"time"
 )
 
-// Policy names a way to choose the target of a request.
+// Policy names an algorithm that picks the target of a request.
 type Policy string
 
-// The policies. All keep the bounds of cold targets and of allowed regions.
+// The policies. All respect the limits of cold targets and the allowed regions.
 const (
-	// PolicyCompletion takes the target of the object at which the request is
-	// expected to be answered first.
+	// PolicyCompletion takes the object's target with the earliest expected answer.
 	PolicyCompletion Policy = "completion"
-	// PolicyHashing takes the first target of the own region in the order of the
-	// object that this VM's requests do not fill yet.
+	// PolicyHashing takes the object's first target of the own region at which this VM
+	// has slots left.
 	PolicyHashing Policy = "hashing"
-	// PolicyHashingRegions is the same, and goes on in other regions when all of
-	// the own one are full.
+	// PolicyHashingRegions continues in other regions if the own one is full.
 	PolicyHashingRegions Policy = "hashing-regions"
-	// PolicyLeastLoaded takes the target of the own region that is believed to
-	// have the least load.
+	// PolicyLeastLoaded takes the own region's target with the least estimated load.
 	PolicyLeastLoaded Policy = "least-loaded"
-	// PolicyPowerOfTwo takes the less loaded one of two targets of the own region,
-	// drawn at random.
+	// PolicyPowerOfTwo takes the less loaded of two random targets of the own region.
 	PolicyPowerOfTwo Policy = "power-of-two"
 )
 
-// chooser returns the target of a request, nil when there is none now.
-type chooser func(p *Pool, a *Ask, now time.Time) *Placed
+// chooser returns the target of a request; nil if none has room.
+type chooser func(p *Pool, a *Request, now time.Time) *Selection
 
 var choosers = map[Policy]chooser{
 	PolicyCompletion:     (*Pool).chooseCompletion,
@@ -48,21 +44,20 @@
 func (p Policy) Known() bool { return choosers[p] != nil }
 
 // chooseHashing is PolicyHashing.
-func (p *Pool) chooseHashing(a *Ask, now time.Time) *Placed {
+func (p *Pool) chooseHashing(a *Request, now time.Time) *Selection {
 	return p.firstUnfilled(a, p.hashed(a, true, now), now)
 }
 
 // chooseHashingRegions is PolicyHashingRegions.
-func (p *Pool) chooseHashingRegions(a *Ask, now time.Time) *Placed {
+func (p *Pool) chooseHashingRegions(a *Request, now time.Time) *Selection {
 	if at := p.chooseHashing(a, now); at != nil {
 		return at
 	}
 	return p.firstUnfilled(a, p.hashed(a, false, now), now)
 }
 
-// firstUnfilled returns the first target of which this VM does not use its
-// share of the slots yet.
-func (p *Pool) firstUnfilled(a *Ask, order []*targetState, now time.Time) *Placed {
+// firstUnfilled returns the first target at which this VM has slots of its share left.
+func (p *Pool) firstUnfilled(a *Request, order []*targetState, now time.Time) *Selection {
 	for rank, t := range order {
 		if t.own < p.slotShare(t) {
 			return p.placed(t, a, rank, a.Key == "" || t.objects.known(a.Key), now)
@@ -71,8 +66,8 @@
 	return nil
 }
 
-// slotShare is how many requests this VM may have at a target when the VMs of
-// its region share the slots, twice over, as not all are busy at a time.
+// slotShare is this VM's share of a target's slots among the VMs of the region, doubled,
+// as not all are busy at a time.
 func (p *Pool) slotShare(t *targetState) int {
 	vms := 0
 	for _, vm := range p.fleet.VMs {
@@ -83,9 +78,8 @@
 	return max(1, 2*t.Slots/max(vms, 1))
 }
 
-// hashed returns the targets of the own region, or of the others, in the order
-// of the request's object.
-func (p *Pool) hashed(a *Ask, own bool, now time.Time) []*targetState {
+// hashed returns the allowed targets of the own region, or of the others, in rank order.
+func (p *Pool) hashed(a *Request, own bool, now time.Time) []*targetState {
 	var out []*targetState
 	for _, t := range p.rank(p.hashKey(a)) {
 		if p.allowed(t, a, own, now) {
@@ -95,14 +89,14 @@
 	return out
 }
 
-// allowed reports whether a target is in the own region, or in another one, and
-// may get the request now.
-func (p *Pool) allowed(t *targetState, a *Ask, own bool, now time.Time) bool {
-	return (t.Region == p.region) == own && p.mayServe(t, a, now) && p.mayChill(t, now)
+// allowed reports whether a target is in the own region, or outside it, and may get the
+// request.
+func (p *Pool) allowed(t *targetState, a *Request, own bool, now time.Time) bool {
+	return (t.Region == p.region) == own && p.mayServe(t, a, now) && p.mayUseCold(t, now)
 }
 
-// local returns the targets of the own region that may get the request now.
-func (p *Pool) local(a *Ask, now time.Time) []*targetState {
+// local returns the own region's targets that may get the request.
+func (p *Pool) local(a *Request, now time.Time) []*targetState {
 	var out []*targetState
 	for _, t := range p.order {
 		if p.allowed(t, a, true, now) {
@@ -113,18 +107,18 @@
 }
 
 // chooseLeastLoaded is PolicyLeastLoaded.
-func (p *Pool) chooseLeastLoaded(a *Ask, now time.Time) *Placed {
+func (p *Pool) chooseLeastLoaded(a *Request, now time.Time) *Selection {
 	return p.leastLoaded(a, p.local(a, now), now)
 }
 
 // choosePowerOfTwo is PolicyPowerOfTwo.
-func (p *Pool) choosePowerOfTwo(a *Ask, now time.Time) *Placed {
+func (p *Pool) choosePowerOfTwo(a *Request, now time.Time) *Selection {
 	drawn := p.local(a, now)
 	p.rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
 	return p.leastLoaded(a, drawn[:min(2, len(drawn))], now)
 }
 
-func (p *Pool) leastLoaded(a *Ask, targets []*targetState, now time.Time) *Placed {
+func (p *Pool) leastLoaded(a *Request, targets []*targetState, now time.Time) *Selection {
 	if len(targets) == 0 {
 		return nil
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,7 +1,7 @@
-// Package placement chooses the target of each request by what this VM knows: the
-// object a request is about, own requests in flight, how long runs took, the load
-// that targets tell on their answers, and what VMs of the region tell each other.
-// It also tells which targets are likely to get a request soon.
+// Package placement picks the target of each request. It weighs the request's object,
+// requests in flight, response times, the load that targets report with their answers,
+// and the load reports of the region's other VMs. Requests wait in a queue while no
+// target has room.
 package placement
 
 import (
@@ -18,31 +18,28 @@
 )
 
 const (
-	// replicas is how many targets may serve an object: a second one takes what the
-	// first has no room for, each further one means another run that is late.
+	// replicas is the number of targets per object. The second takes the overflow of
+	// the first; each further one adds a slow first run.
 	replicas = 2
-	// A slot of another region weighs remoteWeightLeast against one of this region
-	// in the choice of an object's targets where this region has its share of the
-	// slots, and remoteWeightMost where it has half of that or less. The share is
-	// steady, whatever the load, so that requests do not move between regions with it.
-	remoteWeightLeast = 0.03
-	remoteWeightMost  = 0.15
-	// rankStep is what it must gain to use an object's next target in place of the
-	// one before.
+	// A remote region's slots weigh between minRemoteWeight, where this region has its
+	// share of the slots, and maxRemoteWeight, where it has half of that or less. The
+	// weight ignores the load, so that objects do not move between regions with it.
+	minRemoteWeight = 0.03
+	maxRemoteWeight = 0.15
+	// rankStep is the gain required to prefer an object's next target.
 	rankStep = 100 * time.Millisecond
-	// spareSlots is how many slots of an object's next target must be free before it
-	// gets an object that it is not known to know: such a run takes several times as
-	// long as one at a target that knows the object, and under load the time of
-	// others. A target with fewer slots must be idle.
+	// spareSlots is the number of free slots required at an object's next target if the
+	// object may be new to it, as such a run takes several times as long. A target with
+	// fewer slots must be idle.
 	spareSlots = 2
-	// queueMost is how many requests may wait at a target, for each of its slots.
-	queueMost = 1.0
+	// maxQueuedPerSlot bounds the requests that wait at a target, per slot.
+	maxQueuedPerSlot = 1.0
 )
 
-// Ask is a request that wants a target.
-type Ask struct {
-	ID       string       // of the request, for logs
-	Key      string       // object it is about; empty: none
+// Request is a request that wants a target.
+type Request struct {
+	ID       string       // for logs
+	Key      string       // object; empty: none
 	Rule     *config.Rule // nil: every region is allowed
 	Priority int          // 0 goes first
 	Exclude  []string     // targets already tried
@@ -50,11 +47,11 @@
 	Deadline time.Time
 }
 
-// Options are what a pool is made with.
+// Options configures a pool.
 type Options struct {
 	Region string     // of this VM
 	Policy Policy     // how targets are chosen; empty: PolicyCompletion
-	Rand   *rand.Rand // draws where a policy leaves it to chance, and for requests without an object
+	Rand   *rand.Rand // for requests without an object and random policies
 }
 
 // Pool is the targets of one service. It is not safe for concurrent use and
@@ -66,22 +63,21 @@
 	targets map[string]*targetState
 	order   []*targetState // by name
 	fleet   Fleet
-	// fleetSeen counts the views of the fleet, and of the cold bound.
-	fleetSeen uint64
-	coldRate  float64       // requests a second that a cold target bears; 0: no bound
-	coldTime  time.Duration // how long a target stays cold after its start
-	runs      runTimes
-	trips     map[string]mean // way there and back, by region
-	remote    float64         // weight of a slot of another region
-	// objective is the shortest one of the requests so far; 0: none has any.
-	objective time.Duration
-	queue     []*Waiting // requests that wait, in order
-	ranking   ranking
-
-	notices     notices             // of targets
-	newObjects  map[uint32][]string // by target: what other VMs were not told of yet
-	told        map[uint32]int      // by target: requests as the others were told last
-	sharedUntil time.Time           // until then it counts what other VMs have at targets
+	// fleetVersion changes with the fleet and the cold rate.
+	fleetVersion uint64
+	coldRate     float64       // limit of a cold target, requests/s; 0: none
+	coldTime     time.Duration // how long a target stays cold after its start
+	runs         runTimes
+	roundTrips   map[string]mean // by region
+	remoteWeight float64         // of a slot of another region
+	objective    time.Duration   // shortest one seen; 0: none
+	queue        []*Waiting      // in order of service
+	ranking      ranking
+
+	notices      notices
+	newObjects   map[uint32][]string // by target; not yet reported
+	lastReported map[uint32]int      // requests by target in the last report
+	usageExpires time.Time           // end of the other VMs' usage
 }
 
 // NewPool returns a pool without targets.
@@ -90,25 +86,23 @@
 		o.Policy = PolicyCompletion
 	}
 	return &Pool{
-		region:  o.Region,
-		choose:  choosers[o.Policy],
-		rand:    o.Rand,
-		targets: make(map[string]*targetState),
-		trips:   make(map[string]mean),
-		notices: make(notices),
-
+		region:     o.Region,
+		choose:     choosers[o.Policy],
+		rand:       o.Rand,
+		targets:    make(map[string]*targetState),
+		roundTrips: make(map[string]mean),
+		notices:    make(notices),
 		newObjects: make(map[uint32][]string),
 	}
 }
 
-// SetFleet tells about the other VMs.
+// SetFleet replaces the list of VMs.
 func (p *Pool) SetFleet(f Fleet) {
 	p.fleet = f
-	p.fleetSeen++
+	p.fleetVersion++
 }
 
-// SetTargets takes over the targets of a view. What is known of those that
-// stay is kept.
+// SetTargets replaces the targets. Those that stay keep their state.
 func (p *Pool) SetTargets(svc *config.ServiceIndex, v *discovery.View) {
 	next := make(map[string]*targetState, len(svc.AllTargets))
 	p.order = p.order[:0]
@@ -127,16 +121,16 @@
 	p.notices.forget(next)
 	if p.coldRate != svc.ColdRequestsPerSecond {
 		p.coldRate = svc.ColdRequestsPerSecond
-		p.fleetSeen++
+		p.fleetVersion++
 	}
 	p.coldTime = svc.ColdMS.Duration()
-	p.remote = p.weighRemote()
+	p.remoteWeight = p.computeRemoteWeight()
 	p.ranking.clear()
 }
 
-// weighRemote returns the weight of a slot of another region, by how much of its
-// share of the slots this region has.
-func (p *Pool) weighRemote() float64 {
+// computeRemoteWeight returns the weight of a slot of another region. It grows as this
+// region falls short of its share of the slots.
+func (p *Pool) computeRemoteWeight() float64 {
 	regions := make(map[string]bool)
 	own, total := 0, 0
 	for _, t := range p.order {
@@ -150,39 +144,38 @@
 		}
 	}
 	if total == 0 {
-		return remoteWeightMost
+		return maxRemoteWeight
 	}
 	share := float64(own*len(regions)) / float64(total)
 	lacking := min(max(2*(1-share), 0), 1)
-	return remoteWeightLeast + lacking*(remoteWeightMost-remoteWeightLeast)
+	return minRemoteWeight + lacking*(maxRemoteWeight-minRemoteWeight)
 }
 
-// Placed is a request's place at a target.
-type Placed struct {
+// Selection is the target picked for a request, and why.
+type Selection struct {
 	target *targetState
-	index  *config.TargetIndex // of the target when the request was placed
+	index  *config.TargetIndex // the target's entry at the time
 	key    string
-	rank   int           // of the target in the order of the object's targets
-	known  bool          // this VM has sent the object there before
-	queued bool          // all slots were believed to be in use
-	own    int           // requests of this VM that ran there
-	others int           // requests of others, by the target's last word
-	age    time.Duration // of that word
+	rank   int           // position among the object's targets
+	known  bool          // the object has been sent there before
+	queued bool          // all slots were in use
+	own    int           // running requests of this VM
+	others int           // requests of others at the last load report
+	age    time.Duration // of the load report
 }
 
 // Target returns the target.
-func (at *Placed) Target() *config.TargetIndex { return at.index }
+func (at *Selection) Target() *config.TargetIndex { return at.index }
 
-// Choose returns the target for a request by the pool's policy, nil when there
-// is none now.
-func (p *Pool) Choose(a *Ask, now time.Time) *Placed { return p.choose(p, a, now) }
+// Choose returns the target for a request by the pool's policy; nil if none has room.
+func (p *Pool) Choose(a *Request, now time.Time) *Selection { return p.choose(p, a, now) }
 
 // chooseCompletion is PolicyCompletion.
-func (p *Pool) chooseCompletion(a *Ask, now time.Time) *Placed {
-	var best *Placed
+func (p *Pool) chooseCompletion(a *Request, now time.Time) *Selection {
+	var best *Selection
 	var bestCost time.Duration
 	for rank, t := range p.candidates(a, now) {
-		if !p.hasRoom(t, now) {
+		if !p.hasCapacity(t, now) {
 			continue
 		}
 		known := a.Key == "" || t.objects.known(a.Key)
@@ -198,8 +191,8 @@
 	return best
 }
 
-func (p *Pool) placed(t *targetState, a *Ask, rank int, known bool, now time.Time) *Placed {
-	return &Placed{
+func (p *Pool) placed(t *targetState, a *Request, rank int, known bool, now time.Time) *Selection {
+	return &Selection{
 		target: t,
 		index:  t.TargetIndex,
 		key:    a.Key,
@@ -212,12 +205,12 @@
 	}
 }
 
-// hasRoom reports whether one more request may go to a target.
-func (p *Pool) hasRoom(t *targetState, now time.Time) bool {
-	return t.busy(now) < t.most()
+// hasCapacity reports whether one more request may go to a target.
+func (p *Pool) hasCapacity(t *targetState, now time.Time) bool {
+	return t.busy(now) < t.maxRequests()
 }
 
-// wait is how long a request would wait for a slot.
+// wait estimates the time until a slot is free.
 func (p *Pool) wait(t *targetState, now time.Time) time.Duration {
 	ahead := t.busy(now) - t.Slots + 1
 	if ahead <= 0 || t.Slots == 0 {
@@ -226,14 +219,14 @@
 	return time.Duration(float64(ahead) / float64(t.Slots) * float64(p.run(t, true, 0, now)))
 }
 
-// run is how long a request would run at a target.
+// run estimates the run time of a request at a target.
 func (p *Pool) run(t *targetState, known bool, rank int, now time.Time) time.Duration {
 	return time.Duration(t.slow.now(now) * float64(p.runs.expect(known, rank)))
 }
 
-// possible reports whether any target could ever take the request. A cold one
-// can, a little later.
-func (p *Pool) possible(a *Ask, now time.Time) bool {
+// possible reports whether any target could take the request, now or, if it is cold, a
+// little later.
+func (p *Pool) possible(a *Request, now time.Time) bool {
 	for _, t := range p.order {
 		if p.mayServe(t, a, now) {
 			return true
@@ -242,24 +235,22 @@
 	return false
 }
 
-// mayServe reports whether a target is usable and may get the request.
-func (p *Pool) mayServe(t *targetState, a *Ask, now time.Time) bool {
+// mayServe reports whether a target is usable and eligible.
+func (p *Pool) mayServe(t *targetState, a *Request, now time.Time) bool {
 	return t.usable(now) && p.eligible(t, a)
 }
 
-// eligible reports whether a target may get the request, apart from pauses.
-func (p *Pool) eligible(t *targetState, a *Ask) bool {
+// eligible reports whether a target may get the request, backoffs aside.
+func (p *Pool) eligible(t *targetState, a *Request) bool {
 	if !t.inService() || slices.Contains(a.Exclude, t.Name) {
 		return false
 	}
 	return a.Rule == nil || a.Rule.Allows(t.Region)
 }
 
-// candidates returns the targets of the request's object, best first: the first
-// replicas that are usable and not cold, and the cold ones before them that may
-// get one more request. Where a zone comes back cold its objects are served
-// elsewhere meanwhile.
-func (p *Pool) candidates(a *Ask, now time.Time) []*targetState {
+// candidates returns the targets of the request's object in rank order: the first warm
+// replicas, and the cold ones before them that may take one more request.
+func (p *Pool) candidates(a *Request, now time.Time) []*targetState {
 	key := p.hashKey(a)
 	order := p.ranking.first(key)
 	if order == nil {
@@ -275,7 +266,7 @@
 	return out
 }
 
-// rank returns all targets in the order of an object.
+// rank returns all targets by their rendezvous score for an object.
 func (p *Pool) rank(key string) []*targetState {
 	type scored struct {
 		t     *targetState
@@ -285,7 +276,7 @@
 	for i, t := range p.order {
 		weight := float64(t.Slots)
 		if t.Region != p.region {
-			weight *= p.remote
+			weight *= p.remoteWeight
 		}
 		all[i] = scored{t, rendezvous.WeightedScore(key, t.Name, weight)}
 	}
@@ -297,25 +288,24 @@
 	return order
 }
 
-// hashKey returns what the targets of a request are ordered by: its object, or
-// chance where it has none.
-func (p *Pool) hashKey(a *Ask) string {
+// hashKey returns the key that targets are ranked by: the object, or a random one.
+func (p *Pool) hashKey(a *Request) string {
 	if a.Key != "" {
 		return a.Key
 	}
 	return strconv.FormatUint(p.rand.Uint64(), 36)
 }
 
-// firstReplicas returns the candidates among targets in the order of an object,
-// and whether there are enough.
-func (p *Pool) firstReplicas(a *Ask, order []*targetState, now time.Time) (out []*targetState, enough bool) {
+// firstReplicas returns the candidates among ranked targets, and whether they are
+// complete.
+func (p *Pool) firstReplicas(a *Request, order []*targetState, now time.Time) (out []*targetState, enough bool) {
 	out = make([]*targetState, 0, replicas)
 	warm := 0
 	for _, t := range order {
 		if warm == replicas {
 			break
 		}
-		if !p.mayServe(t, a, now) || !p.mayChill(t, now) {
+		if !p.mayServe(t, a, now) || !p.mayUseCold(t, now) {
 			continue
 		}
 		out = append(out, t)
@@ -326,8 +316,8 @@
 	return out, warm == replicas
 }
 
-// Take notes that a request goes to a target.
-func (p *Pool) Take(at *Placed, now time.Time) {
+// Acquire records that a request is sent to the selected target.
+func (p *Pool) Acquire(at *Selection, now time.Time) {
 	t := at.target
 	t.own++
 	t.usedAt = now
@@ -344,46 +334,45 @@
 
 // Result is how a request at a target ended.
 type Result struct {
-	Load    *edge.Load    // the target told; nil: none
-	Connect time.Duration // of opening a connection; 0: none was opened
-	Latency time.Duration // from sending to the answer's end
+	Load    *edge.Load    // reported by the target; nil: none
+	Connect time.Duration // opening a connection; 0: none was opened
+	Latency time.Duration // from sending to the end of the answer
 	Failed  bool          // connection or answer failed
-	Shed    bool          // the target refused for want of room
+	Shed    bool          // refused for lack of room
 	Gone    bool          // another instance has its address
-	Ended   bool          // nobody listens at its address
-	Left    bool          // the caller left, which says nothing
+	Ended   bool          // the connection was refused
+	Left    bool          // canceled by the caller; no sign of the target's health
 }
 
-// Failures that bar a target, and for how long.
+// Consecutive failures that bar a target, and for how long.
 const (
 	barAfter = 2
 	barFirst = 500 * time.Millisecond
-	barMost  = 4 * time.Second
-	// barDoublings is after how many doublings barMost is reached.
+	maxBar   = 4 * time.Second
+	// barDoublings is the number of doublings from barFirst to maxBar.
 	barDoublings = 3
-	// shedBar is for how long a full target gets no request at least: until about
-	// one of its slots is free again.
-	shedBar = 100 * time.Millisecond
+	// minShedBar is the shortest time that a full target is barred.
+	minShedBar = 100 * time.Millisecond
 )
 
-// shedTime is for how long a target that was full gets no request.
+// shedTime is how long a full target is barred: until about one slot is free again.
 func (p *Pool) shedTime(t *targetState) time.Duration {
-	return max(shedBar, p.runs.expect(true, 0)/time.Duration(max(1, t.Slots)))
+	return max(minShedBar, p.runs.expect(true, 0)/time.Duration(max(1, t.Slots)))
 }
 
-// Give notes the end of a request at a target. It returns for how long the
-// target is barred by it, 0 when it is not.
-func (p *Pool) Give(at *Placed, r Result, now time.Time) (barred time.Duration) {
+// Release records the end of a request. It returns how long the target is barred for it;
+// 0: it is not.
+func (p *Pool) Release(at *Selection, r Result, now time.Time) (barred time.Duration) {
 	t := at.target
 	t.own--
 	if r.Load != nil {
-		t.report(r.Load, t.own, p.reportLife(t, r.Load), now)
+		t.report(r.Load, t.own, p.reportTTL(t, r.Load), now)
 	}
 	if r.Connect > 0 {
-		p.learnTrip(t.Region, r.Connect)
+		p.recordRoundTrip(t.Region, r.Connect)
 	}
 	if r.Ended {
-		t.endedUntil = now.Add(endedLife)
+		t.endedUntil = now.Add(endedTTL)
 	}
 	switch {
 	case r.Left:
@@ -394,42 +383,39 @@
 	case r.Failed:
 		t.failures++
 		if t.failures >= barAfter {
-			barred = min(barFirst<<min(t.failures-barAfter, barDoublings), barMost)
+			barred = min(barFirst<<min(t.failures-barAfter, barDoublings), maxBar)
 			t.barredUntil = now.Add(barred)
 		}
 	default:
 		t.failures = 0
 		t.answered(p.coldTime, now)
-		p.learnRun(at, r.Latency, now)
+		p.recordRun(at, r.Latency, now)
 	}
 	return barred
 }
 
-// reportLife returns how long a target's word on its load counts in full: as
-// long as what it told of takes to run, with some that arrives meanwhile. A full
-// queue of long runs lasts for seconds, and VMs that forget it sooner fill the
-// queue again.
-func (p *Pool) reportLife(t *targetState, load *edge.Load) time.Duration {
+// reportTTL returns the validity of a target's load report: a multiple of the time that
+// the reported load takes to run. VMs that dropped it sooner would refill a long queue.
+func (p *Pool) reportTTL(t *targetState, load *edge.Load) time.Duration {
 	if t.Slots == 0 {
-		return reportLifeLeast
+		return minReportTTL
 	}
 	runs := reportRuns * float64(max(1, load.Running+load.Waiting-t.own)) / float64(t.Slots)
-	return max(reportLifeLeast, time.Duration(runs*float64(p.runs.expect(true, 0))))
+	return max(minReportTTL, time.Duration(runs*float64(p.runs.expect(true, 0))))
 }
 
-func (p *Pool) learnTrip(region string, d time.Duration) {
-	m := p.trips[region]
+func (p *Pool) recordRoundTrip(region string, d time.Duration) {
+	m := p.roundTrips[region]
 	m.observe(d)
-	p.trips[region] = m
+	p.roundTrips[region] = m
 }
 
-// learnRun takes in how long a request ran. One that waited for a slot tells
-// nothing of the run.
-func (p *Pool) learnRun(at *Placed, took time.Duration, now time.Time) {
+// recordRun records a run time, except of requests that queued at the target.
+func (p *Pool) recordRun(at *Selection, took time.Duration, now time.Time) {
 	if at.queued {
 		return
 	}
-	took = max(took-time.Duration(p.trips[at.target.Region]), time.Millisecond)
+	took = max(took-time.Duration(p.roundTrips[at.target.Region]), time.Millisecond)
 	if plain := p.runs.expect(true, 0); at.known && plain > 0 {
 		at.target.slow.observe(float64(took)/float64(plain), now)
 	}
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -53,9 +53,9 @@
 	estiba = site{perRegion: map[string]int{"ros": 6, "bb": 2, "bsas": 6}, slots: 5}
 )
 
-func ask(key string) *Ask { return &Ask{ID: key, Key: key, Arrived: start} }
+func ask(key string) *Request { return &Request{ID: key, Key: key, Arrived: start} }
 
-func mustChoose(t *testing.T, p *Pool, a *Ask, now time.Time) *Placed {
+func mustChoose(t *testing.T, p *Pool, a *Request, now time.Time) *Selection {
 	t.Helper()
 	at := p.Choose(a, now)
 	if at == nil {
@@ -64,9 +64,9 @@
 	return at
 }
 
-// finish ends a request that was answered.
-func finish(p *Pool, at *Placed, took time.Duration, now time.Time) {
-	p.Give(at, Result{Latency: took}, now)
+// finish ends a request with an answer.
+func finish(p *Pool, at *Selection, took time.Duration, now time.Time) {
+	p.Release(at, Result{Latency: took}, now)
 }
 
 func TestObjectStaysAtItsTarget(t *testing.T) {
@@ -76,7 +76,7 @@
 	for range 100 {
 		now = now.Add(50 * time.Millisecond)
 		at := mustChoose(t, p, ask("a"), now)
-		p.Take(at, now)
+		p.Acquire(at, now)
 		finish(p, at, 110*time.Millisecond, now.Add(110*time.Millisecond))
 		if at.target.Name != first {
 			t.Fatalf("the object went to %s, before to %s, though that was free", at.target.Name, first)
@@ -84,7 +84,7 @@
 	}
 }
 
-// All VMs of a region choose the same target for an object, whatever they know.
+// All VMs of a region pick the same target for an object.
 func TestVMsOfARegionAgree(t *testing.T) {
 	for i := range 50 {
 		key := fmt.Sprint(i)
@@ -96,8 +96,7 @@
 	}
 }
 
-// The share of objects that go to other regions is steady and follows how few
-// targets the own region has.
+// The share of objects in other regions depends on the region's share of the slots only.
 func TestShareOfOtherRegions(t *testing.T) {
 	tests := []struct {
 		region    string
@@ -118,21 +117,20 @@
 	}
 }
 
-// The loss of one target moves few objects between regions: the weight of other
-// regions follows the slots without a step.
+// The loss of one target moves few objects between regions.
 func TestWeightOfOtherRegionsHasNoStep(t *testing.T) {
 	last := 0.0
 	for n := range 13 {
 		p, _ := newTestPool(t, "a", site{perRegion: map[string]int{"a": n, "b": 6, "c": 6}, slots: 3})
-		if n > 0 && last-p.remote > 0.08 {
-			t.Errorf("with %d targets the weight is %.3f, with one less %.3f", n, p.remote, last)
+		if n > 0 && last-p.remoteWeight > 0.08 {
+			t.Errorf("with %d targets the weight is %.3f, with one less %.3f", n, p.remoteWeight, last)
 		}
-		if n > 0 && p.remote > last {
-			t.Errorf("with more targets the weight of other regions grows: %.3f after %.3f", p.remote, last)
+		if n > 0 && p.remoteWeight > last {
+			t.Errorf("with more targets the weight of other regions grows: %.3f after %.3f", p.remoteWeight, last)
 		}
-		last = p.remote
+		last = p.remoteWeight
 	}
-	if last != remoteWeightLeast {
+	if last != minRemoteWeight {
 		t.Errorf("with twice the others' targets the weight is %.3f", last)
 	}
 }
@@ -154,8 +152,8 @@
 	}
 }
 
-// A target that is in the way of its slots' end takes no more than one request
-// waiting for each slot, and the object's other target serves meanwhile.
+// A target takes one queued request per slot at most; the object's other target takes the
+// overflow.
 func TestFullTargetsTakeNoMore(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 3}, slots: 2})
 	used := make(map[string]int)
@@ -164,7 +162,7 @@
 		if at == nil {
 			break
 		}
-		p.Take(at, start)
+		p.Acquire(at, start)
 		used[at.target.Name]++
 	}
 	if len(used) != replicas {
@@ -180,38 +178,38 @@
 	}
 }
 
-// What other VMs use of a target shows in the load it tells, for a while.
+// Other VMs' requests count through the target's load report until its TTL.
 func TestReportedLoadCounts(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 2}, slots: 2})
 	at := mustChoose(t, p, ask("a"), start)
-	p.Take(at, start)
-	p.Give(at, Result{Load: &edge.Load{Running: 2, Waiting: 3, Slots: 2}, Latency: time.Millisecond}, start)
+	p.Acquire(at, start)
+	p.Release(at, Result{Load: &edge.Load{Running: 2, Waiting: 3, Slots: 2}, Latency: time.Millisecond}, start)
 	if other := mustChoose(t, p, ask("a"), start); other.target.Name == at.target.Name {
 		t.Error("the target is full with the requests of others, yet it is chosen")
 	}
-	if other := mustChoose(t, p, ask("a"), start.Add(reportLifeLeast)); other.target.Name == at.target.Name {
+	if other := mustChoose(t, p, ask("a"), start.Add(minReportTTL)); other.target.Name == at.target.Name {
 		t.Error("the report does not count as long as it should")
 	}
-	later := start.Add(3 * reportLifeLeast)
+	later := start.Add(3 * minReportTTL)
 	if again := mustChoose(t, p, ask("a"), later); again.target.Name != at.target.Name {
 		t.Error("an old report still counts")
 	}
 }
 
-// A queue of long runs is believed as long as it takes to run, and then fades.
+// The report of a queue of long runs is valid as long as the queue runs.
 func TestReportOfLongRunsCountsLonger(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
 	const run = 400 * time.Millisecond
 	first := mustChoose(t, p, ask("a"), start)
-	p.Take(first, start)
+	p.Acquire(first, start)
 	finish(p, first, run, start)
 	at := mustChoose(t, p, ask("a"), start)
-	p.Take(at, start)
-	p.Give(at, Result{Load: &edge.Load{Running: 3, Waiting: 9, Slots: 3}, Latency: run}, start)
+	p.Acquire(at, start)
+	p.Release(at, Result{Load: &edge.Load{Running: 3, Waiting: 9, Slots: 3}, Latency: run}, start)
 	life := time.Duration(reportRuns * 12 / 3 * float64(run))
 	tests := map[time.Duration]int{
 		0:                       12,
-		reportLifeLeast + 1:     12,
+		minReportTTL + 1:        12,
 		life:                    12,
 		life + life/2:           7,
 		2 * life:                4,
@@ -226,14 +224,13 @@
 	}
 }
 
-// A target gets an object that it does not know in place of the object's first
-// target only when it has slots to spare for the long run.
+// An object's next target needs spare slots for a run of a new object.
 func TestUnknownObjectsNeedSpareSlots(t *testing.T) {
 	for _, slots := range []int{1, 2, 3, 5} {
 		for busy := range slots + 1 {
 			p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 2}, slots: slots})
 			first := mustChoose(t, p, ask("a"), start)
-			first.target.own = int(float64(slots) * (1 + queueMost))
+			first.target.own = int(float64(slots) * (1 + maxQueuedPerSlot))
 			next := p.candidates(ask("a"), start)[1]
 			next.own = busy
 			at := p.Choose(ask("a"), start)
@@ -248,7 +245,7 @@
 	}
 }
 
-// Of an object whose first targets are all out of use, the next ones serve it.
+// The next targets serve an object whose first ones are all unusable.
 func TestTargetsBeyondTheKeptOnesServe(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": rankedDepth + 4}, slots: 2})
 	order := p.rank("a")
@@ -264,7 +261,7 @@
 	}
 }
 
-// New targets take their objects at once.
+// New targets get their objects at once.
 func TestRankingFollowsTargets(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 2}, slots: 2})
 	for i := range 50 {
@@ -282,27 +279,27 @@
 }
 
 func TestTargetsOutOfUse(t *testing.T) {
-	tests := map[string]func(p *Pool, v *discovery.View, at *Placed){
-		"its zone is evacuated": func(p *Pool, v *discovery.View, at *Placed) {
+	tests := map[string]func(p *Pool, v *discovery.View, at *Selection){
+		"its zone is evacuated": func(p *Pool, v *discovery.View, at *Selection) {
 			v.Evacuated["ros-a"] = true
 			p.SetTargets(v.Snapshot.Service("svc"), v)
 		},
-		"it leaves": func(p *Pool, v *discovery.View, at *Placed) {
+		"it leaves": func(p *Pool, v *discovery.View, at *Selection) {
 			at.target.TargetIndex.Target.Leaving = true
 		},
-		"another instance has its address": func(p *Pool, _ *discovery.View, at *Placed) {
-			p.Take(at, start)
-			p.Give(at, Result{Gone: true}, start)
+		"another instance has its address": func(p *Pool, _ *discovery.View, at *Selection) {
+			p.Acquire(at, start)
+			p.Release(at, Result{Gone: true}, start)
 		},
-		"its requests fail": func(p *Pool, _ *discovery.View, at *Placed) {
+		"its requests fail": func(p *Pool, _ *discovery.View, at *Selection) {
 			for range barAfter {
-				p.Take(at, start)
-				p.Give(at, Result{Failed: true}, start)
+				p.Acquire(at, start)
+				p.Release(at, Result{Failed: true}, start)
 			}
 		},
-		"it refused for want of room": func(p *Pool, _ *discovery.View, at *Placed) {
-			p.Take(at, start)
-			p.Give(at, Result{Shed: true}, start)
+		"it refused for want of room": func(p *Pool, _ *discovery.View, at *Selection) {
+			p.Acquire(at, start)
+			p.Release(at, Result{Shed: true}, start)
 		},
 	}
 	for name, do := range tests {
@@ -321,8 +318,8 @@
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 2})
 	fail := func(now time.Time) {
 		at := mustChoose(t, p, ask("a"), now)
-		p.Take(at, now)
-		p.Give(at, Result{Failed: true}, now)
+		p.Acquire(at, now)
+		p.Release(at, Result{Failed: true}, now)
 	}
 	fail(start)
 	fail(start)
@@ -336,7 +333,7 @@
 	}
 	now = now.Add(2 * barFirst)
 	at := mustChoose(t, p, ask("a"), now)
-	p.Take(at, now)
+	p.Acquire(at, now)
 	finish(p, at, time.Millisecond, now)
 	fail(now)
 	if p.Choose(ask("a"), now) == nil {
@@ -344,26 +341,25 @@
 	}
 }
 
-// An answer of a caller that left says nothing of the target.
+// A canceled request says nothing about the target's health.
 func TestCallersThatLeaveDoNotBar(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 2})
 	for range 2 * barAfter {
 		at := mustChoose(t, p, ask("a"), start)
-		p.Take(at, start)
-		p.Give(at, Result{Failed: true, Left: true}, start)
+		p.Acquire(at, start)
+		p.Release(at, Result{Failed: true, Left: true}, start)
 	}
 	mustChoose(t, p, ask("a"), start)
 }
 
-// Moving an object costs a run at a target that does not know it: a short wait
-// is better, a long one is not.
+// A short wait at the first target beats a run at a target without the object.
 func TestWaitIsWeighedAgainstAFreshRun(t *testing.T) {
 	const warm, fresh = 100 * time.Millisecond, 400 * time.Millisecond
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 4}, slots: 2})
 	p.runs = runTimes{warm: mean(warm), fresh: mean(fresh)}
 	home := mustChoose(t, p, ask("a"), start)
-	p.Take(home, start)
-	p.Take(home, start)
+	p.Acquire(home, start)
+	p.Acquire(home, start)
 	if at := mustChoose(t, p, ask("a"), start); at.target != home.target {
 		t.Error("a wait of half a run is shorter than a fresh run elsewhere")
 	}
@@ -373,7 +369,7 @@
 	}
 }
 
-func TestRunTimesTellFreshRunsByTheirTime(t *testing.T) {
+func TestRunTimesDetectUncachedObjects(t *testing.T) {
 	var r runTimes
 	r.observe(true, 0, 100*time.Millisecond)
 	for range 50 {
@@ -399,7 +395,7 @@
 	if now := s.now(start); now < 6 {
 		t.Errorf("a slow target counts as %.1f times as slow", now)
 	}
-	if later := s.now(start.Add(5 * slownessLife)); later > 1.1 {
+	if later := s.now(start.Add(5 * slownessTTL)); later > 1.1 {
 		t.Errorf("it still counts as %.1f times as slow", later)
 	}
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -7,25 +7,24 @@
 	"time"
 )
 
-// Bounds of what a refused caller is told.
+// Bounds of Retry-After.
 const (
-	// retryLeast keeps callers that are refused at once from coming back before
-	// anything can have changed.
-	retryLeast = 50 * time.Millisecond
-	// retryShare is the part of the time left after which a caller is told to come
-	// back at most: callers wait no longer than that, whatever they are told.
+	// minRetryAfter keeps refused callers from retrying before anything can have changed.
+	minRetryAfter = 50 * time.Millisecond
+	// retryShare bounds Retry-After as a share of the caller's remaining time. Callers
+	// wait no longer, whatever it says.
 	retryShare = 1.0 / 3
-	// retryUnknown is told where no run was seen yet, or no target may take the
-	// request: the news of another one comes within a second or two.
-	retryUnknown = 600 * time.Millisecond
+	// unknownRetryAfter applies if no run time is known or no target is eligible. A new
+	// target is discovered within a second or two.
+	unknownRetryAfter = 600 * time.Millisecond
 )
 
-// Refusal tells why a request was not given a target and when to come back.
+// Refusal is why a request got no target, and when to retry.
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
-	Queued     int    // requests that waited
-	Targets    string // of the object, each with what is believed to run there of its slots; for logs
+	Queued     int    // waiting requests
+	Targets    string // of the object, with the slots in use; for logs
 }
 
 // The reasons of refusals.
@@ -33,46 +32,44 @@
 	reasonNoTarget = "no target may take the request"
 	reasonBackoff  = "all targets have asked for backoff"
 	reasonNoTime   = "no target has room in time"
-	reasonLeft     = "the caller left or its time was over"
+	reasonCanceled = "the caller left or its time was over"
 )
 
-// Waiting is a request that waits for a target.
+// Waiting is a request in the queue.
 type Waiting struct {
-	Ask     *Ask
-	until   time.Time // after it the request is refused
-	Placed  *Placed
-	Refused *Refusal
+	Request  *Request
+	until    time.Time // the request is refused after it
+	Selected *Selection
+	Refused  *Refusal
 }
 
-// decided reports whether the request waits no more.
-func (w *Waiting) decided() bool { return w.Placed != nil || w.Refused != nil }
+// decided reports whether the request was placed or refused.
+func (w *Waiting) decided() bool { return w.Selected != nil || w.Refused != nil }
 
-// Enqueue takes a request that has arrived into the queue, behind those that
-// wait with the same priority or a higher one; Serve decides on it. One that may
-// run nowhere, or before which more wait than can run in time, is refused at
-// once.
-func (p *Pool) Enqueue(a *Ask, now time.Time) *Waiting {
-	p.noteObjective(a)
-	w := &Waiting{Ask: a, until: p.patience(a)}
+// Enqueue queues a request by priority and arrival; Serve decides on it. A request
+// without an eligible target, or whose wait would exceed its time, is refused at once.
+func (p *Pool) Enqueue(a *Request, now time.Time) *Waiting {
+	p.recordObjective(a)
+	w := &Waiting{Request: a, until: p.waitUntil(a)}
 	if !p.possible(a, now) {
-		w.Refused = p.noTarget(a, now)
+		w.Refused = p.refuseNoTarget(a, now)
 		return w
 	}
-	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Ask) int {
-		if before(a, x.Ask) {
+	at, _ := slices.BinarySearchFunc(p.queue, a, func(x *Waiting, a *Request) int {
+		if before(a, x.Request) {
 			return 1
 		}
 		return -1
 	})
 	if now.Add(p.queueTime(at)).After(w.until) {
-		w.Refused = p.noTime(a, now)
+		w.Refused = p.refuseNoTime(a, now)
 		return w
 	}
 	p.queue = slices.Insert(p.queue, at, w)
 	return w
 }
 
-// queueTime is how long it takes until so many requests that wait have a slot.
+// queueTime estimates the time until the given number of requests have a slot.
 func (p *Pool) queueTime(ahead int) time.Duration {
 	slots := 0
 	for _, t := range p.order {
@@ -84,86 +81,81 @@
 	return time.Duration(float64(ahead) / float64(slots) * float64(p.runs.expect(true, 0)))
 }
 
-// before reports whether a request goes before another one that waits.
-func before(a, b *Ask) bool {
+// before reports whether a request is served before another one.
+func before(a, b *Request) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
 	return a.Arrived.Before(b.Arrived)
 }
 
-// patienceShare is the part of its time that a request may wait at least, also
-// where runs take longer than the rest: targets that know few objects yet get
-// to know them only by running requests.
-const patienceShare = 0.25
+// minWaitShare is the share of its time that a request may always wait. Targets without
+// cached objects answer late, and fill their caches only by running requests.
+const minWaitShare = 0.25
 
-// turnRuns is how many runs a request takes from when it gets a place: its own,
-// and one before which it may wait at the target.
-const turnRuns = 1 + queueMost
+// turnRuns is the time from placement to the answer in runs: its own, and those queued
+// before it at the target.
+const turnRuns = 1 + maxQueuedPerSlot
 
-// patience returns until when a request may wait for room: as long as an answer
-// can still come within its objective, or within its deadline where it has
-// none. What waits longer would be late when answered and make others late too.
-func (p *Pool) patience(a *Ask) time.Time {
-	whole := a.Deadline.Sub(a.Arrived)
+// waitUntil returns until when a request may wait: as long as the answer can meet its
+// objective, or its deadline if it has none.
+func (p *Pool) waitUntil(a *Request) time.Time {
+	total := a.Deadline.Sub(a.Arrived)
 	if a.Rule != nil && a.Rule.ObjectiveMS > 0 {
-		whole = min(whole, a.Rule.ObjectiveMS.Duration())
+		total = min(total, a.Rule.ObjectiveMS.Duration())
 	}
-	least := time.Duration(patienceShare * float64(whole))
-	return a.Arrived.Add(max(least, whole-time.Duration(turnRuns*float64(p.runs.expect(true, 0)))))
+	minWait := time.Duration(minWaitShare * float64(total))
+	return a.Arrived.Add(max(minWait, total-time.Duration(turnRuns*float64(p.runs.expect(true, 0)))))
 }
 
-// noTarget refuses a request that no target may take. If all have asked for backoff, the
-// caller may retry at the earliest end.
-func (p *Pool) noTarget(a *Ask, now time.Time) *Refusal {
-	r := p.refusal(a, reasonNoTarget, retryUnknown, now)
+// refuseNoTarget refuses a request without an eligible target. If all targets have asked
+// for backoff, the caller may retry at the earliest end.
+func (p *Pool) refuseNoTarget(a *Request, now time.Time) *Refusal {
+	r := p.refusal(a, reasonNoTarget, unknownRetryAfter, now)
 	if at, ok := p.backoffEnd(a, now); ok {
-		r.Reason, r.RetryAfter = reasonBackoff, max(at.Sub(now), retryLeast)
+		r.Reason, r.RetryAfter = reasonBackoff, max(at.Sub(now), minRetryAfter)
 	}
 	return r
 }
 
 // unavailableUntil reports whether no target will take the request before a time.
-func (p *Pool) unavailableUntil(a *Ask, until, now time.Time) bool {
+func (p *Pool) unavailableUntil(a *Request, until, now time.Time) bool {
 	at, ok := p.availableAt(a, now)
 	return !ok || at.After(until)
 }
 
-// noTime refuses a request that can't be answered in time. The caller may come
-// back when those that wait now have run.
-func (p *Pool) noTime(a *Ask, now time.Time) *Refusal {
+// refuseNoTime refuses a request that can't be answered in time. The caller may retry
+// when the queue is served.
+func (p *Pool) refuseNoTime(a *Request, now time.Time) *Refusal {
 	after := p.runs.expect(true, 0) + p.queueTime(len(p.queue))
 	return p.refusal(a, reasonNoTime, after, now)
 }
 
-// boundRetry bounds when a refused caller is told to come back: a caller that comes
-// back before there is room is refused again, one that is told too long comes back
-// when it wants.
-func boundRetry(after time.Duration, a *Ask, now time.Time) time.Duration {
-	most := time.Duration(retryShare * float64(a.Deadline.Sub(now)))
-	return max(min(after, most), retryLeast)
+// clampRetryAfter bounds Retry-After by the caller's remaining time.
+func clampRetryAfter(after time.Duration, a *Request, now time.Time) time.Duration {
+	limit := time.Duration(retryShare * float64(a.Deadline.Sub(now)))
+	return max(min(after, limit), minRetryAfter)
 }
 
-func (p *Pool) refusal(a *Ask, reason string, retryAfter time.Duration, now time.Time) *Refusal {
+func (p *Pool) refusal(a *Request, reason string, retryAfter time.Duration, now time.Time) *Refusal {
 	var targets []string
 	for _, t := range p.candidates(a, now) {
 		targets = append(targets, fmt.Sprintf("%s %d/%d", t.Name, t.busy(now), t.Slots))
 	}
-	return &Refusal{Reason: reason, RetryAfter: boundRetry(retryAfter, a, now), Queued: len(p.queue), Targets: strings.Join(targets, ", ")}
+	return &Refusal{Reason: reason, RetryAfter: clampRetryAfter(retryAfter, a, now), Queued: len(p.queue), Targets: strings.Join(targets, ", ")}
 }
 
-// Serve places and refuses requests that wait, in order, and returns those that
-// wait no more.
+// Serve places or refuses waiting requests in order and returns the decided ones.
 func (p *Pool) Serve(now time.Time) []*Waiting {
 	var done []*Waiting
 	for _, w := range p.queue {
-		if at := p.Choose(w.Ask, now); at != nil {
-			p.Take(at, now)
-			w.Placed = at
+		if at := p.Choose(w.Request, now); at != nil {
+			p.Acquire(at, now)
+			w.Selected = at
 		} else if !now.Before(w.until) {
-			w.Refused = p.noTime(w.Ask, now)
-		} else if p.unavailableUntil(w.Ask, w.until, now) {
-			w.Refused = p.noTarget(w.Ask, now)
+			w.Refused = p.refuseNoTime(w.Request, now)
+		} else if p.unavailableUntil(w.Request, w.until, now) {
+			w.Refused = p.refuseNoTarget(w.Request, now)
 		}
 		if w.decided() {
 			done = append(done, w)
@@ -175,15 +167,15 @@
 	return done
 }
 
-// Cancel takes a request out of the queue; false when it was decided before.
+// Cancel removes a request from the queue; false if it was decided before.
 func (p *Pool) Cancel(w *Waiting) bool {
 	if w.decided() {
 		return false
 	}
-	w.Refused = &Refusal{Reason: reasonLeft}
+	w.Refused = &Refusal{Reason: reasonCanceled}
 	p.queue = slices.DeleteFunc(p.queue, (*Waiting).decided)
 	return true
 }
 
-// Queued returns how many requests wait.
+// Queued returns the length of the queue.
 func (p *Pool) Queued() int { return len(p.queue) }
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -9,31 +9,31 @@
 	"masticturn/internal/config"
 )
 
-func timedAsk(key string, priority int, arrived time.Time) *Ask {
-	return &Ask{
+func timedAsk(key string, priority int, arrived time.Time) *Request {
+	return &Request{
 		ID: key, Key: key, Priority: priority, Arrived: arrived, Deadline: arrived.Add(2 * time.Second),
 		Rule: &config.Rule{ObjectiveMS: 400},
 	}
 }
 
-// admit enqueues a request and decides on all that wait.
-func admit(p *Pool, a *Ask, now time.Time) *Waiting {
+// admit enqueues a request and serves the queue.
+func admit(p *Pool, a *Request, now time.Time) *Waiting {
 	w := p.Enqueue(a, now)
 	p.Serve(now)
 	return w
 }
 
-// fullPool is a pool whose only target has no room, and what it runs.
-func fullPool(t *testing.T) (*Pool, []*Placed) {
+// fullPool is a pool whose only target is full, with its requests.
+func fullPool(t *testing.T) (*Pool, []*Selection) {
 	t.Helper()
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 1})
-	var running []*Placed
+	var running []*Selection
 	for i := range 2 { // one runs, one waits at the target
 		w := admit(p, timedAsk(fmt.Sprint("running ", i), 1, start), start)
-		if w.Placed == nil {
+		if w.Selected == nil {
 			t.Fatal("a free target takes no request")
 		}
-		running = append(running, w.Placed)
+		running = append(running, w.Selected)
 	}
 	return p, running
 }
@@ -48,21 +48,20 @@
 		finish(p, running[i], 10*time.Millisecond, now)
 		done := p.Serve(now)
 		if len(done) != 1 || done[0] != want {
-			t.Fatalf("place %d: %d decided, want the one request %q", i, len(done), want.Ask.ID)
+			t.Fatalf("place %d: %d decided, want the one request %q", i, len(done), want.Request.ID)
 		}
-		running = append(running, want.Placed)
+		running = append(running, want.Selected)
 	}
 	if p.Queued() != 0 {
 		t.Errorf("%d requests still wait", p.Queued())
 	}
 }
 
-// A request that finds room is placed even where runs take longer than its
-// objective: nothing else makes targets know objects.
+// A request is placed even if a run exceeds its objective, as only runs fill caches.
 func TestRoomIsUsedThoughTheAnswerWillBeLate(t *testing.T) {
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 1})
 	p.runs = runTimes{warm: mean(time.Second), fresh: mean(time.Second)}
-	if w := admit(p, timedAsk("a", 1, start), start); w.Placed == nil {
+	if w := admit(p, timedAsk("a", 1, start), start); w.Selected == nil {
 		t.Errorf("refused: %+v", w.Refused)
 	}
 }
@@ -78,17 +77,15 @@
 	if done := p.Serve(until); len(done) != 1 || w.Refused == nil {
 		t.Fatal("it waits on though an answer would be late")
 	}
-	if after := w.Refused.RetryAfter; after < retryLeast || after > w.Ask.Deadline.Sub(until)/3 {
+	if after := w.Refused.RetryAfter; after < minRetryAfter || after > w.Request.Deadline.Sub(until)/3 {
 		t.Errorf("it may come back after %v", after)
 	}
 }
 
-// Callers whose requests take two seconds to run were told to come back after 0.6 s,
-// when nothing could have ended, and were refused for good. They are told when a run
-// has ended, and never longer than they wait.
+// Retry-After is the end of a run, within the caller's remaining time.
 func TestRetryAfterFollowsRuns(t *testing.T) {
 	for _, tt := range []struct{ run, left, least, most time.Duration }{
-		{10 * time.Millisecond, 300 * time.Millisecond, retryLeast, 100 * time.Millisecond},
+		{10 * time.Millisecond, 300 * time.Millisecond, minRetryAfter, 100 * time.Millisecond},
 		{100 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, 600 * time.Millisecond},
 		{500 * time.Millisecond, 6 * time.Second, 500 * time.Millisecond, 2 * time.Second},
 		{1900 * time.Millisecond, 25 * time.Second, 1900 * time.Millisecond, 25 * time.Second / 3},
@@ -98,25 +95,24 @@
 		p.runs = runTimes{warm: mean(tt.run)}
 		a := timedAsk("a", 1, start)
 		a.Deadline = start.Add(tt.left)
-		if after := p.noTime(a, start).RetryAfter; after < tt.least || after > tt.most {
+		if after := p.refuseNoTime(a, start).RetryAfter; after < tt.least || after > tt.most {
 			t.Errorf("runs of %v, %v left: come back after %v, want %v to %v", tt.run, tt.left, after, tt.least, tt.most)
 		}
 	}
 }
 
-// A target that was full is left alone for about as long as one of its slots takes to
-// get free.
+// A full target is barred for about the time until a slot is free.
 func TestFullTargetRestsForASlotsTime(t *testing.T) {
 	for _, tt := range []struct {
 		run   time.Duration
 		slots int
 		want  time.Duration
-	}{{100 * time.Millisecond, 5, shedBar}, {1900 * time.Millisecond, 5, 380 * time.Millisecond}, {10 * time.Second, 4, 2500 * time.Millisecond}} {
+	}{{100 * time.Millisecond, 5, minShedBar}, {1900 * time.Millisecond, 5, 380 * time.Millisecond}, {10 * time.Second, 4, 2500 * time.Millisecond}} {
 		p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: tt.slots})
 		p.runs = runTimes{warm: mean(tt.run)}
 		at := mustChoose(t, p, ask("a"), start)
-		p.Take(at, start)
-		p.Give(at, Result{Shed: true}, start)
+		p.Acquire(at, start)
+		p.Release(at, Result{Shed: true}, start)
 		if got := at.target.barredUntil.Sub(start); got != tt.want {
 			t.Errorf("runs of %v at %d slots: barred for %v, want %v", tt.run, tt.slots, got, tt.want)
 		}
@@ -132,15 +128,15 @@
 	}
 }
 
-// The longer the queue, the later may a refused caller come back.
+// Retry-After grows with the queue.
 func TestRetryAfterGrowsWithTheQueue(t *testing.T) {
 	p, _ := fullPool(t)
 	p.runs = runTimes{warm: mean(100 * time.Millisecond)}
-	short := p.noTime(timedAsk("a", 1, start), start).RetryAfter
+	short := p.refuseNoTime(timedAsk("a", 1, start), start).RetryAfter
 	for i := range 3 {
 		admit(p, timedAsk(fmt.Sprint(i), 1, start), start)
 	}
-	if long := p.noTime(timedAsk("a", 1, start), start).RetryAfter; long <= short {
+	if long := p.refuseNoTime(timedAsk("a", 1, start), start).RetryAfter; long <= short {
 		t.Errorf("%v with three waiting, %v with none", long, short)
 	}
 }
@@ -157,8 +153,8 @@
 	}
 }
 
-// A burst of three times what the targets can run: what is answered is mostly in
-// time, and the more urgent class loses less than the other.
+// In a burst of three times the capacity, most answers are in time, and the more urgent
+// class loses less.
 func TestBurstServesInTimeAndByPriority(t *testing.T) {
 	const run = 100 * time.Millisecond
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 4}, slots: 2})
@@ -172,7 +168,7 @@
 	lateAnswers := 0
 	free := map[string][]time.Time{} // when each slot of a target is free
 	end := func(w *Waiting, now time.Time) {
-		name := w.Placed.index.Name
+		name := w.Selected.index.Name
 		if free[name] == nil {
 			free[name] = []time.Time{now, now}
 		}
@@ -192,9 +188,9 @@
 				running = append(running, e)
 				continue
 			}
-			finish(p, e.w.Placed, run, now)
-			if now.Sub(e.w.Ask.Arrived) <= 400*time.Millisecond {
-				inTime[e.w.Ask.Priority]++
+			finish(p, e.w.Selected, run, now)
+			if now.Sub(e.w.Request.Arrived) <= 400*time.Millisecond {
+				inTime[e.w.Request.Priority]++
 			} else {
 				lateAnswers++
 			}
@@ -206,7 +202,7 @@
 			p.Enqueue(timedAsk(fmt.Sprint(ms%40), priority, now), now)
 		}
 		for _, w := range p.Serve(now) {
-			if w.Placed != nil {
+			if w.Selected != nil {
 				end(w, now)
 			}
 		}
--- a/internal/placement/ranking.go
+++ b/internal/placement/ranking.go
@@ -1,25 +1,23 @@
 package placement
 
 const (
-	// rankedMost is how many objects' rankings are kept, to bound the memory; with
-	// more objects they are worked out again.
-	rankedMost = 2048
-	// rankedDepth is how many targets of each are kept: of the first 16 all would
-	// have to be out of use for the rest to be needed.
+	// maxRankings bounds the cached objects; beyond it the cache is cleared.
+	maxRankings = 2048
+	// rankedDepth is the number of targets cached per object. The rest is ranked again
+	// if too few of them are usable.
 	rankedDepth = 16
 )
 
-// ranking keeps the first targets of each object, since ranking hashes all targets
-// and a waiting request looks at its targets a hundred times a second.
+// ranking caches the first targets of each object, as ranking hashes all targets.
 type ranking struct {
 	byKey map[string][]*targetState
 }
 
-// first returns the first targets of an object; nil when they are not kept.
+// first returns the first targets of an object; nil if not cached.
 func (r *ranking) first(key string) []*targetState { return r.byKey[key] }
 
 func (r *ranking) add(key string, order []*targetState) {
-	if r.byKey == nil || len(r.byKey) >= rankedMost {
+	if r.byKey == nil || len(r.byKey) >= maxRankings {
 		r.byKey = make(map[string][]*targetState)
 	}
 	kept := make([]*targetState, min(len(order), rankedDepth))
--- /dev/null
+++ b/internal/placement/reporting.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticturn/internal/membership"
+	"masticturn/internal/peer"
+)
+
+// reportLoop sends load reports until the context is done.
+func (a *Admitter) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(ReportInterval)
+	defer ticker.Stop()
+	var relay <-chan time.Time // set while children's reports are collected
+	for {
+		select {
+		case <-ticker.C:
+			a.publishReport()
+		case <-relay:
+			relay = nil
+			a.publishReport()
+		case <-a.reportReceived:
+			if relay == nil {
+				relay = time.After(GatherDelay)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// publishReport sends the next report, if one is due.
+func (a *Admitter) publishReport() {
+	a.mu.Lock()
+	now := a.deps.Clock.Now()
+	for _, p := range a.pools {
+		p.expireUsage(now)
+	}
+	next := a.aggregator.Next(a.ownUsage, now)
+	kind := peer.KindUsageReport
+	if next.Total {
+		kind = peer.KindUsageTotal
+		a.applyTotal(next.Report, now)
+	}
+	a.mu.Unlock()
+	a.sendReport(next.To, kind, next.Report)
+}
+
+// sendReport sends a report. A lost one is replaced by the next.
+func (a *Admitter) sendReport(to []string, kind peer.Kind, r *LoadReport) {
+	for _, vm := range to {
+		_ = a.deps.Network.Send(vm, kind, r)
+	}
+}
+
+// ownUsage returns this VM's usage; a.mu is held.
+func (a *Admitter) ownUsage() *LoadReport {
+	r := &LoadReport{Services: make(map[string]*Usage)}
+	for name, p := range a.pools {
+		if u := p.ReportUsage(); !u.Empty() {
+			r.Services[name] = u
+		}
+	}
+	return r
+}
+
+// applyTotal applies the region's total; a.mu is held. Services without an entry are
+// unused.
+func (a *Admitter) applyTotal(r *LoadReport, now time.Time) {
+	for name, p := range a.pools {
+		u := r.Services[name]
+		if u == nil {
+			u = newUsage()
+		}
+		p.ApplyUsage(u, min(r.TTL, maxReportTTL), now)
+	}
+}
+
+// updateTreePosition follows a change of the member list.
+func (a *Admitter) updateTreePosition(v *membership.View) {
+	var names []string
+	for _, m := range v.Members {
+		if m.State == membership.Alive && m.Region == a.deps.VM.Region {
+			names = append(names, m.Name)
+		}
+	}
+	p, _ := TreePositionOf(a.deps.VM.Name, names) // none while leaving: nothing is sent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aggregator.SetPosition(p)
+}
+
+// handleReport receives a child's report.
+func (a *Admitter) handleReport(_ context.Context, from string, payload []byte) (any, error) {
+	var r LoadReport
+	if err := peer.Decode(payload, &r); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	on := a.aggregator.Receive(from, &r, a.deps.Clock.Now())
+	a.mu.Unlock()
+	if !on {
+		return nil, nil
+	}
+	select {
+	case a.reportReceived <- struct{}{}:
+	default: // already signalled
+	}
+	return nil, nil
+}
+
+// handleTotal applies the region's total and forwards it to the children.
+func (a *Admitter) handleTotal(_ context.Context, from string, payload []byte) (any, error) {
+	var r LoadReport
+	if err := peer.Decode(payload, &r); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	children, ok := a.aggregator.ChildrenBelow(from)
+	if ok {
+		a.applyTotal(&r, a.deps.Clock.Now())
+	}
+	a.mu.Unlock()
+	if !ok {
+		return nil, trace.AccessDenied("VM %s is not the parent of this one", from)
+	}
+	a.sendReport(children, peer.KindUsageTotal, &r)
+	return nil, nil
+}
--- a/internal/placement/starts_test.go
+++ b/internal/placement/starts_test.go
@@ -8,7 +8,7 @@
 	"masticturn/internal/discovery"
 )
 
-// oneTarget is a pool with one target, of which a name is one start.
+// oneTarget is a pool with one target, whose name identifies the instance.
 type oneTarget struct {
 	t    *testing.T
 	pool *Pool
@@ -23,7 +23,7 @@
 	return o
 }
 
-// starts tells the pool that the target is now the start named.
+// starts replaces the target by a new instance.
 func (o *oneTarget) starts(name string, coldUntil time.Time) {
 	doc := &config.Document{
 		Regions: []config.Region{{Name: "r", Zones: []string{"r-a"}}},
@@ -36,24 +36,24 @@
 	o.pool.SetTargets(v.Snapshot.Service("svc"), v)
 }
 
-func (o *oneTarget) take(key string, now time.Time) *Placed {
+func (o *oneTarget) take(key string, now time.Time) *Selection {
 	o.t.Helper()
 	at := mustChoose(o.t, o.pool, ask(key), now)
-	o.pool.Take(at, now)
+	o.pool.Acquire(at, now)
 	return at
 }
 
-// All that is known of a target ends with its start.
+// A target's state ends with the instance.
 func TestNothingOutlivesAStart(t *testing.T) {
 	o := newOneTarget(t, "i@1")
 	now := start
 	for range 5 {
-		o.pool.Give(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
+		o.pool.Release(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
 	}
 	running := o.take("a", now)
-	o.pool.Hear(&Use{Running: map[uint32]int{shortID("i@1"): 4}, Objects: map[uint32][]string{shortID("i@1"): {"b"}}}, time.Second, now)
+	o.pool.ApplyUsage(&Usage{Running: map[uint32]int{shortID("i@1"): 4}, Objects: map[uint32][]string{shortID("i@1"): {"b"}}}, time.Second, now)
 	for range barAfter {
-		o.pool.Give(o.take("a", now), Result{Failed: true}, now)
+		o.pool.Release(o.take("a", now), Result{Failed: true}, now)
 	}
 	if o.pool.Choose(ask("a"), now) != nil {
 		t.Fatal("the old start is not barred")
@@ -64,16 +64,16 @@
 	if at.known || at.own != 0 || at.others != 0 || at.target.busy(now) != 0 || at.target.objects.known("b") {
 		t.Errorf("the new start has what the old one had: %+v, busy %d", at, at.target.busy(now))
 	}
-	// What comes late of the old start is not the new one's.
-	o.pool.Give(running, Result{Failed: true, Gone: true, Ended: true}, now)
-	o.pool.Hear(&Use{Running: map[uint32]int{shortID("i@1"): 6}, Objects: map[uint32][]string{shortID("i@1"): {"c"}}}, time.Second, now)
+	// Late results of the old instance do not count for the new one.
+	o.pool.Release(running, Result{Failed: true, Gone: true, Ended: true}, now)
+	o.pool.ApplyUsage(&Usage{Running: map[uint32]int{shortID("i@1"): 6}, Objects: map[uint32][]string{shortID("i@1"): {"c"}}}, time.Second, now)
 	at = mustChoose(t, o.pool, ask("a"), now)
 	if at.target.busy(now) != 0 || at.target.objects.known("c") || at.target.cold(now) {
 		t.Errorf("the new start got what was meant for the old one: busy %d, cold %v", at.target.busy(now), at.target.cold(now))
 	}
 }
 
-// A new start has a cold meter of its own.
+// A new instance has a cold limit of its own.
 func TestColdMeterBelongsToOneStart(t *testing.T) {
 	o := newOneTarget(t, "i@1")
 	o.starts("i@1", start.Add(time.Minute))
@@ -88,17 +88,16 @@
 	}
 }
 
-// Where nobody listened, whoever answers next has started anew and is cold,
-// though the news of that has not come yet.
+// An instance that answers after a refused connection is cold, before its entry arrives.
 func TestTargetThatHadEndedIsColdWhenItAnswersAgain(t *testing.T) {
 	o := newOneTarget(t, "i")
 	now := start
-	o.pool.Give(o.take("a", now), Result{Failed: true, Ended: true}, now)
+	o.pool.Release(o.take("a", now), Result{Failed: true, Ended: true}, now)
 	if sent := o.sendsWithin(now, time.Second); sent != 1 {
 		t.Errorf("%d requests in a second to a target that had ended", sent)
 	}
 	now = now.Add(2 * time.Second)
-	o.pool.Give(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
+	o.pool.Release(o.take("a", now), Result{Latency: 100 * time.Millisecond}, now)
 	if sent := o.sendsWithin(now.Add(coldGap), oneTargetCold-2*coldGap); sent != 1 {
 		t.Errorf("%d requests while it is still cold", sent)
 	}
@@ -107,29 +106,27 @@
 	}
 }
 
-// A VM that may send nothing to cold targets, and so can't find out that this
-// one is back, does not pass it over for good.
+// A VM outside the senders of cold targets does not skip a restarted target for good.
 func TestTargetThatHadEndedIsTriedAgainByAllInTheEnd(t *testing.T) {
 	o := newOneTarget(t, "i")
-	o.pool.Give(o.take("a", start), Result{Failed: true, Ended: true}, start)
+	o.pool.Release(o.take("a", start), Result{Failed: true, Ended: true}, start)
 	o.pool.SetFleet(Fleet{Self: "vm"})
 	if o.pool.Choose(ask("a"), start.Add(time.Second)) != nil {
 		t.Fatal("a VM that does not know the fleet sends to a target that may be cold")
 	}
-	if o.pool.Choose(ask("a"), start.Add(endedLife)) == nil {
+	if o.pool.Choose(ask("a"), start.Add(endedTTL)) == nil {
 		t.Error("the target gets nothing any more")
 	}
 }
 
-// sendsWithin counts the requests that the target gets when as many come as it
-// takes.
+// sendsWithin counts the requests that the target gets under unlimited demand.
 func (o *oneTarget) sendsWithin(from time.Time, span time.Duration) int {
 	sent := 0
 	for d := time.Duration(0); d < span; d += 10 * time.Millisecond {
 		now := from.Add(d)
 		if at := o.pool.Choose(ask("a"), now); at != nil {
-			o.pool.Take(at, now)
-			o.pool.Give(at, Result{Left: true}, now)
+			o.pool.Acquire(at, now)
+			o.pool.Release(at, Result{Left: true}, now)
 			sent++
 		}
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -9,66 +9,62 @@
 )
 
 const (
-	// reportLifeLeast is the least time for which a target's own word on its load
-	// counts in full: about as often a VM of a small fleet hears from a busy target.
-	reportLifeLeast = 600 * time.Millisecond
-	// reportRuns is how many times the time that a target needs for what it told of
-	// its word counts: some more arrives meanwhile.
+	// minReportTTL is the least validity of a target's load report.
+	minReportTTL = 600 * time.Millisecond
+	// reportRuns is the validity in multiples of the time that the reported load takes
+	// to run.
 	reportRuns = 1.5
 )
 
-// targetState is what this VM knows of one target.
+// targetState is the state of one target at this VM.
 type targetState struct {
 	*config.TargetIndex
 	id        uint32 // shortID of its name
 	coldUntil time.Time
 	evacuated bool
 
-	own      int           // requests of this VM that run there
-	others   int           // requests of others that ran or waited there at the last report
-	shared   int           // requests of VMs of the region that run there, as they told
-	reported time.Time     // of that report
-	life     time.Duration // for which it counts in full
+	own       int           // running requests of this VM
+	others    int           // requests of others at the last load report
+	shared    int           // running requests of the region's other VMs, by load reports
+	reported  time.Time     // time of the load report
+	reportTTL time.Duration // validity of the load report
 
 	notice      *notice   // what it announced
-	barredUntil time.Time // its failures bar it until then
+	barredUntil time.Time // after failures
 	failures    int       // in a row
 	gone        bool      // its address serves another instance
-	endedUntil  time.Time // nobody listened at its address, and it has not answered since
+	endedUntil  time.Time // after a refused connection without an answer since
 	coldSent    time.Time // last request of this VM while it was cold
-	coldFleet   uint64    // view of the fleet in which coldSender was worked out; 0: none
+	coldFleet   uint64    // fleetVersion of coldSender; 0: none
 	coldSender  bool      // this VM may send to it while it is cold
-	usedAt      time.Time // last known request of a VM of the region
+	usedAt      time.Time // last request from the region
 	objects     objects
 	slow        slowness
 }
 
-// busy is how many of the target's slots are believed to be in use or waited
-// for. Of what the target told and what other VMs told the larger one counts:
-// each leaves out what the other may hold, and both tell of the same requests.
+// busy estimates the target's running and queued requests. Its own report and the
+// region's usage count the same requests, each incompletely, so that the larger one is
+// taken.
 func (t *targetState) busy(now time.Time) int { return t.own + max(t.shared, t.othersAt(now)) }
 
-// othersAt is how many requests of others are believed to be at the target. Its
-// word counts in full for a while and then fades, so that a target that nobody
-// hears from any more is tried again.
+// othersAt estimates the requests of others by the last load report, which decays after
+// its TTL so that the target is tried again.
 func (t *targetState) othersAt(now time.Time) int {
-	over := now.Sub(t.reported) - t.life
+	over := now.Sub(t.reported) - t.reportTTL
 	if over <= 0 || t.others == 0 {
 		return t.others
 	}
-	return int(math.Round(float64(t.others) * math.Exp(-float64(over)/float64(t.life))))
+	return int(math.Round(float64(t.others) * math.Exp(-float64(over)/float64(t.reportTTL))))
 }
 
-// report takes in the load that an answer told, after which own requests of
-// this VM still run there. It counts in full for life.
-func (t *targetState) report(load *edge.Load, own int, life time.Duration, now time.Time) {
+// report applies a load report, at which own requests of this VM were running.
+func (t *targetState) report(load *edge.Load, own int, ttl time.Duration, now time.Time) {
 	t.others = max(0, load.Running+load.Waiting-own)
 	t.reported = now
-	t.life = life
+	t.reportTTL = ttl
 }
 
-// reportAge is how old the target's last word on its load is; -1 ms when it has
-// told none.
+// reportAge is the age of the last load report; -1 ms if there is none.
 func (t *targetState) reportAge(now time.Time) time.Duration {
 	if t.reported.IsZero() {
 		return -time.Millisecond
@@ -76,19 +72,17 @@
 	return now.Sub(t.reported)
 }
 
-// endedLife is how long a target at whose address nobody listened counts as one
-// that may start anew: until its entry has lapsed, after which it is gone or the
-// news of its start comes. A cut may look the same.
-const endedLife = 10 * time.Second
+// endedTTL is how long a target that refused a connection is expected to restart under
+// its old entry.
+const endedTTL = 10 * time.Second
 
-// cold reports whether the target bears few requests only. One whose process had
-// ended and that answers under the same id has started anew. Until the news of
-// that comes, within two seconds, this VM would send it a warm target's share.
+// cold reports whether the target bears few requests only. One that had ended is taken
+// for cold before its new entry arrives.
 func (t *targetState) cold(now time.Time) bool {
 	return now.Before(t.coldUntil) || now.Before(t.endedUntil)
 }
 
-// answered notes a good answer.
+// answered records a successful answer.
 func (t *targetState) answered(coldTime time.Duration, now time.Time) {
 	if now.Before(t.endedUntil) {
 		t.coldUntil = later(t.coldUntil, now.Add(coldTime))
@@ -103,15 +97,17 @@
 	return b
 }
 
-// most is how many requests a VM places at the target at most.
-func (t *targetState) most() int { return int(math.Ceil(float64(t.Slots) * (1 + queueMost))) }
+// maxRequests bounds the requests at the target, running and queued.
+func (t *targetState) maxRequests() int {
+	return int(math.Ceil(float64(t.Slots) * (1 + maxQueuedPerSlot)))
+}
 
 // usable reports whether the target may get any request at all.
 func (t *targetState) usable(now time.Time) bool {
 	return t.inService() && t.notice.accepting(now) && !now.Before(t.barredUntil)
 }
 
-// inService reports whether the target is to get requests, apart from pauses.
+// inService reports whether the target is to get requests, backoffs aside.
 func (t *targetState) inService() bool {
 	return !t.Leaving && !t.evacuated && !t.gone && !t.notice.leaving
 }
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -5,11 +5,10 @@
 	"time"
 )
 
-// smoothing is the weight of a new measurement in a mean: the last ten or so
-// count.
+// smoothing is the weight of a new measurement in a mean.
 const smoothing = 0.1
 
-// mean is a smoothed duration; zero: nothing was measured.
+// mean is an exponentially weighted moving average; zero: not measured.
 type mean time.Duration
 
 func (m *mean) observe(d time.Duration) {
@@ -20,21 +19,19 @@
 	*m += mean(smoothing * float64(mean(d)-*m))
 }
 
-// freshRatio tells a run at a target that did not know the object from one that
-// did, which takes a small part of the time.
+// freshRatio is the multiple of a warm run from which the object was new to the target.
 const freshRatio = 1.8
 
-// runTimes is how long requests of a service run at a target that knows the
-// object and at one that does not. A VM knows what it has sent itself; whether
-// another VM has sent the object there before shows in the time that the run
-// took, and is expected as often as it was so for targets of the same rank.
+// runTimes holds run times of a service at targets that know the object and at others.
+// Whether another VM has sent the object there before shows in the run time; its
+// frequency is recorded by rank.
 type runTimes struct {
 	warm   mean              // the target knew the object
 	fresh  mean              // it did not
-	shared [replicas]float64 // how often others had sent the object there, by rank
+	shared [replicas]float64 // how often others had sent the object, by rank
 }
 
-// observe takes in one run at the target of a rank.
+// observe records a run at a target of the given rank.
 func (r *runTimes) observe(known bool, rank int, d time.Duration) {
 	if known {
 		r.warm.observe(d)
@@ -50,8 +47,7 @@
 	r.shared[rank] -= smoothing * r.shared[rank]
 }
 
-// expect returns the expected time of a run. What was not measured yet is taken
-// from the other.
+// expect returns the expected run time. A missing mean is taken from the other.
 func (r *runTimes) expect(known bool, rank int) time.Duration {
 	warm := time.Duration(r.warm)
 	if warm == 0 {
@@ -65,35 +61,33 @@
 	return fresh - time.Duration(r.shared[rank]*float64(fresh-warm))
 }
 
-// Slowness of a target against its service.
+// Bounds of slowness.
 const (
-	slownessMost = 20.0
-	// slownessLife is how fast an old measurement of slowness is forgotten, so
-	// that a target that was slow is tried again.
-	slownessLife = 4 * time.Second
+	maxSlowness = 20.0
+	// slownessTTL is the time constant of decay, so that a slow target is tried again.
+	slownessTTL = 4 * time.Second
 )
 
-// slowness is how many times as long as its service's others a target takes.
+// slowness is a target's run time relative to its service's.
 type slowness struct {
 	factor float64 // 0: not measured
 	at     time.Time
 }
 
-// observe takes in how many times as long as expected a run took.
+// observe records the ratio of a run time to the expected one.
 func (s *slowness) observe(ratio float64, now time.Time) {
-	ratio = min(max(ratio, 1/slownessMost), slownessMost)
+	ratio = min(max(ratio, 1/maxSlowness), maxSlowness)
 	s.factor = s.now(now) + slownessSmoothing*(ratio-s.now(now))
 	s.at = now
 }
 
-// slownessSmoothing is larger than smoothing: a target that turns slow is found
-// out with a few answers.
+// slownessSmoothing exceeds smoothing, so that few answers show a slow target.
 const slownessSmoothing = 0.25
 
-// now returns the factor, which returns to 1 as the measurement ages.
+// now returns the factor, which decays to 1.
 func (s *slowness) now(at time.Time) float64 {
 	if s.factor == 0 {
 		return 1
 	}
-	return 1 + (s.factor-1)*math.Exp(-float64(at.Sub(s.at))/float64(slownessLife))
+	return 1 + (s.factor-1)*math.Exp(-float64(at.Sub(s.at))/float64(slownessTTL))
 }
--- a/internal/placement/sharing_test.go
+++ b/internal/placement/usage_test.go
@@ -19,9 +19,9 @@
 	"masticturn/internal/telemetry"
 )
 
-// useOf is what VMs have at one target.
-func useOf(t *targetState, running int, objects ...string) *Use {
-	u := newUse()
+// usageOf is the usage of one target.
+func usageOf(t *targetState, running int, objects ...string) *Usage {
+	u := newUsage()
 	u.Running[t.id] = running
 	if len(objects) > 0 {
 		u.Objects[t.id] = objects
@@ -29,82 +29,81 @@
 	return u
 }
 
-// What all VMs have at a target counts, without what this one told, until the next
-// word or until it is too old.
-func TestHeardUseCounts(t *testing.T) {
+// The region's total counts, less this VM's own share, until the next one or its TTL.
+func TestReceivedUsageCounts(t *testing.T) {
 	const life = time.Second
 	p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
 	placed := mustChoose(t, p, ask("a"), start)
-	p.Take(placed, start)
-	p.Tell()
+	p.Acquire(placed, start)
+	p.ReportUsage()
 	at := placed.target
 	steps := []struct {
 		after time.Duration
-		use   *Use // nil: nothing is told, the pool looks again
-		want  int  // with the one of this VM
+		use   *Usage // nil: no report, the usage may expire
+		want  int    // with this VM's
 	}{
-		{0, useOf(at, 3), 3},
-		{SharePeriod, useOf(at, 5), 5},
-		{2 * SharePeriod, useOf(at, 1), 1},
-		{3 * SharePeriod, useOf(at, 100), 1 + at.most()},
-		{4 * SharePeriod, useOf(at, 2), 2},
-		{4*SharePeriod + life - 1, nil, 2},
-		{4*SharePeriod + life, nil, 1},
+		{0, usageOf(at, 3), 3},
+		{ReportInterval, usageOf(at, 5), 5},
+		{2 * ReportInterval, usageOf(at, 1), 1},
+		{3 * ReportInterval, usageOf(at, 100), 1 + at.maxRequests()},
+		{4 * ReportInterval, usageOf(at, 2), 2},
+		{4*ReportInterval + life - 1, nil, 2},
+		{4*ReportInterval + life, nil, 1},
 	}
 	for i, s := range steps {
 		now := start.Add(s.after)
 		if s.use != nil {
-			p.Hear(s.use, life, now)
+			p.ApplyUsage(s.use, life, now)
 		}
-		p.forgetOld(now)
+		p.expireUsage(now)
 		if got := at.busy(now); got != s.want {
 			t.Errorf("step %d: %d requests are believed at the target, want %d", i, got, s.want)
 		}
 	}
 }
 
-// The target's word and the VMs' tell of the same requests: the larger counts.
-func TestLargerWordCounts(t *testing.T) {
+// The target's report and the region's usage overlap: the larger one counts.
+func TestLargerReportCounts(t *testing.T) {
 	for _, tt := range []struct{ told, heard, want int }{{0, 0, 0}, {2, 0, 2}, {0, 2, 2}, {2, 3, 3}, {3, 2, 3}} {
 		p, _ := newTestPool(t, "ros", site{perRegion: map[string]int{"ros": 1}, slots: 3})
 		at := mustChoose(t, p, ask("a"), start).target
-		at.others, at.reported, at.life = tt.told, start, reportLifeLeast
-		p.Hear(useOf(at, tt.heard), time.Second, start)
+		at.others, at.reported, at.reportTTL = tt.told, start, minReportTTL
+		p.ApplyUsage(usageOf(at, tt.heard), time.Second, start)
 		if got := at.busy(start); got != tt.want {
 			t.Errorf("the target told of %d, the VMs of %d: %d are believed, want %d", tt.told, tt.heard, got, tt.want)
 		}
 	}
 }
 
-// A VM tells each new object once, and what runs as long as it runs.
-func TestTellNewObjectsOnce(t *testing.T) {
+// Each new object is reported once, a running request in every report.
+func TestNewObjectsReportedOnce(t *testing.T) {
 	p, _ := newTestPool(t, "ros", estiba)
 	at := mustChoose(t, p, ask("a"), start)
-	p.Take(at, start)
+	p.Acquire(at, start)
 	id := at.target.id
-	first := p.Tell()
+	first := p.ReportUsage()
 	if first.Running[id] != 1 || len(first.Objects[id]) != 1 {
 		t.Errorf("the first word is %+v, want one request and one object", first)
 	}
-	if second := p.Tell(); second.Running[id] != 1 || len(second.Objects) != 0 {
+	if second := p.ReportUsage(); second.Running[id] != 1 || len(second.Objects) != 0 {
 		t.Errorf("the second word is %+v, want one request and no object", second)
 	}
 	finish(p, at, 100*time.Millisecond, start)
-	if third := p.Tell(); !third.Empty() {
+	if third := p.ReportUsage(); !third.Empty() {
 		t.Errorf("the third word is %+v, want nothing", third)
 	}
 	other, _ := newTestPool(t, "ros", estiba)
-	other.Hear(first, time.Second, start)
+	other.ApplyUsage(first, time.Second, start)
 	if again := mustChoose(t, other, ask("a"), start); !again.known {
 		t.Error("the other VM does not know that the target knows the object")
 	}
-	other.Take(mustChoose(t, other, ask("a"), start), start)
-	if u := other.Tell(); len(u.Objects) != 0 {
+	other.Acquire(mustChoose(t, other, ask("a"), start), start)
+	if u := other.ReportUsage(); len(u.Objects) != 0 {
 		t.Errorf("the other VM tells on what it was told: %+v", u.Objects)
 	}
 }
 
-// fixedViews is a view that does not change.
+// fixedViews is an unchanging catalog.
 type fixedViews struct{ view *discovery.View }
 
 func (f fixedViews) View() *discovery.View { return f.view }
@@ -112,14 +111,13 @@
 	return func() {}
 }
 
-// fixedMembers is a membership that does not change.
+// fixedMembers is an unchanging member list.
 type fixedMembers struct{ view *membership.View }
 
 func (f fixedMembers) View() *membership.View                  { return f.view }
 func (f fixedMembers) Subscribe(func(*membership.View)) func() { return func() {} }
 
-// regionOfVMs starts admitters of VMs of one region over a hub, and one more of
-// another region.
+// regionOfVMs starts admitters of the VMs of one region over a hub, and one of another region.
 func regionOfVMs(t *testing.T, size int) (*peertest.Hub, *config.ServiceIndex, map[string]*Admitter) {
 	t.Helper()
 	view, svc := site{perRegion: map[string]int{"ros": 40, "bb": 1}, slots: 4}.view(t)
@@ -148,7 +146,7 @@
 	return hub, svc, vms
 }
 
-// acquire places requests about different objects at a VM.
+// acquire places requests for different objects at a VM.
 func acquire(t *testing.T, a *Admitter, svc *config.ServiceIndex, n int) []admission.Permit {
 	t.Helper()
 	var permits []admission.Permit
@@ -158,7 +156,7 @@
 	return permits
 }
 
-// acquireObject places a request about an object at a VM.
+// acquireObject places a request for an object at a VM.
 func acquireObject(t *testing.T, a *Admitter, svc *config.ServiceIndex, object string) admission.Permit {
 	t.Helper()
 	p, err := a.Acquire(t.Context(), &admission.Request{
@@ -171,8 +169,8 @@
 	return p
 }
 
-// heardOf sums up what a VM was told of others' requests.
-func heardOf(a *Admitter) int {
+// receivedUsage sums up the others' requests that a VM received.
+func receivedUsage(a *Admitter) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := 0
@@ -184,23 +182,23 @@
 	return n
 }
 
-func TestVMsOfARegionTellEachOther(t *testing.T) {
+func TestVMsOfARegionShareUsage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, svc, vms := regionOfVMs(t, 3)
 		permits := acquire(t, vms["vm-000"], svc, 5)
-		time.Sleep(4 * SharePeriod)
+		time.Sleep(4 * ReportInterval)
 		synctest.Wait()
 		for name, want := range map[string]int{"vm-000": 0, "vm-001": 5, "vm-002": 5, "far": 0} {
-			if got := heardOf(vms[name]); got != want {
+			if got := receivedUsage(vms[name]); got != want {
 				t.Errorf("%s was told of %d requests, want %d", name, got, want)
 			}
 		}
 		for _, p := range permits {
 			p.Release(admission.Result{})
 		}
-		time.Sleep(4 * SharePeriod)
+		time.Sleep(4 * ReportInterval)
 		synctest.Wait()
-		if got := heardOf(vms["vm-001"]); got != 0 {
+		if got := receivedUsage(vms["vm-001"]); got != 0 {
 			t.Errorf("%d requests that have ended are believed to run", got)
 		}
 	})
@@ -210,22 +208,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		hub, svc, vms := regionOfVMs(t, 2)
 		acquire(t, vms["vm-000"], svc, 5)
-		time.Sleep(4 * SharePeriod)
+		time.Sleep(4 * ReportInterval)
 		hub.Cut("vm-000", "vm-001")
-		time.Sleep(2 * shareLives * SharePeriod) // of its word, and of the sum with it
+		time.Sleep(2 * ttlIntervals * ReportInterval) // of its word, and of the sum with it
 		synctest.Wait()
-		if got := heardOf(vms["vm-001"]); got != 0 {
+		if got := receivedUsage(vms["vm-001"]); got != 0 {
 			t.Errorf("%d requests of a VM that is silent are believed to run", got)
 		}
 	})
 }
 
-// What telling costs a VM: nothing when nothing runs, below the budget of a
-// daemon in regions of all sizes that are designed for.
-func TestTellingIsBounded(t *testing.T) {
+// Reports cost nothing when idle, and less than a daemon's control budget at all sizes.
+func TestReportRateIsBounded(t *testing.T) {
 	const (
-		budget  = 14_000 // bytes a second that a daemon may spend on control
-		framing = 90     // of a message: our frame and the headers of TCP and IP
+		budget  = 14_000 // of control traffic, bytes/s
+		framing = 90     // bytes per message: frame, TCP and IP headers
 		seconds = 5
 	)
 	for _, tt := range []struct{ vms, running, most int }{{28, 0, 0}, {28, 12, budget}, {65, 12, budget}, {155, 12, budget}} {
@@ -236,7 +233,7 @@
 					acquire(t, a, svc, tt.running)
 				}
 			}
-			time.Sleep(2 * SharePeriod) // new objects were told
+			time.Sleep(2 * ReportInterval) // new objects are reported
 			before := hub.Stats()
 			time.Sleep(seconds * time.Second)
 			after := hub.Stats()
