--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -12,18 +12,13 @@
 	"masticturn/internal/platform"
 )
 
-// fleetSizes are the sizes of fleets that are compared.
+// fleetSizes are the compared fleets.
 var fleetSizes = []int{30, 195}
 
-// storeReaders is how many VMs of a fleet in three regions read the store at most
-// when it is out of reach for those that should.
-const storeReaders = 3*readers + strayReads
+// storeReaders bounds the VMs of a fleet in three regions that read the store in an outage.
+const storeReaders = 3*readers + fallbackReadRate
 
-// The day on which the store refused every call for eight seconds cost 11,845 calls
-// in a fleet of 195 VMs, four times a quiet day's and more than all its machines:
-// each VM that was told by another one that the store is out of reach asked the
-// store itself, for each kind, again and again. The VMs that ask must not grow with
-// the fleet.
+// Calls to the store during an outage must not grow with the fleet.
 func TestCallsOfAnOutageDoNotGrowWithTheFleet(t *testing.T) {
 	const outage = 8 * time.Second
 	for _, size := range fleetSizes {
@@ -52,10 +47,7 @@
 	}
 }
 
-// A quiet day of 195 VMs made 2,153 calls, five times as many as one of nine VMs, as
-// every VM that starts listed the document, the targets and the zones. When the fleet
-// starts, or one VM starts again, those that run or that read the store anyway tell
-// the others.
+// Calls of a start must not grow with the fleet: starting VMs bootstrap from peers.
 func TestCallsOfAStartDoNotGrowWithTheFleet(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -82,7 +74,7 @@
 	}
 }
 
-// A VM that starts while nobody answers reads the store itself.
+// A VM that starts without peers reads the store.
 func TestStartWithoutOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 10)
@@ -91,7 +83,7 @@
 		}
 		f.restart("vm-000")
 		f.change()
-		time.Sleep(startPatience + time.Second)
+		time.Sleep(restartWait + time.Second)
 		synctest.Wait()
 		if v := f.vms["vm-000"].View(); v == nil || v.Snapshot.Generation != f.gen {
 			t.Error("no document")
@@ -99,8 +91,7 @@
 	})
 }
 
-// When all VMs end and start again callers wait. They were told half a second later
-// than need be, while each VM waited for others that knew nothing either.
+// VMs of a restarted fleet do not wait for peers without state.
 func TestFleetThatStartsAgainReadsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 30)
@@ -112,17 +103,17 @@
 		for _, m := range f.view.Members {
 			f.startAgain(m.Name)
 		}
-		time.Sleep(startPatience / 2)
+		time.Sleep(restartWait / 2)
 		synctest.Wait()
 		for name, s := range f.vms {
 			if v := s.View(); v == nil || v.Snapshot.Generation != f.gen {
-				t.Errorf("%s has no document after %v", name, startPatience/2)
+				t.Errorf("%s has no document after %v", name, restartWait/2)
 			}
 		}
 	})
 }
 
-// What is told is what was packed; nothing that comes is unpacked without bound.
+// Packing is lossless, and unpacking bounded.
 func TestPackedLists(t *testing.T) {
 	objects := []platform.Object{
 		{Kind: "k", Name: "a", Version: 7, Value: []byte(`{"x":1}`), Status: []byte(`{}`)},
@@ -139,7 +130,7 @@
 	if _, err := unpackObjects(packed[:len(packed)/2]); err == nil {
 		t.Error("half of a list is taken for a list")
 	}
-	large, err := packObjects([]platform.Object{{Value: make([]byte, unpackedMost)}})
+	large, err := packObjects([]platform.Object{{Value: make([]byte, maxUnpackedBytes)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -148,7 +139,7 @@
 	}
 }
 
-// Some VMs of each region have an entry, and each VM where no seeds are known.
+// Some VMs per region have an entry; without seeds, all.
 func TestWhoIsRegistered(t *testing.T) {
 	const perRegion = 65
 	view := &membership.View{}
@@ -179,8 +170,7 @@
 	}
 }
 
-// Entries that lapse while the store is out of reach are believed until they may
-// be written again, also by VMs that read nothing themselves.
+// Entries that lapse in an outage are kept until they may be written again, at all VMs.
 func TestTargetsSurviveAnOutage(t *testing.T) {
 	const targets = 10
 	synctest.Test(t, func(t *testing.T) {
@@ -217,7 +207,7 @@
 	})
 }
 
-// wantTargets checks how many targets each VM believes in.
+// wantTargets checks the size of each VM's catalog.
 func (f *fleet) wantTargets(when string, want int) {
 	f.t.Helper()
 	synctest.Wait()
@@ -228,8 +218,7 @@
 	}
 }
 
-// Targets whose entries lapsed in an outage and that do not come back are dropped,
-// also by VMs that read nothing themselves.
+// Targets that do not return after an outage are dropped at all VMs.
 func TestTargetsThatDoNotComeBack(t *testing.T) {
 	const targets = 10
 	synctest.Test(t, func(t *testing.T) {
@@ -251,17 +240,13 @@
 		}
 		time.Sleep(time.Second)
 		f.wantTargets("a second after the outage", targets)
-		time.Sleep(rejoinGrace + expireEvery + time.Second)
+		time.Sleep(rejoinGrace + expireInterval + time.Second)
 		f.wantTargets("when the grace is over", 0)
 	})
 }
 
-// On a day on which the store turned a third of the VMs away, those that read it
-// first, 88 requests were run by a document that was replaced more than four seconds
-// before: all readers of a region were turned away, the few strays that were served
-// told nobody, and the others asked only those that knew nothing. Whoever is served,
-// the others hear of it.
-func TestNewsWhenTheReadersAreTurnedAway(t *testing.T) {
+// Changes arrive although the store refuses all readers of a region and serves others.
+func TestChangesArriveWhenReadersAreRefused(t *testing.T) {
 	const others = 0.35 // of the other VMs are turned away too
 	for size, bound := range map[int]time.Duration{10: 2 * time.Second, 195: 4 * time.Second} {
 		for seed := range uint64(4) {
--- a/internal/discovery/belief_test.go
+++ b/internal/discovery/catalog_test.go
@@ -9,7 +9,7 @@
 	"masticturn/internal/platform"
 )
 
-// jsonDecoder reads documents and targets as they are written by the tests.
+// jsonDecoder decodes the documents and targets of tests.
 type jsonDecoder struct{}
 
 type testDocument struct {
@@ -49,10 +49,10 @@
 	return raw
 }
 
-// world is a belief with the mirrors behind it.
+// world is a catalog with its mirrors.
 type world struct {
 	t       *testing.T
-	b       *belief
+	b       *catalog
 	docs    *Mirror
 	zones   *Mirror
 	targets *Mirror
@@ -64,8 +64,8 @@
 
 func newWorld(t *testing.T, targets ...string) *world {
 	w := &world{
-		t: t, b: newBelief(jsonDecoder{}, map[string]string{"z1": "r1", "z2": "r2"}),
-		docs: NewMirror(platform.MaxValueBytes), zones: NewMirror(entryMost), targets: NewMirror(entryMost), now: time.Unix(1000, 0),
+		t: t, b: newCatalog(jsonDecoder{}, map[string]string{"z1": "r1", "z2": "r2"}),
+		docs: NewMirror(platform.MaxValueBytes), zones: NewMirror(maxEntryBytes), targets: NewMirror(maxEntryBytes), now: time.Unix(1000, 0),
 	}
 	w.document(1)
 	var list []platform.Object
@@ -141,7 +141,7 @@
 	}
 }
 
-// A VM that starts serves nobody before it has heard of the evacuated zones.
+// A starting VM serves nobody before it knows the evacuated zones.
 func TestNoViewBeforeAllKindsAreListed(t *testing.T) {
 	for _, kind := range []platform.Kind{"zones", "targets"} {
 		w := newWorld(t, "a")
@@ -182,7 +182,7 @@
 		t.Error("a target that reports to be cold is cold")
 	}
 	w.now = w.now.Add(testCold)
-	// It turns cold once more for the same time: the entry is another version.
+	// Another version of the entry makes it cold again.
 	w.report("old", Target{Cold: testCold})
 	if !w.cold("old") {
 		t.Error("a target that turns cold again is cold again")
@@ -255,7 +255,7 @@
 	}
 }
 
-func TestLeavingTargetIsNotBelievedAfterItsEntryIsGone(t *testing.T) {
+func TestLeavingTargetEndsWithItsEntry(t *testing.T) {
 	w := newWorld(t, "a", "b")
 	w.report("a", Target{Leaving: true})
 	w.b.regained = w.now
--- a/internal/discovery/decoder.go
+++ b/internal/discovery/decoder.go
@@ -1,7 +1,6 @@
-// Package discovery keeps what this VM believes of the fleet's surroundings:
-// the document, the targets that come and go, and the availability zones that
-// are evacuated. It mirrors kinds of the platform's store and puts what it
-// finds in force as immutable views.
+// Package discovery maintains the catalog of this VM: the document, the targets and the
+// evacuated availability zones. It mirrors kinds of the platform's store, read by few VMs
+// and relayed among the others, and publishes immutable views.
 package discovery
 
 import (
@@ -26,26 +25,24 @@
 // Target is a target's own entry.
 type Target struct {
 	Instance string // the id under which it registers
-	Born     int64  // Unix millisecond of its start; 0: it does not tell
-	Sequence int64  // counts its reports since its start
+	Born     int64  // start, in Unix milliseconds; 0: unknown
+	Sequence int64  // of its reports since the start
 	Service  string
 	Address  string
 	Zone     string // availability zone
 	Slots    int
 	Leaving  bool
-	Cold     time.Duration // how much longer it stays cold, when it wrote the entry
+	Cold     time.Duration // remaining cold time when the entry was written
 }
 
-// startBase is the base in which the time of a start is written in names: names
-// go to other VMs twice a second, and 36 makes them five bytes shorter than 10.
+// A start is appended to names in base 36, which keeps the names in messages short.
 const (
 	startBase      = 36
 	startSeparator = "@"
 )
 
-// Name names one start of the target. A target that starts again under its id
-// holds and knows nothing of before, so that all that is kept of targets is
-// kept by this name.
+// Name identifies one start of the target. State of targets is kept by it, as a new start
+// shares nothing with the one before.
 func (t *Target) Name() string {
 	if t.Born == 0 {
 		return t.Instance
@@ -53,24 +50,24 @@
 	return t.Instance + startSeparator + strconv.FormatInt(t.Born, startBase)
 }
 
-// Ranges of what entries may hold; they are far wider than any target's.
+// Limits of entries.
 const (
-	slotsMost    = 1 << 16
-	coldMost     = time.Hour
-	instanceMost = 128 // bytes of an id
+	maxSlots         = 1 << 16
+	maxColdTime      = time.Hour
+	maxInstanceBytes = 128 // bytes of an id
 )
 
-// check returns what in an entry can't be, a *FieldError, or nil. Places maps
-// the availability zones of the deployment to their regions.
+// check returns the first invalid field as a *FieldError, or nil. Places maps the
+// deployment's availability zones to regions.
 func (t *Target) check(places map[string]string) error {
 	if !validInstance(t.Instance) {
-		return &FieldError{"name", t.Instance[:min(len(t.Instance), instanceMost)], fmt.Sprintf("1 to %d printable characters without space and %s", instanceMost, startSeparator)}
+		return &FieldError{"name", t.Instance[:min(len(t.Instance), maxInstanceBytes)], fmt.Sprintf("1 to %d printable characters without space and %s", maxInstanceBytes, startSeparator)}
 	}
-	if t.Slots < 1 || t.Slots > slotsMost {
-		return &FieldError{"slots", strconv.Itoa(t.Slots), fmt.Sprintf("1 to %d", slotsMost)}
+	if t.Slots < 1 || t.Slots > maxSlots {
+		return &FieldError{"slots", strconv.Itoa(t.Slots), fmt.Sprintf("1 to %d", maxSlots)}
 	}
-	if t.Cold < 0 || t.Cold > coldMost {
-		return &FieldError{"cold time", t.Cold.String(), "0 to " + coldMost.String()}
+	if t.Cold < 0 || t.Cold > maxColdTime {
+		return &FieldError{"cold time", t.Cold.String(), "0 to " + maxColdTime.String()}
 	}
 	if t.Born < 0 || t.Sequence < 0 {
 		return &FieldError{"start", fmt.Sprintf("%d, report %d", t.Born, t.Sequence), "numbers that are not negative"}
@@ -84,18 +81,17 @@
 	return nil
 }
 
-// validInstance reports whether an id can go into headers and, with the time of
-// a start, into names that are unique.
+// validInstance reports whether an id is valid in headers and in Name.
 func validInstance(id string) bool {
 	for _, c := range []byte(id) {
 		if c <= ' ' || c > '~' || string(c) == startSeparator {
 			return false
 		}
 	}
-	return len(id) >= 1 && len(id) <= instanceMost
+	return len(id) >= 1 && len(id) <= maxInstanceBytes
 }
 
-// FieldError is a field of a stored object that can't be what it is.
+// FieldError is an invalid field of a stored object.
 type FieldError struct {
 	Field   string // path within the object; "" is the object itself
 	Got     string // the value, or the beginning of a long one
@@ -107,11 +103,11 @@
 	return fmt.Sprintf("field %q: got %q; allowed is %s", e.Field, e.Got, e.Allowed)
 }
 
-// ErrOmitted says that an object's content is too long to be kept.
+// ErrOmitted is returned for objects whose content was too long to be kept.
 var ErrOmitted = errors.New("the entry is too long")
 
-// Decoder translates objects of the store. Anybody may have written them: an
-// error says that an object can't be what its kind holds.
+// Decoder decodes objects of the store, which anyone may have written. Errors describe
+// invalid content.
 type Decoder interface {
 	Kinds() Kinds
 	Document(platform.Object) (*config.Document, config.Generation, error)
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -12,8 +12,8 @@
 		Number:  telemetry.RangeDiscovery + 101,
 		Level:   logrus.WarnLevel,
 		Name:    "store lost",
-		Meaning: "A kind of objects can't be read from the store any more. What is believed of it stays in force.",
-		Action:  "Look at the platform's store and the way to it. Nothing changes for callers until targets leave unseen.",
+		Meaning: "A kind of objects can no longer be read from the store or from peers. The last state stays in force.",
+		Action:  "Check the platform's store and the path to it. Callers are not affected until targets leave.",
 	})
 	eventStoreRegained = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 102,
@@ -25,9 +25,9 @@
 	eventRelayLost = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 107,
 		Level:   logrus.InfoLevel,
-		Name:    "VM does not tell of the store",
-		Meaning: "The VM named, from which this one hears of the store, did not answer in time or is out of touch itself. Another one, or the store, is asked.",
-		Action:  "None by itself; look at the VM when it is named again and again.",
+		Name:    "source lost",
+		Meaning: "The peer named, a source of the store's state, did not answer in time or is stale. Another peer, or the store, is used.",
+		Action:  "Inspect the VM if it recurs.",
 	})
 	eventDocument = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 201,
@@ -41,21 +41,21 @@
 		Level:   logrus.ErrorLevel,
 		Name:    "document not readable",
 		Meaning: "The stored document can't be decoded. The one before stays in force.",
-		Action:  "Look at what the operator wrote.",
+		Action:  "Check what the operator wrote.",
 	})
 	eventTargetBad = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 103,
 		Level:   logrus.ErrorLevel,
 		Name:    "target entry not readable",
-		Meaning: "A target's entry changed and names no target to use any more: a field is missing, of another type or out of range, or it can't be read at all. The error names the field. The other entries hold.",
-		Action:  "Look at the target's entry in the store and at who wrote it.",
+		Meaning: "A target's changed entry is invalid: a field is missing, of another type or out of range, or it can't be decoded. The error names the field. The other entries hold.",
+		Action:  "Check the target's entry in the store and its writer.",
 	})
 	eventZoneUnknown = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 108,
 		Level:   logrus.WarnLevel,
 		Name:    "unknown zone evacuated",
 		Meaning: "An availability zone that this deployment does not have is to be evacuated, as of the version stated. It changes nothing.",
-		Action:  "Look for a mistyped name in what the operator wrote.",
+		Action:  "Check for a mistyped name.",
 	})
 	eventTarget = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 104,
@@ -68,14 +68,14 @@
 		Number:  telemetry.RangeDiscovery + 105,
 		Level:   logrus.InfoLevel,
 		Name:    "evacuated zones",
-		Meaning: "The availability zones named are to get no requests; none means that all take part.",
+		Meaning: "The availability zones named get no requests; none named: all zones are in use.",
 		Action:  "None.",
 	})
 	eventRegisterFailed = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 106,
 		Level:   logrus.WarnLevel,
 		Name:    "VM not registered",
-		Meaning: "This VM could not write its entry, by which others that start find it. It tries on.",
-		Action:  "Look at the platform's store and the way to it.",
+		Meaning: "This VM could not write its entry, by which new VMs find the fleet. It retries.",
+		Action:  "Check the platform's store and the path to it.",
 	})
 )
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -18,8 +18,7 @@
 	"masticturn/internal/telemetry"
 )
 
-// inForceBound is the tightest bound of the deployments on news from the store:
-// every VM with a way to the store must know within it.
+// inForceBound is the deployments' tightest bound until a change is known to every VM.
 const inForceBound = 2 * time.Second
 
 // fixedMembers is a view that all VMs share.
@@ -28,11 +27,11 @@
 func (f fixedMembers) View() *membership.View                  { return f.view }
 func (f fixedMembers) Subscribe(func(*membership.View)) func() { return func() {} }
 
-// reach is one VM's way to the store.
+// reach is a VM's path to the store.
 type reach struct {
 	*platformtest.Store
-	refused atomic.Bool // the store turns this VM away at once
-	silent  atomic.Bool // nothing comes back
+	refused atomic.Bool // the store refuses this VM
+	silent  atomic.Bool // no answers
 	calls   atomic.Int64
 }
 
@@ -62,13 +61,13 @@
 		return nil, since, err
 	}
 	events, asOf, err := r.Store.Watch(ctx, kind, since)
-	if r.silent.Load() { // it went silent while the call waited
+	if r.silent.Load() { // it went silent during the call
 		return nil, since, platform.ErrUnavailable
 	}
 	return events, asOf, err
 }
 
-// fleet is some VMs over one store.
+// fleet is several VMs with one store.
 type fleet struct {
 	t     *testing.T
 	hub   *peertest.Hub
@@ -77,7 +76,7 @@
 	reach map[string]*reach
 	view  *membership.View
 	gen   config.Generation
-	bound time.Duration // on news
+	bound time.Duration // until changes are known
 
 	firstStart bool // of the whole fleet
 }
@@ -85,7 +84,7 @@
 // newFleet starts VMs in three regions, with a document in force everywhere.
 func newFleet(t *testing.T, size int) *fleet { return newBoundFleet(t, size, inForceBound) }
 
-// newBoundFleet is newFleet in a deployment with another bound on news.
+// newBoundFleet is newFleet with another bound.
 func newBoundFleet(t *testing.T, size int, bound time.Duration) *fleet {
 	f := &fleet{
 		bound: bound, firstStart: true,
@@ -133,13 +132,13 @@
 	}
 }
 
-// restart ends a VM's process and starts it again.
+// restart restarts a VM's process.
 func (f *fleet) restart(name string) {
 	_ = f.vms[name].Stop(context.Background())
 	f.startAgain(name)
 }
 
-// startAgain starts the process of a VM that has ended.
+// startAgain starts an ended process.
 func (f *fleet) startAgain(name string) {
 	calls := f.reach[name].calls.Load()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -152,7 +151,7 @@
 	for _, s := range f.vms {
 		_ = s.Stop(context.Background())
 	}
-	time.Sleep(time.Second) // what a pause held back is delivered
+	time.Sleep(time.Second) // delivers messages of a paused VM
 }
 
 // change writes a newer document.
@@ -161,8 +160,7 @@
 	f.store.Put("doc", "main", encode(f.t, testDocument{Generation: f.gen}))
 }
 
-// watchersOf returns the VMs that read the store and the leader of a region
-// that does not.
+// watchersOf returns the VMs that read the store and the leader of a region without one.
 func (f *fleet) watchersOf() (reading []string, leader string) {
 	order := leaders(byRegion(f.view))
 	for _, m := range order[:watchers] {
@@ -171,8 +169,7 @@
 	return reading, order[watchers].Name
 }
 
-// wantEverywhere checks that all VMs but some have the newest document within
-// the bound.
+// wantEverywhere checks that all VMs except some get the newest document within the bound.
 func (f *fleet) wantEverywhere(when string, but ...string) {
 	f.t.Helper()
 	time.Sleep(f.bound)
@@ -205,7 +202,7 @@
 			for _, vm := range reading {
 				f.reach[vm].refused.Store(true)
 			}
-			return reading // they have no way to the store themselves
+			return reading // they read the store
 		},
 		"both watchers and a leader find the store silent": func(f *fleet) []string {
 			reading, leader := f.watchersOf()
@@ -239,7 +236,7 @@
 		},
 	}
 	for name, prepare := range tests {
-		for phase := range 4 { // of the watches that wait when the change comes
+		for phase := range 4 { // of pending watches
 			t.Run(fmt.Sprintf("%s/%d", name, phase), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, 10)
@@ -253,10 +250,10 @@
 	}
 }
 
-// A deployment with a tighter bound gets news more often.
+// A tighter bound is held.
 func TestTighterBoundsAreFollowed(t *testing.T) {
 	const bound = 1200 * time.Millisecond
-	for phase := range 8 { // of the watches that wait when the change comes
+	for phase := range 8 { // of pending watches
 		synctest.Test(t, func(t *testing.T) {
 			f := newBoundFleet(t, 10, bound)
 			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
@@ -278,8 +275,8 @@
 		bounds              settings.Bounds
 		document, evacuated Timing
 	}{
-		"none":   {settings.Bounds{}, newsTiming, zonesTiming},
-		"looser": {settings.Bounds{ConfigInForce: 4 * time.Second, ZoneEvacuation: 9 * time.Second}, newsTiming, zonesTiming},
+		"none":   {settings.Bounds{}, changeTiming, zonesTiming},
+		"looser": {settings.Bounds{ConfigInForce: 4 * time.Second, ZoneEvacuation: 9 * time.Second}, changeTiming, zonesTiming},
 		"half": {
 			settings.Bounds{ConfigInForce: time.Second, ZoneEvacuation: 2500 * time.Millisecond},
 			Timing{475 * time.Millisecond, 675 * time.Millisecond},
@@ -309,8 +306,8 @@
 	})
 }
 
-// A VM that the store refuses hears of changes from the others.
-func TestRefusedVMHearsFromOthers(t *testing.T) {
+// A VM that the store refuses gets changes from peers.
+func TestRefusedVMFollowsPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 10)
 		reading, leader := f.watchersOf()
@@ -322,7 +319,7 @@
 	})
 }
 
-// The calls of a quiet fleet do not grow with it: two VMs read three kinds.
+// The calls of a quiet fleet do not grow with it.
 func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
 	const minute = time.Minute
 	most := int64(float64(watchers*3) * minute.Seconds() / 0.95)
@@ -330,7 +327,7 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, size)
-				time.Sleep(5 * time.Second) // all know from whom they hear
+				time.Sleep(5 * time.Second) // all VMs have settled
 				before := f.calls()
 				time.Sleep(minute)
 				calls := f.calls() - before
@@ -351,9 +348,8 @@
 	}
 }
 
-// Whoever a VM hears from, the way ends at a VM that reads the store, in few
-// steps, and no VM tells too many others.
-func TestWaysToTheStore(t *testing.T) {
+// Every chain of sources ends at a reader within few hops, and no VM serves too many others.
+func TestSourcesOfAllVMs(t *testing.T) {
 	for _, size := range []int{1, 2, 3, 10, 87, 1400} {
 		view := &membership.View{}
 		for i := range size {
@@ -367,7 +363,7 @@
 		for _, m := range view.Members {
 			own := *view
 			own.Self = m.Name
-			if p := waysOf(&own).vms; len(p) > 0 {
+			if p := sourcesOf(&own).vms; len(p) > 0 {
 				first[m.Name] = p[0]
 				told[p[0]]++
 			} else {
@@ -393,7 +389,7 @@
 	}
 }
 
-// What the polls of a quiet fleet cost each VM does not grow with it.
+// A quiet VM's polls do not grow with the fleet.
 func TestPollBytesDoNotGrowWithTheFleet(t *testing.T) {
 	const minute = time.Minute
 	for _, size := range []int{10, 30, 87} {
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -9,8 +9,8 @@
 	"masticturn/internal/platform"
 )
 
-// spoiledCases is how many spoiled copies are read in an ordinary run.
-const spoiledCases = 4000
+// corruptCases is the number of corrupt copies in an ordinary run.
+const corruptCases = 4000
 
 func entrySeeds() [][]byte {
 	return [][]byte{
@@ -19,8 +19,8 @@
 	}
 }
 
-// checkEntry writes an entry that anybody may have written over a good one. The
-// view holds nothing that could not be a target, and the other target always.
+// checkEntry overwrites a valid entry with any bytes. The view must hold valid targets only,
+// and the other target always.
 func checkEntry(t *testing.T, data []byte) {
 	w := newWorld(t, "other", "a")
 	faults := w.put("a", string(data))
@@ -47,8 +47,8 @@
 	f.Fuzz(checkEntry)
 }
 
-func TestSpoiledEntries(t *testing.T) {
-	mutation.Cases(entrySeeds(), spoiledCases, func(data []byte) { checkEntry(t, data) })
+func TestCorruptEntries(t *testing.T) {
+	mutation.Cases(entrySeeds(), corruptCases, func(data []byte) { checkEntry(t, data) })
 }
 
 func pollSeeds(t testing.TB) [][]byte {
@@ -67,14 +67,13 @@
 	return seeds
 }
 
-// checkPoll takes in another VM's answer to a poll. It never takes the mirror
-// back, and keeps nothing that is longer than it may be.
+// checkPoll applies a peer's answer. It must not move the mirror back or exceed its limits.
 func checkPoll(t *testing.T, data []byte) {
 	var a pollAnswer
 	if peer.CheckPayload(data) != nil || peer.Decode(data, &a) != nil {
 		return
 	}
-	m := NewMirror(entryMost)
+	m := NewMirror(maxEntryBytes)
 	m.Replace([]platform.Object{object("a", 5)}, 5)
 	if c := a.change("targets"); c.listed {
 		m.Replace(c.list, c.asOf)
@@ -85,7 +84,7 @@
 		t.Errorf("%q takes the mirror back to %d", data, m.AsOf())
 	}
 	for _, o := range m.Objects() {
-		if len(o.Value)+len(o.Status) > entryMost {
+		if len(o.Value)+len(o.Status) > maxEntryBytes {
 			t.Errorf("an object of %d bytes is kept", len(o.Value)+len(o.Status))
 		}
 	}
@@ -98,6 +97,6 @@
 	f.Fuzz(checkPoll)
 }
 
-func TestSpoiledPolls(t *testing.T) {
-	mutation.Cases(pollSeeds(t), spoiledCases, func(data []byte) { checkPoll(t, data) })
+func TestCorruptPolls(t *testing.T) {
+	mutation.Cases(pollSeeds(t), corruptCases, func(data []byte) { checkPoll(t, data) })
 }
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -7,26 +7,24 @@
 	"masticturn/internal/platform"
 )
 
-// Mirror is a copy of the objects of one kind, as of a version of the store.
-// It only moves forward: what is older than what it holds is ignored, from
-// whichever source it comes. It does no I/O and is not safe for concurrent use.
+// Mirror is a copy of the objects of one kind as of a version of the store. It only moves
+// forward: older state is ignored, whatever its source. It does no I/O and is not safe for
+// concurrent use.
 type Mirror struct {
-	most    int // bytes of an object that are kept; longer ones are kept without their content
-	asOf    platform.Version
-	objects map[string]platform.Object
-	removed map[string]platform.Version // names that are gone, with the version at which
-	floor   platform.Version            // since when removed is complete
+	maxBytes int // of an object's content
+	asOf     platform.Version
+	objects  map[string]platform.Object
+	removed  map[string]platform.Version // deleted names with the version
+	floor    platform.Version            // from which removed is complete
 }
 
-// removedMost bounds the memory of names that are gone. It covers the targets
-// of a few releases of a large deployment.
-const removedMost = 4096
+// maxRemoved bounds the recorded names of deleted objects.
+const maxRemoved = 4096
 
-// NewMirror returns an empty mirror. Of objects longer than most bytes it keeps
-// the name and version only, so that nobody can fill a VM's memory by way of
-// the store.
+// NewMirror returns an empty mirror. Of objects longer than maxBytes it keeps only name and
+// version, to bound the memory.
 func NewMirror(most int) *Mirror {
-	return &Mirror{most: most, objects: make(map[string]platform.Object), removed: make(map[string]platform.Version)}
+	return &Mirror{maxBytes: most, objects: make(map[string]platform.Object), removed: make(map[string]platform.Version)}
 }
 
 // AsOf returns the version of the store that the mirror shows; 0: none yet.
@@ -48,8 +46,7 @@
 	return o, ok
 }
 
-// Replace takes in a whole list as of a version. It reports whether the list
-// is not older than the mirror and something changed.
+// Replace applies a complete list as of a version. It reports whether anything changed.
 func (m *Mirror) Replace(list []platform.Object, asOf platform.Version) bool {
 	if asOf < m.asOf {
 		return false
@@ -61,7 +58,7 @@
 		changed = m.put(o) || changed
 	}
 	for name, o := range m.objects {
-		// An object that is newer than the list was created after it.
+		// Objects newer than the list were created after it.
 		if !listed[name] && o.Version <= asOf {
 			m.remove(name, asOf)
 			changed = true
@@ -74,8 +71,8 @@
 	return changed
 }
 
-// Since returns the objects that changed after a version and the names removed
-// after it; ok is false when only the whole list can tell.
+// Since returns the objects changed and names removed after a version; ok is false if only
+// the complete list will do.
 func (m *Mirror) Since(v platform.Version) (changed []platform.Object, removed []string, ok bool) {
 	if v < m.floor || v == 0 {
 		return nil, nil, false
@@ -93,8 +90,7 @@
 	return changed, removed, true
 }
 
-// Apply takes in changes up to a version. It reports whether something
-// changed.
+// Apply applies changes up to a version. It reports whether anything changed.
 func (m *Mirror) Apply(events []platform.Event, asOf platform.Version) bool {
 	changed := false
 	for _, e := range events {
@@ -121,7 +117,7 @@
 }
 
 func (m *Mirror) bounded(o platform.Object) platform.Object {
-	if n := len(o.Value) + len(o.Status); n > m.most {
+	if n := len(o.Value) + len(o.Status); n > m.maxBytes {
 		o.Value, o.Status, o.Omitted = nil, nil, n
 	}
 	return o
@@ -138,7 +134,7 @@
 
 func (m *Mirror) remove(name string, at platform.Version) {
 	delete(m.objects, name)
-	if len(m.removed) >= removedMost {
+	if len(m.removed) >= maxRemoved {
 		clear(m.removed)
 		m.floor = at
 	}
--- a/internal/discovery/mirror_test.go
+++ b/internal/discovery/mirror_test.go
@@ -48,7 +48,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			m := NewMirror(entryMost)
+			m := NewMirror(maxEntryBytes)
 			m.Replace([]platform.Object{object("a", 1), object("b", 2)}, 10)
 			tt.do(m)
 			if got := names(m); got != tt.want {
@@ -58,8 +58,8 @@
 	}
 }
 
-func TestMirrorTellsWhatChangedSince(t *testing.T) {
-	m := NewMirror(entryMost)
+func TestMirrorSince(t *testing.T) {
+	m := NewMirror(maxEntryBytes)
 	m.Replace([]platform.Object{object("a", 1), object("b", 2)}, 10)
 	m.Apply([]platform.Event{{Object: object("c", 11)}, deletion("a", 12)}, 12)
 	changed, removed, ok := m.Since(10)
@@ -76,9 +76,9 @@
 
 // A mirror that has forgotten removals must not claim to know them.
 func TestMirrorThatForgotRemovalsAsksForAList(t *testing.T) {
-	m := NewMirror(entryMost)
+	m := NewMirror(maxEntryBytes)
 	m.Replace(nil, 1)
-	for i := range platform.Version(removedMost + 1) {
+	for i := range platform.Version(maxRemoved + 1) {
 		name := string(rune('a'+i%26)) + string(rune(i))
 		m.Apply([]platform.Event{{Object: object(name, 2+2*i)}, deletion(name, 3+2*i)}, 3+2*i)
 	}
--- a/internal/discovery/pack.go
+++ b/internal/discovery/pack.go
@@ -11,12 +11,11 @@
 	"masticturn/internal/platform"
 )
 
-// unpackedMost is the longest list that is unpacked, in bytes: several times what
-// the targets of a deployment at the size to design for take.
-const unpackedMost = 16 << 20
+// maxUnpackedBytes bounds an unpacked list.
+const maxUnpackedBytes = 16 << 20
 
-// packObjects compresses a list, whose entries are alike: one VM tells it to many
-// others when a fleet starts, over a link that is narrow.
+// packObjects compresses a list. Its entries are alike, and many VMs fetch it when a fleet
+// starts.
 func packObjects(objects []platform.Object) ([]byte, error) {
 	raw, err := peer.Encode(objects)
 	if err != nil {
@@ -36,16 +35,16 @@
 	return out.Bytes(), nil
 }
 
-// unpackObjects is the inverse of packObjects. Any bytes may come.
+// unpackObjects is the inverse of packObjects, for any input.
 func unpackObjects(packed []byte) ([]platform.Object, error) {
 	r := flate.NewReader(bytes.NewReader(packed))
 	defer r.Close()
-	raw, err := io.ReadAll(io.LimitReader(r, unpackedMost+1))
+	raw, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, trace.Wrap(err, "unpack a list")
 	}
-	if len(raw) > unpackedMost {
-		return nil, trace.LimitExceeded("a list of more than %d bytes", unpackedMost)
+	if len(raw) > maxUnpackedBytes {
+		return nil, trace.LimitExceeded("a list of more than %d bytes", maxUnpackedBytes)
 	}
 	var objects []platform.Object
 	return objects, peer.Decode(raw, &objects)
--- a/internal/discovery/registrar.go
+++ b/internal/discovery/registrar.go
@@ -20,25 +20,21 @@
 // RegistrarName is the name under which the registrar is registered.
 const RegistrarName = "discovery.registrar"
 
-// registerPause is the pause between attempts to register: every VM of a fleet
-// that starts at once tries, and the store's rate is shared.
+// registerPause is the pause between attempts to register.
 const registerPause = 500 * time.Millisecond
 
-// needPoll is how often a VM looks whether its entry is needed, and needTicks for
-// how many looks in a row it must be: VMs that are started in turn pass such
-// duties on for seconds.
+// needPoll is the interval of checks whether the entry is needed; needTicks is how many
+// consecutive checks must say so, as leadership moves while VMs restart one by one.
 const (
 	needPoll  = 500 * time.Millisecond
 	needTicks = 4
 )
 
-// registered is how many VMs of a region have an entry at least. Any of them lets
-// a VM that starts without seeds that answer join.
+// registered is the number of entries per region. Any of them lets a new VM join.
 const registered = 3
 
-// Registrar writes this VM's entry, by which VMs that start find others. The
-// entry says where a VM was last; whether it lives is for heartbeats to tell. Some
-// entries in each region will do, so that starts of many VMs cost few calls.
+// Registrar writes this VM's entry, by which new VMs find the fleet. It states an address;
+// liveness is left to heartbeats. Few entries per region keep the calls of a start low.
 type Registrar struct {
 	deps   RegistrarDeps
 	cancel context.CancelFunc
@@ -49,7 +45,7 @@
 type RegistrarDeps struct {
 	Store   platform.Store
 	Self    edge.VMRecord
-	Seeded  bool // VMs find others by seeds, if those answer
+	Seeded  bool // VMs join by seeds
 	Joined  func() bool
 	Members membership.Source
 	Logger  *telemetry.Logger
@@ -92,8 +88,8 @@
 	}
 }
 
-// awaitNeed returns when this VM's entry is needed: at once without seeds, else
-// when no VM answers, or when it is one of those of its region that have one.
+// awaitNeed waits until this VM's entry is needed: at once without seeds, else if no VM
+// answers or this VM is among the registered ones of its region.
 func (r *Registrar) awaitNeed(ctx context.Context) {
 	for needed := 0; r.deps.Seeded && needed < needTicks && ctx.Err() == nil; {
 		sleep(ctx, needPoll)
@@ -114,9 +110,8 @@
 	return slices.ContainsFunc(own[:min(registered, len(own))], func(m membership.Member) bool { return m.Name == v.Self })
 }
 
-// register creates the entry or brings the one of an earlier process up to
-// date. Writing the same entry twice does no harm, so that a write whose
-// outcome is unknown is simply tried again.
+// register creates the entry or updates that of an earlier process. It is idempotent, so that
+// unknown outcomes are retried.
 func (r *Registrar) register(ctx context.Context) error {
 	value, err := json.Marshal(r.deps.Self)
 	if err != nil {
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -14,69 +14,61 @@
 	"masticturn/internal/rendezvous"
 )
 
-// Who reads the store. Every read is a call that is paid for, so that a few VMs
-// read and the others hear from them: the watchers read, one VM of each region
-// (its leader) hears from a watcher, and the other VMs of a region hear from the
-// leader or, in a large region, from one that does.
+// Two watchers read the store. The leader of each region polls a watcher, and its other VMs
+// poll the leader or, in large regions, a VM that does. Other readers take over in outages.
 const (
-	// fanOut is how many VMs of a region hear from one: with 155 VMs in a region
-	// news passes two of them, and none answers more than about 60 polls a second.
+	// fanOut is the number of VMs that poll one VM of their region.
 	fanOut = 16
-	// watchers read the store: with two, the loss of one is made up for by the
-	// other, without a read by everybody.
+	// watchers is the number of VMs that read the store.
 	watchers = 2
-	// pollMargin is when a VM that does not even tell that it is out of touch is
-	// given up, after it should have.
+	// pollMargin is added to the stale age for a poll's timeout, so that a peer can answer that
+	// it is stale.
 	pollMargin = staleHold + 100*time.Millisecond
-	// readers is how many VMs of a region read the store when the VMs from which
-	// they hear are out of touch with it, the leader included; the others hear from
-	// them.
+	// readers is the number of VMs per region that read the store, the leader included, if their
+	// sources are stale.
 	readers = 3
-	// avoidFor is how long a VM that did not answer in time is passed over,
-	// avoidStaleFor one that is out of touch itself and says so, and
-	// avoidBriefly one that did not help this VM to start.
-	avoidFor      = time.Second
-	avoidStaleFor = 500 * time.Millisecond
-	avoidBriefly  = 100 * time.Millisecond
+	// skipFor is how long a peer that did not answer is skipped, skipStaleFor one that is stale,
+	// skipBriefly one that had nothing for a starting VM.
+	skipFor      = time.Second
+	skipStaleFor = 500 * time.Millisecond
+	skipBriefly  = 100 * time.Millisecond
 )
 
-// pollRequest asks a VM for changes of a kind (peer.KindMirrorPoll). It is
-// answered when there are some, when the VM has heard from the store, or when
-// it should have.
+// pollRequest requests changes of a kind (peer.KindMirrorPoll). It is answered on changes, on
+// contact with the store, or when the peer turns stale.
 type pollRequest struct {
 	Kind  platform.Kind
 	Since platform.Version // 0: the whole list
 }
 
-// pollAnswer are the changes, or the whole list.
+// pollAnswer holds the changes, or the complete list.
 type pollAnswer struct {
-	Listed  bool // Changed are all objects there are
+	Listed  bool // Changed is the complete list
 	Changed []platform.Object
 	Removed []string
 	AsOf    platform.Version
-	Age     time.Duration // since the store was heard of, by whomever
-	Packed  []byte        // in place of Changed: the objects, compressed (packObjects)
+	Age     time.Duration // since the last contact with the store, by any VM
+	Packed  []byte        // the objects compressed by packObjects, instead of Changed
 }
 
-// ways is from where a VM hears of the store.
-type ways struct {
-	vms     []string // VMs to hear from, best first; none: it reads the store itself
-	reader  bool     // it reads the store when those VMs are out of touch with it
-	region  []string // the other VMs of the region
-	members int      // VMs of the fleet
+// sources are the peers from which a VM receives the store's state.
+type sources struct {
+	vms     []string // by preference; none: the VM reads the store itself
+	reader  bool     // the VM reads the store if all of vms are stale
+	region  []string // the region's other VMs
+	members int      // size of the fleet
 }
 
-// waysOf returns from where the VM of a view hears of the store. All VMs with the
-// same view agree on who hears from whom, and nobody hears, by whatever way, from
-// itself.
-func waysOf(v *membership.View) ways {
+// sourcesOf returns the sources of a view's VM. All VMs with the same view derive the same
+// acyclic tree.
+func sourcesOf(v *membership.View) sources {
 	regions := byRegion(v)
 	order := leaders(regions)
 	own := regions[regionOf(v, v.Self)]
 	at := slices.IndexFunc(own, func(m membership.Member) bool { return m.Name == v.Self })
-	w := ways{reader: at < readers, members: len(v.Members)}
+	w := sources{reader: at < readers, members: len(v.Members)}
 	if at < 0 {
-		return w // it is leaving, and others do not hear from it
+		return w // it is leaving
 	}
 	for _, m := range slices.Delete(slices.Clone(own), at, at+1) {
 		w.region = append(w.region, m.Name)
@@ -89,7 +81,7 @@
 	}
 	for _, leader := range order[:min(watchers, len(order))] {
 		if leader.Name == v.Self {
-			return ways{reader: true, region: w.region, members: w.members}
+			return sources{reader: true, region: w.region, members: w.members}
 		}
 		w.vms = appendNew(w.vms, leader.Name)
 	}
@@ -110,8 +102,7 @@
 
 func memberName(m membership.Member) string { return m.Name }
 
-// byRegion returns the members that are alive, by region, in an order on which
-// all VMs with the same view agree.
+// byRegion returns the live members by region, in an order common to all VMs.
 func byRegion(v *membership.View) map[string][]membership.Member {
 	regions := make(map[string][]membership.Member)
 	for _, m := range v.Members {
@@ -134,20 +125,20 @@
 	return rendezvous.Top("watchers", out, len(out), func(m membership.Member) string { return m.Region })
 }
 
-// What a VM that does not help answers.
+// Answers of peers without current state.
 var (
-	errStale    = errors.New("what the VM knows of the store is too old")
-	errStarting = errors.New("the VM is starting and knows nothing of the store yet")
+	errStale    = errors.New("the peer's state is stale")
+	errStarting = errors.New("the peer is starting and has no state")
 )
 
-// relaySource reads from another VM.
+// relaySource polls a peer.
 type relaySource struct {
 	network peer.Network
 	vm      string
 	timeout time.Duration
 }
 
-// poll asks once. The age of the answer is that of what it tells.
+// poll makes one poll. The age of the answer is that of its content.
 func (r relaySource) poll(ctx context.Context, kind platform.Kind, since platform.Version) (*pollAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
@@ -163,7 +154,7 @@
 	return &a, trace.Wrap(err, "poll %s from %s", kind, r.vm)
 }
 
-// change translates an answer.
+// change converts an answer.
 func (a *pollAnswer) change(kind platform.Kind) change {
 	c := change{kind: kind, listed: a.Listed, asOf: a.AsOf, age: a.Age}
 	if a.Listed {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -25,23 +25,22 @@
 // ServiceName is the name under which the service is registered.
 const ServiceName = "discovery"
 
-// expireEvery is how often targets that did not come back are looked for.
-const expireEvery = 200 * time.Millisecond
+// expireInterval is the interval of checks for missing targets to drop.
+const expireInterval = 200 * time.Millisecond
 
-// staleHold is how long a VM that is out of touch with the store holds a poll: it
-// may be about to hear of it, and those that ask it are spaced.
+// staleHold is how long a stale VM holds a poll, which may end the staleness and spaces the
+// polls.
 const staleHold = 100 * time.Millisecond
 
-// entryMost is the longest entry of a target or of an evacuated zone that is
-// kept, in bytes: twenty times what targets write.
-const entryMost = 4 << 10
+// maxEntryBytes bounds the entries of targets and evacuated zones.
+const maxEntryBytes = 4 << 10
 
-// objectsMost returns the longest object of each kind that is kept.
-func objectsMost(kinds Kinds) map[platform.Kind]int {
+// maxObjectBytes returns the limit of each kind's objects.
+func maxObjectBytes(kinds Kinds) map[platform.Kind]int {
 	return map[platform.Kind]int{
 		kinds.Document:    platform.MaxValueBytes,
-		kinds.Evacuations: entryMost,
-		kinds.Targets:     entryMost,
+		kinds.Evacuations: maxEntryBytes,
+		kinds.Targets:     maxEntryBytes,
 	}
 }
 
@@ -51,47 +50,47 @@
 	Decoder Decoder
 	Members membership.Source
 	Network peer.Network
-	// Joined reports whether this VM knows the others, or that there are none.
+	// Joined reports whether this VM has joined the others, or is alone.
 	Joined func() bool
-	// FirstStart tells that the whole fleet starts for the first time.
+	// FirstStart is set if the whole fleet starts for the first time.
 	FirstStart bool
 	Places     map[string]string // availability zone to region
 	Bounds     settings.Bounds
-	// Shares returns the bounds on the fleet and this VM's share of the retry
-	// budget, which the stored document does not set.
+	// Shares returns the limits of the fleet and this VM's share of the retry budget, which are
+	// not part of the stored document.
 	Shares  func() (config.Fleet, config.Retry)
 	Clock   kernel.Clock
 	Logger  *telemetry.Logger
 	Metrics *metrics.Set
 }
 
-// Service mirrors the store and hands out views.
+// Service mirrors the store and publishes views.
 type Service struct {
 	deps    Deps
 	timings map[platform.Kind]Timing
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	stopped chan struct{} // closed by Stop
-	missing chan struct{} // targets are missing after an outage
-	gate    gate          // of calls to the store
-
-	mu      sync.Mutex // guards all below and orders publication
-	belief  *belief
-	mirrors map[platform.Kind]*Mirror
-	heard   map[platform.Kind]time.Time     // as of when each mirror is known to be complete
-	news    map[platform.Kind]chan struct{} // closed and replaced when the store was heard of
-	packed  map[platform.Kind]packedList    // whole lists as they were told last
-	subs    map[int]func(*View)
-	nextSub int
-
-	view atomic.Pointer[View]
-	ways atomic.Pointer[waysIn]
+	missing chan struct{} // signals missing targets
+	backoff outageBackoff // of calls to the store
+
+	mu          sync.Mutex // guards all below and orders publication
+	catalog     *catalog
+	mirrors     map[platform.Kind]*Mirror
+	lastContact map[platform.Kind]time.Time     // with the store, by kind
+	news        map[platform.Kind]chan struct{} // closed and replaced on contact with the store
+	packed      map[platform.Kind]packedList    // compressed lists
+	subs        map[int]func(*View)
+	nextSub     int
+
+	view          atomic.Pointer[View]
+	cachedSources atomic.Pointer[viewSources]
 }
 
-// waysIn is from where a VM hears of the store in one view of the fleet.
-type waysIn struct {
+// viewSources are the sources derived from one member view.
+type viewSources struct {
 	view *membership.View
-	ways
+	sources
 }
 
 var (
@@ -102,18 +101,18 @@
 // NewService returns a service without a view.
 func NewService(d Deps) *Service {
 	s := &Service{
-		deps:    d,
-		timings: Timings(d.Decoder.Kinds(), d.Bounds),
-		belief:  newBelief(d.Decoder, d.Places),
-		mirrors: make(map[platform.Kind]*Mirror),
-		heard:   make(map[platform.Kind]time.Time),
-		news:    make(map[platform.Kind]chan struct{}),
-		packed:  make(map[platform.Kind]packedList),
-		subs:    make(map[int]func(*View)),
-		stopped: make(chan struct{}),
-		missing: make(chan struct{}, 1),
+		deps:        d,
+		timings:     Timings(d.Decoder.Kinds(), d.Bounds),
+		catalog:     newCatalog(d.Decoder, d.Places),
+		mirrors:     make(map[platform.Kind]*Mirror),
+		lastContact: make(map[platform.Kind]time.Time),
+		news:        make(map[platform.Kind]chan struct{}),
+		packed:      make(map[platform.Kind]packedList),
+		subs:        make(map[int]func(*View)),
+		stopped:     make(chan struct{}),
+		missing:     make(chan struct{}, 1),
 	}
-	for kind, most := range objectsMost(d.Decoder.Kinds()) {
+	for kind, most := range maxObjectBytes(d.Decoder.Kinds()) {
 		s.mirrors[kind] = NewMirror(most)
 		s.news[kind] = make(chan struct{})
 	}
@@ -132,16 +131,16 @@
 			kind:    kind,
 			stale:   s.staleAfter(kind),
 			store:   s.deps.Store,
-			gate:    &s.gate,
+			backoff: &s.backoff,
 			joined:  s.deps.Joined,
-			ways:    s.currentWays,
+			sources: s.currentSources,
 			relay:   func(vm string) relaySource { return relaySource{s.deps.Network, vm, s.staleAfter(kind) + pollMargin} },
 			clock:   s.deps.Clock,
 			logger:  s.deps.Logger,
-			publish: s.take,
+			publish: s.apply,
 
 			firstStart: s.deps.FirstStart,
-			avoid:      make(map[string]time.Time),
+			skipUntil:  make(map[string]time.Time),
 		}
 		s.wg.Go(func() { w.run(ctx) })
 	}
@@ -149,16 +148,15 @@
 	return nil
 }
 
-// currentWays returns from where this VM hears of the store. It is worked out once
-// for each view, as that takes a look at all VMs.
-func (s *Service) currentWays() ways {
+// currentSources returns this VM's sources, computed once per member view.
+func (s *Service) currentSources() sources {
 	view := s.deps.Members.View()
-	if w := s.ways.Load(); w != nil && w.view == view {
-		return w.ways
+	if w := s.cachedSources.Load(); w != nil && w.view == view {
+		return w.sources
 	}
-	w := &waysIn{view, waysOf(view)}
-	s.ways.Store(w)
-	return w.ways
+	w := &viewSources{view, sourcesOf(view)}
+	s.cachedSources.Store(w)
+	return w.sources
 }
 
 // Drain implements kernel.Service. Requests in flight still need views.
@@ -172,7 +170,7 @@
 	return nil
 }
 
-// View returns what is believed now; nil until there is a document.
+// View returns the current view; nil before the first.
 func (s *Service) View() *View { return s.view.Load() }
 
 // Current implements config.Source.
@@ -202,28 +200,28 @@
 	}
 }
 
-// take takes in what a watcher read.
-func (s *Service) take(c change) {
+// apply applies a change from a watcher.
+func (s *Service) apply(c change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
-	s.hear(c.kind, now.Add(-c.age))
+	s.recordContact(c.kind, now.Add(-c.age))
 	if c.regained && c.kind == s.deps.Decoder.Kinds().Targets {
-		s.belief.regained = now
+		s.catalog.regained = now
 	}
 	if s.mirror(c) || s.firstList(c) {
-		s.believe(c.kind, s.mirrors[c.kind], now)
+		s.applyMirror(c.kind, s.mirrors[c.kind], now)
 		s.publish()
 	}
-	if s.belief.missing() {
+	if s.catalog.missing() {
 		select {
 		case s.missing <- struct{}{}:
-		default: // they are looked for already
+		default: // already signalled
 		}
 	}
 }
 
-// mirror brings a kind's mirror up to date; it reports whether it changed.
+// mirror updates a kind's mirror. It reports whether it changed.
 func (s *Service) mirror(c change) bool {
 	if c.listed {
 		return s.mirrors[c.kind].Replace(c.list, c.asOf)
@@ -231,25 +229,24 @@
 	return s.mirrors[c.kind].Apply(c.events, c.asOf)
 }
 
-// firstList reports whether the change is the first list of its kind, which
-// tells something even when it is empty: what comes later is new.
-func (s *Service) firstList(c change) bool { return c.listed && !s.belief.listed[c.kind] }
+// firstList reports whether the change is the first complete list of its kind, which matters
+// even if it is empty.
+func (s *Service) firstList(c change) bool { return c.listed && !s.catalog.listed[c.kind] }
 
-// staleAfter returns the age at which what is known of a kind is not good
-// enough to be passed on.
+// staleAfter returns the age from which state of a kind is stale.
 func (s *Service) staleAfter(kind platform.Kind) time.Duration { return s.timings[kind].Stale }
 
-// hear notes that the store was heard of and answers the polls that wait.
-func (s *Service) hear(kind platform.Kind, at time.Time) {
-	if at.After(s.heard[kind]) {
-		s.heard[kind] = at
+// recordContact records contact with the store and answers waiting polls.
+func (s *Service) recordContact(kind platform.Kind, at time.Time) {
+	if at.After(s.lastContact[kind]) {
+		s.lastContact[kind] = at
 	}
 	close(s.news[kind])
 	s.news[kind] = make(chan struct{})
 }
 
-// answerPoll answers another VM's poll: at once when there are changes that it
-// does not know, else when the store was heard of.
+// answerPoll answers a peer's poll: at once if there are changes, else on the next contact with
+// the store.
 func (s *Service) answerPoll(ctx context.Context, _ string, payload []byte) (any, error) {
 	var r pollRequest
 	if err := peer.Decode(payload, &r); err != nil {
@@ -258,11 +255,11 @@
 	if s.mirrors[r.Kind] == nil {
 		return nil, trace.NotFound("kind %s is not mirrored", r.Kind)
 	}
-	if news, patience := s.nothingFor(&r); patience > 0 {
+	if news, patience := s.pollWait(&r); patience > 0 {
 		timer := time.NewTimer(patience)
 		defer timer.Stop()
 		select {
-		case <-news: // it may be that there is nothing new
+		case <-news: // possibly without changes
 		case <-timer.C:
 		case <-s.stopped:
 		case <-ctx.Done():
@@ -274,26 +271,25 @@
 	return s.answer(s.mirrors[r.Kind], &r)
 }
 
-// nothingFor returns what to wait for, and how long, when there is nothing to
-// tell yet; 0 when the poll is to be answered now.
-func (s *Service) nothingFor(r *pollRequest) (news <-chan struct{}, patience time.Duration) {
+// pollWait returns what a poll without changes waits for, and how long at most; 0: answer now.
+func (s *Service) pollWait(r *pollRequest) (news <-chan struct{}, patience time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if asOf := s.mirrors[r.Kind].AsOf(); asOf > r.Since {
 		return nil, 0
 	}
-	if s.heard[r.Kind].IsZero() { // this VM is starting itself
+	if s.lastContact[r.Kind].IsZero() { // this VM is starting
 		if !s.deps.FirstStart {
 			return nil, 0
 		}
 		return s.news[r.Kind], s.staleAfter(r.Kind)
 	}
-	age := s.deps.Clock.Now().Sub(s.heard[r.Kind])
+	age := s.deps.Clock.Now().Sub(s.lastContact[r.Kind])
 	return s.news[r.Kind], max(s.staleAfter(r.Kind)-age+time.Millisecond, staleHold)
 }
 
 func (s *Service) answer(m *Mirror, r *pollRequest) (*pollAnswer, error) {
-	a := &pollAnswer{AsOf: m.AsOf(), Age: s.deps.Clock.Now().Sub(s.heard[r.Kind])}
+	a := &pollAnswer{AsOf: m.AsOf(), Age: s.deps.Clock.Now().Sub(s.lastContact[r.Kind])}
 	changed, removed, ok := m.Since(r.Since)
 	if ok {
 		a.Changed, a.Removed = changed, removed
@@ -305,14 +301,14 @@
 	return a, err
 }
 
-// packedList is a whole list, compressed.
+// packedList is a compressed complete list.
 type packedList struct {
 	asOf  platform.Version
 	bytes []byte
 }
 
-// pack returns the whole list of a kind. It is kept, as many ask for the same one
-// when a fleet starts; s.mu is held.
+// pack returns a kind's compressed list, cached as many VMs fetch it when a fleet starts; s.mu
+// is held.
 func (s *Service) pack(kind platform.Kind, m *Mirror) ([]byte, error) {
 	if p := s.packed[kind]; p.bytes != nil && p.asOf == m.AsOf() {
 		return p.bytes, nil
@@ -325,28 +321,28 @@
 	return raw, nil
 }
 
-// believe takes in a mirror that changed.
-func (s *Service) believe(kind platform.Kind, m *Mirror, now time.Time) {
+// applyMirror updates the catalog from a changed mirror.
+func (s *Service) applyMirror(kind platform.Kind, m *Mirror, now time.Time) {
 	version := telemetry.Value("version", uint64(m.AsOf()))
-	defer func() { s.belief.listed[kind] = true }()
+	defer func() { s.catalog.listed[kind] = true }()
 	switch kinds := s.deps.Decoder.Kinds(); kind {
 	case kinds.Document:
-		adopted, err := s.belief.setDocument(m)
+		adopted, err := s.catalog.setDocument(m)
 		if err != nil {
 			s.unreadable(kind).Inc()
 			s.deps.Logger.Log(eventDocumentBad, version, telemetry.Err(err))
 		}
 		if adopted {
-			s.deps.Logger.Log(eventDocument, version, telemetry.GenerationOf(uint64(s.belief.gen)))
+			s.deps.Logger.Log(eventDocument, version, telemetry.GenerationOf(uint64(s.catalog.gen)))
 		}
 	case kinds.Evacuations:
-		for _, zone := range s.belief.setZones(m, now) {
+		for _, zone := range s.catalog.setZones(m, now) {
 			s.deps.Logger.Log(eventZoneUnknown, version, telemetry.Value("zone", zone))
 		}
-		s.deps.Logger.Log(eventZones, version, telemetry.Value("zones", strings.Join(slices.Sorted(maps.Keys(s.belief.zones)), ",")))
+		s.deps.Logger.Log(eventZones, version, telemetry.Value("zones", strings.Join(slices.Sorted(maps.Keys(s.catalog.zones)), ",")))
 	case kinds.Targets:
-		before := s.belief.states()
-		for _, f := range s.belief.setTargets(m, now) {
+		before := s.catalog.states()
+		for _, f := range s.catalog.setTargets(m, now) {
 			s.unreadable(kind).Inc()
 			s.deps.Logger.Log(eventTargetBad, version, telemetry.Peer(f.name), telemetry.Err(f.err))
 		}
@@ -354,14 +350,14 @@
 	}
 }
 
-// unreadable counts objects that were found not to hold what their kind holds.
+// unreadable counts invalid objects.
 func (s *Service) unreadable(kind platform.Kind) *metrics.Counter {
 	return s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_unreadable_total{kind=%q}", string(kind)))
 }
 
-// logTargets writes what changed of targets.
+// logTargets logs changed targets.
 func (s *Service) logTargets(before map[string]string, version telemetry.Field) {
-	after := s.belief.states()
+	after := s.catalog.states()
 	for name, state := range after {
 		if before[name] != state {
 			s.deps.Logger.Log(eventTarget, version, telemetry.Peer(name), telemetry.Value("state", state))
@@ -374,9 +370,9 @@
 	}
 }
 
-// publish makes a view of the belief and hands it out.
+// publish hands a new view to the subscribers.
 func (s *Service) publish() {
-	v := s.belief.view(s.deps.Shares)
+	v := s.catalog.view(s.deps.Shares)
 	if v == nil {
 		return
 	}
@@ -386,8 +382,7 @@
 	}
 }
 
-// expire drops targets whose entries did not come back after an outage. It looks
-// for them only while some are missing.
+// expire drops missing targets after rejoinGrace. It runs only while some are missing.
 func (s *Service) expire(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -396,23 +391,22 @@
 			return
 		}
 		for s.expireOnce() {
-			sleep(ctx, expireEvery)
+			sleep(ctx, expireInterval)
 		}
 	}
 }
 
-// expireOnce drops what did not come back in time, and reports whether some are
-// missing still.
+// expireOnce drops missing targets that are due. It reports whether others remain.
 func (s *Service) expireOnce() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.belief.missing() {
+	if !s.catalog.missing() {
 		return false
 	}
-	before := s.belief.states()
-	if s.belief.expire(s.deps.Clock.Now()) {
+	before := s.catalog.states()
+	if s.catalog.expire(s.deps.Clock.Now()) {
 		s.logTargets(before, telemetry.Value("cause", "did not come back after the outage"))
 		s.publish()
 	}
-	return s.belief.missing()
+	return s.catalog.missing()
 }
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -10,7 +10,7 @@
 	"masticturn/internal/platform"
 )
 
-// names returns the targets of the view, by id.
+// names returns the view's targets by id.
 func (w *world) names() map[string]string {
 	out := make(map[string]string)
 	for _, t := range w.b.view(noShares).Snapshot.Services()[0].AllTargets {
@@ -19,15 +19,14 @@
 	return out
 }
 
-// put writes bytes as an entry, and returns the faults that are found.
+// put writes bytes as an entry and returns the faults found.
 func (w *world) put(name, value string) []entryFault {
 	w.version++
 	w.targets.Apply([]platform.Event{{Object: platform.Object{Name: name, Version: w.version, Value: []byte(value)}}}, w.version)
 	return w.b.setTargets(w.targets, w.now)
 }
 
-// A target that starts again under its id is another one: it knows nothing of
-// what was told of the one before.
+// A restarted target shares no state with the start before.
 func TestStartAgainUnderTheSameID(t *testing.T) {
 	w := newWorld(t)
 	w.report("a", Target{Born: 1000, Leaving: true})
@@ -67,8 +66,8 @@
 	}
 }
 
-// The same news twice, from wherever, changes nothing.
-func TestStartIsHeardOfTwice(t *testing.T) {
+// A repeated entry changes nothing.
+func TestRepeatedStartChangesNothing(t *testing.T) {
 	w := newWorld(t)
 	w.report("a", Target{Born: 1000})
 	w.now = w.now.Add(time.Minute)
@@ -78,8 +77,8 @@
 	}
 }
 
-// A report that was overtaken by a later one of the same start does not take it
-// back; counts begin anew with each start.
+// An overtaken report does not revert a later one of the same start; sequences restart with
+// each start.
 func TestReportsOfOneStartAreInOrder(t *testing.T) {
 	w := newWorld(t)
 	w.report("a", Target{Born: 1000, Sequence: 7, Leaving: true})
@@ -96,7 +95,7 @@
 	if !w.b.targets["a"].Leaving {
 		t.Error("a report that was not overtaken lately is passed over")
 	}
-	// Where no start is told, the id is what there is.
+	// Without a start, the id is the name.
 	w.report("b", Target{Sequence: 7, Leaving: true})
 	w.report("b", Target{Sequence: 1})
 	if w.b.targets["b"].Leaving || w.names()["b"] != "b" {
@@ -133,7 +132,7 @@
 			if names := w.names(); len(names) != 1 || names["other"] == "" {
 				t.Errorf("targets %v, want the other one only", names)
 			}
-			// It is told once a change, not once a read.
+			// Faults are reported once per change.
 			w.report("other", Target{Sequence: 1})
 			if again := w.b.setTargets(w.targets, w.now); again != nil {
 				t.Errorf("told again: %v", again)
@@ -145,9 +144,9 @@
 	}
 }
 
-// Names go into headers and other VMs' messages.
+// Names are valid in headers and messages.
 func TestIDsThatCanNotBeNames(t *testing.T) {
-	for _, id := range []string{"", "a b", "a\nb", "a@5", "é", strings.Repeat("x", instanceMost+1)} {
+	for _, id := range []string{"", "a b", "a\nb", "a@5", "é", strings.Repeat("x", maxInstanceBytes+1)} {
 		target := Target{Instance: id, Slots: 1, Zone: "z1", Address: "10.0.0.1:80"}
 		var fault *FieldError
 		if err := target.check(map[string]string{"z1": "r1"}); !errors.As(err, &fault) || fault.Field != "name" {
@@ -158,34 +157,33 @@
 
 func TestLongEntriesAreNotKept(t *testing.T) {
 	w := newWorld(t, "other")
-	faults := w.put("a", `{"x":"`+strings.Repeat("y", entryMost)+`"}`)
+	faults := w.put("a", `{"x":"`+strings.Repeat("y", maxEntryBytes)+`"}`)
 	if len(faults) != 1 || !errors.Is(faults[0].err, ErrOmitted) || len(w.names()) != 1 {
 		t.Errorf("faults %v, targets %v", faults, w.names())
 	}
-	if o, _ := w.targets.Get("a"); len(o.Value) != 0 || o.Omitted <= entryMost {
+	if o, _ := w.targets.Get("a"); len(o.Value) != 0 || o.Omitted <= maxEntryBytes {
 		t.Errorf("kept %d bytes, omitted %d", len(o.Value), o.Omitted)
 	}
 }
 
-// Starts of targets that are gone are forgotten in the end.
+// Starts of targets without an entry are dropped in the end.
 func TestStartsAreBounded(t *testing.T) {
 	w := newWorld(t, "other")
-	for i := range 3 * startsMost {
-		w.b.noteStart(&Target{Instance: fmt.Sprint(i), Born: int64(i + 1)})
+	for i := range 3 * maxStarts {
+		w.b.recordStart(&Target{Instance: fmt.Sprint(i), Born: int64(i + 1)})
 	}
-	if n := len(w.b.starts); n > startsMost {
+	if n := len(w.b.starts); n > maxStarts {
 		t.Errorf("%d starts are kept", n)
 	}
 }
 
-// A zone that nobody knows harms nothing; what an entry at a known zone holds
-// does not matter.
+// Unknown zones are ignored, and the content of known ones does not matter.
 func TestEvacuationsOfOtherWriters(t *testing.T) {
 	w := newWorld(t, "a")
 	w.version++
 	w.zones.Replace([]platform.Object{
 		{Name: "nowhere", Version: w.version},
-		{Name: "z1", Version: w.version, Value: []byte("\xff" + strings.Repeat("x", entryMost))},
+		{Name: "z1", Version: w.version, Value: []byte("\xff" + strings.Repeat("x", maxEntryBytes))},
 	}, w.version)
 	if unknown := w.b.setZones(w.zones, w.now); len(unknown) != 1 || unknown[0] != "nowhere" {
 		t.Errorf("unknown zones %v", unknown)
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -7,43 +7,36 @@
 	"masticturn/internal/settings"
 )
 
-// Timing is how often news of a kind of objects must come for a change to be
-// known everywhere within a bound.
+// Timing is the freshness of a kind that makes changes known everywhere within a bound.
 type Timing struct {
-	// Watch is how long the store may hold a watch without news. A watch can miss
-	// changes when the store drops its history, and tells nothing while the store is
-	// silent; with this wait both are found out in time, by this VM and by those that
-	// hear from it.
+	// Watch is how long the store may hold a watch. It bounds the time until an outage or
+	// missed changes are detected.
 	Watch time.Duration
-	// Stale is the age at which what another VM tells is not good enough: a watcher
-	// hears from the store after a watch, the way between regions and settlePause at
-	// the latest, and whoever follows it hears so at once. What is left of the bound
-	// is for asking elsewhere.
+	// Stale is the age from which a peer's state is insufficient. It covers a watch, the
+	// delay between regions and settlePause; the rest of the bound is for polling others.
 	Stale time.Duration
 }
 
-// Timings that hold their bound; tighter bounds shorten them in proportion.
+// Timings and the bounds that they hold; tighter bounds shorten them in proportion.
 var (
-	// newsTiming holds two seconds with the ways of 55 ms between regions
-	// (TestChangesReachAllVMsInTime).
-	newsTiming = Timing{Watch: 950 * time.Millisecond, Stale: 1350 * time.Millisecond}
-	newsBound  = 2 * time.Second
-	// zonesTiming holds five seconds, with fewer calls to the store.
+	// changeTiming is that of the document and the targets.
+	changeTiming = Timing{Watch: 950 * time.Millisecond, Stale: 1350 * time.Millisecond}
+	changeBound  = 2 * time.Second
+	// zonesTiming is that of the evacuated zones.
 	zonesTiming = Timing{Watch: 2400 * time.Millisecond, Stale: 2800 * time.Millisecond}
 	zonesBound  = 5 * time.Second
 )
 
-// Timings returns the timing of each kind under the bounds of the deployment.
+// Timings returns each kind's timing under the deployment's bounds.
 func Timings(kinds Kinds, b settings.Bounds) map[platform.Kind]Timing {
 	return map[platform.Kind]Timing{
-		kinds.Document:    newsTiming.within(newsBound, b.ConfigInForce),
-		kinds.Targets:     newsTiming.within(newsBound, b.TargetDrain),
+		kinds.Document:    changeTiming.within(changeBound, b.ConfigInForce),
+		kinds.Targets:     changeTiming.within(changeBound, b.TargetDrain),
 		kinds.Evacuations: zonesTiming.within(zonesBound, b.ZoneEvacuation),
 	}
 }
 
-// within returns a timing that holds a bound, by one that holds another; 0 is no
-// bound.
+// within scales a timing that holds one bound to a tighter one; 0: no bound.
 func (t Timing) within(holds, bound time.Duration) Timing {
 	if bound == 0 || bound >= holds {
 		return t
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -8,24 +8,24 @@
 	"masticturn/internal/config"
 )
 
-// View is what this VM believes at one moment. It is immutable.
+// View is the catalog at one moment. It is immutable.
 type View struct {
-	Snapshot  *config.Snapshot     // the document with the targets that take work or are leaving
+	Snapshot  *config.Snapshot     // the document with all targets
 	Evacuated map[string]bool      // availability zones
 	ColdUntil map[string]time.Time // by target; absent: not cold
 }
 
-// known is a target with what this VM noted of it.
-type known struct {
+// catalogEntry is a target with its local state.
+type catalogEntry struct {
 	Target
-	reported   time.Time // when its entry was last taken in
+	reported   time.Time // arrival of its last entry
 	coldUntil  time.Time
-	vanished   time.Time // its entry is missing since; zero: it is there
-	unreadable bool      // its entry names no target now
+	vanished   time.Time // since when its entry is missing; zero: it exists
+	unreadable bool      // its entry is invalid
 }
 
-// assemble makes a view of a document and targets.
-func assemble(doc *config.Document, gen config.Generation, places map[string]string, targets map[string]*known, evacuated map[string]bool) *View {
+// assemble builds a view.
+func assemble(doc *config.Document, gen config.Generation, places map[string]string, targets map[string]*catalogEntry, evacuated map[string]bool) *View {
 	live := *doc
 	live.Regions = regionsOf(places)
 	live.Services = slices.Clone(doc.Services)
@@ -39,7 +39,7 @@
 		t := targets[name]
 		i, ok := index[t.Service]
 		if !ok || t.unreadable {
-			continue // the document does not have its service, or its entry names none
+			continue // unknown service or invalid entry
 		}
 		svc := &live.Services[i]
 		svc.Targets = append(svc.Targets, config.Target{
@@ -59,7 +59,7 @@
 	return v
 }
 
-// regionsOf turns the map of places into regions with their zones, sorted.
+// regionsOf returns the regions with their zones, sorted.
 func regionsOf(places map[string]string) []config.Region {
 	zones := make(map[string][]string)
 	for _, zone := range slices.Sorted(maps.Keys(places)) {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -11,173 +11,166 @@
 	"masticturn/internal/telemetry"
 )
 
-// Pauses between calls to the store and to other VMs.
+// Intervals and limits of calls to the store and to peers.
 const (
-	// lapseLeast is how long an outage must last for entries to lapse in it: less than
-	// a few reports of a target.
-	lapseLeast = 2 * time.Second
-	// settlePause lets further changes gather before the next watch, since each
-	// answer is a call that is paid for.
+	// minLapse is the shortest outage in which entries can lapse: a few report intervals of a
+	// target.
+	minLapse = 2 * time.Second
+	// settlePause collects further changes before the next watch, to save calls.
 	settlePause = 200 * time.Millisecond
-	// startPatience is how long a VM that starts gives the others to tell what the
-	// store holds: joining takes a way between regions or two. Callers wait for it, but
-	// not yet where the whole fleet starts for the first time.
-	startPatience      = 300 * time.Millisecond
-	firstStartPatience = 2 * time.Second
-	// startPause is the pause between looks for VMs to hear from at the start.
-	startPause = 20 * time.Millisecond
-	// pollPause is the pause when all VMs to hear from are passed over.
+	// restartWait is how long a starting VM tries peers before it reads the store. At a fleet's
+	// first start no callers wait yet, so that it is longer (firstStartWait).
+	restartWait    = 300 * time.Millisecond
+	firstStartWait = 2 * time.Second
+	// bootstrapInterval is the interval of tries to find a peer while bootstrapping.
+	bootstrapInterval = 20 * time.Millisecond
+	// pollPause is the pause while all sources are skipped.
 	pollPause = 50 * time.Millisecond
-	// askFirstFor bounds one of a VM's first polls: who is asked may not have started
-	// yet.
-	askFirstFor = 250 * time.Millisecond
-	// strayReads is how many reads a second VMs that are no readers make of a kind,
-	// over the whole fleet, and stalesLeast how many VMs must have told that they are
-	// out of touch before: all readers may be turned away by a store that serves
-	// others.
-	strayReads  = 12
-	stalesLeast = 2
-	// aroundShare is the part of turns in which any VM of the region is polled
-	// meanwhile, for askAroundFor at most.
-	aroundShare  = 0.5
-	askAroundFor = 400 * time.Millisecond
+	// bootstrapPollTimeout bounds a poll while bootstrapping, as the peer may not have started.
+	bootstrapPollTimeout = 250 * time.Millisecond
+	// fallbackReadRate is the rate of reads of a kind by the fleet's other VMs, in reads/s, once
+	// minStaleAnswers peers in a row were stale. The store may refuse all readers and serve others.
+	fallbackReadRate = 12
+	minStaleAnswers  = 2
+	// peerPollShare is the share of steps in an outage that poll any peer of the region, for
+	// peerPollTimeout at most.
+	peerPollShare   = 0.5
+	peerPollTimeout = 400 * time.Millisecond
 )
 
-// change is what one read of the store, or of another VM, brought.
+// change is the result of one read of the store or a peer.
 type change struct {
 	kind     platform.Kind
-	list     []platform.Object // a whole list, when listed
+	list     []platform.Object // complete, if listed
 	listed   bool
 	events   []platform.Event
 	asOf     platform.Version
-	age      time.Duration // of what was read
-	regained bool          // the store was out of reach before
+	age      time.Duration // of the content
+	regained bool          // ends an outage
 }
 
-// watcher keeps the mirror of one kind up to date: from other VMs while they
-// are up to date, else from the store.
+// watcher keeps a kind's mirror up to date, from peers while they are fresh, else from the store.
 type watcher struct {
 	kind    platform.Kind
-	stale   time.Duration // age at which what a VM tells is not good enough
+	stale   time.Duration // age from which a peer's state is insufficient
 	store   platform.Store
-	gate    *gate       // of the calls of all kinds
-	joined  func() bool // whether this VM knows others, or that there are none
-	ways    func() ways
+	backoff *outageBackoff // shared by all kinds
+	joined  func() bool    // whether this VM has joined the others, or is alone
+	sources func() sources
 	relay   func(vm string) relaySource
 	clock   kernel.Clock
 	logger  *telemetry.Logger
 	publish func(change change)
 
-	firstStart bool                 // the whole fleet starts for the first time
-	asOf       platform.Version     // 0: a list is needed
-	avoid      map[string]time.Time // VMs that are passed over until then
-	stales     int                  // answers of VMs that are out of touch themselves, since the last news
-	drawn      time.Time            // when there was news last, or it was drawn whether to read
-	outage     bool                 // neither VMs nor the store tell anything new
-	refused    bool                 // this VM's last read failed
-	lostAt     time.Time
-	readNow    bool // read the store next, whatever VMs there are to ask
+	firstStart   bool                 // of the whole fleet
+	asOf         platform.Version     // 0: a list is needed
+	skipUntil    map[string]time.Time // by peer
+	staleAnswers int                  // consecutive ones
+	lastDraw     time.Time            // of a fallback read, or the last success
+	outage       bool                 // neither peers nor the store have current state
+	readFailed   bool                 // the last read of the store
+	lostAt       time.Time
+	readNow      bool // read the store next, regardless of sources
 }
 
-// run reads until the context is done.
+// run works until the context is done.
 func (w *watcher) run(ctx context.Context) {
-	w.begin(ctx)
+	w.bootstrap(ctx)
 	for ctx.Err() == nil {
 		w.step(ctx)
 	}
 }
 
-// begin gets the first list. Other VMs have it as a rule, so that a start does not
-// cost calls to the store; where they have nothing either it is read at once, unless
-// no caller waits yet.
-func (w *watcher) begin(ctx context.Context) {
-	patient, cancel := context.WithTimeout(ctx, w.patience())
+// bootstrap fetches the first list from a peer, to save calls to the store, and falls back to
+// the store.
+func (w *watcher) bootstrap(ctx context.Context) {
+	waitCtx, cancel := context.WithTimeout(ctx, w.bootstrapWait())
 	defer cancel()
-	for patient.Err() == nil && !w.joined() {
-		sleep(patient, startPause)
+	for waitCtx.Err() == nil && !w.joined() {
+		sleep(waitCtx, bootstrapInterval)
 	}
-	for patient.Err() == nil && w.asOf == 0 {
-		from := w.ways().vms
-		if len(from) == 0 || w.askFirst(patient, w.parent(from)) {
+	for waitCtx.Err() == nil && w.asOf == 0 {
+		from := w.sources().vms
+		if len(from) == 0 || w.bootstrapFrom(waitCtx, w.nextSource(from)) {
 			break
 		}
-		sleep(patient, startPause)
+		sleep(waitCtx, bootstrapInterval)
 	}
 	w.readNow = w.asOf == 0
 }
 
-func (w *watcher) patience() time.Duration {
+func (w *watcher) bootstrapWait() time.Duration {
 	if w.firstStart {
-		return firstStartPatience
+		return firstStartWait
 	}
-	return startPatience
+	return restartWait
 }
 
-// askFirst asks a VM, "" for none, for the first list. It reports whether there is
-// no more to ask for.
-func (w *watcher) askFirst(ctx context.Context, vm string) bool {
+// bootstrapFrom polls a peer, "" for none, for the first list. It reports whether peers need no
+// more polls.
+func (w *watcher) bootstrapFrom(ctx context.Context, vm string) bool {
 	if vm == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, askFirstFor)
+	ctx, cancel := context.WithTimeout(ctx, bootstrapPollTimeout)
 	defer cancel()
 	err := w.poll(ctx, vm)
 	if err == nil {
 		return true
 	}
-	w.avoid[vm] = w.clock.Now().Add(avoidBriefly)
+	w.skipUntil[vm] = w.clock.Now().Add(skipBriefly)
 	return errors.Is(err, errStarting) && !w.firstStart
 }
 
 // step makes one call.
 func (w *watcher) step(ctx context.Context) {
-	ways := w.ways()
-	vm := w.parent(ways.vms)
+	from := w.sources()
+	vm := w.nextSource(from.vms)
 	switch {
-	case w.outage && (!w.readNow || w.refused) && rand.Float64() < aroundShare:
-		w.askAround(ctx, &ways)
-	case w.readNow || vm == "" && w.stales == 0:
+	case w.outage && (!w.readNow || w.readFailed) && rand.Float64() < peerPollShare:
+		w.pollAnyPeer(ctx, &from)
+	case w.readNow || vm == "" && w.staleAnswers == 0:
 		w.readNow = false
-		w.stales = 0
-		if err := w.gate.call(ctx, w.clock, w.read); err != nil {
+		w.staleAnswers = 0
+		if err := w.backoff.call(ctx, w.clock, w.read); err != nil {
 			w.failed(ctx, err)
 		}
 	case vm == "":
 		sleep(ctx, pollPause)
 	default:
-		w.ask(ctx, vm, &ways)
+		w.pollPeer(ctx, vm, &from)
 	}
 }
 
-// askAround polls any VM of the region: one that the store serves, or that has
-// heard of the store by another way, may be no reader.
-func (w *watcher) askAround(ctx context.Context, ways *ways) {
+// pollAnyPeer polls a random peer of the region. In a partial outage the store may serve others
+// than its readers.
+func (w *watcher) pollAnyPeer(ctx context.Context, from *sources) {
 	sleep(ctx, pollPause)
-	if len(ways.region) == 0 {
+	if len(from.region) == 0 {
 		return
 	}
-	vm := ways.region[rand.IntN(len(ways.region))]
-	if !w.clock.Now().After(w.avoid[vm]) {
+	vm := from.region[rand.IntN(len(from.region))]
+	if !w.clock.Now().After(w.skipUntil[vm]) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, askAroundFor)
+	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
-	w.ask(ctx, vm, ways)
+	w.pollPeer(ctx, vm, from)
 }
 
-// parent returns the first of the VMs to ask, "" when there is none.
-func (w *watcher) parent(vms []string) string {
+// nextSource returns the preferred source that is not skipped; "" if there is none.
+func (w *watcher) nextSource(vms []string) string {
 	now := w.clock.Now()
 	for _, vm := range vms {
-		if now.After(w.avoid[vm]) {
+		if now.After(w.skipUntil[vm]) {
 			return vm
 		}
 	}
 	return ""
 }
 
-// ask polls a VM and decides what is next when it does not help.
-func (w *watcher) ask(ctx context.Context, vm string, ways *ways) {
+// pollPeer polls a peer and decides on the next step if it fails.
+func (w *watcher) pollPeer(ctx context.Context, vm string, from *sources) {
 	began := w.clock.Now()
 	err := w.poll(ctx, vm)
 	if err == nil || ctx.Err() != nil {
@@ -188,33 +181,31 @@
 		w.logger.Log(eventRelayLost, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
 	}
 	if errors.Is(err, errStale) || errors.Is(err, errStarting) {
-		w.avoid[vm] = now.Add(avoidStaleFor)
-		w.noteStale(ways)
+		w.skipUntil[vm] = now.Add(skipStaleFor)
+		w.recordStale(from)
 		return
 	}
-	w.avoid[vm] = now.Add(avoidFor)
-	// Most of the time there is has passed: another VM that does not answer either
-	// would make the news late.
+	w.skipUntil[vm] = now.Add(skipFor)
+	// Another slow peer would exceed the bound.
 	w.readNow = now.Sub(began) > w.stale/2
 }
 
-// noteStale takes in that a VM is out of touch with the store itself. Readers then
-// read it. Of the others few do, drawn by the time since the last draw: calls in an
-// outage must not grow with the fleet.
-func (w *watcher) noteStale(ways *ways) {
-	w.stales++
-	w.readNow = ways.reader
-	if w.stales < stalesLeast {
+// recordStale records a stale peer. Readers then read the store. Other VMs do at random, at a
+// rate that does not grow with the fleet.
+func (w *watcher) recordStale(from *sources) {
+	w.staleAnswers++
+	w.readNow = from.reader
+	if w.staleAnswers < minStaleAnswers {
 		return
 	}
-	w.lost(errStale)
+	w.loseStore(errStale)
 	now := w.clock.Now()
-	expected := strayReads * now.Sub(w.drawn).Seconds()
-	w.drawn = now
-	w.readNow = w.readNow || rand.Float64()*float64(ways.members) < expected
+	expected := fallbackReadRate * now.Sub(w.lastDraw).Seconds()
+	w.lastDraw = now
+	w.readNow = w.readNow || rand.Float64()*float64(from.members) < expected
 }
 
-// poll asks another VM.
+// poll makes one poll and applies its answer.
 func (w *watcher) poll(ctx context.Context, vm string) error {
 	a, err := w.relay(vm).poll(ctx, w.kind, w.asOf)
 	if err != nil {
@@ -224,20 +215,19 @@
 		return errStarting
 	}
 	if a.AsOf < w.asOf {
-		return errStale // it is behind what this VM knows
+		return errStale // behind this VM
 	}
 	if a.Age > w.stale {
-		w.takeNewer(a)
+		w.applyNewer(a)
 		return errStale
 	}
-	w.stales = 0
+	w.staleAnswers = 0
 	w.succeeded(a.change(w.kind))
 	return nil
 }
 
-// takeNewer takes in what is newer than what this VM knows, though too old to rely
-// on that there is nothing newer still.
-func (w *watcher) takeNewer(a *pollAnswer) {
+// applyNewer applies state that is stale but newer than the present one.
+func (w *watcher) applyNewer(a *pollAnswer) {
 	if w.asOf == 0 || a.AsOf == w.asOf {
 		return
 	}
@@ -267,12 +257,12 @@
 }
 
 func (w *watcher) succeeded(c change) {
-	w.drawn = w.clock.Now()
+	w.lastDraw = w.clock.Now()
 	w.asOf = c.asOf
-	w.refused = false
+	w.readFailed = false
 	if w.outage {
 		w.outage = false
-		c.regained = w.clock.Now().Sub(w.lostAt) >= lapseLeast
+		c.regained = w.clock.Now().Sub(w.lostAt) >= minLapse
 		w.logger.Log(eventStoreRegained, telemetry.Value("kind", string(w.kind)),
 			telemetry.Value("away_ms", w.clock.Now().Sub(w.lostAt).Milliseconds()))
 	}
@@ -287,12 +277,12 @@
 		w.asOf = 0
 		return
 	}
-	w.refused = true
-	w.lost(err)
+	w.readFailed = true
+	w.loseStore(err)
 }
 
-// lost notes that nobody tells anything new.
-func (w *watcher) lost(err error) {
+// loseStore begins an outage: neither peers nor the store have current state.
+func (w *watcher) loseStore(err error) {
 	if w.outage {
 		return
 	}
