--- a/internal/membership/action.go
+++ b/internal/membership/action.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Action is something that the Machine wants done.
+// Action is an effect that the Machine requests.
 type Action interface{ action() }
 
 // SendHeartbeat sends a heartbeat to a member.
@@ -11,45 +11,42 @@
 	Heartbeat *Heartbeat
 }
 
-// CallJoin calls a daemon to join; the result goes to Joined or JoinFailed.
+// CallJoin sends a join request to a daemon; the result goes to Joined.
 type CallJoin struct {
 	Candidate Candidate
 	Request   JoinRequest
 }
 
-// LearnAddress tells where a member listens; empty when it is forgotten.
+// LearnAddress sets a member's peer address; empty: it is forgotten.
 type LearnAddress struct {
 	VM      string
 	Address string
 }
 
-// ReportAwake tells that this process was paused: what it believes of others,
-// and what they granted to it, is as old as the pause at least.
+// ReportAwake reports a pause of this process. State and grants from others are older by it.
 type ReportAwake struct {
 	Away time.Duration
 }
 
-// ReportState tells that a member is in another state.
+// ReportState reports a member's changed state.
 type ReportState struct {
 	Name  string
 	State State
 }
 
-// ReportOneWay tells that a neighbor is heard but does not hear this daemon,
-// or that this is over.
+// ReportOneWay reports that a neighbor's heartbeats arrive but ours do not, or the end of it.
 type ReportOneWay struct {
 	Peer string
 	Over bool
 }
 
-// ReportRenewed tells that this daemon took a higher incarnation, since the
-// others believe that the one before is gone or surpassed.
+// ReportRenewed reports a higher incarnation of this daemon, as others hold the previous one
+// for gone or surpassed.
 type ReportRenewed struct {
 	Incarnation uint64
 }
 
-// ReportJoined tells that the daemon is a member now. Alone means that no
-// other daemon answered.
+// ReportJoined reports that the daemon is a member. Alone means that no other one answered.
 type ReportJoined struct {
 	Alone bool
 }
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -7,15 +7,14 @@
 	"time"
 )
 
-// fleetShape is a fleet for the benchmark. Members are spread evenly.
+// fleetShape is the size of a fleet; members are spread evenly.
 type fleetShape struct {
 	members, regions, zones int
 }
 
-// BenchmarkFleet measures what membership costs a daemon of a steady fleet, as
-// a function of its size: bytes of frames in and out per second, the most of
-// any one daemon, and processor time including the codec. A new generation of
-// the document is adopted by all every 15 seconds, and one daemon restarts.
+// BenchmarkFleet measures the cost of membership per daemon by fleet size: frame bytes per second,
+// the largest of any daemon, and CPU time. The generation changes every 15 seconds, and one daemon
+// restarts.
 func BenchmarkFleet(b *testing.B) {
 	shapes := []fleetShape{{10, 3, 6}, {30, 3, 6}, {100, 4, 9}, {300, 6, 14}, {700, 9, 21}, {1400, 9, 21}}
 	for _, shape := range shapes {
@@ -28,7 +27,7 @@
 	}
 }
 
-// grow makes a fleet whose members know each other already.
+// grow makes a fleet whose members know each other.
 func grow(b *testing.B, shape fleetShape) *sim {
 	s := newSim(b, uint64(shape.members))
 	var records []Record
--- a/internal/membership/derive.go
+++ b/internal/membership/derive.go
@@ -5,8 +5,7 @@
 	"strings"
 )
 
-// View returns the view of the members. It is the same value until something
-// changes.
+// View returns the view of the members, the same value until a change.
 func (m *Machine) View() *View {
 	if m.view != nil && !m.viewStale {
 		return m.view
@@ -35,8 +34,7 @@
 	}
 }
 
-// derive returns the state of a member: that of its record, but suspect when
-// its region is not heard of.
+// derive returns a member's state: that of its record, or suspect if its region is silent.
 func (m *Machine) derive(e *entry) State {
 	s := e.state()
 	if s == Alive && e.Region != m.self.Region {
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -5,11 +5,10 @@
 	"time"
 )
 
-// askBreadth is how many others are asked about a silent neighbor.
-const askBreadth = 3
+// indirectProbes is the number of VMs asked about a silent neighbor.
+const indirectProbes = 3
 
-// detect looks for neighbors that are not heard of, and for members that were
-// suspect for too long.
+// detect marks silent neighbors suspect and long suspects gone.
 func (m *Machine) detect(now time.Time) {
 	if m.phase == PhaseJoining {
 		return
@@ -17,20 +16,20 @@
 	t := m.currentTopology()
 	for _, name := range t.neighbors {
 		e := m.table[name]
-		silent := now.Sub(e.sign)
+		silent := now.Sub(e.lastAlive)
 		switch {
 		case e.Suspect || e.Gone:
 		case silent >= m.opts.SuspectAfter:
 			m.judge(e, now, func(r *Record) { r.Suspect = true })
-		case silent >= m.opts.AskAfter:
-			m.ask(e, now)
+		case silent >= m.opts.ProbeAfter:
+			m.probeIndirectly(e, now)
 		}
 	}
 	m.judgeGone(t, now)
 	m.detectRegions(now)
 }
 
-// judge applies a verdict of this daemon on another member.
+// judge applies this daemon's verdict on a member.
 func (m *Machine) judge(e *entry, now time.Time, verdict func(*Record)) {
 	m.digest ^= e.Record.digest()
 	verdict(&e.Record)
@@ -39,15 +38,15 @@
 	m.touchRecord(e, nil)
 }
 
-// ask lets other neighbors of a silent one tell when they heard it, which
-// tells a lost way from a lost daemon.
-func (m *Machine) ask(e *entry, now time.Time) {
+// probeIndirectly asks a silent neighbor's other neighbors for evidence that it is alive, to distinguish
+// a failed link from a failed daemon.
+func (m *Machine) probeIndirectly(e *entry, now time.Time) {
 	helpers := neighborsOf(e.Name, m.currentTopology().ring, m.opts.MeshSize)
 	m.random.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
 	asked := 0
 	for _, name := range helpers {
 		h := m.table[name]
-		if name == m.self.Name || h.Suspect || asked == askBreadth {
+		if name == m.self.Name || h.Suspect || asked == indirectProbes {
 			continue
 		}
 		asked++
@@ -57,42 +56,40 @@
 		}
 		m.send(l, now)
 		hb := m.actions[len(m.actions)-1].(SendHeartbeat).Heartbeat
-		hb.Ask = append(hb.Ask, e.Name)
+		hb.Probes = append(hb.Probes, e.Name)
 	}
 }
 
-// addSigns answers the questions of a peer with what was heard directly.
-func (m *Machine) addSigns(hb *Heartbeat, l *linkState, now time.Time) {
-	for _, name := range l.asks {
+// addEvidence answers a peer's probes from direct heartbeats.
+func (m *Machine) addEvidence(hb *Heartbeat, l *linkState, now time.Time) {
+	for _, name := range l.probes {
 		e, direct := m.table[name], m.links[name]
-		if e == nil || direct == nil || !direct.everHeard {
+		if e == nil || direct == nil || !direct.received {
 			continue
 		}
-		age := now.Sub(direct.heard)
+		age := now.Sub(direct.lastReceived)
 		if age < m.opts.SuspectAfter {
-			hb.Heard = append(hb.Heard, Sign{name, e.Incarnation, uint32(age.Milliseconds())})
+			hb.Evidence = append(hb.Evidence, AliveEvidence{name, e.Incarnation, uint32(age.Milliseconds())})
 		}
 	}
-	l.asks = l.asks[:0]
+	l.probes = l.probes[:0]
 }
 
-func (m *Machine) takeSigns(hb *Heartbeat, now time.Time) {
-	for _, s := range hb.Heard {
+func (m *Machine) applyEvidence(hb *Heartbeat, now time.Time) {
+	for _, s := range hb.Evidence {
 		e := m.table[s.Name]
 		if e == nil || e.Incarnation != s.Incarnation {
 			continue
 		}
-		if at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond); at.After(e.sign) {
-			e.sign = at
+		if at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond); at.After(e.lastAlive) {
+			e.lastAlive = at
 		}
 	}
 }
 
-// judgeGone ends members of the own region that were suspect for too long.
-// Members of other regions are judged by those regions: a region that is cut
-// off is suspect, not gone. A daemon that hears less than half of those it
-// should hear takes itself for cut off and judges nobody; when it hears them
-// again, the suspects have all their time to refute.
+// judgeGone marks long suspects of the own region gone. A region that is cut off stays suspect,
+// as only its own members judge it. A daemon that receives less than half of its heartbeats
+// takes itself for isolated and judges nobody until it recovers.
 func (m *Machine) judgeGone(t *topology, now time.Time) {
 	patience := m.opts.GoneAfter - m.opts.SuspectAfter
 	isolated := m.isolated(t, now)
@@ -107,26 +104,25 @@
 	}
 }
 
-// isolated reports whether most of those that should be heard are silent. A
-// daemon with a single partner cannot tell and never calls itself isolated.
+// isolated reports whether most expected heartbeats are missing. With a single partner that
+// is undecidable.
 func (m *Machine) isolated(t *topology, now time.Time) bool {
 	if len(t.targets) < 2 {
 		return false
 	}
-	heard := 0
+	received := 0
 	for _, name := range t.targets {
-		if l := m.links[name]; l != nil && l.everHeard && now.Sub(l.heard) < m.opts.SuspectAfter+m.interval(name) {
-			heard++
+		if l := m.links[name]; l != nil && l.received && now.Sub(l.lastReceived) < m.opts.SuspectAfter+m.interval(name) {
+			received++
 		}
 	}
-	return 2*heard < len(t.targets)
+	return 2*received < len(t.targets)
 }
 
-// expireInterval is how often expire looks through the table.
+// expireInterval is the interval of expire.
 const expireInterval = time.Second
 
-// expire forgets gone members, members of regions silent for long, and links
-// that are no longer used.
+// expire forgets gone members, members of long silent regions and unused links.
 func (m *Machine) expire(now time.Time) {
 	if now.Before(m.nextExpire) {
 		return
@@ -137,22 +133,22 @@
 			continue
 		}
 		region := m.regions[e.region]
-		lost := e.Region != m.self.Region && region != nil && now.Sub(region.heard) > m.opts.ForgetAfter
+		lost := e.Region != m.self.Region && region != nil && now.Sub(region.lastNote) > m.opts.ForgetAfter
 		if e.Gone && now.Sub(e.changed) > m.opts.TombstoneAfter || lost {
 			m.forget(name, e, lost)
 		}
 	}
 	targets := m.currentTopology().targets
 	for name, l := range m.links {
-		quiet := now.Sub(l.heard) > m.opts.ForgetAfter && now.Sub(l.sent) > m.opts.ForgetAfter
+		quiet := now.Sub(l.lastReceived) > m.opts.ForgetAfter && now.Sub(l.sent) > m.opts.ForgetAfter
 		if quiet && !slices.Contains(targets, name) {
 			delete(m.links, name)
 		}
 	}
 }
 
-// forget takes a member out of the table. One that may live is kept as a
-// candidate, so that the parts of the fleet find each other again.
+// forget removes a member. One that may be alive stays a candidate, so that a split fleet merges
+// again.
 func (m *Machine) forget(name string, e *entry, mayLive bool) {
 	m.digest ^= e.Record.digest()
 	delete(m.table, name)
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -10,28 +10,28 @@
 var (
 	eventJoined = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 101, Level: logrus.InfoLevel, Name: "joined the fleet",
-		Meaning: "This daemon has the table of another daemon, or started alone since none answered (field alone).",
-		Action:  "When it started alone but should not have, check the seeds and the platform's list of VMs.",
+		Meaning: "This daemon has the table of another one, or started alone as none answered (field alone).",
+		Action:  "If it should not have started alone, check the seeds and the platform's list of VMs.",
 	})
 	eventMemberState = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 102, Level: logrus.InfoLevel, Name: "member changed state",
 		Meaning: "A daemon is alive, suspect (late heartbeats), leaving or gone (field state).",
-		Action:  "For one that is gone without a planned stop, look at its VM.",
+		Action:  "If a VM is gone without a planned stop, inspect it.",
 	})
 	eventAwake = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 103, Level: logrus.WarnLevel, Name: "this process was paused",
-		Meaning: "The daemon did not run for the time given; what others granted to it was dropped before it acted.",
-		Action:  "When it recurs, look at the VM's processor and its host.",
+		Meaning: "The process did not run for the time stated. Grants from others were dropped before it acted.",
+		Action:  "If it recurs, inspect the VM's CPU and its host.",
 	})
 	eventOneWay = telemetry.Register(telemetry.Event{
-		Number: telemetry.RangePeer + 104, Level: logrus.WarnLevel, Name: "peer does not hear this daemon",
-		Meaning: "Heartbeats of the peer arrive, but it says that ours do not (field over: the way is mended).",
-		Action:  "Look at the network from this VM to the peer.",
+		Number: telemetry.RangePeer + 104, Level: logrus.WarnLevel, Name: "one-way link",
+		Meaning: "The peer's heartbeats arrive, but it reports that ours do not (field over: the link works again).",
+		Action:  "Check the network from this VM to the peer.",
 	})
 	eventRenewed = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 105, Level: logrus.WarnLevel, Name: "took a higher incarnation",
-		Meaning: "Others held this daemon for gone, or remember a later process of this VM.",
-		Action:  "None after a long pause or cut. When it recurs each second, two processes run under one VM name.",
+		Meaning: "Others hold this daemon for gone, or know a later process of this VM.",
+		Action:  "None after a long pause or partition. If it recurs each second, two processes run under one VM name.",
 	})
 	eventJoinFailed = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 106, Level: logrus.DebugLevel, Name: "join attempt failed",
@@ -44,8 +44,8 @@
 		Action:  "None; see the platform's health.",
 	})
 	eventRecordBad = telemetry.Register(telemetry.Event{
-		Number: telemetry.RangePeer + 108, Level: logrus.ErrorLevel, Name: "record of a VM not readable",
-		Meaning: "A record of the platform's list of VMs changed and names no VM: it can't be read, has another name or no address. The others hold.",
-		Action:  "Look at the record in the store and at who wrote it.",
+		Number: telemetry.RangePeer + 108, Level: logrus.ErrorLevel, Name: "VM record not readable",
+		Meaning: "A changed record in the platform's list of VMs is invalid: it can't be decoded, has another name or no address. The others hold.",
+		Action:  "Check the record in the store and its writer.",
 	})
 )
--- a/internal/membership/faults_join_test.go
+++ b/internal/membership/faults_join_test.go
@@ -12,8 +12,7 @@
 	"masticturn/internal/platform/platformtest"
 )
 
-// TestJoinWithTheStoreDown has VMs join while the store refuses, and while it
-// is silent: the seeds are enough.
+// Seeds suffice to join while the store refuses calls or is silent.
 func TestJoinWithTheStoreDown(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("silent %v", silent), func(t *testing.T) {
--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// faultCase is one kind of fault. strike lets it happen to the victim and lets
-// the time pass until it is over; want is what the others shall see at last.
+// faultCase is one kind of fault. strike injects it and lets its time pass; want is the final state
+// at the others.
 type faultCase struct {
 	name   string
 	strike func(s *sim, victim string)
 	want   func(step Step) State
 }
 
-// stays is the state of a victim that lives on in its process.
+// stays is the final state of a victim whose process survives.
 func stays(step Step) State {
 	if step == StepLeave {
 		return Leaving
@@ -23,7 +23,7 @@
 
 func always(state State) func(Step) State { return func(Step) State { return state } }
 
-// during applies a change for a time.
+// during applies a change for a while.
 func during(s *sim, d time.Duration, lose func(from, to string) bool) {
 	s.lose = lose
 	s.run(d)
@@ -47,7 +47,7 @@
 	s.paused[victim] = false
 }
 
-// partner is a member that each victim exchanges heartbeats with.
+// partner is a heartbeat partner of each victim.
 const partner = "r0-z1-1"
 
 func faultCases() []faultCase {
@@ -121,8 +121,8 @@
 	return victim
 }
 
-// TestFaults lets each fault come at each step. When it is over, all members
-// see each other, and the victim as it is.
+// TestFaults injects each fault at each step. Afterwards all members see each other and the victim
+// correctly.
 func TestFaults(t *testing.T) {
 	for _, step := range Steps() {
 		for _, f := range faultCases() {
--- a/internal/membership/hints.go
+++ b/internal/membership/hints.go
@@ -14,9 +14,8 @@
 	"masticturn/internal/telemetry"
 )
 
-// Intervals of the reads of the platform's list of VMs. Only a daemon that has
-// not joined by its seeds and the relays read it, so that the calls do not grow with
-// the fleet.
+// Intervals of reads of the platform's list of VMs. Only joining daemons and relays read it, so
+// that the calls do not grow with the fleet.
 const (
 	hintsIntervalJoining = time.Second
 	hintsInterval        = 30 * time.Second
@@ -42,7 +41,7 @@
 	}
 }
 
-// pause waits; it returns false when the service ends.
+// pause waits; false if the service ends.
 func (s *Service) pause(d time.Duration) bool {
 	select {
 	case <-s.ctx.Done():
@@ -74,40 +73,38 @@
 	s.setCandidates()
 }
 
-// recordFault is a record of the list that names no VM.
+// recordFault is an invalid record of the list.
 type recordFault struct {
 	name    string
 	version platform.Version
 	err     error
 }
 
-// candidatesMost bounds the VMs of the list that are tried: twice the largest
-// fleet that is designed for.
-const candidatesMost = 2800
+// maxCandidates bounds the VMs of the list that are tried.
+const maxCandidates = 2800
 
-// candidatesOf returns the VMs of the list that are not leaving, and the records
-// that name none, as anybody may have written them: the list is a hint, and the
-// other records hold.
+// candidatesOf returns the list's VMs that are not leaving, and the invalid records. Anyone may
+// have written the list; it is a hint.
 func candidatesOf(objects []platform.Object) (out []Candidate, faults []recordFault) {
 	for _, o := range objects {
 		r, err := parseRecord(&o)
 		switch {
 		case err != nil:
 			faults = append(faults, recordFault{o.Name, o.Version, err})
-		case !r.Leaving && len(out) < candidatesMost:
+		case !r.Leaving && len(out) < maxCandidates:
 			out = append(out, Candidate{Name: r.Name, Address: r.PeerAddress})
 		}
 	}
 	return out, faults
 }
 
-// recordMost is the longest record that is read, in bytes: some times what VMs write.
-const recordMost = 2 << 10
+// maxRecordBytes bounds a record.
+const maxRecordBytes = 2 << 10
 
-// parseRecord reads a VM's record, which must bear the name under which it stands.
+// parseRecord decodes a VM's record. Its name must match the object's.
 func parseRecord(o *platform.Object) (*edge.VMRecord, error) {
-	if len(o.Value) > recordMost {
-		return nil, trace.BadParameter("the record has %d bytes; allowed are %d", len(o.Value), recordMost)
+	if len(o.Value) > maxRecordBytes {
+		return nil, trace.BadParameter("the record has %d bytes; allowed are %d", len(o.Value), maxRecordBytes)
 	}
 	var r edge.VMRecord
 	if err := json.Unmarshal(o.Value, &r); err != nil {
@@ -124,21 +121,21 @@
 	return &r, nil
 }
 
-// logFaults tells of records that name no VM, once for each change of one.
+// logFaults logs invalid records, once per change.
 func (s *Service) logFaults(faults []recordFault) {
-	told := make(map[string]platform.Version, len(faults))
+	logged := make(map[string]platform.Version, len(faults))
 	for _, f := range faults {
-		told[f.name] = f.version
-		if before, ok := s.faults[f.name]; ok && before == f.version {
+		logged[f.name] = f.version
+		if before, ok := s.loggedFaults[f.name]; ok && before == f.version {
 			continue
 		}
 		s.badRecords.Inc()
 		s.cfg.Logger.Log(eventRecordBad, telemetry.Peer(f.name), telemetry.Value("version", uint64(f.version)), telemetry.Err(f.err))
 	}
-	s.faults = told
+	s.loggedFaults = logged
 }
 
-// setCandidates gives seeds and hints to the machine.
+// setCandidates passes seeds and hints to the machine.
 func (s *Service) setCandidates() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -5,17 +5,14 @@
 	"time"
 )
 
-// SetCandidates tells which daemons may be called to join: seeds of the
-// settings and the platform's list. They are hints: a member is taken in by
-// its own word only, and one that the list calls leaving but that says itself
-// to be alive counts as alive.
+// SetCandidates sets the daemons that may be called to join: seeds and the platform's list. They
+// are hints: only a daemon's own record makes it a member.
 func (m *Machine) SetCandidates(candidates []Candidate) {
 	m.candidates = candidates
 }
 
-// tryJoin calls a candidate: one after the other while joining, and once in a
-// while those that are not in the view, so that parts of a fleet that lost
-// each other find together.
+// tryJoin calls a candidate: repeatedly while joining, later rarely and only unknown ones, so that
+// a split fleet merges again.
 func (m *Machine) tryJoin(now time.Time) {
 	if now.Before(m.nextTry) || m.phase > PhaseMember {
 		return
@@ -32,7 +29,7 @@
 	}
 }
 
-// pickCandidate picks one of the candidates that are not in the view.
+// pickCandidate picks a random candidate outside the view.
 func (m *Machine) pickCandidate() (Candidate, bool) {
 	known := make(map[string]bool)
 	for _, e := range m.table {
@@ -57,8 +54,7 @@
 	m.act(ReportJoined{Alone: alone})
 }
 
-// Joined takes in the answer to a CallJoin. That of this daemon itself, whose
-// address was among the candidates, counts for nothing.
+// Joined applies the answer to a CallJoin. An answer of this daemon itself is ignored.
 func (m *Machine) Joined(now time.Time, answer *JoinAnswer) []Action {
 	m.begin(now)
 	if answer.Name == m.self.Name {
@@ -68,7 +64,7 @@
 		m.merge(&answer.Records[i], nil, now)
 	}
 	for i := range answer.Regions {
-		m.takeRegion(&answer.Regions[i], nil, now)
+		m.applyRegion(&answer.Regions[i], nil, now)
 	}
 	if m.phase == PhaseJoining {
 		m.becomeMember(false)
@@ -77,7 +73,7 @@
 	return m.end()
 }
 
-// AnswerJoin answers a daemon that joins with the whole table.
+// AnswerJoin answers a joining daemon with the whole table.
 func (m *Machine) AnswerJoin(now time.Time, request *JoinRequest) (*JoinAnswer, []Action) {
 	m.begin(now)
 	answer := &JoinAnswer{Name: m.self.Name}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Candidate is a daemon that may be called to join. The name is empty when
-// only the address is known.
+// Candidate is a daemon that may be called to join. The name is empty if unknown.
 type Candidate struct {
 	Name    string
 	Address string
@@ -16,23 +15,22 @@
 type entry struct {
 	Record
 	region        uint32     // ID of its region
-	recordVersion uint64     // of the table, when the record last changed
-	noteVersion   uint64     // of the table, when the generation last changed
-	recordSource  *linkState // where the record came from; nil: from here
-	noteSource    *linkState // where the generation came from
-	changed       time.Time  // when the state last changed
-	suspectSince  time.Time  // start of the time in which a suspicion may be refuted
+	recordVersion uint64     // table version of the record's last change
+	noteVersion   uint64     // table version of the generation's last change
+	recordSource  *linkState // link that the record came from; nil: none
+	noteSource    *linkState // link that the generation came from
+	changed       time.Time  // last change of the state
+	suspectSince  time.Time  // start of the time to refute a suspicion
 	reported      State
-	isReported    bool      // reported holds the state that was reported last
-	sign          time.Time // last sign of life: heard, told by others, or a newer Seq
+	isReported    bool      // reported is valid
+	lastAlive     time.Time // heartbeat, evidence from others, or a newer Seq
 }
 
-// newest holds the versions of the table at which a record and a generation
-// last changed.
+// newest holds the table versions of the last changes.
 type newest struct{ record, note uint64 }
 
-// Machine is the membership protocol of one daemon: it takes events with the
-// time and returns actions. It does no I/O and is not safe for concurrent use.
+// Machine is the membership protocol of one daemon. It takes events with their time and returns
+// actions. It does no I/O and is not safe for concurrent use.
 type Machine struct {
 	opts   Options
 	random *rand.Rand
@@ -45,7 +43,7 @@
 
 	table   map[string]*entry
 	byID    map[uint32]*entry // by short ID
-	version uint64            // rises with each change of the table
+	version uint64            // increases with each change of the table
 	digest  uint64            // of all records
 	news    newest
 	regions map[uint32]*regionState
@@ -55,21 +53,20 @@
 	topologyStale bool
 	statesStale   bool
 	viewStale     bool
-	viewLater     bool // the view is stale from the next tick on
+	viewLater     bool // the view turns stale with the next tick
 	view          *View
 
 	candidates []Candidate
-	lost       []Candidate // forgotten members that may live
+	lost       []Candidate // forgotten members that may be alive
 	nextTry    time.Time
 	nextExpire time.Time
-	nextNote   time.Time // of the own region, if this daemon relays
+	nextNote   time.Time // of the own region, if this daemon is a relay
 	renewedAt  time.Time
 
 	actions []Action
 }
 
-// NewMachine returns the machine of a daemon that starts now. The record names
-// it and its places; candidates are set by SetCandidates.
+// NewMachine returns the machine of a daemon that starts now with the given record.
 func NewMachine(self Record, opts Options, random *rand.Rand, now time.Time) *Machine {
 	opts.setDefaults()
 	self.Seq = 1
@@ -84,7 +81,7 @@
 		regions: make(map[uint32]*regionState),
 		links:   make(map[string]*linkState),
 	}
-	m.self = &entry{Record: self, region: regionID(self.Region), changed: now, sign: now}
+	m.self = &entry{Record: self, region: regionID(self.Region), changed: now, lastAlive: now}
 	m.table[self.Name] = m.self
 	m.digest = self.digest()
 	m.touchRecord(m.self, nil)
@@ -95,10 +92,10 @@
 // Phase returns the phase of this daemon's own membership.
 func (m *Machine) Phase() Phase { return m.phase }
 
-// Incarnation returns this daemon's incarnation, which may rise.
+// Incarnation returns this daemon's incarnation, which may increase.
 func (m *Machine) Incarnation() uint64 { return m.self.Incarnation }
 
-// Tick looks at all timers. It shall be called every TickInterval.
+// Tick checks all timers. It must be called every TickInterval.
 func (m *Machine) Tick(now time.Time) []Action {
 	m.begin(now)
 	m.viewStale = m.viewStale || m.viewLater
@@ -109,13 +106,12 @@
 	m.tryJoin(now)
 	m.detect(now)
 	m.expire(now)
-	m.noteRegion(now)
+	m.publishRegion(now)
 	m.sendDue(now)
 	return m.end()
 }
 
-// begin starts the handling of an event. A gap since the last one means that
-// this process was paused, which is dealt with before anything else.
+// begin starts the handling of an event. A gap since the last one was a pause of this process.
 func (m *Machine) begin(now time.Time) {
 	away := now.Sub(m.last)
 	m.last = now
@@ -124,20 +120,19 @@
 	}
 }
 
-// awake restarts the timers of what is believed of others: their silence was
-// this daemon's own. One that was away for so long that the others hold it for
-// gone takes a new incarnation at once.
+// awake restarts all timers after a pause, as the silence was this daemon's own. After a long
+// pause the others hold it for gone, and it takes a new incarnation.
 func (m *Machine) awake(now time.Time, away time.Duration) {
 	m.act(ReportAwake{Away: away})
 	for _, e := range m.table {
-		e.sign = now
+		e.lastAlive = now
 		e.suspectSince = now
 	}
 	for _, l := range m.links {
-		l.heard = now
+		l.lastReceived = now
 	}
 	for _, r := range m.regions {
-		r.heard = now
+		r.lastNote = now
 	}
 	if away >= m.opts.GoneAfter && m.phase != PhaseLeft {
 		m.renew(m.self.Incarnation, now)
@@ -154,8 +149,7 @@
 
 func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
 
-// touchRecord notes a change of a record; it spreads to the links but the one
-// it came from.
+// touchRecord records a changed record, which spreads over all links except its source.
 func (m *Machine) touchRecord(e *entry, source *linkState) {
 	m.version++
 	m.byID[e.shortID()] = e
@@ -172,7 +166,7 @@
 	m.viewLater = true
 }
 
-// changeSelf applies a change that this daemon makes to its own record.
+// changeSelf changes this daemon's own record.
 func (m *Machine) changeSelf(now time.Time, change func(*Record)) {
 	m.digest ^= m.self.Record.digest()
 	delete(m.byID, m.self.shortID())
@@ -194,7 +188,7 @@
 	m.act(ReportRenewed{Incarnation: m.self.Incarnation})
 }
 
-// SetGeneration tells which document this daemon has in force.
+// SetGeneration sets the generation of the document in force here.
 func (m *Machine) SetGeneration(now time.Time, generation, hash uint64) []Action {
 	m.begin(now)
 	m.self.Generation, m.self.Hash = generation, hash
@@ -203,7 +197,7 @@
 	return m.end()
 }
 
-// Leave says to all that this daemon drains: it gets no new work.
+// Leave announces that this daemon drains and takes no new work.
 func (m *Machine) Leave(now time.Time) []Action {
 	m.begin(now)
 	if m.phase < PhaseLeaving {
@@ -214,7 +208,7 @@
 	return m.end()
 }
 
-// Depart says to all that this daemon is gone.
+// Depart announces that this daemon is gone.
 func (m *Machine) Depart(now time.Time) []Action {
 	m.begin(now)
 	if m.phase != PhaseLeft {
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -324,8 +324,7 @@
 	}
 }
 
-// Two members of a region without others cannot ask anybody, but their
-// suspicions go around by the other regions, and so do the refutations.
+// Two members of a region without others spread suspicions and refutations by other regions.
 func TestTwoCutFromEachOtherOnly(t *testing.T) {
 	s := newSim(t, 19)
 	s.fleet(3, 2, 1)
@@ -343,7 +342,7 @@
 	}
 }
 
-// A region of two, cut off from all others, keeps the silent one as suspect.
+// An isolated region of two keeps its silent member suspect.
 func TestCrashInATinyRegionCutOff(t *testing.T) {
 	s := newSim(t, 20)
 	s.fleet(3, 2, 1)
@@ -358,8 +357,7 @@
 	s.wantSeen("r0-z1-0", Gone)
 }
 
-// Daemons that are no longer neighbors must not keep each other's heartbeats
-// going.
+// Former neighbors must not keep each other's heartbeats going.
 func TestFormerNeighborsFallSilent(t *testing.T) {
 	s := newSim(t, 21)
 	s.fleet(1, 2, 15)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// merge takes in a record that a daemon told.
+// merge applies a record from a peer.
 func (m *Machine) merge(r *Record, source *linkState, now time.Time) {
 	if r.Name == m.self.Name {
 		m.mergeSelf(r, now)
@@ -21,12 +21,12 @@
 }
 
 func (m *Machine) add(r *Record, source *linkState, now time.Time) {
-	e := &entry{Record: *r, region: regionID(r.Region), changed: now, suspectSince: now, sign: now}
+	e := &entry{Record: *r, region: regionID(r.Region), changed: now, suspectSince: now, lastAlive: now}
 	m.table[r.Name] = e
 	m.digest ^= r.digest()
 	m.touchRecord(e, source)
 	m.learnAddress(e, "")
-	m.noteRegionSeen(e.region, now)
+	m.recordRegion(e.region, now)
 }
 
 func (m *Machine) replace(e *entry, r *Record, source *linkState, now time.Time) {
@@ -38,7 +38,7 @@
 		generation, hash = e.Generation, e.Hash
 	}
 	if !r.Suspect && !r.Gone {
-		e.sign = now
+		e.lastAlive = now
 	}
 	e.Record, e.region = *r, regionID(r.Region)
 	e.Generation, e.Hash = generation, hash
@@ -54,7 +54,7 @@
 	}
 }
 
-// mergeGeneration takes in the generation that a member has in force.
+// mergeGeneration applies a member's generation.
 func (m *Machine) mergeGeneration(e *entry, incarnation, generation, hash uint64, source *linkState) {
 	if e == m.self || incarnation != e.Incarnation || generation <= e.Generation {
 		return
@@ -63,12 +63,12 @@
 	m.touchNote(e, source)
 }
 
-// renewPause bounds how often a daemon raises its incarnation, should two
-// processes run under one VM name.
+// renewPause bounds how often a daemon renews its incarnation, in case two processes run under one
+// VM name.
 const renewPause = time.Second
 
-// mergeSelf answers what others say of this daemon: a suspicion is refuted by
-// a higher Seq, a higher or ended incarnation by a still higher one.
+// mergeSelf answers records about this daemon: a higher Seq refutes a suspicion, a higher
+// incarnation supersedes a surpassed or gone one.
 func (m *Machine) mergeSelf(r *Record, now time.Time) {
 	if m.phase == PhaseLeft {
 		return
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,54 +1,52 @@
 package membership
 
-// Heartbeat is the message of peer.KindHeartbeat, one way. It carries the
-// sender's own state, what it last heard of the receiver, and what changed in
-// its table since the receiver's last acknowledgment.
+// Heartbeat is the one-way message of peer.KindHeartbeat: the sender's state, when it last
+// received from the receiver, and its table's changes since the receiver's acknowledgment.
 type Heartbeat struct {
-	Epoch      uint64 // first incarnation of the sender's process; versions count within it
-	Renewed    uint64 // how far the sender's incarnation is above Epoch
+	Epoch      uint64 // first incarnation of the sender's process; versions belong to it
+	Renewed    uint64 // sender's incarnation above Epoch
 	Generation uint64 // of the document that the sender has in force
 	Hash       uint64 // of that document
 	TableHash  uint32 // of the sender's records
 
-	Wanted  bool   // the receiver is one of those that the sender exchanges heartbeats with
-	HeardMS uint32 // how long ago the sender last heard the receiver; neverHeard if not
+	Wanted        bool   // the receiver is a partner of the sender
+	ReceivedAgoMS uint32 // since the last heartbeat of the receiver; or neverReceived
 
-	AckEpoch uint32 // lower bits of the receiver's epoch to which Ack belongs
-	Ack      uint64 // version of the receiver's table up to which the sender has all changes
-	Base     uint64 // the changes below are those after this version of the sender's table
+	AckEpoch uint32 // lower bits of the receiver's epoch that Ack belongs to
+	Ack      uint64 // version of the receiver's table that the sender has
+	Base     uint64 // the changes are those after this version of the sender's table
 	Version  uint64 // ... and up to this one
 
 	Records []Record
 	Notes   []Note
 	Regions []RegionNote
 
-	Ask   []string // members about which the sender wants to know
-	Heard []Sign   // members that the receiver asked about and the sender heard lately
+	Probes   []string        // members that the sender asks evidence for
+	Evidence []AliveEvidence // for the receiver's probes
 }
 
 // Incarnation returns the sender's incarnation.
 func (h *Heartbeat) Incarnation() uint64 { return h.Epoch + h.Renewed }
 
-// neverHeard is the HeardMS of a sender that has not heard the receiver.
-const neverHeard = 1<<32 - 1
+// neverReceived is the ReceivedAgoMS without any heartbeat of the receiver.
+const neverReceived = 1<<32 - 1
 
-// Note tells which members of the sender's region have a generation in force,
-// by their short IDs.
+// Note lists the members of the sender's region with a generation, by short ID.
 type Note struct {
 	Generation uint64
 	Members    []uint32
 }
 
-// RegionNote is what the relays of a region say of it.
+// RegionNote is a region's summary by its relays.
 type RegionNote struct {
 	Region     uint32   // ID of the region
-	Beat       uint64   // rises with each note
-	Generation uint64   // that all members have in force or surpass
-	Except     []uint32 // but these, by their short IDs
+	Beat       uint64   // increases with each note
+	Generation uint64   // that all members have at least
+	Except     []uint32 // other members, by short ID
 }
 
-// Sign is a sign of life of a member that the sender heard itself.
-type Sign struct {
+// AliveEvidence is the age of the last heartbeat that the sender received from a member.
+type AliveEvidence struct {
 	Name        string
 	Incarnation uint64
 	AgeMS       uint32
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -2,25 +2,25 @@
 
 import "time"
 
-// Options are the timings and bounds of the heartbeat protocol. All daemons of
-// a fleet use the same. Zero values mean the defaults.
+// Options are the timings and limits of the protocol, equal on all daemons. Zero values mean the
+// defaults.
 type Options struct {
 	HeartbeatInterval time.Duration // between heartbeats to a neighbor in the region
 	RelayInterval     time.Duration // between heartbeats of relays to other regions
 	RegionInterval    time.Duration // between the notes of a region
-	TickInterval      time.Duration // between looks at the timers
-	AskAfter          time.Duration // without a neighbor's heartbeat, others are asked about it
+	TickInterval      time.Duration // between checks of the timers
+	ProbeAfter        time.Duration // without a neighbor's heartbeat it is probed indirectly
 	SuspectAfter      time.Duration // ... it is suspect
 	GoneAfter         time.Duration // ... it is gone
-	RegionAfter       time.Duration // without news of another region, its members are suspect
-	ForgetAfter       time.Duration // ... they are taken out of the view
-	TombstoneAfter    time.Duration // how long the incarnation of a gone member is kept
-	PauseAfter        time.Duration // a gap between ticks that counts as a pause of this process
+	RegionAfter       time.Duration // without a note of another region its members are suspect
+	ForgetAfter       time.Duration // ... they are removed
+	TombstoneAfter    time.Duration // the incarnation of a gone member is kept so long
+	PauseAfter        time.Duration // gap between ticks that counts as a pause
 	JoinInterval      time.Duration // between attempts to join
-	JoinPatience      time.Duration // without any answer, a daemon starts alone after this time
-	MergeInterval     time.Duration // between attempts to reach hinted daemons that are not in the view
-	MeshSize          int           // a region of up to this many members is a full mesh
-	MaxRecords        int           // records in one heartbeat
+	JoinPatience      time.Duration // without an answer a daemon starts alone after it
+	MergeInterval     time.Duration // between calls of candidates outside the view
+	MeshSize          int           // members up to which a region is a full mesh
+	MaxRecords        int           // limit of records in one heartbeat
 }
 
 // Defaults of Options.
@@ -29,7 +29,7 @@
 	defaultRelayInterval     = time.Second
 	defaultRegionInterval    = 2 * time.Second
 	defaultTickInterval      = 100 * time.Millisecond
-	defaultAskAfter          = 700 * time.Millisecond
+	defaultProbeAfter        = 700 * time.Millisecond
 	defaultSuspectAfter      = time.Second
 	defaultGoneAfter         = 3 * time.Second
 	defaultRegionAfter       = 7 * time.Second
@@ -61,7 +61,7 @@
 	orDefault(&o.RelayInterval, defaultRelayInterval)
 	orDefault(&o.RegionInterval, defaultRegionInterval)
 	orDefault(&o.TickInterval, defaultTickInterval)
-	orDefault(&o.AskAfter, defaultAskAfter)
+	orDefault(&o.ProbeAfter, defaultProbeAfter)
 	orDefault(&o.SuspectAfter, defaultSuspectAfter)
 	orDefault(&o.GoneAfter, defaultGoneAfter)
 	orDefault(&o.RegionAfter, defaultRegionAfter)
--- a/internal/membership/phase.go
+++ b/internal/membership/phase.go
@@ -5,10 +5,10 @@
 
 // The phases, in order.
 const (
-	PhaseJoining Phase = iota // it asks other daemons for their table
+	PhaseJoining Phase = iota // requests another daemon's table
 	PhaseMember
-	PhaseLeaving // it said that it drains
-	PhaseLeft    // it said that it is gone
+	PhaseLeaving // announced that it drains
+	PhaseLeft    // announced that it is gone
 )
 
 // String returns the name used in status and logs.
@@ -16,16 +16,16 @@
 	return [...]string{"joining", "member", "leaving", "left"}[p]
 }
 
-// Step is a step of the protocol at which a fault may come.
+// Step is a step of the protocol, for fault injection.
 type Step uint8
 
 // The steps of the protocol.
 const (
-	StepJoin      Step = iota // the table of another daemon is asked for
+	StepJoin      Step = iota // another daemon's table is requested
 	StepHeartbeat             // heartbeats within the region
 	StepRelay                 // heartbeats of relays between regions
-	StepSuspect               // a silent member is suspect and may refute
-	StepLeave                 // a member says that it leaves
+	StepSuspect               // a silent member is suspect
+	StepLeave                 // a member announces that it leaves
 )
 
 // String returns the name used in tests and pages.
--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -19,7 +19,7 @@
 	return p
 }
 
-// trouble lets random faults come for a while, alone and together.
+// trouble injects random faults for a while.
 func trouble(s *sim, random *rand.Rand) {
 	pick := func() string { return s.order[random.IntN(len(s.order))] }
 	for range 6 {
@@ -48,9 +48,8 @@
 	clear(s.paused)
 }
 
-// TestViewsConverge: whatever faults came, once they are over all members see
-// each other alive. The simulation checks on its way that no incarnation goes
-// back and that nobody who is gone comes back within one incarnation.
+// TestViewsConverge: after any faults all members see each other alive. The simulation checks that
+// no incarnation decreases and none returns from gone.
 func TestViewsConverge(t *testing.T) {
 	properties := gopter.NewProperties(fixed(40))
 	properties.Property("views converge after faults", prop.ForAll(func(seed uint64) bool {
@@ -77,8 +76,7 @@
 	})
 }
 
-// TestMergeOrderDoesNotMatter: records merged in any order, and more than
-// once, give the same table.
+// TestMergeOrderDoesNotMatter: records merged in any order and repeatedly give the same table.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
 	merged := func(records []Record, order []int) Record {
 		now := time.Unix(0, 0)
@@ -97,8 +95,7 @@
 	properties.TestingRun(t)
 }
 
-// TestNeighborsAreMutualAndNear: neighbors are mutual, and a change reaches
-// all members of a region in few hops.
+// TestNeighborsAreMutualAndNear: changes reach a region in few hops.
 func TestNeighborsAreMutualAndNear(t *testing.T) {
 	for _, n := range []int{1, 2, 3, 10, 11, 12, 67, 155, 300} {
 		var ring []*entry
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -7,8 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Record is what is known of one member. The member itself writes all of it,
-// except that others may set Suspect and Gone.
+// Record describes one member. Only the member itself writes it, except Suspect and Gone.
 type Record struct {
 	Name          string
 	Zone          string
@@ -16,17 +15,16 @@
 	PeerAddress   string
 	CallerAddress string
 	Incarnation   uint64
-	Seq           uint64 // raised by the member with each change, and to refute a suspicion
+	Seq           uint64 // increased by the member with each change and to refute a suspicion
 	Leaving       bool
-	Suspect       bool // it was not heard of; refuted by a higher Seq
+	Suspect       bool // silent; refuted by a higher Seq
 	Gone          bool // final for this incarnation
 	Generation    uint64
 	Hash          uint64
 }
 
-// supersedes reports whether r is newer than old. The order is total up to
-// Generation and Hash, so that daemons agree whatever way records came: by
-// incarnation, then gone, then by Seq, then suspect.
+// supersedes reports whether r is newer than old, by incarnation, Gone, Seq and Suspect. The order
+// is total up to Generation and Hash, so that tables converge in any order of arrival.
 func (r *Record) supersedes(old *Record) bool {
 	switch {
 	case r.Incarnation != old.Incarnation:
@@ -52,8 +50,8 @@
 	return Alive
 }
 
-// digest is the record's part of the hash of a table. Records that are gone
-// count for nothing, since daemons forget them at different times.
+// digest is the record's part of the table hash. Gone records are excluded, as daemons forget them
+// at different times.
 func (r *Record) digest() uint64 {
 	if r.Gone {
 		return 0
@@ -67,26 +65,22 @@
 	return h * digestPrime
 }
 
-// digestPrime is an odd constant with bits all over.
+// digestPrime is an odd constant that mixes all bits.
 const digestPrime = 0x9e3779b97f4a7c15
 
-// shortID stands for a member in notes. Two of one region have the same one
-// with a chance of some millionths; the regions' summaries then set it right.
+// shortID identifies a member in notes. Region summaries correct the rare collisions.
 func (r *Record) shortID() uint32 {
 	return uint32((xxhash.Sum64String(r.Name) ^ r.Incarnation) * digestPrime >> 32)
 }
 
-// regionID stands for a region in notes.
+// regionID identifies a region in notes.
 func regionID(region string) uint32 { return uint32(xxhash.Sum64String(region)) }
 
-// incarnationStep separates the incarnations of one VM name. The lower bits
-// are random, so that two processes with the same clock differ.
+// incarnationStep separates incarnations of a VM name. The lower bits are random.
 const incarnationStep = 1 << 16
 
-// NewIncarnation returns the incarnation of a process that starts now: its
-// wall clock in milliseconds and random bits. When the clock is behind that of
-// an earlier process of the same VM, the other daemons still know the earlier
-// one's incarnation, and the new process goes above it when it joins.
+// NewIncarnation returns the incarnation of a process that starts now: wall clock milliseconds and
+// random bits. If the clock went back, joining raises it above the earlier one.
 func NewIncarnation(now time.Time) uint64 {
 	return uint64(now.UnixMilli())*incarnationStep + rand.Uint64N(incarnationStep)
 }
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// maxExceptions bounds the members that a region's note names one by one.
+// maxExceptions bounds the members listed in Except.
 const maxExceptions = 8
 
-// regionState is what is known of one region.
+// regionState is the state of one region.
 type regionState struct {
 	RegionNote
-	heard   time.Time // when the last note came
-	changed time.Time // when a note last said something else than the one before
-	silent  bool
-	version uint64
-	source  *linkState
+	lastNote time.Time // of the last note
+	changed  time.Time // last change of content
+	silent   bool
+	version  uint64
+	source   *linkState
 }
 
 func (m *Machine) region(id uint32) *regionState {
@@ -27,18 +27,16 @@
 	return r
 }
 
-// noteRegionSeen starts the timer of a region when its first member is known.
-func (m *Machine) noteRegionSeen(id uint32, now time.Time) {
-	if r := m.region(id); r.heard.IsZero() {
-		r.heard = now
+// recordRegion starts a region's timer with its first member.
+func (m *Machine) recordRegion(id uint32, now time.Time) {
+	if r := m.region(id); r.lastNote.IsZero() {
+		r.lastNote = now
 	}
 }
 
-// noteRegion lets a relay say, once an interval, that its region lives and
-// which generation it has in force. The number of the note goes above all that
-// were heard, and is the wall clock's at least, so that it rises across
-// restarts of a whole region.
-func (m *Machine) noteRegion(now time.Time) {
+// publishRegion lets a relay publish its region's note once an interval. Beats start at the wall
+// clock, so that they increase across restarts of a region.
+func (m *Machine) publishRegion(now time.Time) {
 	if m.phase == PhaseJoining || !m.currentTopology().relay {
 		return
 	}
@@ -56,11 +54,10 @@
 	m.setNote(r, &note, nil, now)
 }
 
-// earlyNotes is how many notes a region may send within one interval while its
-// generation changes.
+// earlyNotes is the number of notes within an interval while the generation changes.
 const earlyNotes = 4
 
-// sameAs reports whether two notes say the same.
+// sameAs reports whether two notes have the same content.
 func (n *RegionNote) sameAs(o *RegionNote) bool {
 	return n.Generation == o.Generation && slices.Equal(n.Except, o.Except)
 }
@@ -70,13 +67,12 @@
 		r.changed = now
 	}
 	r.RegionNote = *n
-	r.heard = now
+	r.lastNote = now
 	m.version++
 	r.version, r.source = m.version, source
 }
 
-// summarize returns the highest generation that all members of the own region
-// but few have in force.
+// summarize returns the highest generation that all members of the region have, except few.
 func (m *Machine) summarize() (generation uint64, except []uint32) {
 	lowest := m.self.Generation
 	for _, e := range m.currentTopology().ring {
@@ -94,8 +90,8 @@
 	return generation, except
 }
 
-// takeRegion takes in the note of a region.
-func (m *Machine) takeRegion(n *RegionNote, source *linkState, now time.Time) {
+// applyRegion applies a region's note.
+func (m *Machine) applyRegion(n *RegionNote, source *linkState, now time.Time) {
 	r := m.region(n.Region)
 	if n.Beat <= r.Beat {
 		return
@@ -116,10 +112,10 @@
 	}
 }
 
-// detectRegions marks the regions that are not heard of.
+// detectRegions marks silent regions.
 func (m *Machine) detectRegions(now time.Time) {
 	for id, r := range m.regions {
-		silent := id != m.self.region && now.Sub(r.heard) >= m.opts.RegionAfter
+		silent := id != m.self.region && now.Sub(r.lastNote) >= m.opts.RegionAfter
 		if silent != r.silent {
 			r.silent = silent
 			m.viewStale, m.statesStale = true, true
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -32,14 +32,14 @@
 // Service runs a Machine over a peer network.
 type Service struct {
 	cfg  Config
-	wake chan struct{} // a new view is to be published
+	wake chan struct{} // signals a new view
 
 	mu      sync.Mutex
 	machine *Machine
 	hints   []Candidate
 
-	faults     map[string]platform.Version // records that name no VM, as told last; of pollHints
-	badRecords *metrics.Counter
+	loggedFaults map[string]platform.Version // invalid records by name; used by pollHints
+	badRecords   *metrics.Counter
 
 	view    atomic.Pointer[View]
 	ready   atomic.Bool
@@ -113,10 +113,10 @@
 	return nil
 }
 
-// Drain says that this daemon leaves, if Leave has not said so before.
+// Drain calls Leave, which is idempotent.
 func (s *Service) Drain(ctx context.Context) error { return s.Leave(ctx) }
 
-// Stop says that this daemon is gone and ends.
+// Stop announces that this daemon is gone and ends.
 func (s *Service) Stop(context.Context) error {
 	s.handle(func(now time.Time) []Action { return s.machine.Depart(now) })
 	s.cancel()
@@ -124,26 +124,23 @@
 	return nil
 }
 
-// View returns the members as they are known.
+// View returns the current view.
 func (s *Service) View() *View { return s.view.Load() }
 
 // Subscribe calls f after each change, in order, from one goroutine.
 func (s *Service) Subscribe(f func(*View)) (cancel func()) { return s.subs.add(f) }
 
-// OnAwake calls f when this process finds that it was paused, with the length
-// of the pause, before it acts on anything it believed. f must not block, nor call the
-// service but for View.
+// OnAwake calls f after a pause of this process, with its length, before any state is used. f must
+// not block, and may call only View.
 func (s *Service) OnAwake(f func(away time.Duration)) (cancel func()) { return s.awakes.add(f) }
 
-// Fresh reports whether this process has been running without a pause. It is
-// one atomic load: a hot path calls it before it uses what others granted,
-// since after a pause it may run before OnAwake is called.
+// Fresh reports whether this process runs without a pause. A hot path checks it before it uses grants
+// of others, as it may run before OnAwake is called. It is one atomic load.
 func (s *Service) Fresh() bool {
 	return time.Since(s.start)-time.Duration(s.beat.Load()) < s.cfg.Options.PauseAfter
 }
 
-// Ready reports whether the daemon has the table of the fleet, or started
-// alone.
+// Ready reports whether the daemon has the fleet's table, or started alone.
 func (s *Service) Ready() bool { return s.ready.Load() }
 
 // Phase returns the phase of this daemon's own membership.
@@ -153,17 +150,16 @@
 	return s.machine.Phase()
 }
 
-// SetGeneration tells which document this daemon has in force; heartbeats
-// carry it.
+// SetGeneration sets the generation of the document in force here, which heartbeats carry.
 func (s *Service) SetGeneration(generation, hash uint64) {
 	s.handle(func(now time.Time) []Action { return s.machine.SetGeneration(now, generation, hash) })
 }
 
-// leavePoll is how often Leave looks whether all neighbors know.
+// leavePoll is the interval of checks for the acknowledgments of Leave.
 const leavePoll = 10 * time.Millisecond
 
-// Leave says that this daemon drains. It returns when its neighbors have
-// acknowledged it, or with the context's error.
+// Leave announces that this daemon drains. It returns once its neighbors have acknowledged it, or
+// with the error of the context.
 func (s *Service) Leave(ctx context.Context) error {
 	if !s.started {
 		return nil
@@ -181,8 +177,7 @@
 	return nil
 }
 
-// Partners returns the VMs with which this one exchanges heartbeats. Over partners of
-// partners each VM reaches all others.
+// Partners returns the VMs that this one exchanges heartbeats with. They connect the whole fleet.
 func (s *Service) Partners() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,9 +227,8 @@
 	return answer, nil
 }
 
-// handle lets the machine handle one event, publishes its view and does what
-// it wants done. A pause is reported before the lock is given back, so that no
-// later event is handled on the old belief.
+// handle passes an event to the machine, publishes its view and runs its actions. A pause is
+// reported under the lock, before any later event.
 func (s *Service) handle(event func(time.Time) []Action) {
 	s.mu.Lock()
 	now := time.Now()
@@ -303,8 +297,7 @@
 	}
 }
 
-// join calls a candidate. Where only the address is known it stands for the
-// name.
+// join calls a candidate. An unknown name is replaced by the address.
 func (s *Service) join(a CallJoin) {
 	name := a.Candidate.Name
 	if name == "" {
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -104,7 +104,7 @@
 		time.Sleep(5 * time.Second)
 		var away time.Duration
 		defer s.OnAwake(func(d time.Duration) { away = d })()
-		s.mu.Lock() // the last event is long ago, as after a pause
+		s.mu.Lock() // as after a pause
 		s.machine.last = s.machine.last.Add(-4 * time.Second)
 		s.beat.Add(-int64(4 * time.Second))
 		s.mu.Unlock()
@@ -147,7 +147,7 @@
 		a, b := daemon(t, hub, "vm0", listed), daemon(t, hub, "vm1", listed)
 		defer stopAll(a, b)
 		time.Sleep(time.Minute)
-		// vm1 is alive by its own word, whatever the list says; dead is not in.
+		// vm1's own record beats the list.
 		if v := a.View(); len(v.Members) != 2 || v.Count(Alive) != 2 {
 			t.Errorf("view %+v", v)
 		}
@@ -157,8 +157,7 @@
 	})
 }
 
-// Anybody may have written a record of the list: what names no VM is passed over
-// and told once a change, and the others hold.
+// Invalid records are skipped and logged once per change; the others hold.
 func TestRecordsOfOtherWriters(t *testing.T) {
 	record := func(name, value string) platform.Object {
 		return platform.Object{Kind: platform.KindVM, Name: name, Version: 1, Value: []byte(value)}
@@ -175,7 +174,7 @@
 		record("port", `{"name":"port","peer_address":"10.0.0.4:0"}`),
 		record("range", `{"name":"range","peer_address":"10.0.0.4:99999"}`),
 		record("host", `{"name":"host","peer_address":":7620"}`),
-		record("long", `{"name":"long","peer_address":"10.0.0.5:7620","x":"`+strings.Repeat("y", recordMost)+`"}`),
+		record("long", `{"name":"long","peer_address":"10.0.0.5:7620","x":"`+strings.Repeat("y", maxRecordBytes)+`"}`),
 	}
 	candidates, faults := candidatesOf(list)
 	if len(candidates) != 1 || candidates[0] != (Candidate{Name: "good", Address: "10.0.0.1:7620"}) {
@@ -202,14 +201,14 @@
 	}
 }
 
-// A long list is not tried without bound.
+// The number of candidates is bounded.
 func TestCandidatesAreBounded(t *testing.T) {
 	var list []platform.Object
-	for i := range 2 * candidatesMost {
+	for i := range 2 * maxCandidates {
 		name := fmt.Sprint("vm-", i)
 		list = append(list, platform.Object{Name: name, Value: fmt.Appendf(nil, `{"name":%q,"peer_address":"10.0.0.1:7620"}`, name)})
 	}
-	if got, _ := candidatesOf(list); len(got) != candidatesMost {
+	if got, _ := candidatesOf(list); len(got) != maxCandidates {
 		t.Errorf("%d candidates", len(got))
 	}
 }
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -14,7 +14,7 @@
 // simStep is the step of the simulated time; it divides the tick interval.
 const simStep = 20 * time.Millisecond
 
-// parcel is a message on its way.
+// parcel is a message in flight.
 type parcel struct {
 	due      time.Time
 	from, to string
@@ -86,8 +86,7 @@
 	return m
 }
 
-// fleet starts vms members per zone in regions × zones and runs until they
-// know each other.
+// fleet starts vms members per zone in regions × zones and runs until they know each other.
 func (s *sim) fleet(regions, zones, vms int) {
 	var seeds []string
 	for r := range regions {
@@ -168,7 +167,7 @@
 	}
 }
 
-// do carries out the actions of a machine and checks what must always hold.
+// do runs actions and checks the invariants.
 func (s *sim) do(name string, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -198,7 +197,7 @@
 	}
 }
 
-// checkGone checks that nobody who is gone comes back within one incarnation.
+// checkGone checks that no incarnation returns from gone.
 func (s *sim) checkGone(name string, m *Machine) {
 	seen := s.gone[name]
 	if seen == nil {
@@ -235,8 +234,7 @@
 	s.messages++
 }
 
-// state returns what an observer believes of a member; Gone if it is not in
-// the view.
+// state returns a member's state at an observer; Gone if it is not in the view.
 func (s *sim) state(observer, name string) State {
 	member, ok := s.nodes[observer].View().Member(name)
 	if !ok {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -7,30 +7,29 @@
 	"time"
 )
 
-// linkState is what is known of the exchange with one other daemon.
+// linkState is the state of the exchange with one daemon.
 type linkState struct {
-	peer        string
-	epoch       uint64 // of the peer's process
-	heard       time.Time
-	everHeard   bool
-	sent        time.Time
-	since       time.Time // first heartbeat sent
-	due         time.Time // of the next heartbeat
-	acked       uint64    // version of the own table that the peer has
-	flying      uint64    // version up to which changes are on the way
-	flyingSince time.Time // when the oldest of them was sent, at most
-	wanted      bool      // the peer holds this daemon for a partner
-	skip        uint64    // records up to this version are with the peer, by its table hash
-	merged      uint64    // version of the peer's table that is merged here
-	oneWay      bool      // it is heard, but does not hear this daemon
-	asks        []string  // members it asks about
-	met         time.Time // when it was last asked for its table
-	different   int       // heartbeats in a row that showed another table
-	patience    int       // how many of them are borne
+	peer         string
+	epoch        uint64 // of the peer's process
+	lastReceived time.Time
+	received     bool
+	sent         time.Time
+	since        time.Time // first heartbeat sent
+	due          time.Time // of the next heartbeat
+	acked        uint64    // version of the own table that the peer acknowledged
+	flying       uint64    // version up to which changes are in flight
+	flyingSince  time.Time // latest sending time of the oldest of them
+	wanted       bool      // the peer counts this daemon as a partner
+	knownVersion uint64    // version that the peer has by its table hash
+	merged       uint64    // version of the peer's table merged here
+	oneWay       bool      // the peer does not receive our heartbeats
+	probes       []string  // members that it asks evidence for
+	requestedAt  time.Time // last request of its table
+	different    int       // consecutive heartbeats with another table hash
+	healAt       int       // value of different that resends the table
 }
 
-// urgentGap is the least time between two heartbeats to one daemon when there
-// is news.
+// urgentGap is the shortest time between two heartbeats to a daemon, used for urgent changes.
 const urgentGap = 50 * time.Millisecond
 
 func (m *Machine) link(peer string) *linkState {
@@ -41,22 +40,22 @@
 	return l
 }
 
-// newLink starts the exchange with a peer. It is taken to have the records
-// that are here, as it has after it joined; compareTables finds out if not.
+// newLink starts the exchange with a peer, which is assumed to have the present table after it
+// joined. compareTables corrects it.
 func (m *Machine) newLink(peer string) *linkState {
-	l := &linkState{peer: peer, skip: m.version, patience: healAfter}
+	l := &linkState{peer: peer, knownVersion: m.version, healAt: healAfter}
 	m.links[peer] = l
 	return l
 }
 
-// Receive takes in a heartbeat.
+// Receive handles a heartbeat.
 func (m *Machine) Receive(now time.Time, from string, hb *Heartbeat) []Action {
 	m.begin(now)
 	if m.phase == PhaseLeft || from == m.self.Name {
 		return m.end()
 	}
 	if e := m.table[from]; e != nil && hb.Incarnation() < e.Incarnation {
-		return m.end() // of a process that is no more
+		return m.end() // from an ended process
 	}
 	l := m.link(from)
 	if l.epoch != hb.Epoch {
@@ -64,30 +63,29 @@
 		l = m.newLink(from)
 		l.epoch, l.since = hb.Epoch, since
 	}
-	l.heard, l.everHeard, l.wanted = now, true, hb.Wanted
-	m.takeAck(l, hb, now)
-	m.takeChanges(l, hb, now)
-	m.takeSender(l, hb, now)
-	m.takeSigns(hb, now)
-	l.asks = append(l.asks[:0], hb.Ask...)
-	if len(l.asks) > 0 {
+	l.lastReceived, l.received, l.wanted = now, true, hb.Wanted
+	m.applyAck(l, hb, now)
+	m.applyChanges(l, hb, now)
+	m.applySender(l, hb, now)
+	m.applyEvidence(hb, now)
+	l.probes = append(l.probes[:0], hb.Probes...)
+	if len(l.probes) > 0 {
 		l.due = now
 	}
-	m.noteOneWay(l, hb, now)
+	m.recordOneWay(l, hb, now)
 	m.sendDue(now)
 	return m.end()
 }
 
-func (m *Machine) takeAck(l *linkState, hb *Heartbeat, now time.Time) {
+func (m *Machine) applyAck(l *linkState, hb *Heartbeat, now time.Time) {
 	if hb.AckEpoch == uint32(m.epoch) && hb.Ack > l.acked && hb.Ack <= m.version {
 		l.acked = hb.Ack
 		l.flyingSince = now
 	}
 }
 
-// takeChanges merges what is new. The acknowledgment rises only when nothing
-// between is missing.
-func (m *Machine) takeChanges(l *linkState, hb *Heartbeat, now time.Time) {
+// applyChanges merges changes. The acknowledgment advances only without gaps.
+func (m *Machine) applyChanges(l *linkState, hb *Heartbeat, now time.Time) {
 	for i := range hb.Records {
 		m.merge(&hb.Records[i], l, now)
 	}
@@ -99,24 +97,24 @@
 		}
 	}
 	for i := range hb.Regions {
-		m.takeRegion(&hb.Regions[i], l, now)
+		m.applyRegion(&hb.Regions[i], l, now)
 	}
 	if hb.Base <= l.merged && hb.Version > l.merged {
 		l.merged = hb.Version
 	}
 }
 
-// takeSender takes in what the sender says of itself by sending.
-func (m *Machine) takeSender(l *linkState, hb *Heartbeat, now time.Time) {
+// applySender applies the sender's own state.
+func (m *Machine) applySender(l *linkState, hb *Heartbeat, now time.Time) {
 	e := m.table[l.peer]
 	if e == nil {
-		m.meet(l, now)
+		m.requestTable(l, now)
 		return
 	}
 	if e.Incarnation != hb.Incarnation() {
 		return
 	}
-	e.sign = now
+	e.lastAlive = now
 	m.mergeGeneration(e, hb.Incarnation(), hb.Generation, hb.Hash, l)
 	if e.Generation == hb.Generation && e.Hash != hb.Hash {
 		e.Hash = hb.Hash
@@ -125,49 +123,47 @@
 	m.compareTables(l, hb)
 }
 
-// meet asks a sender that is not in the table for its own, which it takes to
-// be known here.
-func (m *Machine) meet(l *linkState, now time.Time) {
-	if m.phase != PhaseMember || now.Sub(l.met) < m.opts.JoinInterval {
+// requestTable requests the table of an unknown sender.
+func (m *Machine) requestTable(l *linkState, now time.Time) {
+	if m.phase != PhaseMember || now.Sub(l.requestedAt) < m.opts.JoinInterval {
 		return
 	}
-	l.met = now
+	l.requestedAt = now
 	m.act(CallJoin{Candidate: Candidate{Name: l.peer}, Request: JoinRequest{Record: m.self.Record}})
 }
 
-// healAfter is how many heartbeats in a row may show another table before all
-// of it is sent again. It doubles each time.
+// healAfter is the initial number of consecutive heartbeats with another table hash after which the
+// whole table is sent again. It doubles each time.
 const healAfter = 8
 
-// compareTables skips records that the peer has, as equal hashes show, and
-// sends all again when the tables stay different.
+// compareTables skips records that the peer has by its table hash, and resends all if the tables
+// stay different.
 func (m *Machine) compareTables(l *linkState, hb *Heartbeat) {
 	if hb.TableHash == uint32(m.digest) {
-		l.skip = m.version
-		l.different, l.patience = 0, healAfter
+		l.knownVersion = m.version
+		l.different, l.healAt = 0, healAfter
 		return
 	}
 	l.different++
-	if l.different > l.patience {
-		l.acked, l.skip, l.flying = 0, 0, 0
-		l.different, l.patience = 0, 2*l.patience
+	if l.different > l.healAt {
+		l.acked, l.knownVersion, l.flying = 0, 0, 0
+		l.different, l.healAt = 0, 2*l.healAt
 	}
 }
 
-// noteOneWay compares what the peer heard with what was sent to it.
-func (m *Machine) noteOneWay(l *linkState, hb *Heartbeat, now time.Time) {
+// recordOneWay detects a one-way link: heartbeats are sent for long but not received.
+func (m *Machine) recordOneWay(l *linkState, hb *Heartbeat, now time.Time) {
 	limit := m.opts.SuspectAfter + m.opts.RelayInterval
-	deaf := time.Duration(hb.HeardMS)*time.Millisecond > limit
+	missed := time.Duration(hb.ReceivedAgoMS)*time.Millisecond > limit
 	tried := !l.since.IsZero() && now.Sub(l.since) > limit
-	oneWay := deaf && tried
+	oneWay := missed && tried
 	if oneWay != l.oneWay {
 		l.oneWay = oneWay
 		m.act(ReportOneWay{Peer: l.peer, Over: !oneWay})
 	}
 }
 
-// sendDue sends the heartbeats that are due: those of the topology, and those
-// to daemons that send here and so hold this one for their neighbor.
+// sendDue sends due heartbeats: to the partners, and to daemons that count this one as theirs.
 func (m *Machine) sendDue(now time.Time) {
 	if m.phase == PhaseJoining {
 		return
@@ -181,14 +177,14 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.links)) {
 		l := m.links[name]
-		active := l.wanted && now.Sub(l.heard) <= m.activeFor()
+		active := l.wanted && now.Sub(l.lastReceived) <= m.activeFor()
 		if active && !slices.Contains(t.targets, name) && m.isDue(l, now) {
 			m.send(l, now)
 		}
 	}
 }
 
-// activeFor is how long a daemon that stopped sending here is still answered.
+// activeFor is how long a silent sender is still answered.
 func (m *Machine) activeFor() time.Duration { return 2 * m.opts.RelayInterval }
 
 func (m *Machine) isDue(l *linkState, now time.Time) bool {
@@ -198,10 +194,10 @@
 	return now.Sub(l.sent) >= urgentGap && m.hasNews(l)
 }
 
-// hasNews reports whether a record, another generation of a region, or a
-// question waits for the peer. Other notes wait for the next heartbeat.
+// hasNews reports whether urgent changes wait for the peer: a record, a probe or the generation of
+// a region.
 func (m *Machine) hasNews(l *linkState) bool {
-	if len(l.asks) > 0 {
+	if len(l.probes) > 0 {
 		return true
 	}
 	for _, r := range m.regions {
@@ -209,7 +205,7 @@
 			return true
 		}
 	}
-	known := max(l.acked, l.skip)
+	known := max(l.acked, l.knownVersion)
 	if known >= m.news.record {
 		return false
 	}
@@ -221,10 +217,10 @@
 	return false
 }
 
-// sendAll sends a heartbeat to all who know this daemon.
+// sendAll sends a heartbeat to all known daemons.
 func (m *Machine) sendAll(now time.Time) {
 	for _, l := range m.links {
-		if l.everHeard {
+		if l.received {
 			m.send(l, now)
 		}
 	}
@@ -240,22 +236,22 @@
 
 func (m *Machine) send(l *linkState, now time.Time) {
 	hb := &Heartbeat{
-		Epoch:      m.epoch,
-		Renewed:    m.self.Incarnation - m.epoch,
-		Generation: m.self.Generation,
-		Hash:       m.self.Hash,
-		TableHash:  uint32(m.digest),
-		HeardMS:    neverHeard,
-		AckEpoch:   uint32(l.epoch),
-		Ack:        l.merged,
-		Base:       m.sendFrom(l, now),
-		Wanted:     slices.Contains(m.currentTopology().targets, l.peer),
-	}
-	if l.everHeard {
-		hb.HeardMS = uint32(now.Sub(l.heard).Milliseconds())
+		Epoch:         m.epoch,
+		Renewed:       m.self.Incarnation - m.epoch,
+		Generation:    m.self.Generation,
+		Hash:          m.self.Hash,
+		TableHash:     uint32(m.digest),
+		ReceivedAgoMS: neverReceived,
+		AckEpoch:      uint32(l.epoch),
+		Ack:           l.merged,
+		Base:          m.sendFrom(l, now),
+		Wanted:        slices.Contains(m.currentTopology().targets, l.peer),
+	}
+	if l.received {
+		hb.ReceivedAgoMS = uint32(now.Sub(l.lastReceived).Milliseconds())
 	}
 	m.addChanges(hb, l)
-	m.addSigns(hb, l, now)
+	m.addEvidence(hb, l, now)
 	l.sent = now
 	if l.since.IsZero() {
 		l.since = now
@@ -264,12 +260,11 @@
 	m.act(SendHeartbeat{To: l.peer, Heartbeat: hb})
 }
 
-// resendIntervals is after how many heartbeats without an acknowledgment
-// changes are sent again.
+// resendIntervals is the number of unacknowledged heartbeats after which changes are resent.
 const resendIntervals = 2
 
-// sendFrom returns the version after which changes are to be sent: what is on
-// the way is not sent again before its acknowledgment is late.
+// sendFrom returns the version after which changes are sent. Those in flight are not resent before
+// their acknowledgment is late.
 func (m *Machine) sendFrom(l *linkState, now time.Time) uint64 {
 	late := now.Sub(l.flyingSince) > resendIntervals*m.interval(l.peer)
 	if l.flying > l.acked && !late {
@@ -279,16 +274,14 @@
 	return l.acked
 }
 
-// jitterFraction is how much an interval may be shorter, so that heartbeats of
-// daemons do not fall into step.
+// jitterFraction is the largest reduction of an interval, against synchronized heartbeats.
 const jitterFraction = 0.1
 
 func (m *Machine) jitter(d time.Duration) time.Duration {
 	return d - time.Duration(m.random.Float64()*jitterFraction*float64(d))
 }
 
-// addChanges puts into a heartbeat what changed since the peer's
-// acknowledgment, oldest first, up to the bound.
+// addChanges adds the changes since the peer's acknowledgment, oldest first, up to the limit.
 func (m *Machine) addChanges(hb *Heartbeat, l *linkState) {
 	hb.Version = m.version
 	if hb.Base >= m.version {
@@ -323,7 +316,7 @@
 	h.Notes = append(h.Notes, Note{r.Generation, []uint32{r.shortID()}})
 }
 
-// change is one changed item of the table.
+// change is a changed item of the table.
 type change struct {
 	version uint64
 	entry   *entry
@@ -345,12 +338,11 @@
 	return out
 }
 
-// changedMembers returns the changed records, and for a peer of the region the
-// changed generations.
+// changedMembers returns changed records, and for a peer of the region changed generations.
 func (m *Machine) changedMembers(l *linkState, from uint64) (out []change) {
 	local := m.isLocal(l.peer)
 	for _, e := range m.table {
-		if e.recordVersion > max(from, l.skip) && e.recordSource != l {
+		if e.recordVersion > max(from, l.knownVersion) && e.recordSource != l {
 			out = append(out, change{version: e.recordVersion, entry: e})
 		}
 		if local && e.noteVersion > from && e.noteSource != l && e.Region == m.self.Region {
--- a/internal/membership/subscribers.go
+++ b/internal/membership/subscribers.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// subscribers is a list of functions that are told of changes.
+// subscribers is a list of callbacks.
 type subscribers[T any] struct {
 	mu    sync.Mutex
 	funcs []*func(T)
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -7,25 +7,23 @@
 	"masticturn/internal/rendezvous"
 )
 
-// relaysPerRegion is how many members of a region talk to other regions. The
-// relays of one rank in all regions form a full mesh; the ranks are separate
-// paths.
+// relaysPerRegion is the number of relays of a region. Relays of one rank form a full mesh over
+// the regions; the ranks are independent paths.
 const relaysPerRegion = 2
 
-// offsetFactor is the ratio of the distances of neighbors on the ring of a
-// region: 1, 3, 9, ... both ways, so that a change reaches all in few hops.
+// offsetFactor is the ratio of the ring distances of neighbors, so that changes spread in few hops.
 const offsetFactor = 3
 
-// topology is who exchanges heartbeats with this daemon.
+// topology is the heartbeat partners of this daemon.
 type topology struct {
 	ring      []*entry // members of the region, by zone and name
 	neighbors []string // in the region, sorted
-	remote    []string // relays of other regions; empty unless this daemon relays
+	remote    []string // relays of other regions, if this daemon is a relay
 	targets   []string // all of them
 	relay     bool     // this daemon is a relay
 }
 
-// currentTopology returns the topology for the table as it is.
+// currentTopology returns the topology of the present table.
 func (m *Machine) currentTopology() *topology {
 	if !m.topologyStale {
 		return &m.topology
@@ -46,7 +44,7 @@
 	t.targets = slices.Concat(t.neighbors, t.remote)
 	for _, name := range t.neighbors {
 		if !slices.Contains(m.topology.neighbors, name) {
-			m.table[name].sign = m.last // it is to be heard from now on
+			m.table[name].lastAlive = m.last // its timer starts now
 		}
 	}
 	m.topology = t
@@ -56,7 +54,7 @@
 // Partners returns the members that exchange heartbeats with this one.
 func (m *Machine) Partners() []string { return slices.Clone(m.currentTopology().targets) }
 
-// byRegion groups the members that are not gone, sorted by zone and name.
+// byRegion groups the members by region, sorted by zone and name.
 func (m *Machine) byRegion() map[string][]*entry {
 	out := make(map[string][]*entry)
 	for _, e := range m.table {
@@ -77,9 +75,8 @@
 	return strings.Compare(a.Name, b.Name)
 }
 
-// neighborsOf returns who exchanges heartbeats with a member in its region:
-// all, up to the mesh size, else those at the offsets of the ring. Neighbors
-// are mutual.
+// neighborsOf returns a member's heartbeat partners in its region: all up to the mesh size, else
+// those at the ring offsets. Neighbors are mutual.
 func neighborsOf(name string, ring []*entry, meshSize int) []string {
 	at := slices.IndexFunc(ring, func(e *entry) bool { return e.Name == name })
 	if at < 0 {
@@ -103,9 +100,9 @@
 	return slices.Compact(out)
 }
 
-// relaysOf returns the relays of a region by rank: by rendezvous hashing over
-// those that are alive, or over all when none is. The second one is of another
-// zone where there is one. A region with a single member has it in all ranks.
+// relaysOf returns a region's relays by rank, by rendezvous hashing over the live members, or over
+// all if there are none. The second one is preferably of another zone. A single member has all
+// ranks.
 func relaysOf(region string, ring []*entry) (relays [relaysPerRegion]string) {
 	alive := slices.DeleteFunc(slices.Clone(ring), func(e *entry) bool { return e.state() != Alive })
 	if len(alive) == 0 {
@@ -139,7 +136,7 @@
 	return best
 }
 
-// remoteRelays returns the relays of a rank in all regions but the own one.
+// remoteRelays returns the relays of a rank in all other regions.
 func remoteRelays(byRegion map[string][]*entry, own string, rank int) []string {
 	var out []string
 	for region, ring := range byRegion {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,18 +1,17 @@
-// Package membership knows which daemons are here, leaving, or gone.
+// Package membership detects which daemons are alive, leaving or gone.
 package membership
 
 import "masticturn/internal/rendezvous"
 
-// State is the state of a member as this daemon believes it.
+// State is a member's state as seen by this daemon.
 type State uint8
 
-// The states of a member, in the order in which they supersede each other
-// within one incarnation.
+// The states, in the order in which they supersede each other within one incarnation.
 const (
 	Alive   State = iota // heartbeats arrive
-	Suspect              // heartbeats are late; it still counts as holding what it held
-	Leaving              // it said that it drains: no new work goes there
-	Gone                 // it left, or was silent for too long
+	Suspect              // heartbeats are late; its grants still count
+	Leaving              // drains; gets no new work
+	Gone                 // left, or silent for too long
 )
 
 // String returns the name used in status and logs.
@@ -20,8 +19,7 @@
 	return [...]string{"alive", "suspect", "leaving", "gone"}[s]
 }
 
-// Member is one daemon. Incarnation differs for each process start and rises
-// with time for one VM name.
+// Member is one daemon. Incarnation identifies a process start and increases per VM name.
 type Member struct {
 	Name          string
 	Zone          string
@@ -34,15 +32,15 @@
 	Hash          uint64 // hash of that document
 }
 
-// View is an immutable list of the known members, sorted by name, without
-// those gone. It includes this daemon.
+// View is an immutable list of the members except gone ones, sorted by name. It includes this
+// daemon.
 type View struct {
-	Version uint64 // rises with each change
+	Version uint64 // increases with each change
 	Self    string
 	Members []Member
 }
 
-// Member returns the member of that name; ok is false when it is not known.
+// Member returns a member by name; ok is false if it is unknown.
 func (v *View) Member(name string) (m Member, ok bool) {
 	for i := range v.Members {
 		if v.Members[i].Name == name {
@@ -63,7 +61,7 @@
 	return out
 }
 
-// Source hands out the view. View is one atomic load and never returns nil.
+// Source provides the view. View is one atomic load and never returns nil.
 type Source interface {
 	View() *View
 	// Subscribe calls f after each change, in order, from one goroutine.
@@ -81,10 +79,8 @@
 	return n
 }
 
-// Brokers returns the first n members in line to broker a service in a region,
-// the broker first. Members that are alive go before suspect ones, which are
-// named only where no other is left. All who elect the broker, or tell it
-// something, use this order.
+// Brokers returns the first n members in the election order of a service's broker in a region.
+// Suspect members are included only if none is alive.
 func (v *View) Brokers(service, region string, n int) []Member {
 	members := v.InRegion(region)
 	alive := make([]Member, 0, len(members))
