--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -17,8 +17,8 @@
 const (
 	tickInterval = 100 * time.Millisecond
 
-	// fetchDelay is how long a daemon that hears of a higher generation waits
-	// for a push before it fetches; up to as much again is added at random.
+	// fetchDelay is how long a daemon that learns of a higher generation waits for a push before it
+	// fetches; up to as much again is added at random.
 	fetchDelay = 100 * time.Millisecond
 	// fetchRetry is the wait after a peer that did not help. It doubles, up to
 	// maxFetchRetry, each time all have been asked in vain.
@@ -37,8 +37,7 @@
 	awayAfter = 3 * time.Second
 
 	watchersPerRegion = 2
-	// repairAfter is how long after an adoption heartbeats must have told of
-	// it; members still behind then are pushed to again.
+	// repairAfter is the time after an adoption from which members still behind are pushed to again.
 	repairAfter    = time.Second
 	repairInterval = 400 * time.Millisecond
 	repairers      = 2 // daemons that push again to one that is behind
@@ -76,13 +75,13 @@
 	fetch fetchState
 	relay relayState
 
-	storeTried bool      // the store answered or failed since start or pause
-	storeHeard bool      // it answered
-	peerHeard  bool      // a peer answered or pushed
-	ready      bool      // has caught up once since start or pause
-	since      time.Time // start or end of the last pause
-	lastTick   time.Time
-	out        []action
+	storeTried    bool      // the store answered or failed since start or pause
+	storeAnswered bool      // it answered
+	peerAnswered  bool      // a peer answered or pushed
+	ready         bool      // has caught up once since start or pause
+	since         time.Time // start or end of the last pause
+	lastTick      time.Time
+	out           []action
 }
 
 func newCore(self membership.Member, seed uint64) *core {
@@ -158,7 +157,7 @@
 // others may have gone on.
 func (c *core) wakeUp(now time.Time) {
 	c.log(eventAway, telemetry.Value("seconds", now.Sub(c.lastTick).Seconds()))
-	c.storeTried, c.storeHeard, c.peerHeard, c.ready = false, false, false, false
+	c.storeTried, c.storeAnswered, c.peerAnswered, c.ready = false, false, false, false
 	c.fetch.startOver()
 	c.fetch.tried = 0
 	c.since = now
@@ -213,8 +212,7 @@
 	c.log(eventStale, telemetry.GenerationOf(uint64(d.generation())))
 }
 
-// dispute says that two documents of one generation exist and asks the store,
-// whose word counts.
+// dispute records two documents of one generation and reads the store, which decides.
 func (c *core) dispute(gen config.Generation, peer string) {
 	if c.watch.disputed == gen {
 		return
@@ -231,20 +229,18 @@
 // alone.
 const enoughPeers = 3
 
-// aloneAfter is how long a daemon waits to hear of peers before it relies on
-// the store alone.
+// aloneAfter is how long a daemon waits for peers before it relies on the store alone.
 const aloneAfter = time.Second
 
-// checkReady latches readiness once the document in force is confirmed by a
-// peer, or by the store with no peer to be had, and neither a member nor a
-// notice tells of a higher one. The store's first answer is waited for in any
-// case, since peers may have been cut off.
+// checkReady latches readiness once the document in force is confirmed by a peer, or by the store
+// without peers, and no higher generation is known. It waits for the first answer of the store, as
+// peers may have been partitioned.
 func (c *core) checkReady() {
 	if c.ready || c.cur == nil || !c.storeTried {
 		return
 	}
 	peersTried := c.fetch.tried >= min(enoughPeers, len(c.others())) && c.lastTick.Sub(c.since) >= aloneAfter
-	confirmed := c.peerHeard || (c.storeHeard && peersTried)
+	confirmed := c.peerAnswered || (c.storeAnswered && peersTried)
 	c.ready = confirmed && !c.knowsHigher()
 }
 
@@ -253,7 +249,7 @@
 	return c.fetch.hintGen > c.cur.generation() || c.bestAdvertised() != nil
 }
 
-// NotReadyError tells why a daemon has not caught up with the document.
+// NotReadyError is why a daemon has not caught up with the document.
 type NotReadyError struct {
 	Generation config.Generation // in force here; 0 when none is
 	Reason     string
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -98,10 +98,9 @@
 	return c.starting() && len(c.others()) > 0
 }
 
-// starting reports whether this daemon still has to hear of any peer's
-// document.
+// starting reports whether this daemon has yet to receive any peer's document.
 func (c *core) starting() bool {
-	return !c.ready && !c.peerHeard && (c.cur == nil || c.fetch.tried < enoughPeers)
+	return !c.ready && !c.peerAnswered && (c.cur == nil || c.fetch.tried < enoughPeers)
 }
 
 // findDisputes looks for members with another document of the generation in
@@ -161,8 +160,7 @@
 	return best.Name
 }
 
-// mayHelp reports whether a member has what is wanted. A daemon that has just
-// started asks any, since it may not have heard of their generations yet.
+// mayHelp reports whether a member may have a higher generation. While starting, any may.
 func (c *core) mayHelp(m *membership.Member) bool {
 	return c.starting() || config.Generation(m.Generation) > c.cur.generation()
 }
@@ -214,7 +212,7 @@
 	if d == nil {
 		return
 	}
-	c.peerHeard = true
+	c.peerAnswered = true
 	if c.fetch.hintRoot != "" && d.generation() == c.fetch.hintGen {
 		c.adopt(d, fromPush, c.fetch.hintRoot)
 		return
--- a/internal/confsync/relay.go
+++ b/internal/confsync/relay.go
@@ -61,7 +61,7 @@
 // children returns the members below this daemon in the tree of a root. All
 // daemons with the same view compute the same tree: the members of the region
 // in rendezvous order for the root, each with treeDegree children. Daemons
-// that a differing view leaves out hear of the generation by heartbeats.
+// left out by a differing view learn of the generation by heartbeats.
 func (c *core) children(root string) []string {
 	members := c.view.InRegion(c.self.Region)
 	order := make([]string, 1, len(members)+1)
@@ -113,7 +113,7 @@
 	default:
 		c.noticed(now, from, message.Root, gen)
 	}
-	c.peerHeard = true
+	c.peerAnswered = true
 	c.checkReady()
 }
 
--- a/internal/confsync/service.go
+++ b/internal/confsync/service.go
@@ -1,6 +1,5 @@
-// Package confsync puts the accepted document in force on all daemons: a few
-// watch the platform's store, the others hear of it from peers. A daemon
-// adopts only rising generations, whatever the source.
+// Package confsync puts the accepted document in force on all daemons: a few watch the platform's
+// store and spread it to the others. A daemon adopts only higher generations.
 package confsync
 
 import (
@@ -40,7 +39,7 @@
 	Clock   kernel.Clock
 	Log     *telemetry.Logger // may be nil
 	Metrics *metrics.Set      // may be nil
-	// Advertise tells the membership which document is in force here, to go
+	// Advertise passes the document in force here to the membership, to go
 	// out with heartbeats. It may be nil.
 	Advertise func(generation, hash uint64)
 }
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -119,7 +119,7 @@
 		c.watch.lastErr = nil
 		c.adopt(d, fromStore, "")
 	}
-	c.storeTried, c.storeHeard = true, true
+	c.storeTried, c.storeAnswered = true, true
 	c.checkReady()
 }
 
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -6,14 +6,12 @@
 	"masticturn/internal/membership"
 )
 
-// namedMost is how many VMs a look-up names: as many as callers take in.
-const namedMost = 64
+// maxNamed is the number of VMs in an answer, as many as callers use.
+const maxNamed = 64
 
-// Choose returns the callers' addresses of the VMs for callers of a place:
-// those of its region that are believed to live and serve; those of all
-// regions when the region has none. Callers choose among them at random, so
-// that one VM's death moves a fair share; of more than callers take in others are
-// named each time, so that none stands idle.
+// Choose returns the caller addresses of VMs for callers of a region: its live VMs, or those of all
+// regions if it has none. Callers pick one at random, so that a VM's failure affects an equal share.
+// In large regions the answers rotate over all VMs.
 func Choose(v *membership.View, region string) []string {
 	var local, all []string
 	for i := range v.Members {
@@ -29,9 +27,9 @@
 	if len(local) == 0 {
 		local = all
 	}
-	if len(local) <= namedMost {
+	if len(local) <= maxNamed {
 		return local
 	}
 	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	return local[:namedMost]
+	return local[:maxNamed]
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,5 +1,4 @@
-// Package entry tells callers which VMs to use, by the place they state, and
-// the platform whether this VM is ready.
+// Package entry answers look-ups of VMs by region, and readiness checks of the platform.
 package entry
 
 import (
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -57,14 +57,14 @@
 	named := make(map[string]int)
 	for range lookUps {
 		answer := Choose(view, "a")
-		if len(answer) != namedMost {
-			t.Fatalf("%d VMs are named, want %d", len(answer), namedMost)
+		if len(answer) != maxNamed {
+			t.Fatalf("%d VMs are named, want %d", len(answer), maxNamed)
 		}
 		for _, address := range answer {
 			named[address]++
 		}
 	}
-	fair := lookUps * namedMost / size
+	fair := lookUps * maxNamed / size
 	for _, m := range view.Members {
 		if n := named[m.CallerAddress]; n < fair/2 || n > 2*fair {
 			t.Errorf("%s is named %d times, %d are fair", m.Name, n, fair)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"syscall"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
-	"masticturn/internal/measure"
 	"masticturn/internal/outcome"
 	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
@@ -61,13 +57,13 @@
 	a.fresh = x.fresh
 	defer a.cancel(nil)
 	end := a.head()
-	x.noteTried(a, &end)
+	x.recordTried(a, &end)
 	if a.hedge != nil {
 		if second, secondEnd := a.hedge.join(end.Fault); second != nil {
 			a.lose(&end)
 			x.dispatch.hedged(end)
 			defer second.cancel(nil)
-			x.noteTried(second, &secondEnd)
+			x.recordTried(second, &secondEnd)
 			a, end = second, secondEnd
 		}
 	}
@@ -78,9 +74,9 @@
 	return end
 }
 
-// noteTried excludes an attempt's target from further ones. One whose
+// recordTried excludes an attempt's target from further ones. One whose
 // connection was stale has not been tried: it may know the request's object.
-func (x *exchange) noteTried(a *attempt, end *attemptEnd) {
+func (x *exchange) recordTried(a *attempt, end *attemptEnd) {
 	x.fresh = x.fresh || end.Stale
 	if a.target != nil && !end.Stale {
 		x.tried = append(x.tried, a.target.Name)
@@ -135,7 +131,7 @@
 		end.Peer = a.target.Name
 	}
 	a.noteBroken(end)
-	a.giveBack(end)
+	a.releaseConn(end)
 }
 
 func (a *attempt) admit() attemptEnd {
@@ -159,7 +155,7 @@
 	}
 	a.permit = permit
 	a.target = permit.Target()
-	x.h.regions.notePlaced(a.target.Region)
+	x.h.regions.recordPlaced(a.target.Region)
 	return attemptEnd{}
 }
 
@@ -203,7 +199,7 @@
 func (a *attempt) send() attemptEnd {
 	req := a.outgoing()
 	a.sentAt = a.x.h.deps.Clock.Now()
-	a.x.h.regions.noteSent(a.target.Region)
+	a.x.h.regions.recordSent(a.target.Region)
 	if a.target.Region != a.x.h.deps.VM.Region {
 		a.x.h.noteFar(a.x)
 	}
@@ -252,145 +248,6 @@
 	end.Err = err
 }
 
-// check looks at the answer's head before a byte goes to the caller.
-func (a *attempt) check() attemptEnd {
-	h := a.resp.Header
-	a.observe(h)
-	end := attemptEnd{Step: outcome.StepReceive, Sent: true, Consumed: a.consumed()}
-	if id := first(h, a.x.h.deps.Dialect.TargetRequestID); id != "" && id != a.x.id {
-		end.Fault = FaultCrossed
-		end.Err = fmt.Errorf("the answer carries request id %q", id)
-		return end
-	}
-	if a.notRun() {
-		end.Fault = FaultShed
-		end.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
-		end.SlotsFree = a.load != nil && a.load.Running < a.load.Slots
-		end.Err = errTargetRefused
-		end.Backoff = a.backoff
-		return end
-	}
-	if a.resp.StatusCode >= http.StatusInternalServerError {
-		return a.serverError(end)
-	}
-	if a.resp.StatusCode == http.StatusSwitchingProtocols {
-		end.Fault = FaultShort
-		end.Err = errors.New("the target switched protocols unasked")
-		return end
-	}
-	if a.undelimited() && !a.x.h.deps.Dialect.UndelimitedAnswers {
-		end.Fault = FaultShort
-		end.Err = errors.New("the answer has neither a length nor chunks, so that its end can't be told from a cut")
-		return end
-	}
-	return attemptEnd{}
-}
-
-var errTargetRefused = errors.New("the target answered that it did not run the request")
-
-// notRun reports whether the target says by protocol that it did not run the
-// request. A bad request is the caller's to know. Another instance than the one named
-// says so by its status alone.
-func (a *attempt) notRun() bool {
-	switch a.resp.StatusCode {
-	case http.StatusBadRequest:
-		return false
-	case http.StatusMisdirectedRequest:
-		if a.target.Instance != "" {
-			return true
-		}
-	}
-	return first(a.resp.Header, a.x.h.deps.Dialect.TargetNotRun) != ""
-}
-
-// undelimited reports whether the answer ends with its connection.
-func (a *attempt) undelimited() bool {
-	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Body != http.NoBody
-}
-
-// serverError handles a failure that the target answered: it is relayed like
-// any other answer unless another attempt is possible. A target whose time ran
-// out would leave none for another.
-func (a *attempt) serverError(end attemptEnd) attemptEnd {
-	if a.resp.StatusCode == http.StatusGatewayTimeout {
-		return attemptEnd{}
-	}
-	end.Fault = FaultUnavailable
-	if !a.hedged && a.x.dispatch.mayRetry(end) && a.x.mayAfford(a.target.Name) {
-		return end
-	}
-	return attemptEnd{}
-}
-
-// observe reads the target's own word on its load.
-func (a *attempt) observe(h http.Header) {
-	d := a.x.h.deps.Dialect
-	if load, ok := d.ParseLoad(first(h, d.TargetLoad)); ok {
-		a.load = &load
-	}
-	if keeps := keepAliveTimeout(h.Get("Keep-Alive")); keeps > 0 {
-		a.conn.TargetKeeps(keeps)
-	}
-	a.draining = first(h, d.TargetDraining) == "1"
-	if a.resp.StatusCode == http.StatusServiceUnavailable {
-		a.backoff = min(parseRetryAfter(first(h, "Retry-After"), a.x.h.deps.Clock.Now()), maxBackoff)
-	}
-	a.logNotice(h)
-	a.notifyAdmission()
-	shed := a.notRun()
-	if !a.draining && !shed {
-		return
-	}
-	inFlight, slots := a.reportedLoad()
-	a.x.h.deps.Measure.Observe(measure.Observation{
-		Target:   a.target.Name,
-		Draining: a.draining,
-		Shed:     shed,
-		InFlight: inFlight,
-		Slots:    slots,
-	})
-}
-
-// notifyAdmission passes the target's notice on. An answer from another instance at its
-// address is none.
-func (a *attempt) notifyAdmission() {
-	hearer, ok := a.permit.(admission.NoticeReceiver)
-	if !ok || a.resp.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	if w := (admission.Notice{Leaving: a.draining, Backoff: a.backoff}); w != (admission.Notice{}) {
-		hearer.Notify(w)
-	}
-}
-
-// logNotice logs what the target announces.
-func (a *attempt) logNotice(h http.Header) {
-	if a.draining {
-		a.x.h.series.leaving.Inc()
-		a.x.h.deps.Logger.Log(eventTargetLeaves, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id))
-	}
-	if after := first(h, "Retry-After"); after != "" && a.resp.StatusCode == http.StatusServiceUnavailable {
-		a.x.h.series.backoffs.Inc()
-		a.x.h.deps.Logger.Log(eventTargetBackoff, telemetry.Peer(a.target.Name), telemetry.Value("request_id", a.x.id),
-			telemetry.Value("retry_after", after[:min(len(after), maxLoggedHeader)]))
-	}
-}
-
-// maxBackoff bounds a target's Retry-After.
-const maxBackoff = 10 * time.Minute
-
-// maxLoggedHeader bounds the logged part of a header, in bytes.
-const maxLoggedHeader = 64
-
-// reportedLoad returns the load the target told of on its answer; -1 and 0 when
-// it told none.
-func (a *attempt) reportedLoad() (inFlight, slots int) {
-	if a.load == nil {
-		return -1, 0
-	}
-	return a.load.Running + a.load.Waiting, a.load.Slots
-}
-
 // consumed reports whether the caller's body was read and is not kept. When it
 // was not read, the next attempt may read it and this one no longer can.
 func (a *attempt) consumed() bool {
@@ -412,8 +269,8 @@
 	return otherwise
 }
 
-// giveBack ends the attempt's hold on connection and slot.
-func (a *attempt) giveBack(end *attemptEnd) {
+// releaseConn ends the attempt's hold on connection and slot.
+func (a *attempt) releaseConn(end *attemptEnd) {
 	if end.Fault != FaultNone && a.conn != nil {
 		a.conn.Drop()
 		end.Consumed = end.Consumed || a.consumed()
@@ -472,52 +329,7 @@
 		cancel:      a.cancel,
 		firstByte:   x.deadline.Sub(x.h.deps.Clock.Now()) / 2,
 		idle:        x.snap.Document.Limits.IdleTimeoutMS.Duration(),
-		giveUp:      func() bool { return mayRetry && x.mayAfford(target) },
+		giveUp:      func() bool { return mayRetry && x.retryAllowed(target) },
 		callerWaits: func() bool { return stream != nil && stream.waiting.Load() },
 	}
 }
-
-// maxAttempts is the bound of the rule where there is one.
-func (x *exchange) maxAttempts(c *config.Retry) int {
-	if x.pass.Exclusive() {
-		return 1
-	}
-	if r := x.match.Rule; r != nil && r.MaxAttempts > 0 {
-		return r.MaxAttempts
-	}
-	return c.MaxAttempts
-}
-
-// spend takes a retry caused by a target out of the budget.
-func (x *exchange) spend(target string) bool {
-	return x.h.budget.spend(x.match.Service.Name, target, &x.snap.Document.Retry)
-}
-
-// mayAfford reports whether the budget allows a retry caused by a target.
-func (x *exchange) mayAfford(target string) bool {
-	return x.h.budget.available(x.match.Service.Name, target, &x.snap.Document.Retry)
-}
-
-// retryRule returns the rule of this request.
-func (x *exchange) retryRule(c *config.Retry) retryRule {
-	return retryRule{
-		repeatable:  x.repeatable,
-		maxAttempts: x.maxAttempts(c),
-		deadline:    x.deadline,
-		spend:       x.spend,
-		backoff:     x.backoff(c),
-	}
-}
-
-// backoff returns the waits between attempts: doubled each time, with jitter.
-func (x *exchange) backoff(c *config.Retry) func() time.Duration {
-	var b *backoff.ExponentialBackOff
-	return func() time.Duration {
-		if b == nil {
-			b = backoff.NewExponentialBackOff()
-			b.InitialInterval = max(c.BackoffMS.Duration(), time.Millisecond)
-			b.Multiplier = 2
-		}
-		return b.NextBackOff()
-	}
-}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -26,9 +26,8 @@
 	uploadRevoked
 )
 
-// upload streams a caller's body to a target, for one attempt. It bounds size
-// and pauses and tells what went wrong, since the transport reports its errors
-// as its own.
+// upload streams a caller's body to a target for one attempt. It bounds size and pauses, and records
+// errors, which the transport would report as its own.
 type upload struct {
 	body  io.Reader
 	rc    *http.ResponseController
--- a/internal/forward/brokenrun.go
+++ b/internal/forward/brokenrun.go
@@ -34,7 +34,7 @@
 	done    chan struct{} // closed after the probe
 }
 
-// endProbe probes targets whose connections broke, to tell crashes from resets.
+// endProbe probes targets whose connections broke, to distinguish crashes from resets.
 type endProbe struct {
 	deps Deps
 
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -17,7 +17,7 @@
 	FaultRefused           // no slot, no connection, or the request was not accepted
 	FaultBroken            // the connection ended or was reset
 	FaultSilent            // nothing came for too long
-	FaultShort             // the answer was cut, or its end can't be told
+	FaultShort             // the answer was cut, or its end is unknown
 	FaultCrossed           // the answer carries the id of another request
 	FaultShed              // the target said that it did not run the request
 	FaultUnavailable       // the target answered 503 and does not say that it did not run it
@@ -68,7 +68,7 @@
 	Status     int           // HTTP status for the caller; 0: by fault
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
-	// SlotsFree: the target told of free slots with its refusal.
+	// SlotsFree: the refusal reported free slots.
 	SlotsFree bool
 	// NoListener: nobody listens at the target's address.
 	NoListener bool
@@ -84,7 +84,7 @@
 const (
 	verdictDone  verdict = iota // the caller has the whole answer
 	verdictRetry                // try again after the wait
-	verdictFail                 // tell the caller the error
+	verdictFail                 // answer with the error
 	verdictAbort                // break the caller's connection
 )
 
@@ -107,8 +107,8 @@
 	backoff func() time.Duration
 }
 
-// dispatch decides after each attempt of one request what is done next and,
-// in the end, what the caller is told. It does no I/O.
+// dispatch decides after each attempt of a request on the next step and the final answer. It does
+// no I/O.
 type dispatch struct {
 	rule     retryRule
 	attempts int
@@ -249,7 +249,7 @@
 	return e
 }
 
-// statusOf returns the HTTP status that tells the caller of a failure.
+// statusOf returns the HTTP status of a failure.
 func statusOf(a attemptEnd, o outcome.Outcome) int {
 	if a.Status != 0 && !(a.Fault == FaultHeld && o != outcome.NotRun) {
 		return a.Status
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -96,7 +96,7 @@
 		x.id = newRequestID()
 	}
 	if !x.r.ProtoAtLeast(1, 1) {
-		// The end of a streamed answer can't be told apart from a cut.
+		// A cut of a streamed answer would go undetected.
 		return refuse(outcome.StepParse, http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
 	}
 	if x.h.refusing.Load() {
@@ -305,7 +305,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// finish tells the caller of an error, ends the claim and counts.
+// finish answers with an error, ends the claim and counts.
 func (x *exchange) finish(err *outcome.Error) {
 	x.observe(err)
 	if err == nil {
@@ -358,7 +358,7 @@
 	x.claim.Finish(outcome.Answered, x.record.answer())
 }
 
-// faultOf tells the fault from the cause of a canceled context or an error.
+// faultOf returns the fault by the cause of a canceled context or an error.
 func faultOf(err error, otherwise Fault) Fault {
 	switch {
 	case errors.Is(err, errDeadline):
--- a/internal/forward/frontend.go
+++ b/internal/forward/frontend.go
@@ -80,7 +80,7 @@
 	go func() { _ = server.Serve(current) }()
 }
 
-// discard drops the server's own lines, which tell of callers that left.
+// discard drops the server's own log lines about canceled requests.
 type discard struct{}
 
 // Write implements io.Writer.
@@ -161,7 +161,7 @@
 	return &feed{addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-// put gives a connection to whoever accepts; false when the feed is closed.
+// put passes a connection to the acceptor; false if the feed is closed.
 func (f *feed) put(conn net.Conn) bool {
 	select {
 	case f.conns <- conn:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,6 +1,5 @@
-// Package forward is the request path: it takes a caller's request to a target
-// and the target's whole answer back, and tells honestly what became of it
-// when that fails.
+// Package forward is the request path: it forwards a caller's request to a target and relays the
+// complete answer. On failure it reports the true outcome.
 package forward
 
 import (
@@ -31,7 +30,7 @@
 // up to this size is read whole before its first byte goes to the caller.
 const bufferBytes = 32 << 10
 
-// Observer hears what targets say of themselves on answers.
+// Observer receives what targets report with their answers.
 type Observer interface {
 	Observe(o measure.Observation)
 }
@@ -114,8 +113,7 @@
 // connection. Requests go on being served.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
-// Refuse makes further requests be told that they were not run, as this process
-// is about to end.
+// Refuse makes the handler refuse further requests as not run, as this process is about to end.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
 // Adopt drops what is kept for targets that left the document.
@@ -145,6 +143,6 @@
 const (
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = 10 * time.Minute
-	marginFraction = 20 // of a timeout is kept to tell the caller that it has passed
+	marginFraction = 20 // share of a timeout reserved for the final answer
 	maxMargin      = 200 * time.Millisecond
 )
--- a/internal/forward/regions.go
+++ b/internal/forward/regions.go
@@ -37,18 +37,16 @@
 	c.span[region]++
 }
 
-// take returns the counts of the span and begins another.
-func (c *regionCounts) take() map[string]int {
+// reset returns the counts of the span and begins another.
+func (c *regionCounts) reset() map[string]int {
 	counts := c.span
 	c.span = make(map[string]int)
 	return counts
 }
 
-// regionTally counts by region of the target when requests are placed and when
-// they are sent, for metrics and a line of the log each span. Only the first can
-// tell a change of choices: a request to another region is sent later by the
-// opening of a connection, 112 to 169 ms at 55 ms one way, so that what is sent
-// also changes with the traffic.
+// regionTally counts placed and sent requests by the target's region, for metrics and a log line
+// per span. Remote requests are sent later, by the time to connect, so that only the placed ones
+// show a change of placement.
 type regionTally struct {
 	logger *telemetry.Logger
 	set    *metrics.Set
@@ -70,11 +68,11 @@
 	}
 }
 
-// notePlaced counts a request whose target was chosen.
-func (t *regionTally) notePlaced(region string) { t.note(t.placed, region) }
+// recordPlaced counts a request whose target was picked.
+func (t *regionTally) recordPlaced(region string) { t.note(t.placed, region) }
 
-// noteSent counts a request that is written to its target's connection.
-func (t *regionTally) noteSent(region string) { t.note(t.sent, region) }
+// recordSent counts a request written to its target's connection.
+func (t *regionTally) recordSent(region string) { t.note(t.sent, region) }
 
 func (t *regionTally) note(counts *regionCounts, region string) {
 	t.mu.Lock()
@@ -85,13 +83,13 @@
 	}
 	t.due = true
 	now := t.clock.Now()
-	time.AfterFunc(now.Truncate(regionSpan).Add(regionSpan).Sub(now), t.tell)
+	time.AfterFunc(now.Truncate(regionSpan).Add(regionSpan).Sub(now), t.log)
 }
 
-// tell writes the line of a span that is over. Without requests there is none.
-func (t *regionTally) tell() {
+// log writes the line of an elapsed span. Without requests there is none.
+func (t *regionTally) log() {
 	t.mu.Lock()
-	placed, sent := t.placed.take(), t.sent.take()
+	placed, sent := t.placed.reset(), t.sent.reset()
 	t.due = false
 	t.mu.Unlock()
 	t.logger.Log(eventRegions,
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -21,11 +21,11 @@
 		tally := newRegionTally(newTestLogger(&out), set, kernel.SystemClock{})
 		time.Sleep(regionSpan - 100*time.Millisecond)
 
-		tally.notePlaced("near")
-		tally.noteSent("near")
-		tally.notePlaced("far")
+		tally.recordPlaced("near")
+		tally.recordSent("near")
+		tally.recordPlaced("far")
 		time.Sleep(150 * time.Millisecond) // the connection opens after the span has ended
-		tally.noteSent("far")
+		tally.recordSent("far")
 		time.Sleep(2 * regionSpan)
 
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -41,9 +41,8 @@
 	return a.toCaller(buf[:n])
 }
 
-// relayUndelimited reads an answer that ends with its connection as far as the
-// buffer goes, so that a connection that is reset before is told from the end
-// while another attempt is still possible.
+// relayUndelimited buffers an answer that ends with its connection, so that a reset within the
+// buffer still allows another attempt.
 func (a *attempt) relayUndelimited(buf []byte) attemptEnd {
 	n, err := io.ReadFull(a.resp.Body, buf)
 	switch {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -102,7 +102,7 @@
 // CloseConnections makes each further answer close its caller's connection.
 func (s *Service) CloseConnections() { s.deps.Handler.CloseConnections() }
 
-// Refuse makes further requests be told that they were not run.
+// Refuse makes the handler refuse further requests as not run.
 func (s *Service) Refuse() { s.deps.Handler.Refuse() }
 
 // Address returns where the listener is open.
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -28,17 +28,17 @@
 	cancel    context.CancelCauseFunc
 	firstByte time.Duration // longest wait from the request's end to the answer's first byte
 	idle      time.Duration // longest pause between bytes
-	// giveUp tells whether to give up when the first byte does not come in
-	// time; if not the attempt waits on, up to the request's deadline.
+	// giveUp reports whether to give up if the first byte is late; else the attempt waits until the
+	// request's deadline.
 	giveUp func() bool
-	// callerWaits tells whether the caller is what is waited for.
+	// callerWaits reports whether the attempt waits for the caller.
 	callerWaits func() bool
 
 	timer *time.Timer
 	phase atomic.Uint32
 }
 
-// start arms the timer; streamed tells that a body is still to be sent.
+// start arms the timer; streamed: a body is still to be sent.
 func (w *watchdog) start(streamed bool) {
 	if streamed {
 		w.timer = time.AfterFunc(w.idle, w.fire)
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -39,12 +39,11 @@
 	fieldDigest  = "digest"
 )
 
-// maxLineBytes bounds a line; longer ones are passed over.
+// maxLineBytes bounds a line; longer ones are skipped.
 const maxLineBytes = 1 << 20
 
-// Read returns the lines of a log. What stands before the JSON object of a line,
-// such as the prefix of a log collector, is passed over, and so are lines
-// without one.
+// Read returns the lines of a log. It skips prefixes before a line's JSON object, such as those of log
+// collectors, and lines without one.
 func Read(r io.Reader) ([]Line, error) {
 	var lines []Line
 	scanner := bufio.NewScanner(r)
@@ -112,11 +111,9 @@
 	return b.String()
 }
 
-// Story returns the lines that tell of a request, in the order of time: its own,
-// and those without a request's id about the targets that it met or, on the VMs
-// that served it, about anything else, from so long before its first line up to
-// its last; besides, whenever it was, those about the request's digest. It is empty
-// when no line carries the id.
+// Story returns the lines about a request in order of time: its own; those without a request id about
+// its targets, or on its VMs, from the given time before its first line up to its last; and all about
+// its digest. It is empty if no line has the id.
 func Story(lines []Line, id string, before time.Duration) []Line {
 	own := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return l.Text(fieldRequest) != id })
 	if len(own) == 0 {
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -11,7 +11,7 @@
 // The causes, in the order in which they are looked for: the first that explains
 // a loss by itself is named.
 const (
-	CauseRefused    Cause = "refused, and not back"   // told that it was not run; the caller's last try
+	CauseRefused    Cause = "refused, and not back"   // not run; the caller's last try
 	CauseFailed     Cause = "failed by a target"      // answered with a failure, or cut
 	CauseUnanswered Cause = "no answer in its time"   // sent, and nothing came
 	CauseComeback   Cause = "refused, back and late"  // its own way was short enough
@@ -19,7 +19,7 @@
 	CauseFirstRun   Cause = "first run of its object" // at that target
 	CauseWaitedHere Cause = "waited at the VM"        // for room at a target
 	CauseTrip       Cause = "way to another region"   // in its own region it would have been on time
-	CauseWaited     Cause = "waited at the target"    // all slots were believed to be in use
+	CauseWaited     Cause = "waited at the target"    // all slots were in use by the VM's estimate
 	CauseLongRun    Cause = "long run"                // none of these
 )
 
@@ -56,12 +56,11 @@
 	return r.arrived.Sub(r.first.arrived)
 }
 
-// firstRunFactor tells a first run from another one by its time: known objects
-// take about a third of the work, and runs vary by 0.15.
+// firstRunFactor is the multiple of a usual run from which a run counts as the first of its object.
 const firstRunFactor = 1.8
 
-// late returns the cause of a late answer; ok is false when it was on time. Way is
-// the time of the ways between caller and VM, there and back.
+// late returns the cause of a late answer; ok is false if it was in time. Way is the round trip
+// between caller and VM.
 func (r *request) late(usualRun time.Duration, region string, way, trip time.Duration) (cause Cause, ok bool) {
 	whole := r.before() + r.took + way
 	over := whole - r.objective
--- a/internal/losses/request.go
+++ b/internal/losses/request.go
@@ -1,6 +1,5 @@
-// Package losses tells from the logs of VMs where callers lost: which requests
-// were answered late or not at all, and what cost them the time. It attributes
-// each loss to one cause, so that a table of causes adds up.
+// Package losses attributes late and missing answers to causes from the VMs' logs. Each loss has one
+// cause, so that the table adds up.
 package losses
 
 import (
@@ -12,7 +11,7 @@
 	"masticturn/internal/logtrace"
 )
 
-// Events and fields of log lines that tell of requests.
+// Events and fields of log lines about requests.
 const (
 	eventStarted  = 1001
 	eventFailed   = 5001
@@ -22,14 +21,14 @@
 	eventLeftOut  = 1011
 )
 
-// request is one attempt of a caller, as the VM that took it tells.
+// request is one attempt of a caller, as logged by its VM.
 type request struct {
 	id, vm, rule, class string
 	arrived             time.Time // at the VM
 	objective           time.Duration
 	caller              string // address without the port: callers come back on new connections
 	object              string
-	retryAfter          time.Duration // that its caller was told
+	retryAfter          time.Duration // of the answer
 	took                time.Duration // from its arrival to its end here
 	sent                time.Duration // from its last sending to the answer's head
 	attempts            int
@@ -48,7 +47,7 @@
 	target string
 	region string // of the target
 	known  bool   // the VM knew that the target knows the object
-	full   bool   // as many requests as slots were believed to be there
+	full   bool   // all slots were in use by the VM's estimate
 	waited time.Duration
 }
 
@@ -60,14 +59,14 @@
 	return &r.places[len(r.places)-1]
 }
 
-// Log is what the lines of all VMs tell.
+// Log holds the requests in the lines of all VMs.
 type Log struct {
 	requests []*request
 	regions  map[string]string // of VMs
-	leftOut  int               // lines that VMs say they left out
+	leftOut  int               // lines dropped by VMs
 }
 
-// Read gathers what lines tell of requests.
+// Read collects the requests in log lines.
 func Read(lines []logtrace.Line) *Log {
 	log := &Log{regions: make(map[string]string)}
 	byID := make(map[string]*request)
@@ -109,11 +108,11 @@
 	return log
 }
 
-// backWithin is how much later than told a caller may come back.
+// backWithin is how much later than Retry-After a retry may come.
 const backWithin = time.Second
 
-// link finds the next try of callers that were not served: the first one from the
-// same address about the same object that comes when they were told to.
+// link connects refused requests with the caller's retry: the first one from the same address about
+// the same object after Retry-After.
 func (log *Log) link() {
 	type who struct{ caller, rule, object string }
 	waiting := make(map[who][]*request)
--- a/internal/losses/table.go
+++ b/internal/losses/table.go
@@ -62,7 +62,7 @@
 	Requests int     // tries of callers in the logs
 	Owed     float64 // worth of what they asked for
 	Losses   []Loss
-	LeftOut  int // lines that VMs say they left out: what they told is missing here
+	LeftOut  int // lines dropped by VMs, which are missing here
 	window   time.Duration
 }
 
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// poll returns the events after since, and the channel that tells when to
-// look again. The version never falls below since.
+// poll returns the events after since, and the channel that signals further ones. The version never
+// falls below since.
 func (s *Store) poll(kind platform.Kind, since platform.Version) ([]platform.Event, platform.Version, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -21,7 +21,7 @@
 	KindConfigChunk Kind = "masticturn-config-chunk"
 
 	KindClaim   Kind = "masticturn-claim"   // claims of idempotency keys
-	KindVM      Kind = "masticturn-vm"      // the VMs of the fleet, by their own word, which lags
+	KindVM      Kind = "masticturn-vm"      // the VMs' own entries, which lag
 	KindTargets Kind = "masticturn-targets" // the platform's list of targets, which lags
 
 	KindQuarantine Kind = "masticturn-quarantine" // requests that crash targets, by digest
@@ -40,8 +40,7 @@
 	// Status is what the object's owner reports of it, as JSON, for kinds of
 	// the platform's own; nil for kinds of the system.
 	Status []byte `json:"status,omitempty"`
-	// Omitted is how many bytes of value and status were left out by whoever
-	// keeps the object, as it needs no object that long; 0: it is whole.
+	// Omitted is the size of value and status if they were dropped as too long; 0: complete.
 	Omitted int `json:"omitted,omitempty"`
 }
 
@@ -83,10 +82,10 @@
 	// budget, or a read that failed).
 	ErrUnavailable = errors.New("platform: unavailable")
 	// ErrUnknownOutcome: a write was sent and its answer was lost. It may take
-	// effect, now or later; only a re-read can tell.
+	// effect, now or later; only a re-read shows it.
 	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
 	// ErrCompacted: the changes since the version of a watch are no longer
-	// kept; only a new list can tell what there is.
+	// kept; a new list is required.
 	ErrCompacted = errors.New("platform: changes since that version are gone")
 	// ErrTooLarge: the value is larger than MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
--- a/internal/targetconn/budget.go
+++ b/internal/targetconn/budget.go
@@ -9,9 +9,8 @@
 	// AheadInterval is how often the connections to targets that are expected to
 	// get requests are looked at.
 	AheadInterval = 250 * time.Millisecond
-	// aheadPerRequest bounds the connections opened ahead of requests to so many
-	// for each request to another region. A VM that gets few requests needs several
-	// to have one open for nearly all of them.
+	// aheadPerRequest bounds the connections opened ahead per request to another region. A VM with
+	// few requests needs several to find one open.
 	aheadPerRequest = 4
 	// aheadBurst is how many may be saved up: those of some seconds of that VM.
 	aheadBurst = 64
--- a/internal/targetconn/received.go
+++ b/internal/targetconn/received.go
@@ -7,11 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// receivedMore reports whether the kernel has received more on a connection
-// than the given number of bytes, which the reader has handed on: bytes that
-// wait in the socket, bytes that a reader has taken and not handed on yet, or
-// the connection's end. It does not block. Connections that are not plain
-// sockets tell nothing.
+// receivedMore reports whether a connection has received more than the given number of bytes, which
+// the reader has passed on, or its end. It does not block. Only plain sockets are supported.
 func receivedMore(conn net.Conn, handedOn uint64) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
