--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -33,8 +33,8 @@
 		set:      set,
 		retries:  set.GetOrCreateCounter("masticturn_retries_total"),
 		hedges:   set.GetOrCreateCounter("masticturn_hedges_total"),
-		leaving:  set.GetOrCreateCounter(`masticturn_target_words_total{word="leaving"}`),
-		backoffs: set.GetOrCreateCounter(`masticturn_target_words_total{word="retry-after"}`),
+		leaving:  set.GetOrCreateCounter(`masticturn_target_notices_total{notice="leaving"}`),
+		backoffs: set.GetOrCreateCounter(`masticturn_target_notices_total{notice="retry-after"}`),
 	}
 }
 
