--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -57,7 +57,7 @@
 	Notify(w Notice)
 }
 
-// Result tells what a dispatch showed of the target.
+// Result is how a dispatch ended, with what it showed of the target.
 type Result struct {
 	Outcome    outcome.Outcome
 	Step       outcome.Step  // where it failed; StepComplete when answered
@@ -74,14 +74,12 @@
 	Canceled bool
 	// Misdirected: another instance than expected has the target's address.
 	Misdirected bool
-	// NoListener: nobody listens at the target's address, so that whoever does
-	// next has started since.
+	// NoListener: the connection was refused, so that the next listener is a new start.
 	NoListener bool
 }
 
-// Admitter gives out permits. The error is an *outcome.Error with outcome
-// NotRun at StepAdmit, with a RetryAfter when waiting helps; the decision to
-// give up is final and is told at once.
+// Admitter grants permits. The error is an *outcome.Error with outcome NotRun at
+// StepAdmit, with a RetryAfter if waiting helps. It is final.
 type Admitter interface {
 	Acquire(ctx context.Context, r *Request) (Permit, error)
 }
--- a/internal/drain/bounded_test.go
+++ b/internal/drain/bounded_test.go
@@ -20,7 +20,7 @@
 	now := time.Unix(1000, 0)
 	m := newMachine(times{spread: linger, grace: time.Minute, refuse: true})
 	m.next(event{kind: eventBegin}, now)
-	if got := m.next(event{kind: eventTold}, now); !slices.Equal(got, []action{actionCloseConnections}) {
+	if got := m.next(event{kind: eventAnnounced}, now); !slices.Equal(got, []action{actionCloseConnections}) {
 		t.Errorf("told: %v", got)
 	}
 	for ; now.Before(time.Unix(1000, 0).Add(linger)); now = now.Add(tickTime) {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -76,7 +76,7 @@
 		{"a request by a cached look-up", false, testMaxAge + spreadTime - time.Millisecond, time.Second, testMaxAge + spreadTime + time.Second},
 		{"an upload of half a minute", false, 0, 30 * time.Second, 30 * time.Second},
 		{"one longer than the grace", false, 0, 3 * testGrace, 3 * testGrace},
-		{"neighbors cut off", true, 0, 0, tellTimeout + spreadTime + testMaxAge},
+		{"neighbors cut off", true, 0, 0, leaveTimeout + spreadTime + testMaxAge},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/drain/events.go
+++ b/internal/drain/events.go
@@ -15,11 +15,11 @@
 		Meaning: "A planned stop has lasted longer than drain.grace_ms, or was forced, and requests are still in flight; their number is given.",
 		Action:  "Wait; nothing is cut unless a second signal forces the stop. Raise drain.grace_ms if uploads are usually longer.",
 	})
-	eventNotTold = telemetry.Register(telemetry.Event{
+	eventLeaveUnacknowledged = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 201,
 		Level:   logrus.WarnLevel,
-		Name:    "others not told of the stop",
-		Meaning: "Not all neighbors acknowledged in time that this VM leaves. The stop goes on.",
-		Action:  "Look at the links between the regions; callers of the cut off part may be sent here until they see it is gone.",
+		Name:    "stop not acknowledged",
+		Meaning: "Not all neighbors acknowledged in time that this VM leaves. The stop continues.",
+		Action:  "Check the links between the regions. Look-ups of the partitioned part may name this VM until they detect that it is gone.",
 	})
 )
--- a/internal/drain/faults_drain_test.go
+++ b/internal/drain/faults_drain_test.go
@@ -15,7 +15,7 @@
 			now := time.Unix(1000, 0)
 			m := newMachine(times{maxAge: testMaxAge, spread: spreadTime, grace: testGrace})
 			m.next(event{kind: eventBegin}, now)
-			m.next(event{kind: eventTold}, now)
+			m.next(event{kind: eventAnnounced}, now)
 			if step == StepFinishing {
 				for m.step != StepFinishing {
 					now = now.Add(tickTime)
@@ -45,8 +45,8 @@
 	now := time.Unix(1000, 0)
 	m := newMachine(times{maxAge: testMaxAge, spread: spreadTime, grace: testGrace})
 	m.next(event{kind: eventBegin}, now)
-	now = now.Add(tellTimeout) // the neighbors did not answer
-	m.next(event{kind: eventTold}, now)
+	now = now.Add(leaveTimeout) // the neighbors did not answer
+	m.next(event{kind: eventAnnounced}, now)
 	for _, inFlight := range []int{0, 1, 1, 1} {
 		now = now.Add(time.Minute)
 		if got := m.next(event{kind: eventTick, inFlight: inFlight}, now); slices.Contains(got, actionEnd) {
--- a/internal/drain/machine.go
+++ b/internal/drain/machine.go
@@ -10,12 +10,12 @@
 
 // The steps of a planned stop, in order. StepForced can follow any of them.
 const (
-	StepServing   Step = "serving"   // no stop was asked for
-	StepLeaving   Step = "leaving"   // the other VMs are being told
+	StepServing   Step = "serving"   // no stop requested
+	StepLeaving   Step = "leaving"   // the stop is being announced
 	StepLingering Step = "lingering" // callers may still hold look-ups that name this VM
-	StepFinishing Step = "finishing" // requests in flight go to their end
+	StepFinishing Step = "finishing" // requests in flight finish
 	StepEnded     Step = "ended"     // nothing is in flight
-	StepForced    Step = "forced"    // what was in flight is cut
+	StepForced    Step = "forced"    // requests in flight are cut
 )
 
 // Steps lists the steps of a planned stop.
@@ -27,27 +27,27 @@
 type eventKind uint8
 
 const (
-	eventBegin eventKind = iota // a stop was asked for
-	eventTold                   // the other VMs know, or could not be told in time
-	eventTick                   // some time has passed
-	eventForce                  // the stop is to end now
+	eventBegin     eventKind = iota // a stop was requested
+	eventAnnounced                  // the other VMs know, or the time for it is over
+	eventTick                       // some time has passed
+	eventForce                      // the stop is to end now
 )
 
-// event is one input of the machine.
+// event is an input of the machine.
 type event struct {
 	kind     eventKind
 	inFlight int // requests being served, for eventTick and eventForce
 }
 
-// action is what the machine asks for.
+// action is an output of the machine.
 type action uint8
 
 const (
-	actionTell             action = iota + 1 // tell the other VMs that this one leaves
-	actionCloseConnections                   // let each answer close its connection
-	actionReport                             // log what is still in flight
+	actionAnnounce         action = iota + 1 // announce the stop to the other VMs
+	actionCloseConnections                   // close the connection with each answer
+	actionReport                             // log the requests in flight
 	actionEnd                                // the stop is over
-	actionRefuse                             // tell further requests to go elsewhere
+	actionRefuse                             // refuse further requests
 )
 
 // times are the durations a stop follows.
@@ -72,7 +72,7 @@
 
 func newMachine(t times) *machine { return &machine{times: t, step: StepServing} }
 
-// next takes an event and returns what is to be done, in order.
+// next handles an event and returns the actions, in order.
 func (m *machine) next(e event, now time.Time) []action {
 	switch {
 	case m.step == StepEnded || m.step == StepForced:
@@ -83,8 +83,8 @@
 		m.step = StepLeaving
 		m.began = now
 		m.report = now.Add(m.times.grace)
-		return []action{actionTell}
-	case e.kind == eventTold && m.step == StepLeaving:
+		return []action{actionAnnounce}
+	case e.kind == eventAnnounced && m.step == StepLeaving:
 		m.step = StepLingering
 		m.last = now
 		m.linger = m.lingerFrom(now).Add(m.times.spread + m.times.maxAge)
@@ -97,11 +97,11 @@
 
 // lingerFrom returns when the time to linger begins: with the stop where the
 // stop has a bound, else when the neighbors know.
-func (m *machine) lingerFrom(told time.Time) time.Time {
+func (m *machine) lingerFrom(announced time.Time) time.Time {
 	if m.times.refuse {
 		return m.began
 	}
-	return told
+	return announced
 }
 
 func (m *machine) force(e event) []action {
@@ -112,9 +112,9 @@
 	return []action{actionEnd}
 }
 
-// noticePause sets when requests that callers sent while the process stood
+// recordPause sets when requests that callers sent while the process stood
 // still, and that wait in its sockets, must have begun.
-func (m *machine) noticePause(now time.Time) {
+func (m *machine) recordPause(now time.Time) {
 	if !m.last.IsZero() && now.Sub(m.last) > pauseLimit {
 		m.settle = now.Add(settleTime)
 	}
@@ -122,7 +122,7 @@
 }
 
 func (m *machine) tick(e event, now time.Time) []action {
-	m.noticePause(now)
+	m.recordPause(now)
 	if m.step == StepLingering && !now.Before(m.linger) {
 		m.step = StepFinishing
 		if m.times.refuse {
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -16,25 +16,22 @@
 
 // Durations of a stop that the document does not set.
 const (
-	tellTimeout = 5 * time.Second        // neighbors that are cut off are not waited for longer
-	spreadTime  = 4 * time.Second        // some heartbeats, within a region and between regions
-	tickTime    = 100 * time.Millisecond // between looks at what is in flight
-	pauseLimit  = 5 * tickTime           // between two looks; longer, and the process stood still
-	settleTime  = time.Second            // after a pause, for requests that waited to begin
-
-	// lingerShare is the part of a bounded stop in which requests are still
-	// taken. What is taken at its end has the rest of the time, which is longer
-	// than all but the slowest requests last.
+	leaveTimeout = 5 * time.Second        // for the acknowledgments of neighbors
+	spreadTime   = 4 * time.Second        // some heartbeats, also between regions
+	tickTime     = 100 * time.Millisecond // interval of checks of requests in flight
+	pauseLimit   = 5 * tickTime           // longest tick without a pause of the process
+	settleTime   = time.Second            // after a pause, for waiting requests to begin
+
+	// lingerShare is the share of a bounded stop in which requests are accepted. The
+	// rest is for requests in flight.
 	lingerShare = 0.48
-	// tellShare is the part of a bounded stop for which neighbors that are cut off
-	// are waited for: with 6 s to stop, 5 s of waiting left requests in flight to be
-	// cut. Heartbeats between regions take 0.2 s.
-	tellShare = 0.1
+	// leaveShare bounds the wait for acknowledgments as a share of a bounded stop.
+	leaveShare = 0.1
 )
 
-// Members tells the other VMs.
+// Members announces that this VM leaves.
 type Members interface {
-	// Leave says that this VM leaves; it returns when its neighbors know.
+	// Leave returns once the neighbors have acknowledged.
 	Leave(ctx context.Context) error
 }
 
@@ -42,7 +39,7 @@
 type Callers interface {
 	InFlight() int
 	CloseConnections()
-	// Refuse makes further requests be told that they were not run.
+	// Refuse makes the listener refuse further requests as not run.
 	Refuse()
 }
 
@@ -51,7 +48,7 @@
 	Members Members
 	Callers Callers
 	Config  config.Source
-	Grace   time.Duration // the process is killed so long after a stop was asked for; 0: never
+	Grace   time.Duration // from the request to stop until the process is killed; 0: unbounded
 	Clock   kernel.Clock
 	Logger  *telemetry.Logger
 }
@@ -108,13 +105,13 @@
 	return t
 }
 
-// perform does what the machine asks for.
+// perform runs the machine's actions.
 func (s *Service) perform(ctx context.Context, m *machine, e event) {
 	for _, a := range m.next(e, s.deps.Clock.Now()) {
 		switch a {
-		case actionTell:
-			s.tell(ctx)
-			s.perform(ctx, m, event{kind: eventTold})
+		case actionAnnounce:
+			s.announceLeave(ctx)
+			s.perform(ctx, m, event{kind: eventAnnounced})
 		case actionCloseConnections:
 			s.deps.Callers.CloseConnections()
 		case actionRefuse:
@@ -126,18 +123,18 @@
 	}
 }
 
-// tellTimeout is how long neighbors are waited for.
-func (s *Service) tellTimeout() time.Duration {
+// leaveLimit bounds the wait for acknowledgments.
+func (s *Service) leaveLimit() time.Duration {
 	if s.deps.Grace == 0 {
-		return tellTimeout
+		return leaveTimeout
 	}
-	return min(tellTimeout, time.Duration(tellShare*float64(s.deps.Grace)))
+	return min(leaveTimeout, time.Duration(leaveShare*float64(s.deps.Grace)))
 }
 
-func (s *Service) tell(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.tellTimeout())
+func (s *Service) announceLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.leaveLimit())
 	defer cancel()
 	if err := s.deps.Members.Leave(ctx); err != nil {
-		s.deps.Logger.Log(eventNotTold, telemetry.Err(trace.Wrap(err, "tell the other VMs")))
+		s.deps.Logger.Log(eventLeaveUnacknowledged, telemetry.Err(trace.Wrap(err, "announce the stop")))
 	}
 }
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -5,11 +5,10 @@
 	"strings"
 )
 
-// Dialect is how callers and targets of one deployment speak: the names of
-// headers and what answers may look like. The request path knows headers by a
-// Dialect only. Names are in canonical form; an empty name is not spoken.
+// Dialect is the HTTP interface of a deployment's callers and targets: names of
+// headers and forms of answers. Names are canonical; an empty one is not in use.
 type Dialect struct {
-	RequestID       string // both ways
+	RequestID       string // of requests and answers
 	CallerTimeoutMS string // from the caller: milliseconds it will wait
 	ObjectKey       string // from the caller: the object a request is about
 	IdempotencyKey  string // from the caller
@@ -17,7 +16,7 @@
 	// Credentials are the headers by which a caller is known.
 	Credentials []string
 
-	TargetRequestID  string // both ways
+	TargetRequestID  string // of requests and answers
 	TargetDeadlineMS string // to the target: milliseconds left
 	TargetExpect     string // to the target: the instance the request is meant for
 	TargetNotRun     string // from the target, any value: surely not run
@@ -37,7 +36,7 @@
 	UndelimitedAnswers bool // an answer may end with its connection
 }
 
-// Load is a target's own word on its load.
+// Load is a target's load report.
 type Load struct {
 	Running int
 	Waiting int
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -1,6 +1,5 @@
-// Package outcome holds what a caller is told about a request: answered, not
-// run, or unknown, together with the step and the peer at which an error
-// arose.
+// Package outcome defines the outcome of a request for its caller: answered, not
+// run, or unknown, with the step and the peer of an error.
 package outcome
 
 import (
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -293,7 +293,7 @@
 		select {
 		case f := <-c.inbox:
 			if err := c.handleSend(f); err != nil {
-				c.tellUnread(f.kind, err)
+				c.reportUnread(f.kind, err)
 			}
 			f.payload.release()
 		case <-c.ctx.Done():
@@ -311,9 +311,9 @@
 	return err
 }
 
-// tellUnread counts a one-way message that could not be handled, and logs the
-// first one of its kind on this connection. It is called by handleSends only.
-func (c *conn) tellUnread(kind Kind, err error) {
+// reportUnread counts an undecodable one-way message and logs the first of its kind on
+// this connection. It is called by handleSends only.
+func (c *conn) reportUnread(kind Kind, err error) {
 	c.link.net.meters.unread.Inc()
 	if c.unread[kind] {
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,7 +10,7 @@
 
 // The kinds of messages. A new kind goes to the end of its service's range.
 const (
-	KindPing Kind = 1 // liveness, empty both ways
+	KindPing Kind = 1 // liveness, empty call and answer
 
 	KindHeartbeat Kind = 10 // membership: heartbeat and relayed digests
 	KindJoin      Kind = 11 // membership: a new daemon asks for the view
@@ -24,18 +24,18 @@
 	KindPermit    Kind = 40 // admission: asks a broker for slots
 	KindRelease   Kind = 41 // admission: gives slots back
 	KindGrant     Kind = 42 // admission: a region grants credits to another
-	KindDemand    Kind = 43 // admission: a region tells its demand
+	KindDemand    Kind = 43 // admission: demand of a region
 	KindDecision  Kind = 44 // admission: a broker's answer to KindPermit
-	KindInventory Kind = 45 // admission: tells a broker what is held
+	KindInventory Kind = 45 // admission: slots held, for a broker
 	KindPass      Kind = 46 // admission: a broker allows slots to be passed on
 
 	KindKeyOwner Kind = 50 // idempotency: asks the owner of a key
 
 	KindMirrorPoll Kind = 60 // discovery: asks for changes of a kind of the store's objects
 
-	// 70 and 71 were used for what each VM told some others by itself.
-	KindUsageReport Kind = 72 // placement: what a VM and those below it have at targets
-	KindUsageTotal  Kind = 73 // placement: what all VMs of the region have at targets
+	// 70 and 71 are retired.
+	KindUsageReport Kind = 72 // placement: usage of a subtree of VMs
+	KindUsageTotal  Kind = 73 // placement: usage of all VMs of the region
 
 	KindQuarantineReports Kind = 80 // quarantine: requests under which targets have crashed
 	KindQuarantineSync    Kind = 81 // quarantine: compares what two VMs suspect
@@ -59,7 +59,7 @@
 	// Call sends a message and decodes the answer into answer. After an error
 	// it is unknown whether the peer handled the message.
 	Call(ctx context.Context, to string, kind Kind, msg, answer any) error
-	// SetAddress tells where a VM listens; an empty address forgets it. A VM
-	// whose name is not known yet is reached under its address as the name.
+	// SetAddress sets a VM's address; empty: it is forgotten. A VM without a known
+	// name is reached by its address as the name.
 	SetAddress(vm, address string)
 }
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -31,8 +31,8 @@
 	compareEvery = 2
 	// compareTimeout bounds the call to a partner.
 	compareTimeout = time.Second
-	// bootstrapPause and beginPatience are the pause between looks for VMs to hear from at
-	// the start, and how long each may take.
+	// bootstrapPause is the pause between polls of peers for the first records, and
+	// bootstrapTimeout bounds each.
 	bootstrapPause    = 50 * time.Millisecond
 	bootstrapTimeout  = 300 * time.Millisecond
 	bootstrapAttempts = 20
