--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -45,9 +45,7 @@
 	}
 }
 
-// Callers take in 64 VMs of an answer. A region of 67 named all of them, in the order
-// of their names, so that the last three got no caller all day; in one of 155 more
-// than half would have stood idle.
+// Answers of large regions name all VMs in turn.
 func TestLargeRegionsUseAllVMs(t *testing.T) {
 	const size, lookUps = 155, 2000
 	view := &membership.View{}
--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -23,7 +23,7 @@
 	expected := h.deps.Expected()
 	for _, t := range expected[:min(len(expected), targetconn.AheadMost)] {
 		rule := connectionRuleOf(snap, t)
-		if !h.repeatable.most(t.Service) || !rule.keep || h.conns.InHand(t) {
+		if !h.repeatable.most(t.Service) || !rule.keep || h.conns.HasOpen(t) {
 			continue
 		}
 		if !h.ahead.Spend() {
@@ -33,8 +33,8 @@
 	}
 }
 
-// noteFar notes a request that is sent to a target of another region.
-func (h *Handler) noteFar(x *exchange) {
+// recordRemote notes a request that is sent to a target of another region.
+func (h *Handler) recordRemote(x *exchange) {
 	h.ahead.Earn()
 	h.repeatable.note(x.match.Service.Name, x.repeatable)
 }
--- a/internal/forward/ahead_test.go
+++ b/internal/forward/ahead_test.go
@@ -136,12 +136,12 @@
 	b.handler.deps.Expected = func() []*config.TargetIndex { return []*config.TargetIndex{target} }
 
 	b.handler.OpenAhead(t.Context())
-	if b.handler.conns.InHand(target) {
+	if b.handler.conns.HasOpen(target) {
 		t.Fatal("a connection was opened although no request has earned one")
 	}
-	b.handler.noteFar(&exchange{match: config.Match{Service: b.handler.deps.Config.Current().Service("svc")}, repeatable: true})
+	b.handler.recordRemote(&exchange{match: config.Match{Service: b.handler.deps.Config.Current().Service("svc")}, repeatable: true})
 	b.handler.OpenAhead(t.Context())
-	waitFor(t, func() bool { return b.handler.conns.InHand(target) })
+	waitFor(t, func() bool { return b.handler.conns.HasOpen(target) })
 }
 
 // While many idle connections are stale none is opened ahead.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,7 +130,7 @@
 	if a.target != nil {
 		end.Peer = a.target.Name
 	}
-	a.noteBroken(end)
+	a.recordBroken(end)
 	a.releaseConn(end)
 }
 
@@ -201,7 +201,7 @@
 	a.sentAt = a.x.h.deps.Clock.Now()
 	a.x.h.regions.recordSent(a.target.Region)
 	if a.target.Region != a.x.h.deps.VM.Region {
-		a.x.h.noteFar(a.x)
+		a.x.h.recordRemote(a.x)
 	}
 	a.watch.start(a.stream != nil)
 	a.armHedge()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -155,7 +155,7 @@
 // timeout is how long the request may take: what the caller asks, or the
 // route's or class's default, less what the last answer needs on its way.
 func (x *exchange) timeout() time.Duration {
-	t := x.wholeTimeout()
+	t := x.totalTimeout()
 	t -= min(t/marginFraction, maxMargin)
 	if bound := x.match.Route.MaxTimeoutMS.Duration(); bound > 0 {
 		return min(t, bound)
@@ -172,7 +172,7 @@
 	return first(x.r.Header, x.h.deps.Dialect.ObjectKey)
 }
 
-func (x *exchange) wholeTimeout() time.Duration {
+func (x *exchange) totalTimeout() time.Duration {
 	ms, err := strconv.ParseInt(first(x.r.Header, x.h.deps.Dialect.CallerTimeoutMS), 10, 64)
 	if err == nil && ms > 0 {
 		return min(time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond, maxTimeout)
@@ -345,7 +345,7 @@
 			telemetry.Value("rule", r.Name),
 			telemetry.Value("class", r.Class),
 			telemetry.Value("objective_ms", int64(r.ObjectiveMS)),
-			telemetry.Value("left_ms", x.wholeTimeout().Milliseconds()))
+			telemetry.Value("left_ms", x.totalTimeout().Milliseconds()))
 	}
 	return fields
 }
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -32,8 +32,8 @@
 	return ""
 }
 
-// noteBroken probes the target if it broke the connection of a run.
-func (a *attempt) noteBroken(end *attemptEnd) {
+// recordBroken probes the target if it broke the connection of a run.
+func (a *attempt) recordBroken(end *attemptEnd) {
 	broken := end.Fault == FaultBroken || end.Fault == FaultShort
 	if !broken || !end.Sent || end.Stale {
 		return
--- a/internal/forward/regions.go
+++ b/internal/forward/regions.go
@@ -11,9 +11,8 @@
 	"masticturn/internal/telemetry"
 )
 
-// regionSpan is over which requests are counted by region for the log: the span
-// over which the deployments bound shifts between regions. Spans of all VMs begin
-// at the same times of day, so that their lines can be added up.
+// regionSpan is the span of a log line. Spans of all VMs begin at the same times, so that their
+// lines can be added up.
 const regionSpan = 2 * time.Second
 
 // regionCounts counts requests by the region of their target.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -132,7 +132,7 @@
 // carry another exchange from now on, whatever becomes of this answer, where
 // this VM may keep one.
 func (a *attempt) received() {
-	a.x.noteAnswered()
+	a.x.recordAnswered()
 	if a.keep {
 		a.conn.Keep()
 	} else {
--- a/internal/forward/screen.go
+++ b/internal/forward/screen.go
@@ -97,8 +97,8 @@
 	return attemptEnd{Step: outcome.StepScreen, Fault: FaultHeld, Err: err, Status: err.Status, RetryAfter: err.RetryAfter}
 }
 
-// noteAnswered records that a target answered the request.
-func (x *exchange) noteAnswered() {
+// recordAnswered records that a target answered the request.
+func (x *exchange) recordAnswered() {
 	if s := x.h.deps.Screen; s != nil && s.Active() {
 		s.Answered(x.subject())
 	}
@@ -139,7 +139,7 @@
 func (x *exchange) readAhead() *outcome.Error {
 	var read bytes.Buffer
 	for read.Len() < digest.BodyMost {
-		if !x.h.bodies.take(readAheadPiece) {
+		if !x.h.bodies.reserve(readAheadPiece) {
 			err := refuse(outcome.StepScreen, http.StatusServiceUnavailable, "too many bodies are read ahead")
 			err.RetryAfter = readAheadRetryAfter
 			return err
@@ -180,7 +180,7 @@
 // bodyBudget bounds the memory of bodies read ahead. Its zero value is unused.
 type bodyBudget struct{ used atomic.Int64 }
 
-func (b *bodyBudget) take(n int64) bool {
+func (b *bodyBudget) reserve(n int64) bool {
 	if b.used.Add(n) <= maxReadAhead {
 		return true
 	}
--- a/internal/forward/screen_test.go
+++ b/internal/forward/screen_test.go
@@ -149,7 +149,7 @@
 	s := &fixedScreen{}
 	b := screened(t, s, newTarget(t, func(http.ResponseWriter, *http.Request) {}))
 	s.heads = map[digest.Digest]bool{b.headOf("POST", "/svc/a").Key(): true}
-	b.handler.bodies.take(maxReadAhead - readAheadPiece)
+	b.handler.bodies.reserve(maxReadAhead - readAheadPiece)
 	resp, _, err := b.call(t, "POST", "/svc/a", bytes.NewReader(make([]byte, 3*readAheadPiece)))
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("%v %v, want it refused for a while", resp, err)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -149,12 +149,12 @@
 
 func (c *conn) expectAcks(frames uint32) {
 	if c.sent == c.acked.Load() {
-		c.noteProgress()
+		c.recordProgress()
 	}
 	c.sent += frames
 }
 
-func (c *conn) noteProgress() { c.progress.Store(int64(max(time.Since(c.since), 1))) }
+func (c *conn) recordProgress() { c.progress.Store(int64(max(time.Since(c.since), 1))) }
 
 func (c *conn) signal() {
 	select {
@@ -234,7 +234,7 @@
 		}
 		if int32(f.ack-c.acked.Load()) > 0 {
 			c.acked.Store(f.ack)
-			c.noteProgress()
+			c.recordProgress()
 		}
 		if err := c.dispatch(f); err != nil {
 			return err
--- a/internal/quarantine/lease.go
+++ b/internal/quarantine/lease.go
@@ -60,7 +60,7 @@
 	AgainMS uint32 // if denied: delay until a lease may be granted; 0: unknown
 }
 
-// leaseRelease is the message of peer.KindQuarantineReturn, one way.
+// leaseRelease is the message of peer.KindQuarantineRelease, one way.
 type leaseRelease struct {
 	Digest []byte
 	Report Report // with the outcome of the run
--- a/internal/quarantine/persistence.go
+++ b/internal/quarantine/persistence.go
@@ -50,7 +50,7 @@
 	deletes  []digest.Digest             // objects to delete
 }
 
-func newKeeper() persistence {
+func newPersistence() persistence {
 	return persistence{
 		retry:   make(map[digest.Digest]time.Time),
 		checks:  make(map[digest.Digest]time.Time),
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -137,7 +137,7 @@
 		budget:    rate.NewLimiter(singleBytesPerSecond, singleBytesBurst),
 		leases:    newLeases(),
 		denied:    make(map[digest.Digest]time.Time),
-		persisted: newKeeper(),
+		persisted: newPersistence(),
 	}
 	s.persisted.loaded = d.Store == nil || d.FirstStart
 	d.Network.Handle(peer.KindQuarantineReports, s.handleReports)
--- a/internal/targetconn/ahead.go
+++ b/internal/targetconn/ahead.go
@@ -18,10 +18,8 @@
 	keptMost = 30 * time.Second
 )
 
-// OpenAhead opens a connection to the target where none is in use or idle, so that
-// the next request there does not wait for a way there and back.
-// Half of the limit is left to requests. It reports whether one was
-// opened.
+// OpenAhead opens a connection to the target if none is in use or idle, within half of the limit. It
+// reports whether it did.
 func (p *Pools) OpenAhead(ctx context.Context, t *config.TargetIndex, limit int) (bool, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
 	if !pl.reserveAhead(limit/2, p.deps.Clock.Now()) {
@@ -34,7 +32,7 @@
 	}
 	p.ahead.Inc()
 	pl.add(c)
-	pl.putIdle(c, p.deps.Clock.Now())
+	pl.releaseIdle(c, p.deps.Clock.Now())
 	return true, nil
 }
 
@@ -43,13 +41,12 @@
 	return p.staleness.bound(IdleLimit, p.deps.Clock.Now()) < IdleLimit
 }
 
-// InHand reports whether a connection to the target is in use or idle and may be
-// used.
-func (p *Pools) InHand(t *config.TargetIndex) bool {
+// HasOpen reports whether a usable connection to the target is open.
+func (p *Pools) HasOpen(t *config.TargetIndex) bool {
 	pl := p.pool(poolKey{t.Name, t.Address})
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	return pl.inHand(p.deps.Clock.Now())
+	return pl.hasOpen(p.deps.Clock.Now())
 }
 
 // reserveAhead takes a place for a connection that is opened ahead; false when
@@ -57,16 +54,15 @@
 func (p *pool) reserveAhead(limit int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.retired || p.dialing > 0 || len(p.open) >= limit || p.inHand(now) {
+	if p.retired || p.dialing > 0 || len(p.open) >= limit || p.hasOpen(now) {
 		return false
 	}
 	p.dialing++
 	return true
 }
 
-// inHand reports whether a connection is in use or idle and may be used; p.mu is
-// held.
-func (p *pool) inHand(now time.Time) bool {
+// hasOpen reports whether a usable connection is open; p.mu is held.
+func (p *pool) hasOpen(now time.Time) bool {
 	n := len(p.idle)
 	return len(p.open) > n || n > 0 && p.idle[n-1].usable(now, p.idleLimit())
 }
@@ -74,13 +70,12 @@
 // idleLimit is how long a connection may be idle to be used again; p.mu is held.
 func (p *pool) idleLimit() time.Duration { return KeptLimit(p.targetKeeps) }
 
-// KeptLimit is how long a connection may be idle to be used again, where the
-// target keeps idle ones for so long; 0: it has not said.
+// KeptLimit is the longest usable idle time by the target's keep-alive timeout; 0: not announced.
 func KeptLimit(targetKeeps time.Duration) time.Duration {
 	return min(max(targetKeeps-closeMargin, IdleLimit), keptMost)
 }
 
-// TargetKeeps notes for how long the target says that it keeps idle connections.
+// TargetKeeps records the target's keep-alive timeout.
 func (c *Conn) TargetKeeps(d time.Duration) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/internal/targetconn/ahead_test.go
+++ b/internal/targetconn/ahead_test.go
@@ -25,11 +25,11 @@
 	if opened, err := p.OpenAhead(t.Context(), target, 4); err != nil || opened {
 		t.Errorf("opened ahead beside one in use: %v, %v", opened, err)
 	}
-	if !p.InHand(target) {
+	if !p.HasOpen(target) {
 		t.Error("a connection in use does not count")
 	}
 	c.Drop()
-	if p.InHand(target) {
+	if p.HasOpen(target) {
 		t.Error("a connection that was dropped counts")
 	}
 	if opened, err := p.OpenAhead(t.Context(), target, 1); err != nil || opened {
@@ -45,7 +45,7 @@
 	if opened, err := p.OpenAhead(t.Context(), target, 4); err == nil || opened {
 		t.Errorf("opened %v, %v", opened, err)
 	}
-	if p.InHand(target) {
+	if p.HasOpen(target) {
 		t.Error("a connection that was never open counts")
 	}
 }
@@ -63,9 +63,7 @@
 	}
 }
 
-// In a fleet of 195 VMs a target hears from a VM every half a minute, so that idle
-// connections that were given up after four seconds were opened again for nearly every
-// request, although targets keep them for ten.
+// An idle connection is kept as long as the target keeps it.
 func TestIdleForAsLongAsTheTargetKeeps(t *testing.T) {
 	for keeps, want := range map[time.Duration]time.Duration{0: IdleLimit, 10 * time.Second: 9 * time.Second} {
 		p := &pool{targetKeeps: keeps}
@@ -135,7 +133,7 @@
 		if i%15 == 0 {
 			s.note(time.Second, now)
 		} else {
-			s.noteUsed()
+			s.recordUse()
 		}
 		if got := s.bound(IdleLimit, now); got != IdleLimit {
 			t.Fatalf("idle times of %v count after %d uses, one in 15 stale", got, i+1)
@@ -143,17 +141,14 @@
 	}
 	for range 20 { // half of the targets
 		s.note(time.Second, now)
-		s.noteUsed()
+		s.recordUse()
 	}
 	if got := s.bound(IdleLimit, now); got == IdleLimit {
 		t.Error("the usual idle times count although half of the connections were stale")
 	}
 }
 
-// The reset of an idle connection is told from a target that fails by how soon it
-// comes. Targets that reset connections after the run of 72 ms, 70 ms away, were
-// taken for stale: the retry went to the same target, and all connections were used
-// for too short a time; a day with such targets fell from 0.66 to 0.61 of its worth.
+// A reset that comes too soon for a run is of a stale connection, a later one of a failed target.
 func TestStale(t *testing.T) {
 	const trip = 70 * time.Millisecond
 	tests := []struct {
@@ -174,8 +169,8 @@
 			p := &Pools{deps: Deps{Clock: kernel.SystemClock{}}}
 			p.staleness.share = 1 // of those before
 			c := &Conn{pool: p.newPool(), reused: tt.reused, idleFor: tt.idle}
-			c.pool.noteOpening(2 * trip) // on a loaded VM
-			c.pool.noteOpening(trip)
+			c.pool.recordOpening(2 * trip) // on a loaded VM
+			c.pool.recordOpening(trip)
 			if got := c.Stale(tt.after); got != tt.want {
 				t.Errorf("stale: %v, want %v", got, tt.want)
 			}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -43,7 +43,7 @@
 // becomes idle when the target turns out to have sent nothing after it.
 func (c *Conn) Keep() {
 	if c.reused && c.idleFor >= idleLeast {
-		c.pool.staleness.noteUsed()
+		c.pool.staleness.recordUse()
 	}
 	c.wire.settle()
 }
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -30,14 +30,14 @@
 	return &pool{open: make(map[*Conn]struct{}), dropped: p.dropped, staleness: &p.staleness, now: p.deps.Clock.Now}
 }
 
-// takeIdleFor returns an idle connection that is good for a use, or nil.
-func (p *pool) takeIdleFor(use Use, now time.Time) *Conn {
+// acquireIdleFor returns an idle connection that is good for a use, or nil.
+func (p *pool) acquireIdleFor(use Use, now time.Time) *Conn {
 	switch use {
 	case UseAny:
-		return p.takeIdle(now, p.staleness.bound(p.usualLimit(), now))
+		return p.acquireIdle(now, p.staleness.bound(p.usualLimit(), now))
 	case UseRecent:
 		if !p.doubted(now) {
-			return p.takeIdle(now, p.staleness.bound(recentLimit, now))
+			return p.acquireIdle(now, p.staleness.bound(recentLimit, now))
 		}
 	}
 	return nil
@@ -55,9 +55,9 @@
 	p.doubtUntil = until
 }
 
-// takeIdle returns the most recently used idle connection that may still be
+// acquireIdle returns the most recently used idle connection that may still be
 // used, in an exchange, and was in use within limit; or nil.
-func (p *pool) takeIdle(now time.Time, limit time.Duration) *Conn {
+func (p *pool) acquireIdle(now time.Time, limit time.Duration) *Conn {
 	for {
 		c := p.popIdle(now, limit)
 		if c == nil {
@@ -72,8 +72,8 @@
 	}
 }
 
-// noteOpening takes in how long it took to open a connection.
-func (p *pool) noteOpening(took time.Duration) {
+// recordOpening takes in how long it took to open a connection.
+func (p *pool) recordOpening(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.opening == 0 || took < p.opening {
@@ -146,8 +146,8 @@
 	p.open[c] = struct{}{}
 }
 
-// putIdle takes back a connection that is quiet after its exchange.
-func (p *pool) putIdle(c *Conn, now time.Time) {
+// releaseIdle takes back a connection that is quiet after its exchange.
+func (p *pool) releaseIdle(c *Conn, now time.Time) {
 	p.mu.Lock()
 	_, known := p.open[c]
 	keep := known && !p.retired
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -105,7 +105,7 @@
 // byte has been sent when an error is returned.
 func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use) (*Conn, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
-	if c := pl.takeIdleFor(use, p.deps.Clock.Now()); c != nil {
+	if c := pl.acquireIdleFor(use, p.deps.Clock.Now()); c != nil {
 		p.reused.Inc()
 		return c, nil
 	}
@@ -139,7 +139,7 @@
 	now := p.deps.Clock.Now()
 	w := &wire{}
 	c := &Conn{pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter)}
-	w.quiet = func() { pl.putIdle(c, p.deps.Clock.Now()) }
+	w.quiet = func() { pl.releaseIdle(c, p.deps.Clock.Now()) }
 	w.closed = func() { pl.forget(c) }
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", address)
 	if err != nil {
@@ -148,7 +148,7 @@
 	p.opened.Inc()
 	c.client = client
 	c.openedIn = p.deps.Clock.Now().Sub(now)
-	pl.noteOpening(c.openedIn)
+	pl.recordOpening(c.openedIn)
 	return c, nil
 }
 
--- a/internal/targetconn/stale.go
+++ b/internal/targetconn/stale.go
@@ -39,8 +39,8 @@
 	until time.Time
 }
 
-// noteUsed takes in an idle connection that was not stale.
-func (s *staleness) noteUsed() {
+// recordUse takes in an idle connection that was not stale.
+func (s *staleness) recordUse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.share -= staleWeight * s.share
