--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -10,11 +10,8 @@
 	"masticturn/internal/telemetry"
 )
 
-// OpenAhead opens connections to the targets of services most of whose requests
-// may be repeated, which are expected to get some; other requests go on
-// connections that were in use or opened a moment ago only. None is opened while
-// many idle connections are stale. It is to be called every
-// targetconn.AheadInterval and does not wait.
+// OpenAhead opens connections to expected targets of services with mostly repeatable requests, unless
+// many idle connections are stale. It must be called every targetconn.AheadInterval and does not block.
 func (h *Handler) OpenAhead(ctx context.Context) {
 	snap := h.deps.Config.Current()
 	if h.deps.Expected == nil || snap == nil || h.closing.Load() || h.conns.MostlyStale() {
@@ -33,7 +30,7 @@
 	}
 }
 
-// recordRemote notes a request that is sent to a target of another region.
+// recordRemote records a request to a target of another region.
 func (h *Handler) recordRemote(x *exchange) {
 	h.ahead.Earn()
 	h.repeatable.note(x.match.Service.Name, x.repeatable)
@@ -47,18 +44,15 @@
 	}
 }
 
-// Bounds of what counts as a service of requests that may be repeated.
+// Bounds of repeatableShares.
 const (
-	// repeatableWeight is the weight of one request in a service's share: the last
-	// twenty or so count.
+	// repeatableWeight is the weight of one request in a service's share.
 	repeatableWeight = 0.05
-	// repeatableLeast is the share from which on connections are opened ahead.
-	// Other requests use one in four of them.
-	repeatableLeast = 0.5
+	// minRepeatable is the share from which connections are opened ahead.
+	minRepeatable = 0.5
 )
 
-// repeatableShares is, by service, the share of the latest requests to other
-// regions that might be repeated.
+// repeatableShares is the share of repeatable requests to other regions, by service.
 type repeatableShares struct {
 	mu        sync.Mutex
 	byService map[string]float64
@@ -68,7 +62,7 @@
 	return &repeatableShares{byService: make(map[string]float64)}
 }
 
-// note takes in a request.
+// note records a request.
 func (s *repeatableShares) note(service string, repeatable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,14 +77,14 @@
 	s.byService[service] = share + repeatableWeight*(is-share)
 }
 
-// most reports whether most of a service's requests might be repeated.
+// most reports whether most of a service's requests are repeatable.
 func (s *repeatableShares) most(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.byService[service] >= repeatableLeast
+	return s.byService[service] >= minRepeatable
 }
 
-// keep forgets services that are not in the document any more.
+// keep forgets services that left the document.
 func (s *repeatableShares) keep(snap *config.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -10,7 +10,7 @@
 	"masticturn/internal/outcome"
 )
 
-// writeError gives an error answer: headers for programs, JSON for both.
+// writeError writes an error answer: headers for programs, JSON for both.
 func writeError(w http.ResponseWriter, id string, e *outcome.Error, d *edge.Dialect) {
 	raw, _ := json.Marshal(edge.ErrorBody{
 		Outcome:      e.Outcome.String(),
@@ -44,7 +44,7 @@
 	}
 }
 
-// formatRetryAfter gives seconds; without fractions they are rounded up.
+// formatRetryAfter formats seconds, rounded up if fractions are not allowed.
 func formatRetryAfter(d time.Duration, fractional bool) string {
 	if fractional {
 		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -15,8 +15,7 @@
 	"masticturn/internal/telemetry"
 )
 
-// connectTimeout bounds the opening of a connection: some round trips between
-// the regions that are farthest apart.
+// connectTimeout bounds the opening of a connection.
 const connectTimeout = time.Second
 
 // attempt is one try at one target.
@@ -51,7 +50,7 @@
 	return a
 }
 
-// attempt makes one attempt, or a hedged pair, and gives back what it held.
+// attempt makes one attempt, or a hedged pair, and releases its resources.
 func (x *exchange) attempt(ctx context.Context) attemptEnd {
 	a := x.newAttempt(ctx, x.dispatch.attempts, x.tried)
 	a.fresh = x.fresh
@@ -74,8 +73,7 @@
 	return end
 }
 
-// recordTried excludes an attempt's target from further ones. One whose
-// connection was stale has not been tried: it may know the request's object.
+// recordTried excludes an attempt's target from further ones, unless the connection was stale.
 func (x *exchange) recordTried(a *attempt, end *attemptEnd) {
 	x.fresh = x.fresh || end.Stale
 	if a.target != nil && !end.Stale {
@@ -83,7 +81,7 @@
 	}
 }
 
-// head takes the attempt up to the checked head of the answer.
+// head runs the attempt up to the checked head of the answer.
 func (a *attempt) head() attemptEnd {
 	if end := a.prepare(); end.Fault != FaultNone {
 		return end
@@ -95,9 +93,8 @@
 	return a.check()
 }
 
-// prepare gets a slot and a connection. A slot that was lost meanwhile, as
-// after a pause of this process, is given back and another one acquired:
-// nothing was sent.
+// prepare acquires a slot and a connection. A slot lost meanwhile, as after a pause of this process,
+// is replaced before anything is sent.
 func (a *attempt) prepare() attemptEnd {
 	for {
 		if end := a.admit(); end.Fault != FaultNone {
@@ -119,7 +116,7 @@
 	}
 }
 
-// finish gives back what the attempt held.
+// finish releases the attempt's resources.
 func (a *attempt) finish(end *attemptEnd) {
 	if a.watch != nil {
 		a.watch.stop()
@@ -159,10 +156,8 @@
 	return attemptEnd{}
 }
 
-// connect gets a connection. A request that may not be repeated goes on one
-// that was in use a moment ago, or on a fresh one: any other may have been
-// closed by the target meanwhile, which would leave the request's outcome
-// unknown.
+// connect acquires a connection. A non-idempotent request needs one in very recent use or a new one:
+// any other may be stale, which would leave its outcome unknown.
 func (a *attempt) connect() attemptEnd {
 	use := targetconn.UseAny
 	switch {
@@ -229,7 +224,7 @@
 	return end
 }
 
-// blameCaller corrects the fault when the caller's body is what failed.
+// blameCaller corrects the fault if the caller's body failed.
 func (a *attempt) blameCaller(end *attemptEnd) {
 	if a.stream == nil {
 		return
@@ -248,8 +243,8 @@
 	end.Err = err
 }
 
-// consumed reports whether the caller's body was read and is not kept. When it
-// was not read, the next attempt may read it and this one no longer can.
+// consumed reports whether the caller's body was read and not kept. Otherwise it passes the right to
+// read it to the next attempt.
 func (a *attempt) consumed() bool {
 	if a.stream == nil {
 		return false
@@ -269,7 +264,7 @@
 	return otherwise
 }
 
-// releaseConn ends the attempt's hold on connection and slot.
+// releaseConn releases connection and slot.
 func (a *attempt) releaseConn(end *attemptEnd) {
 	if end.Fault != FaultNone && a.conn != nil {
 		a.conn.Drop()
@@ -284,7 +279,7 @@
 	a.release(end)
 }
 
-// release gives the slot back, once.
+// release releases the slot, once.
 func (a *attempt) release(end *attemptEnd) {
 	if a.permit == nil || a.released {
 		return
@@ -318,8 +313,8 @@
 	a.permit.Release(r)
 }
 
-// newWatchdog returns the watchdog of an attempt. While another attempt is
-// allowed, half of what is left of the deadline is kept for it.
+// newWatchdog returns the watchdog of an attempt. It reserves half of the remaining time for another
+// attempt if one is allowed.
 func (a *attempt) newWatchdog() *watchdog {
 	x := a.x
 	stream, target := x.stream, a.target.Name
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -51,7 +51,7 @@
 		return 0, errRevoked
 	}
 	if u.ended {
-		// A deadline set now would end the server's watch on the connection.
+		// A deadline would end the server's watch of the connection.
 		return 0, io.EOF
 	}
 	n, err := u.read(p)
@@ -86,8 +86,7 @@
 	}
 }
 
-// read asks for no more than one byte above the limit, which proves that the
-// body is too large.
+// read reads at most one byte beyond the limit, which proves that the body is too large.
 func (u *upload) read(p []byte) (int, error) {
 	if int64(len(p)) > u.left+1 {
 		p = p[:u.left+1]
@@ -114,8 +113,8 @@
 // timedOut reports whether the caller was too slow.
 func (u *upload) timedOut() bool { return errors.Is(u.failure(), os.ErrDeadlineExceeded) }
 
-// revoke ends an attempt's right to read and returns an upload for the next
-// attempt; false when something was read, so that it can't be sent again.
+// revoke ends an attempt's right to read and returns an upload for the next one; false if part was
+// read, so that it can't be sent again.
 func (u *upload) revoke() (*upload, bool) {
 	if !u.state.CompareAndSwap(uploadUnread, uploadRevoked) {
 		return nil, false
@@ -139,7 +138,7 @@
 	if _, err := io.ReadFull(u, body); err != nil {
 		return nil, err
 	}
-	// Read up to the end, so that trailers and the connection are in order.
+	// Reading to the end receives trailers and leaves the connection reusable.
 	var rest [1]byte
 	if n, err := u.Read(rest[:]); n != 0 || err != io.EOF {
 		return nil, errors.Join(errCallerBody, err)
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -7,12 +7,10 @@
 	"masticturn/internal/config"
 )
 
-// tokenUnit is one retry: tokens are counted in thousandths, so that a fraction
-// can be added for each first attempt.
+// tokenUnit is one retry, in thousandths, so that fractions can be added.
 const tokenUnit = 1000
 
-// bucket holds retry tokens: first attempts add a fraction, retries take one.
-// It starts full.
+// bucket holds retry tokens: first attempts add a fraction, retries take one. It starts full.
 type bucket struct{ tokens atomic.Int64 }
 
 func newBucket(r *config.Retry) *bucket {
@@ -38,9 +36,8 @@
 	return false
 }
 
-// budget bounds retries and hedges to a fraction of the first attempts, for
-// each service and for each target whose failure causes them. In any window a
-// service gets at most the fraction of its requests and what was saved up.
+// budget limits retries and hedges to a fraction of the first attempts, per service and per target
+// that causes them.
 type budget struct {
 	services sync.Map // service name -> *bucket
 	targets  sync.Map // target name -> *bucket
@@ -56,8 +53,8 @@
 	bucketOf(&b.targets, target, r).deposit(r)
 }
 
-// spend takes one retry for a service caused by the target; false when there is
-// none left. An empty target has caused nothing.
+// spend takes one retry caused by a target; false if the budget is exhausted. An empty target has
+// caused nothing.
 func (b *budget) spend(service, target string, r *config.Retry) bool {
 	s := bucketOf(&b.services, service, r)
 	if target == "" {
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -8,7 +8,7 @@
 	"masticturn/internal/outcome"
 )
 
-// Fault is why an attempt ended without a whole answer.
+// Fault is why an attempt ended without a complete answer.
 type Fault uint8
 
 // The faults of an attempt.
@@ -72,13 +72,12 @@
 	SlotsFree bool
 	// NoListener: nobody listens at the target's address.
 	NoListener bool
-	// Stale: the target had dropped the idle connection that was used, so that it
-	// was not tried and the attempt does not count.
+	// Stale: the target had closed the idle connection; the attempt does not count.
 	Stale bool
 	Err   error
 }
 
-// verdict is what to do after an attempt.
+// verdict is the next step after an attempt.
 type verdict uint8
 
 const (
@@ -95,13 +94,13 @@
 	err     *outcome.Error
 }
 
-// retryRule bounds the attempts of one request.
+// retryRule limits the attempts of one request.
 type retryRule struct {
 	repeatable  bool // it may run more than once
 	maxAttempts int
 	deadline    time.Time
-	// spend takes a retry out of the budget of a target; false when there is
-	// none left. Target is empty when none was reached.
+	// spend takes a retry from a target's budget; false if it is exhausted. Target is empty if none
+	// was reached.
 	spend func(target string) bool
 	// backoff returns the wait before the next attempt.
 	backoff func() time.Duration
@@ -117,10 +116,10 @@
 	last     attemptEnd
 }
 
-// begin notes that an attempt starts.
+// begin records the start of an attempt.
 func (d *dispatch) begin() { d.attempts++ }
 
-// hedged notes the end of a first attempt whose hedge goes on in its place.
+// hedged records the end of a first attempt that its hedge replaces.
 func (d *dispatch) hedged(first attemptEnd) {
 	d.attempts++
 	if first.Sent && first.Fault != FaultShed {
@@ -152,7 +151,7 @@
 	return decision{verdict: verdictFail, err: d.failure(a)}
 }
 
-// retryable reports whether another attempt keeps every promise.
+// retryable reports whether another attempt respects the request's guarantees.
 func (d *dispatch) retryable(a attemptEnd) bool {
 	switch a.Fault {
 	case FaultCallerGone, FaultCallerSlow, FaultDeadline, FaultHeld:
@@ -167,14 +166,12 @@
 	return d.rule.repeatable || !(d.mayRun || a.Sent && a.Fault != FaultShed)
 }
 
-// mayRetry reports whether another attempt would be allowed after such an end,
-// the budget and the deadline apart.
+// mayRetry reports whether another attempt is allowed after such an end, budget and deadline aside.
 func (d *dispatch) mayRetry(a attemptEnd) bool {
 	return d.retryable(a) && d.tries() < d.rule.maxAttempts
 }
 
-// tries is how many attempts count: one on a stale connection does not,
-// unless the rule allows a single one.
+// tries returns the attempts that count: stale connections don't, unless only one is allowed.
 func (d *dispatch) tries() int {
 	if d.rule.maxAttempts == 1 {
 		return d.attempts
@@ -193,18 +190,15 @@
 	return wait, d.rule.spend(a.Peer)
 }
 
-// notRunRetryAfter is when a caller may come back whose request was not run, if
-// neither the target nor admission says: after about one run of a short request,
-// when another slot is free.
+// notRunRetryAfter is the Retry-After if neither the target nor admission has one.
 const notRunRetryAfter = 100 * time.Millisecond
 
-// freeRetryAfter is the same where the target refused though it had slots free:
-// it refuses by chance, and nothing has to end before another one takes the
-// request. Callers of the fleet come back to another VM meanwhile.
+// freeRetryAfter is the Retry-After if the target refused despite free slots, as no run has to end
+// first.
 const freeRetryAfter = 10 * time.Millisecond
 
-// noTargetLeft is the failure of a request that has no other target: the last attempt's,
-// with the time at which a target is expected to be available.
+// noTargetLeft is the failure of a request without another target: the last attempt's, with the time
+// at which a target is expected to be available.
 func (d *dispatch) noTargetLeft(a attemptEnd) *outcome.Error {
 	e := d.failure(d.last)
 	if e.Outcome != outcome.NotRun {
@@ -219,7 +213,7 @@
 	return e
 }
 
-// failure is the one place where the outcome of a failed request is decided.
+// failure returns a failed request's error with its outcome.
 func (d *dispatch) failure(a attemptEnd) *outcome.Error {
 	o := outcome.NotRun
 	if d.mayRun {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -17,7 +17,7 @@
 	"masticturn/internal/telemetry"
 )
 
-// exchange is one caller's request on its way.
+// exchange is one caller's request in progress.
 type exchange struct {
 	h         *Handler
 	w         http.ResponseWriter
@@ -52,7 +52,7 @@
 	fresh    bool          // a connection was stale: further attempts open theirs
 }
 
-// serve takes the request through all steps.
+// serve runs all steps of the request.
 func (x *exchange) serve() {
 	defer x.releaseScreen()
 	err := x.prepare()
@@ -66,7 +66,7 @@
 	x.finish(err)
 }
 
-// prepare goes from parsing to the claim.
+// prepare covers the steps from parsing to the claim.
 func (x *exchange) prepare() *outcome.Error {
 	if err := x.parse(); err != nil {
 		return err
@@ -113,8 +113,7 @@
 	return nil
 }
 
-// leavingRetryAfter is when a caller may ask another VM: at once, but not all
-// callers of this one in the same instant.
+// leavingRetryAfter is the Retry-After while this VM leaves, jittered to spread the callers.
 const leavingRetryAfter = 50 * time.Millisecond
 
 func newRequestID() string {
@@ -152,8 +151,8 @@
 	return nil
 }
 
-// timeout is how long the request may take: what the caller asks, or the
-// route's or class's default, less what the last answer needs on its way.
+// timeout is the caller's timeout, or the default of the route or class, less a margin for the
+// final answer.
 func (x *exchange) timeout() time.Duration {
 	t := x.totalTimeout()
 	t -= min(t/marginFraction, maxMargin)
@@ -163,8 +162,7 @@
 	return t
 }
 
-// objectKey names the object the request is about, "" when it names none or
-// when targets are no faster with objects they know.
+// objectKey returns the object of the request; "" if there is none or targets cache none.
 func (x *exchange) objectKey() string {
 	if r := x.match.Rule; r != nil && !r.Affinity {
 		return ""
@@ -193,8 +191,7 @@
 	return x.snap.Document.Limits.MaxBodyBytes
 }
 
-// readBody reads a small body whole, before a slot at a target is taken, and
-// prepares to stream a larger one.
+// readBody reads a small body before a slot is acquired, and prepares to stream a larger one.
 func (x *exchange) readBody() *outcome.Error {
 	x.head = x.headDigest()
 	length := x.r.ContentLength
@@ -223,7 +220,7 @@
 	return nil
 }
 
-// claimKey claims the idempotency key of a request that may not be repeated.
+// claimKey claims the idempotency key of a non-idempotent request.
 func (x *exchange) claimKey() *outcome.Error {
 	key := first(x.r.Header, x.h.deps.Dialect.IdempotencyKey)
 	if key == "" || x.repeatable {
@@ -252,7 +249,7 @@
 func (x *exchange) run() *outcome.Error {
 	parent := x.r.Context()
 	if x.claim != nil {
-		// A keyed run goes on without its caller: the answer is kept for it.
+		// A keyed run continues without its caller, as the answer is kept.
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, cancel := context.WithDeadlineCause(parent, x.deadline, errDeadline)
@@ -294,8 +291,7 @@
 	}
 }
 
-// abort breaks the caller's connection, so that a part is never taken for the
-// whole.
+// abort breaks the caller's connection, so that a partial answer is not taken for complete.
 func (x *exchange) abort(err *outcome.Error) {
 	x.observe(err)
 	x.h.faults.failed(x, err)
@@ -327,8 +323,7 @@
 		telemetry.Value("sent_ms", x.sentFor.Milliseconds()))...)
 }
 
-// logFields are the fields of a request's last line: what it is, and how long it
-// was under way before it came here and since.
+// logFields are the fields of a request's last line.
 func (x *exchange) logFields() []telemetry.Field {
 	fields := []telemetry.Field{
 		telemetry.Value("request_id", x.id),
--- a/internal/forward/faultlog.go
+++ b/internal/forward/faultlog.go
@@ -7,12 +7,12 @@
 	"masticturn/internal/telemetry"
 )
 
-// faultLog writes what went wrong with requests. The logger bounds the lines.
+// faultLog logs failures of requests. The logger limits the lines.
 type faultLog struct{ logger *telemetry.Logger }
 
 func newFaultLog(l *telemetry.Logger) *faultLog { return &faultLog{logger: l} }
 
-// note writes an answer that was dropped.
+// note logs a dropped answer.
 func (f *faultLog) note(x *exchange, end *attemptEnd) {
 	if end.Fault != FaultCrossed && end.Fault != FaultShort {
 		return
@@ -25,7 +25,7 @@
 		telemetry.Err(trace.Wrap(end.Err)))
 }
 
-// failed writes a request that ended without a whole answer.
+// failed logs a request without a complete answer.
 func (f *faultLog) failed(x *exchange, err *outcome.Error) {
 	fields := append(x.logFields(),
 		telemetry.Peer(err.Peer),
--- a/internal/forward/frontend.go
+++ b/internal/forward/frontend.go
@@ -14,8 +14,7 @@
 	"masticturn/internal/config"
 )
 
-// headLimits bounds the heads of callers' requests. http.Server takes them
-// when it is made, so that a change needs another server.
+// headLimits bounds the heads of requests. They are fixed for the life of an http.Server.
 type headLimits struct {
 	bytes   int
 	timeout time.Duration
@@ -39,8 +38,7 @@
 	return l
 }
 
-// frontend gives each new connection to a server with the limits in force.
-// Connections that are open keep the limits with which they were accepted.
+// frontend serves each new connection with the limits in force. Open connections keep theirs.
 type frontend struct {
 	listener net.Listener
 	handler  http.Handler
@@ -57,7 +55,7 @@
 	return f
 }
 
-// setLimits puts limits in force for connections accepted from now on.
+// setLimits sets the limits of new connections.
 func (f *frontend) setLimits(l headLimits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,8 +99,8 @@
 	}
 }
 
-// give hands a connection over; a feed that was closed meanwhile has a
-// successor, or all is shut down.
+// give passes a connection to the current server; a feed closed meanwhile has a successor, or all
+// is shut down.
 func (f *frontend) give(conn net.Conn) {
 	for {
 		f.mu.Lock()
@@ -121,13 +119,13 @@
 	}
 }
 
-// shutdown takes no new connection and waits for the requests in flight.
+// shutdown stops accepting and waits for the requests in flight.
 func (f *frontend) shutdown(ctx context.Context) error {
 	_ = f.listener.Close()
 	return f.each(func(s *http.Server) error { return s.Shutdown(ctx) })
 }
 
-// close cuts what is left.
+// close closes all connections.
 func (f *frontend) close() error {
 	_ = f.listener.Close()
 	return f.each((*http.Server).Close)
@@ -147,7 +145,7 @@
 	return trace.NewAggregate(errs...)
 }
 
-// feed is a net.Listener whose connections are put in by hand.
+// feed is a net.Listener fed with accepted connections.
 type feed struct {
 	addr   net.Addr
 	conns  chan net.Conn
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -26,8 +26,8 @@
 	"masticturn/internal/telemetry"
 )
 
-// bufferBytes is the size of the buffers through which answers go. An answer
-// up to this size is read whole before its first byte goes to the caller.
+// bufferBytes is the size of relay buffers. Answers up to this size are read completely before
+// their first byte is sent to the caller.
 const bufferBytes = 32 << 10
 
 // Observer receives what targets report with their answers.
@@ -43,8 +43,7 @@
 	Measure   Observer
 	Keys      idempotency.Registry // nil: keyed requests are refused
 	Screen    quarantine.Screen    // nil: all requests may run
-	// Expected returns the targets that are likely to get a request soon and take
-	// long to connect to; nil: no connection is opened ahead.
+	// Expected returns targets to open connections to ahead of requests; nil: none.
 	Expected func() []*config.TargetIndex
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger   *telemetry.Logger
@@ -109,14 +108,13 @@
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
-// CloseConnections makes each further answer ask the caller to close its
-// connection. Requests go on being served.
+// CloseConnections closes callers' connections with their next answer. Requests are still served.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
 // Refuse makes the handler refuse further requests as not run, as this process is about to end.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
-// Adopt drops what is kept for targets that left the document.
+// Adopt drops the state of targets that left the document.
 func (h *Handler) Adopt(s *config.Snapshot) {
 	h.conns.Adopt(s)
 	h.budget.keep(func(target string) bool { return s.Target(target) != nil })
@@ -124,13 +122,13 @@
 	h.repeatable.keep(s)
 }
 
-// Sweep closes old idle connections; it is to be called about once a second.
+// Sweep closes old idle connections. It must be called about once a second.
 func (h *Handler) Sweep() { h.conns.Sweep() }
 
 // Close closes the idle connections to targets.
 func (h *Handler) Close() { h.conns.Close() }
 
-// place returns where the caller is.
+// place returns the caller's region and zone.
 func (h *Handler) place(r *http.Request) lookup.Place {
 	addr, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -8,15 +8,14 @@
 	"time"
 )
 
-// hopByHop lists the headers that belong to one connection and are never
-// passed on (RFC 9110, section 7.6.1).
+// hopByHop lists the headers of a single connection, which are not forwarded (RFC 9110, section
+// 7.6.1).
 var hopByHop = [...]string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// stripHeaders removes what belongs to one connection and what only the
-// system may set. It changes h in place.
+// stripHeaders removes hop-by-hop headers and those that only the system may set, in place.
 func (hd *Handler) stripHeaders(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
@@ -33,8 +32,7 @@
 	}
 }
 
-// first returns the first value of a header by its canonical name; "" for a
-// header that the dialect does not have.
+// first returns the first value of a header by its canonical name; "" for an empty name.
 func first(h http.Header, name string) string {
 	v := h[name]
 	if len(v) == 0 {
@@ -46,7 +44,7 @@
 // setOne sets a header by its canonical name.
 func setOne(h http.Header, name, value string) { h[name] = []string{value} }
 
-// requestIDMax is the longest request id that is taken over from a caller.
+// requestIDMax is the longest accepted request id.
 const requestIDMax = 128
 
 // validRequestID reports whether an id can be logged and echoed as it is.
@@ -62,10 +60,10 @@
 	return true
 }
 
-// maxRetryAfter bounds what the Retry-After header is read as.
+// maxRetryAfter bounds a parsed Retry-After.
 const maxRetryAfter = 24 * time.Hour
 
-// retryAfterDigits is how many digits of seconds are looked at; more are the bound.
+// retryAfterDigits is the number of digits of seconds that are parsed; more are the bound.
 const retryAfterDigits = 9
 
 // parseRetryAfter reads the Retry-After header: seconds, also with a fraction, or a
@@ -94,9 +92,7 @@
 	return text != ""
 }
 
-// keepAliveTimeout returns the time for which the other side says that it keeps
-// an idle connection (timeout of Keep-Alive, in whole seconds); 0 when it does
-// not say.
+// keepAliveTimeout returns the timeout of a Keep-Alive header; 0 if absent.
 func keepAliveTimeout(header string) time.Duration {
 	for field := range strings.SplitSeq(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -8,10 +8,9 @@
 
 var errHedged = errors.New("another attempt was faster")
 
-// hedge starts a second attempt at another target when the first one's answer
-// is slow to begin. The first good head of an answer wins; the other attempt is
-// cancelled. Only repeatable requests whose body is kept are hedged, within the
-// retry budget.
+// hedge starts a second attempt at another target if the first one's answer is late. The first good
+// head wins; the other attempt is canceled. Only repeatable requests with a kept body are hedged,
+// within the retry budget.
 type hedge struct {
 	first  *attempt
 	number int // of the second attempt
@@ -25,8 +24,7 @@
 	done   bool       // the second has its result
 }
 
-// armHedge starts the timer of a hedge. It is called when the request is being
-// sent, so that the hedge finds the request's headers settled.
+// armHedge starts the timer of a hedge. It is called on sending, once the headers are final.
 func (a *attempt) armHedge() {
 	x := a.x
 	after := x.snap.Document.Retry.HedgeAfterMS.Duration()
@@ -74,8 +72,8 @@
 	return true
 }
 
-// join is called when the first attempt's head has ended. It returns the
-// second attempt when that one is to go on in its place, else nil.
+// join is called at the end of the first head. It returns the second attempt if that one replaces
+// the first, else nil.
 func (h *hedge) join(firstFault Fault) (*attempt, attemptEnd) {
 	if h.timer.Stop() || firstFault == FaultNone && h.drop() {
 		return nil, attemptEnd{}
@@ -84,8 +82,7 @@
 	return h.second, h.end
 }
 
-// drop ends the second attempt, as the first has won; false when the second
-// has won before and the first is cancelled already.
+// drop ends the second attempt, as the first has won; false if the second has won before.
 func (h *hedge) drop() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -102,7 +99,7 @@
 	return true
 }
 
-// lose gives back an attempt whose answer is not wanted.
+// lose releases an attempt whose answer is not needed.
 func (a *attempt) lose(end *attemptEnd) {
 	if end.Fault == FaultNone {
 		end.Fault, end.Sent = FaultCallerGone, true
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,7 +12,7 @@
 // seriesKey names one histogram of requests.
 type seriesKey struct{ service, class, tenant string }
 
-// seriesCache finds the metrics of a request without formatting names.
+// seriesCache looks up metrics without formatting names.
 type seriesCache struct {
 	set      *metrics.Set
 	latency  sync.Map // seriesKey -> *metrics.Histogram
@@ -48,7 +48,7 @@
 	return v.(*metrics.Histogram)
 }
 
-// requests returns the counter of requests by how they ended.
+// requests returns the counter of requests by outcome.
 func (c *seriesCache) requests(k endKey) *metrics.Counter {
 	if v, ok := c.ended.Load(k); ok {
 		return v.(*metrics.Counter)
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -10,23 +10,19 @@
 	"masticturn/internal/config"
 )
 
-// connectionShare returns how many of a target's connections this VM may have,
-// so that all VMs together keep the target's limit.
+// connectionShare returns this VM's share of a target's connection limit.
 func connectionShare(s *config.Snapshot, t *config.TargetIndex) int {
 	return t.Connections / max(s.Document.Fleet.MaxVMs, 1)
 }
 
-// connectionRule bounds this VM's connections to one target.
+// connectionRule limits this VM's connections to one target.
 type connectionRule struct {
 	limit int
 	keep  bool // a connection may be kept after its exchange
 }
 
-// connectionRuleOf keeps a target's limit over all VMs. Where each VM has a
-// share of at least one connection, it may keep its connections. In a larger
-// fleet a connection lasts for one exchange: permits then bound the
-// connections of all VMs by the target's slots, which are fewer than the
-// connections it takes.
+// connectionRuleOf splits a target's connection limit among the VMs. In fleets with more VMs than
+// connections each one lasts for one exchange, and permits bound their number by the slots.
 func connectionRuleOf(s *config.Snapshot, t *config.TargetIndex) connectionRule {
 	if share := connectionShare(s, t); share > 0 {
 		return connectionRule{limit: share, keep: true}
@@ -37,9 +33,8 @@
 	return connectionRule{limit: t.Slots}
 }
 
-// outgoing makes the request to the target. The caller's header map is used as
-// it is for the first attempt and copied for further ones, as the connection
-// of an earlier one may still read it.
+// outgoing builds the request to the target. The first attempt uses the caller's header map, further
+// ones a copy, as an earlier connection may still read it.
 func (a *attempt) outgoing() *http.Request {
 	x := a.x
 	header := x.r.Header
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -13,8 +13,8 @@
 	"masticturn/internal/outcome"
 )
 
-// relay takes the answer to the caller. A short one is read whole first, so
-// that the slot is free and nothing is sent unless the answer is complete.
+// relay sends the answer to the caller. A short one is read completely first: the slot is released,
+// and a partial answer is never sent.
 func (a *attempt) relay() attemptEnd {
 	buf := a.x.h.buffers.Get().(*[bufferBytes]byte)
 	defer a.x.h.buffers.Put(buf)
@@ -59,7 +59,7 @@
 	return a.relayStream(buf)
 }
 
-// readAll reads to the clean end of a body that is known to fit.
+// readAll reads the whole of a body that fits.
 func readAll(r io.Reader, buf []byte) (int, error) {
 	n := 0
 	for {
@@ -110,8 +110,8 @@
 	}
 }
 
-// toCaller writes a piece of the answer. When the caller of a keyed run has
-// left, the answer is still read to its end, to be kept under the key.
+// toCaller writes a part of the answer. If the caller of a keyed run has left, the answer is still
+// read to its end, to be kept.
 func (a *attempt) toCaller(p []byte) attemptEnd {
 	x := a.x
 	if x.gone {
@@ -128,9 +128,7 @@
 	return attemptEnd{}
 }
 
-// received notes that the answer was read to its clean end. The connection may
-// carry another exchange from now on, whatever becomes of this answer, where
-// this VM may keep one.
+// received records the clean end of an answer. Its connection may be reused.
 func (a *attempt) received() {
 	a.x.recordAnswered()
 	if a.keep {
@@ -224,7 +222,7 @@
 	return &r.kept
 }
 
-// replay gives a recorded answer.
+// replay sends a recorded answer.
 func (x *exchange) replay(rec *idempotency.Answer) {
 	to := x.w.Header()
 	maps.Copy(to, rec.Header)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -12,7 +12,7 @@
 	"masticturn/internal/telemetry"
 )
 
-// check looks at the answer's head before a byte goes to the caller.
+// check checks the head of the answer before any byte is sent to the caller.
 func (a *attempt) check() attemptEnd {
 	h := a.resp.Header
 	a.observe(h)
@@ -48,9 +48,8 @@
 
 var errTargetRefused = errors.New("the target answered that it did not run the request")
 
-// notRun reports whether the target says by protocol that it did not run the
-// request. A bad request is the caller's to know. Another instance than the one named
-// says so by its status alone.
+// notRun reports whether the target states that it did not run the request: by header, or by status if
+// another instance has the address. A 400 is always relayed.
 func (a *attempt) notRun() bool {
 	switch a.resp.StatusCode {
 	case http.StatusBadRequest:
@@ -68,9 +67,8 @@
 	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Body != http.NoBody
 }
 
-// serverError handles a failure that the target answered: it is relayed like
-// any other answer unless another attempt is possible. A target whose time ran
-// out would leave none for another.
+// serverError handles a failure answered by the target. It is relayed unless another attempt is
+// possible. A gateway timeout would leave another one no time.
 func (a *attempt) serverError(end attemptEnd) attemptEnd {
 	if a.resp.StatusCode == http.StatusGatewayTimeout {
 		return attemptEnd{}
@@ -111,8 +109,7 @@
 	})
 }
 
-// notifyAdmission passes the target's notice on. An answer from another instance at its
-// address is none.
+// notifyAdmission passes the target's notice on, unless another instance answered.
 func (a *attempt) notifyAdmission() {
 	hearer, ok := a.permit.(admission.NoticeReceiver)
 	if !ok || a.resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -8,7 +8,7 @@
 	"masticturn/internal/config"
 )
 
-// maxAttempts is the bound of the rule where there is one.
+// maxAttempts returns the rule's limit, or the document's.
 func (x *exchange) maxAttempts(c *config.Retry) int {
 	if x.pass.Exclusive() {
 		return 1
@@ -19,7 +19,7 @@
 	return c.MaxAttempts
 }
 
-// spend takes a retry caused by a target out of the budget.
+// spend takes a retry caused by a target from the budget.
 func (x *exchange) spend(target string) bool {
 	return x.h.budget.spend(x.match.Service.Name, target, &x.snap.Document.Retry)
 }
@@ -40,7 +40,7 @@
 	}
 }
 
-// backoff returns the waits between attempts: doubled each time, with jitter.
+// backoff returns the waits between attempts: exponential, with jitter.
 func (x *exchange) backoff(c *config.Retry) func() time.Duration {
 	var b *backoff.ExponentialBackOff
 	return func() time.Duration {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -18,7 +18,7 @@
 // ServiceName is the name under which the service is registered.
 const ServiceName = "forward.callers"
 
-// What holds on the callers' listener until a document says otherwise.
+// Defaults of the callers' listener without a document.
 const (
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
@@ -84,8 +84,8 @@
 	s.deps.Handler.Adopt(snap)
 }
 
-// handler splits look-ups from requests. A mux would clean paths by redirects,
-// which are the targets' to judge.
+// handler separates look-ups from requests. A mux would redirect to clean paths, which are the
+// targets' business.
 func (s *Service) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.deps.Lookup != nil && r.URL.Path == edge.PathLookup {
@@ -99,7 +99,7 @@
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return s.deps.Handler.InFlight() }
 
-// CloseConnections makes each further answer close its caller's connection.
+// CloseConnections closes callers' connections with their next answer.
 func (s *Service) CloseConnections() { s.deps.Handler.CloseConnections() }
 
 // Refuse makes the handler refuse further requests as not run.
@@ -108,7 +108,7 @@
 // Address returns where the listener is open.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
-// every calls f again and again until the service stops.
+// every calls f at an interval until the service stops.
 func (s *Service) every(ctx context.Context, interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -124,8 +124,7 @@
 	}
 }
 
-// Drain implements kernel.Service: it takes no new connection and returns when
-// nothing is in flight.
+// Drain implements kernel.Service: it stops accepting and waits for the requests in flight.
 func (s *Service) Drain(ctx context.Context) error {
 	if s.front == nil {
 		return nil
@@ -133,7 +132,7 @@
 	return trace.Wrap(s.front.shutdown(ctx), "wait for requests in flight")
 }
 
-// Stop implements kernel.Service. What is still in flight is cut and counted.
+// Stop implements kernel.Service. Requests still in flight are cut and counted.
 func (s *Service) Stop(context.Context) error {
 	if s.front == nil {
 		return nil
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -7,10 +7,8 @@
 	"masticturn/internal/config"
 )
 
-// splitter shares the requests of rules with several parts among their
-// services by smooth weighted round robin: after any run of requests each part
-// is within one request of its share, so that the shares of all VMs add up to
-// the weights in every window.
+// splitter distributes requests of rules with several parts over their services by smooth weighted
+// round robin, which keeps each part within one request of its share.
 type splitter struct {
 	mu    sync.Mutex
 	rules map[string]*splitState // by rule name
@@ -24,8 +22,7 @@
 
 func newSplitter() *splitter { return &splitter{rules: make(map[string]*splitState)} }
 
-// service returns the service of the next request of a rule, nil when the
-// document does not have it.
+// service returns the service of the next request of a rule; nil if the document lacks it.
 func (s *splitter) service(snap *config.Snapshot, rule *config.Rule) *config.ServiceIndex {
 	if rule == nil || len(rule.Parts) == 0 {
 		return nil
@@ -40,7 +37,7 @@
 	return snap.Service(state.next())
 }
 
-// next picks the part with most credit and takes the sum of weights from it.
+// next picks the part with the highest credit and charges it the sum of weights.
 func (st *splitState) next() string {
 	best, total := 0, 0
 	for i, p := range st.parts {
@@ -54,7 +51,7 @@
 	return st.parts[best].Service
 }
 
-// keep forgets rules that are in no host any more.
+// keep forgets rules that are no longer configured.
 func (s *splitter) keep(hosts []config.Host) {
 	known := make(map[string]bool)
 	for _, h := range hosts {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -22,8 +22,7 @@
 	watchReceive                   // bytes of the answer
 )
 
-// watchdog cancels an attempt that makes no progress. It has one timer, which
-// is reset as the attempt goes on.
+// watchdog cancels an attempt without progress. Its single timer is reset by progress.
 type watchdog struct {
 	cancel    context.CancelCauseFunc
 	firstByte time.Duration // longest wait from the request's end to the answer's first byte
@@ -65,21 +64,21 @@
 	}
 }
 
-// sending notes a piece of the request's body.
+// sending records a part of the request's body.
 func (w *watchdog) sending() {
 	if w.phase.Load() == uint32(watchSend) {
 		w.timer.Reset(w.idle)
 	}
 }
 
-// sent notes the end of the request.
+// sent records the end of the request.
 func (w *watchdog) sent() {
 	if w.phase.CompareAndSwap(uint32(watchSend), uint32(watchWait)) {
 		w.timer.Reset(w.firstByte)
 	}
 }
 
-// receiving notes the answer's head or a piece of its body.
+// receiving records the answer's head or a part of its body.
 func (w *watchdog) receiving() {
 	w.phase.Store(uint32(watchReceive))
 	w.timer.Reset(w.idle)
