--- a/internal/targetconn/ahead.go
+++ b/internal/targetconn/ahead.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	// closeMargin is how long before a target closes an idle connection it is not
-	// used any more: a way there of the farthest regions, and the time by which the
-	// target counts from earlier than this VM.
+	// closeMargin is how long before the target's timeout an idle connection is given up: the longest
+	// one-way delay, and the target's earlier start of its timer.
 	closeMargin = time.Second
-	// keptMost is how long a connection that is kept ready may be idle at most.
+	// keptMost bounds the idle time of a connection that is kept ready.
 	keptMost = 30 * time.Second
 )
 
@@ -49,8 +48,8 @@
 	return pl.hasOpen(p.deps.Clock.Now())
 }
 
-// reserveAhead takes a place for a connection that is opened ahead; false when
-// one is open or being opened, or there is no room.
+// reserveAhead reserves a connection to open ahead; false if one is open or opening, or the limit is
+// reached.
 func (p *pool) reserveAhead(limit int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -67,7 +66,7 @@
 	return len(p.open) > n || n > 0 && p.idle[n-1].usable(now, p.idleLimit())
 }
 
-// idleLimit is how long a connection may be idle to be used again; p.mu is held.
+// idleLimit is the longest usable idle time; p.mu is held.
 func (p *pool) idleLimit() time.Duration { return KeptLimit(p.targetKeeps) }
 
 // KeptLimit is the longest usable idle time by the target's keep-alive timeout; 0: not announced.
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// Conn is one connection to a target, reserved for one exchange at a time. It
-// never resends a request. Every Conn returned by Get must be given back with
-// exactly one call of Keep or Drop.
+// Conn is one connection to a target, reserved for one exchange at a time. It never resends a request.
+// Every Conn returned by Get must be released by exactly one call of Keep or Drop.
 type Conn struct {
 	pool     *pool
 	client   *http.ClientConn
@@ -20,8 +19,7 @@
 	openedIn time.Duration
 }
 
-// OpenedIn returns how long it took to open the connection for this exchange; 0
-// when it was open before.
+// OpenedIn returns the time it took to open the connection for this exchange; 0: it was open.
 func (c *Conn) OpenedIn() time.Duration {
 	if c.reused {
 		return 0
@@ -34,13 +32,12 @@
 	return c.client.RoundTrip(req)
 }
 
-// Untouched forbids further writes and reports whether no byte of the request
-// was handed to the network. It is decided once and for all: after true no
-// byte leaves. The connection can't be kept afterwards.
+// Untouched forbids further writes and reports whether no byte of the request was passed to the
+// network. The result is final; after true no byte is sent. The connection can't be kept.
 func (c *Conn) Untouched() bool { return c.wire.seal() }
 
-// Keep gives back a connection whose answer was read to its clean end. It
-// becomes idle when the target turns out to have sent nothing after it.
+// Keep releases a connection after the clean end of an answer. It becomes idle unless the target has
+// sent anything after it.
 func (c *Conn) Keep() {
 	if c.reused && c.idleFor >= idleLeast {
 		c.pool.staleness.recordUse()
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -18,11 +18,10 @@
 	dialing int
 	idle    []*Conn // the most recently used last
 	retired bool    // the target left the document
-	// targetKeeps is how long the target says that it keeps idle connections; 0:
-	// it has not said.
+	// targetKeeps is the target's keep-alive timeout; 0: not announced.
 	targetKeeps time.Duration
 	opening     time.Duration // of the connection that opened fastest; 0: none has
-	// doubtUntil is until when an answer may come that nobody asked for.
+	// doubtUntil is the end of the time in which an unexpected answer may arrive.
 	doubtUntil time.Time
 }
 
@@ -30,7 +29,7 @@
 	return &pool{open: make(map[*Conn]struct{}), dropped: p.dropped, staleness: &p.staleness, now: p.deps.Clock.Now}
 }
 
-// acquireIdleFor returns an idle connection that is good for a use, or nil.
+// acquireIdleFor returns an idle connection suitable for a use, or nil.
 func (p *pool) acquireIdleFor(use Use, now time.Time) *Conn {
 	switch use {
 	case UseAny:
@@ -55,8 +54,8 @@
 	p.doubtUntil = until
 }
 
-// acquireIdle returns the most recently used idle connection that may still be
-// used, in an exchange, and was in use within limit; or nil.
+// acquireIdle returns the most recently used idle connection that is usable and was in use within the
+// limit, in an exchange; or nil.
 func (p *pool) acquireIdle(now time.Time, limit time.Duration) *Conn {
 	for {
 		c := p.popIdle(now, limit)
@@ -72,7 +71,7 @@
 	}
 }
 
-// recordOpening takes in how long it took to open a connection.
+// recordOpening records the time it took to open a connection.
 func (p *pool) recordOpening(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -81,23 +80,21 @@
 	}
 }
 
-// shortestOpening is how long it took to open the connection that opened fastest.
+// shortestOpening is the shortest time it took to open a connection.
 func (p *pool) shortestOpening() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.opening
 }
 
-// usualLimit is how long a connection may be idle for a request that may be
-// repeated.
+// usualLimit is the longest idle time of a connection for a repeatable request.
 func (p *pool) usualLimit() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.idleLimit()
 }
 
-// popIdle takes the most recently used connection out, if it was in use within
-// limit.
+// popIdle removes the most recently used connection, if it was in use within the limit.
 func (p *pool) popIdle(now time.Time, limit time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,8 +108,7 @@
 	return c
 }
 
-// reserve takes one place for a new connection within the limit. An idle
-// connection makes room when there is none.
+// reserve reserves a new connection within the limit, closing an idle one if needed.
 func (p *pool) reserve(limit int) bool {
 	p.mu.Lock()
 	var evicted *Conn
@@ -138,7 +134,7 @@
 	p.dialing--
 }
 
-// add turns a reserved place into an open connection.
+// add converts a reservation into an open connection.
 func (p *pool) add(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,7 +142,7 @@
 	p.open[c] = struct{}{}
 }
 
-// releaseIdle takes back a connection that is quiet after its exchange.
+// releaseIdle makes a connection idle that is quiet after its exchange.
 func (p *pool) releaseIdle(c *Conn, now time.Time) {
 	p.mu.Lock()
 	_, known := p.open[c]
@@ -196,7 +192,7 @@
 	p.dropIdle()
 }
 
-// sweep drops idle connections that may not be used any more.
+// sweep drops idle connections that are too old.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
 	limit := p.idleLimit()
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -1,6 +1,5 @@
-// Package targetconn keeps the connections to targets: limited per target,
-// aged out, never resent on, never reused after an answer that was late, short
-// or followed by more bytes than were asked for.
+// Package targetconn keeps the connections to targets: limited per target, aged out, never resent on,
+// and never reused after an answer that was late, short or followed by unexpected bytes.
 package targetconn
 
 import (
@@ -19,28 +18,24 @@
 	"masticturn/internal/kernel"
 )
 
-// How long connections are kept. A connection between IdleLimit and the idle
-// timeout of a usual server is a race with the server's close, so that it is
-// kept well below.
+// Idle times. They stay well below usual servers' idle timeouts, as a request may race with the
+// server's close.
 const (
-	// IdleLimit is how long a connection may be idle to be used again.
+	// IdleLimit is the longest idle time of a connection for reuse.
 	IdleLimit = 4 * time.Second
 	maxAge    = 2 * time.Minute
-	// recentLimit is how long a connection may be idle to carry a request that
-	// must not be lost. Opening one costs a round trip, 110 ms between regions that
-	// are far apart; targets keep idle connections for ten seconds.
+	// recentLimit is that for a non-idempotent request.
 	recentLimit = 2 * time.Second
-	// distrustFor is how long connections of a target are not reused for such
-	// requests after an answer that belonged to another request: a second answer
-	// may still be on its way on any of them.
+	// distrustFor is how long a target's connections are not reused for such requests after a mismatched
+	// response, as another one may follow on any of them.
 	distrustFor  = 10 * time.Second
 	maxAgeJitter = 30 * time.Second
 )
 
-// ErrLimit says that every connection this VM may have to the target is in use.
+// ErrLimit: all connections of this VM to the target are in use.
 var ErrLimit = errors.New("limit of connections to the target is reached")
 
-// Use says what a connection is wanted for.
+// Use is the purpose of a connection.
 type Use uint8
 
 // The uses of a connection.
@@ -100,9 +95,8 @@
 	return w, nil
 }
 
-// Get returns a connection to the target. ErrLimit means that none is free
-// within the limit, which is this VM's share of the target's connections. No
-// byte has been sent when an error is returned.
+// Get returns a connection to the target, or ErrLimit if this VM's share of the target's connections
+// is in use. No byte has been sent on an error.
 func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use) (*Conn, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
 	if c := pl.acquireIdleFor(use, p.deps.Clock.Now()); c != nil {
@@ -168,21 +162,20 @@
 	return pl
 }
 
-// Suspect drops the idle connections to a target after one of its connections
-// went silent: what lost track of one may have lost track of all.
+// Suspect drops the idle connections to a target after one of its connections turned silent, as the
+// target may have lost all of them.
 func (p *Pools) Suspect(t *config.TargetIndex) {
 	p.pool(poolKey{t.Name, t.Address}).dropIdle()
 }
 
-// Distrust makes requests that must not be lost use fresh connections to a
-// target for a while.
+// Distrust makes non-idempotent requests use new connections to a target for a while.
 func (p *Pools) Distrust(t *config.TargetIndex) {
 	pl := p.pool(poolKey{t.Name, t.Address})
 	pl.distrust(p.deps.Clock.Now().Add(distrustFor))
 }
 
-// Adopt forgets targets that are no longer in the document. Their idle
-// connections are closed; exchanges in flight go on to their end.
+// Adopt forgets targets that left the document and closes their idle connections. Exchanges in flight
+// finish.
 func (p *Pools) Adopt(s *config.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -196,8 +189,7 @@
 	}
 }
 
-// Sweep closes idle connections that are too old. It is called about once a
-// second.
+// Sweep closes idle connections that are too old. It must be called about once a second.
 func (p *Pools) Sweep() {
 	now := p.deps.Clock.Now()
 	p.mu.RLock()
@@ -207,7 +199,7 @@
 	}
 }
 
-// Close closes the idle connections; those in use are closed when given back.
+// Close closes the idle connections; others are closed when released.
 func (p *Pools) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/targetconn/stale.go
+++ b/internal/targetconn/stale.go
@@ -6,32 +6,25 @@
 )
 
 const (
-	// staleFor is how long it is remembered that many idle connections were stale.
+	// staleFor is how long a high share of stale connections is remembered.
 	staleFor = 10 * time.Second
-	// staleWeight is the weight of one use of an idle connection in the share of
-	// stale ones, and staleLeast the share from which on idle times are shortened:
-	// three in a row, or a quarter over some time. Fewer are no reason: the connections
-	// of a target whose address another one has got are stale too.
+	// staleWeight is the weight of one use in the share of stale connections, and staleLeast the share from
+	// which idle times are shortened. A lower share may stem from addresses that changed hands.
 	staleWeight = 0.1
 	staleLeast  = 0.25
-	// stalePart is the part of a stale connection's idle time for which others are
-	// used meanwhile: targets, or what lies before them, drop idle connections after
-	// a time that is known only to be shorter.
+	// stalePart is the share of a stale connection's idle time within which others are used meanwhile, as
+	// the actual timeout is only known to be shorter.
 	stalePart = 0.25
-	// resetTrips and resetSlack bound how long the reset of a stale connection
-	// takes: one way there and back, as the shortest opening of a connection to the
-	// target took, with some time for the processes. A target that resets after a
-	// run does so later.
+	// resetTrips and resetSlack bound the delay of a reset by a stale connection: a round trip by the
+	// shortest opening, with some slack. A failing target resets later.
 	resetTrips = 1.25
 	resetSlack = 15 * time.Millisecond
-	// idleLeast is how long a connection must have been idle to be stale: no target
-	// drops one sooner.
+	// idleLeast is the shortest idle time of a stale connection.
 	idleLeast = 150 * time.Millisecond
 )
 
-// staleness is what this VM has seen of stale connections: idle ones that were reset
-// by the next request, as their targets had dropped them. When there are many, no
-// request should go on a connection that was idle for long.
+// staleness is the share of idle connections that their targets had closed. If it is high, requests
+// avoid connections with long idle times.
 type staleness struct {
 	mu    sync.Mutex
 	share float64       // of the latest uses of idle connections
@@ -39,14 +32,14 @@
 	until time.Time
 }
 
-// recordUse takes in an idle connection that was not stale.
+// recordUse records a usable idle connection.
 func (s *staleness) recordUse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.share -= staleWeight * s.share
 }
 
-// note takes in a connection that was stale after it had been idle for so long.
+// note records a stale connection with its idle time.
 func (s *staleness) note(idle time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,7 +55,7 @@
 	s.until = now.Add(staleFor)
 }
 
-// bound returns the shorter of a limit and the one that holds meanwhile.
+// bound returns the limit, or the shorter one in force.
 func (s *staleness) bound(limit time.Duration, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,9 +65,8 @@
 	return limit
 }
 
-// Stale reports whether the connection had been idle and was reset so soon after
-// the request was sent that the target can't have known it any more. It is asked
-// once, after an exchange that ended before the answer began, and counts.
+// Stale reports whether the connection had been idle and was reset too soon after the request for the
+// target to have read it. It must be called once, after an exchange without an answer.
 func (c *Conn) Stale(sent time.Duration) bool {
 	longest := time.Duration(resetTrips*float64(c.pool.shortestOpening())) + resetSlack
 	if !c.reused || c.idleFor < idleLeast || sent > longest {
--- a/internal/targetconn/wire.go
+++ b/internal/targetconn/wire.go
@@ -6,7 +6,7 @@
 	"sync"
 )
 
-// phase is where a connection is in its life.
+// phase is the state of a connection.
 type phase uint8
 
 const (
@@ -21,13 +21,11 @@
 	errSealed      = errors.New("connection is sealed")
 )
 
-// wire is the net.Conn below a ClientConn. It knows whether a byte of the
-// running exchange was written, refuses to write outside an exchange, and
-// drops bytes that arrive when no request has been written.
+// wire is the net.Conn below a ClientConn. It records whether a byte of the exchange was written, refuses
+// writes outside an exchange, and drops bytes that arrive before a request is written.
 //
-// An HTTP/1 client connection reads from its net.Conn only when its own buffer
-// is empty. A read that is pending after an exchange therefore proves that the
-// answer was followed by nothing, and only then quiet is called.
+// An HTTP/1 client connection reads from its net.Conn only if its buffer is empty. A pending read after
+// an exchange thus proves that nothing followed the answer; only then quiet is called.
 type wire struct {
 	net.Conn
 	quiet  func() // the exchange ended and nothing followed the answer
@@ -42,9 +40,8 @@
 	received uint64
 }
 
-// begin starts an exchange; false when the connection can't be used. Bytes
-// that have come since the last answer make it unusable even where the reader
-// has not been scheduled yet to say so.
+// begin starts an exchange; false if the connection is unusable. Bytes received since the last answer
+// make it so, even before the reader is scheduled.
 func (w *wire) begin() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -56,7 +53,7 @@
 	return true
 }
 
-// settle ends an exchange whose answer was read to its end.
+// settle ends an exchange after the clean end of its answer.
 func (w *wire) settle() {
 	w.mu.Lock()
 	if w.phase != phaseExchange {
@@ -74,8 +71,8 @@
 	}
 }
 
-// seal forbids further writes and reports whether no write of this exchange
-// was begun. Once it returned true no byte of the request leaves.
+// seal forbids further writes and reports whether no write of this exchange was begun. After true no
+// byte of the request is sent.
 func (w *wire) seal() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
