--- /dev/null
+++ b/internal/customer/events.go
@@ -0,0 +1,25 @@
+package customer
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"masticturn/internal/telemetry"
+)
+
+// The events of customers.
+var (
+	eventKeysRefused = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 801,
+		Level:   logrus.WarnLevel,
+		Name:    "keys refused",
+		Meaning: "This VM can't prove that its document is recent enough to know of removed keys; age_ms is the age it may have. Requests with keys are refused as not run, public routes are served, and look-ups name other VMs.",
+		Action:  "Check the platform's store and the path to it, and the paths to the other VMs.",
+	})
+	eventKeysServed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 802,
+		Level:   logrus.InfoLevel,
+		Name:    "keys served again",
+		Meaning: "The document is recent enough again; requests with keys are served.",
+		Action:  "None.",
+	})
+)
--- /dev/null
+++ b/internal/ratelimit/ways_test.go
@@ -0,0 +1,143 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"masticturn/internal/customer"
+)
+
+// way is a way to share a limit among VMs.
+type way interface {
+	// take reports whether a request that arrives at a VM runs.
+	take(vm int, now time.Duration) bool
+	// tick is called every reportInterval.
+	tick(now time.Duration)
+}
+
+// equalShares gives every VM the same part of the budget.
+type equalShares struct{ buckets []*bucket }
+
+func newEqualShares(b Budget, vms int) *equalShares {
+	w := &equalShares{}
+	for range vms {
+		share := Share{Rate: b.Rate / float64(vms), Burst: int(b.Burst) / vms}
+		w.buckets = append(w.buckets, newBucket(share, share.Burst, wallOf(0)))
+	}
+	return w
+}
+
+func (w *equalShares) take(vm int, now time.Duration) bool {
+	ok, _ := w.buckets[vm].take(wallOf(now))
+	return ok
+}
+
+func (*equalShares) tick(time.Duration) {}
+
+// demandShares splits the budget by demand among holders; a VM asks that of its group.
+type demandShares struct {
+	budget  Budget
+	holders []*holder
+	granter *granter
+	group   func(vm int) int
+}
+
+func newDemandShares(b Budget, limit customer.Limit, holders int, group func(vm int) int) *demandShares {
+	w := &demandShares{budget: b, granter: newGranter(1, testTolerance, nil, true, time.Second), group: group}
+	w.granter.fleet = func(Budget) int { return holders }
+	for range holders {
+		w.holders = append(w.holders, newHolder(1))
+	}
+	return w
+}
+
+func (w *demandShares) take(vm int, now time.Duration) bool {
+	h := w.holders[w.group(vm)]
+	h.count("c", now)
+	result, wait := h.take("c", now)
+	if result == verdictUnknown {
+		w.report(w.group(vm), now)
+		result, wait = h.take("c", now)
+	}
+	if result == verdictOver && wait <= tokenWait {
+		result, _ = h.take("c", now+wait)
+	}
+	return result == verdictTaken
+}
+
+func (w *demandShares) report(i int, now time.Duration) {
+	limit := customer.Limit{PerSecond: w.budget.Rate / (1 + rateOverageShare*testTolerance.Overage)}
+	limit.Burst = w.budget.Burst - burstShare*testTolerance.Slack
+	limit.Burst /= 1 + burstShare*testTolerance.Overage
+	got, ok := w.granter.report(fmt.Sprint(i), w.holders[i].report(now), func(string) customer.Limit { return limit }, now)
+	if ok {
+		w.holders[i].apply(got, now, now)
+	}
+}
+
+func (w *demandShares) tick(now time.Duration) {
+	for i := range w.holders {
+		w.report(i, now)
+	}
+}
+
+// served returns the share of a load that runs.
+func served(w way, vms int, perSecond float64, pick func(random *rand.Rand, now time.Duration) int) float64 {
+	const length = 30 * time.Second
+	random := rand.New(rand.NewPCG(5, uint64(vms)))
+	now, next := 2*time.Second, 2*time.Second
+	ran, asked := 0, 0
+	for now < length {
+		now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+		for next < now {
+			w.tick(next)
+			next += reportInterval
+		}
+		asked++
+		if w.take(pick(random, now), now) {
+			ran++
+		}
+	}
+	return float64(ran) / float64(asked)
+}
+
+// The built way serves requests below a limit at least as well as the other ways, on each load.
+func TestWaysToShareALimit(t *testing.T) {
+	const vms, regions = 84, 3
+	evenly := func(random *rand.Rand, _ time.Duration) int { return random.IntN(vms) }
+	loads := map[string]struct {
+		limit   float64
+		offered float64
+		pick    func(random *rand.Rand, now time.Duration) int
+	}{
+		"small, at all VMs":  {4, 2.7, evenly},
+		"small, at one VM":   {4, 2.7, func(*rand.Rand, time.Duration) int { return 7 }},
+		"middle, at all VMs": {40, 27, evenly},
+		"middle, at one VM":  {40, 27, func(*rand.Rand, time.Duration) int { return 7 }},
+		"middle, moving": {40, 27, func(random *rand.Rand, now time.Duration) int {
+			return int(now/(4*time.Second))%3 + 3*random.IntN(vms/3)
+		}},
+		"large, at all VMs":     {389, 260, evenly},
+		"large, at ten VMs":     {389, 260, func(random *rand.Rand, _ time.Duration) int { return random.IntN(10) }},
+		"large, beyond its end": {389, 800, evenly},
+	}
+	for name, l := range loads {
+		limit := customer.Limit{PerSecond: l.limit, Burst: l.limit}
+		b := testTolerance.Budget(limit)
+		perRegion := min(holderCount(b, regions), vms/regions)
+		equal := served(newEqualShares(b, vms), vms, l.offered, l.pick)
+		demand := served(newDemandShares(b, limit, vms, func(vm int) int { return vm }), vms, l.offered, l.pick)
+		built := served(newDemandShares(b, limit, regions*perRegion, func(vm int) int {
+			return vm%regions*perRegion + vm/regions%perRegion
+		}), vms, l.offered, l.pick)
+		t.Logf("%-22s equal %.3f, by demand at all VMs %.3f, built %.3f", name, equal, demand, built)
+		if built < max(equal, demand)-0.02 {
+			t.Errorf("%s: %.3f of the requests run, %.3f with equal shares, %.3f with shares of all VMs", name, built, equal, demand)
+		}
+		if l.offered < l.limit && name != "middle, moving" && built < 0.97 {
+			t.Errorf("%s: %.3f of the requests run below the limit", name, built)
+		}
+	}
+}
