Customers on the request path: keys, revocation, limits, regions and classes

Cause of all: the product knew no customers. Now a request of a route that is not public needs a key of the document; 401 at once otherwise, 503 while the document may be too old, 429 or 503 by the limit, none of them run. Customer's class goes before the rule's, regions of both bind. Neither key nor a made-up name reaches a target, as header, trailer or connection option.

--- a/internal/config/hosts.go
+++ b/internal/config/hosts.go
@@ -27,6 +27,7 @@
 	MaxAttempts    int      `json:"max_attempts"`              // targets one request may be sent to
 	AllowedRegions []string `json:"allowed_regions,omitempty"` // regions it may run in; empty: all
 	Affinity       bool     `json:"affinity,omitempty"`        // targets that know an object answer sooner
+	Public         bool     `json:"public,omitempty"`          // needs no key in a document with customers
 }
 
 // Part is a share of a rule's requests that goes to one service.
--- /dev/null
+++ b/internal/config/override.go
@@ -0,0 +1,44 @@
+package config
+
+import "masticturn/internal/customer"
+
+// overrideKey identifies a rule as it applies to a customer.
+type overrideKey struct {
+	rule     *Rule
+	customer *customer.Customer
+}
+
+// ForCustomer returns a match as it applies to a customer: the customer's class goes before the
+// rule's, and the allowed regions of both bind. ok is false if no region is allowed by both.
+func (s *Snapshot) ForCustomer(m Match, c *customer.Customer) (match Match, ok bool) {
+	if m.Rule == nil || c.Class == "" && len(c.AllowedRegions) == 0 {
+		return m, true
+	}
+	m.Rule = s.override(m.Rule, c)
+	if m.Rule == nil {
+		return m, false
+	}
+	if class := s.classes[m.Rule.Class]; class != nil {
+		m.Class = class
+	}
+	return m, true
+}
+
+// override returns the rule for a customer, derived once per snapshot; nil if no region is allowed.
+func (s *Snapshot) override(rule *Rule, c *customer.Customer) *Rule {
+	key := overrideKey{rule, c}
+	if v, ok := s.overrides.Load(key); ok {
+		return v.(*Rule)
+	}
+	var derived *Rule
+	if regions, ok := customer.CommonRegions(rule.AllowedRegions, c.AllowedRegions); ok {
+		r := *rule
+		r.AllowedRegions = regions
+		if c.Class != "" {
+			r.Class = c.Class
+		}
+		derived = &r
+	}
+	v, _ := s.overrides.LoadOrStore(key, derived)
+	return v.(*Rule)
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
+
+	"masticturn/internal/customer"
 )
 
 // Generation numbers accepted documents. It only rises.
@@ -15,6 +18,9 @@
 	Hash       uint64 // of the stored document
 	BlocksHash uint64 // of its client blocks; 0 when there are none
 	Document   *Document
+	// Customers hold the keys that requests must carry; nil: no keys are needed. Only documents of a
+	// platform have customers.
+	Customers *customer.Directory
 
 	regionOfZone map[string]string
 	services     []*ServiceIndex
@@ -23,6 +29,7 @@
 	classes      map[string]*Class
 	links        map[regionPair]*Link
 	hosts        hostTable
+	overrides    sync.Map // overrideKey -> *Rule
 }
 
 // ServiceIndex is a service with its targets by region.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 type Options struct {
 	Logger *telemetry.Logger // nil: no log
 	Clock  kernel.Clock      // nil: the machine's
+	Boot   kernel.BootClock  // nil: the machine's
 	Store  platform.Store    // nil: an HTTP client of settings.Platform
 	Dial   DialFunc          // nil: a plain net.Dialer; used towards peers, targets and the platform
 	Listen ListenFunc        // nil: net.Listen
@@ -53,6 +54,9 @@
 	if opts.Clock == nil {
 		opts.Clock = kernel.SystemClock{}
 	}
+	if opts.Boot == nil {
+		opts.Boot = kernel.NewSystemBootClock()
+	}
 	if opts.Logger == nil {
 		opts.Logger = telemetry.Discard()
 	}
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -9,6 +9,7 @@
 
 	"masticturn/internal/admission"
 	"masticturn/internal/config"
+	"masticturn/internal/customer"
 	"masticturn/internal/discovery"
 	"masticturn/internal/drain"
 	"masticturn/internal/edge"
@@ -22,6 +23,7 @@
 	"masticturn/internal/peer"
 	"masticturn/internal/placement"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/ratelimit"
 	"masticturn/internal/settings"
 )
 
@@ -68,7 +70,9 @@
 		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName),
 		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
 		module(quarantine.ServiceName, d.newQuarantine, peer.ServiceName, storeName, membership.ServiceName),
-		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName, quarantine.ServiceName),
+		module(customer.GuardName, d.newKeyGuard, discovery.ServiceName, membership.ServiceName),
+		module(ratelimit.ServiceName, d.newRateLimit, peer.ServiceName, storeName, membership.ServiceName, discovery.ServiceName),
+		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName, quarantine.ServiceName, customer.GuardName, ratelimit.ServiceName),
 		module(operator.ServiceName, d.newHostedOperator, discovery.ServiceName),
 		module(drain.ServiceName, d.newHostedDrain, membership.ServiceName, discovery.ServiceName, forward.ServiceName, entry.ServiceName),
 	}
@@ -110,6 +114,7 @@
 		Bounds:     d.settings.Bounds,
 		Shares:     func() (config.Fleet, config.Retry) { return sharesOf(w.members.View(), d.settings.Bounds) },
 		Clock:      d.opts.Clock,
+		Boot:       d.opts.Boot,
 		Logger:     d.opts.Logger,
 		Metrics:    d.opts.Metrics,
 	})
@@ -171,6 +176,52 @@
 	}), nil
 }
 
+func (d *Daemon) newKeyGuard(w *wiring) (kernel.Service, error) {
+	return customer.NewGuard(customer.GuardDeps{
+		Revocation: d.settings.Bounds.KeyRevocation,
+		Age:        w.discovery.DocumentAge,
+		Keyed: func() bool {
+			snap := w.discovery.Current()
+			return snap != nil && snap.Customers.Required()
+		},
+		Announce: func(serves bool) { w.members.SetLimited(!serves) },
+		Logger:   d.opts.Logger,
+	}), nil
+}
+
+func (d *Daemon) newRateLimit(w *wiring) (kernel.Service, error) {
+	b := d.settings.Bounds
+	return ratelimit.NewService(ratelimit.Deps{
+		Self:        d.settings.VM.Name,
+		Region:      d.settings.VM.Region,
+		Incarnation: d.incarnation,
+		Tolerance:   ratelimit.Tolerance{Window: b.LimitWindow, Overage: b.LimitOverage, Slack: b.LimitSlack},
+		Customers: func() *customer.Directory {
+			if snap := w.discovery.Current(); snap != nil {
+				return snap.Customers
+			}
+			return nil
+		},
+		Regions:  countRegions(d.settings.Places),
+		Store:    w.store,
+		Network:  w.network,
+		Members:  w.members,
+		Joined:   w.members.Ready,
+		Announce: w.members.SetTerm,
+		Boot:     d.opts.Boot,
+		Logger:   d.opts.Logger,
+		Metrics:  d.opts.Metrics,
+	}), nil
+}
+
+func countRegions(places map[string]string) int {
+	regions := make(map[string]bool)
+	for _, region := range places {
+		regions[region] = true
+	}
+	return len(regions)
+}
+
 func (d *Daemon) newHostedForward(w *wiring) (kernel.Service, error) {
 	handler := forward.NewHandler(forward.Deps{
 		Config:    w.discovery,
@@ -179,6 +230,8 @@
 		Locator:   fixedPlace{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
 		Measure:   noObserver{},
 		Screen:    w.quarantine,
+		KeyGuard:  w.keyGuard,
+		Limiter:   w.limiter,
 		Dial:      d.opts.Dial,
 		Logger:    d.opts.Logger,
 		Metrics:   d.opts.Metrics,
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -5,6 +5,7 @@
 
 	"masticturn/internal/admission"
 	"masticturn/internal/confsync"
+	"masticturn/internal/customer"
 	"masticturn/internal/discovery"
 	"masticturn/internal/drain"
 	"masticturn/internal/entry"
@@ -18,6 +19,7 @@
 	"masticturn/internal/peer"
 	"masticturn/internal/platform"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/ratelimit"
 	"masticturn/platform/store"
 )
 
@@ -60,6 +62,8 @@
 	callers  *forward.Service
 
 	quarantine quarantine.Screen
+	keyGuard   *customer.Guard
+	limiter    ratelimit.Limiter
 
 	discovery *discovery.Service
 	entry     *entry.Service
@@ -99,6 +103,10 @@
 		return find(k, name, &w.admitter)
 	case forward.ServiceName:
 		return find(k, name, &w.callers)
+	case ratelimit.ServiceName:
+		return find(k, name, &w.limiter)
+	case customer.GuardName:
+		return find(k, name, &w.keyGuard)
 	case quarantine.ServiceName:
 		return find(k, name, &w.quarantine)
 	case discovery.ServiceName:
--- a/internal/discovery/catalog.go
+++ b/internal/discovery/catalog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/customer"
 	"masticturn/internal/platform"
 )
 
@@ -15,10 +16,11 @@
 // catalog is the document, targets and evacuated zones known to this VM, built from
 // mirrors. It does no I/O and is not safe for concurrent use.
 type catalog struct {
-	decoder  Decoder
-	places   map[string]string
-	document *config.Document
-	gen      config.Generation
+	decoder   Decoder
+	places    map[string]string
+	document  *config.Document
+	customers *customer.Directory
+	gen       config.Generation
 
 	documentRead platform.Version // last one read
 
@@ -50,11 +52,11 @@
 		return false, nil
 	}
 	c.documentRead = o.Version
-	doc, gen, err := c.decoder.Document(o)
-	if err != nil || gen <= c.gen {
+	read, err := c.decoder.Document(o)
+	if err != nil || read.Generation <= c.gen {
 		return false, err
 	}
-	c.document, c.gen = doc, gen
+	c.document, c.customers, c.gen = read.Document, read.Customers, read.Generation
 	return true, nil
 }
 
@@ -250,7 +252,9 @@
 	doc := *c.document
 	doc.Fleet, doc.Retry = shares()
 	config.SetDefaults(&doc)
-	return assemble(&doc, c.gen, c.places, c.targets, c.zones)
+	v := assemble(&doc, c.gen, c.places, c.targets, c.zones)
+	v.Snapshot.Customers = c.customers
+	return v
 }
 
 // states returns each target's state, for logs.
--- a/internal/discovery/catalog_test.go
+++ b/internal/discovery/catalog_test.go
@@ -21,12 +21,13 @@
 	return Kinds{Document: "doc", DocumentName: "main", Evacuations: "zones", Targets: "targets"}
 }
 
-func (jsonDecoder) Document(o platform.Object) (*config.Document, config.Generation, error) {
+func (jsonDecoder) Document(o platform.Object) (*Content, error) {
 	var d testDocument
 	if err := json.Unmarshal(o.Value, &d); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return &config.Document{Services: []config.Service{{Name: "svc", ColdMS: d.ColdMS}}}, d.Generation, nil
+	doc := &config.Document{Services: []config.Service{{Name: "svc", ColdMS: d.ColdMS}}}
+	return &Content{Generation: d.Generation, Document: doc}, nil
 }
 
 func (jsonDecoder) Target(o platform.Object) (Target, error) {
--- a/internal/discovery/decoder.go
+++ b/internal/discovery/decoder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/customer"
 	"masticturn/internal/platform"
 )
 
@@ -106,10 +107,17 @@
 // ErrOmitted is returned for objects whose content was too long to be kept.
 var ErrOmitted = errors.New("the entry is too long")
 
+// Content is the content of the document's object.
+type Content struct {
+	Generation config.Generation
+	Document   *config.Document
+	Customers  *customer.Directory // nil: there are none
+}
+
 // Decoder decodes objects of the store, which anyone may have written. Errors describe
 // invalid content.
 type Decoder interface {
 	Kinds() Kinds
-	Document(platform.Object) (*config.Document, config.Generation, error)
+	Document(platform.Object) (*Content, error)
 	Target(platform.Object) (Target, error)
 }
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -13,12 +13,14 @@
 	ObjectKey       string // from the caller: the object a request is about
 	IdempotencyKey  string // from the caller
 	NoRetry         string // from the caller: "1" makes the request unrepeatable
+	CustomerKey     string // from the caller: a key of a customer; removed
 	// Credentials are the headers by which a caller is known.
 	Credentials []string
 
 	TargetRequestID  string // of requests and answers
 	TargetDeadlineMS string // to the target: milliseconds left
 	TargetExpect     string // to the target: the instance the request is meant for
+	TargetCustomer   string // to the target: name of the customer
 	TargetNotRun     string // from the target, any value: surely not run
 	TargetLoad       string // from the target, read by ParseLoad
 	TargetDraining   string // from the target, "1": it is leaving
@@ -26,8 +28,8 @@
 	// ParseLoad reads the value of TargetLoad; ok is false when it is absent
 	// or malformed.
 	ParseLoad func(value string) (load Load, ok bool)
-	// Internal reports whether only the system may set a header, so that it is
-	// removed from what callers and targets send.
+	// Internal reports whether only the system may set or read a header, so that it
+	// is removed from what callers and targets send.
 	Internal func(name string) bool
 
 	InventRequestID    bool // a request without an id gets one
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -32,6 +32,9 @@
 	if e.RetryAfter > 0 {
 		setOne(h, "Retry-After", formatRetryAfter(e.RetryAfter, d.FractionalSeconds))
 	}
+	if status(e) == http.StatusUnauthorized {
+		setOne(h, "Www-Authenticate", d.CustomerKey) // RFC 9110, section 11.6.1
+	}
 	w.WriteHeader(status(e))
 	_, _ = w.Write(raw)
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticturn/internal/config"
+	"masticturn/internal/customer"
 	"masticturn/internal/digest"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
@@ -25,12 +26,14 @@
 	rc        *http.ResponseController
 	startedAt time.Time
 
-	snap       *config.Snapshot
-	match      config.Match
-	id         string
-	repeatable bool
-	deadline   time.Time
-	region     string // of the caller
+	keysCurrent bool // keys of snap may be used
+	snap        *config.Snapshot
+	match       config.Match
+	customer    *customer.Customer // nil: none is needed
+	id          string
+	repeatable  bool
+	deadline    time.Time
+	region      string // of the caller
 
 	head   digest.Head
 	whole  digest.Digest // of the request, where its body is small
@@ -74,6 +77,15 @@
 	if err := x.route(); err != nil {
 		return err
 	}
+	if err := x.identify(); err != nil {
+		return err
+	}
+	if err := x.takeLimit(); err != nil {
+		return err
+	}
+	if err := x.chooseService(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -104,6 +116,7 @@
 		err.RetryAfter = leavingRetryAfter
 		return err
 	}
+	x.keysCurrent = x.h.keysAreCurrent()
 	x.snap = x.h.deps.Config.Current()
 	if x.snap == nil {
 		err := refuse(outcome.StepParse, http.StatusServiceUnavailable, "this VM has no document yet")
@@ -132,12 +145,6 @@
 	if !ok || m.Class == nil {
 		return refuse(outcome.StepRoute, http.StatusNotFound, "no service is routed at this path and method")
 	}
-	if m.Service == nil {
-		m.Service = x.h.splits.service(x.snap, m.Rule)
-	}
-	if m.Service == nil {
-		return refuse(outcome.StepRoute, http.StatusServiceUnavailable, "the service of this route is not known")
-	}
 	x.match = m
 	x.repeatable = m.Repeatable && first(x.r.Header, x.h.deps.Dialect.NoRetry) != "1"
 	x.region = x.h.place(x.r).Region
@@ -151,6 +158,17 @@
 	return nil
 }
 
+// chooseService chooses among the services of a rule.
+func (x *exchange) chooseService() *outcome.Error {
+	if x.match.Service == nil {
+		x.match.Service = x.h.splits.service(x.snap, x.match.Rule)
+	}
+	if x.match.Service == nil {
+		return refuse(outcome.StepRoute, http.StatusServiceUnavailable, "the service of this route is not known")
+	}
+	return nil
+}
+
 // timeout is the caller's timeout, or the default of the route or class, less a margin for the
 // final answer.
 func (x *exchange) timeout() time.Duration {
@@ -255,6 +273,7 @@
 	ctx, cancel := context.WithDeadlineCause(parent, x.deadline, errDeadline)
 	defer cancel()
 	x.h.stripHeaders(x.r.Header)
+	x.h.stripInternal(x.r.Trailer)
 	retry := &x.snap.Document.Retry
 	x.h.budget.attempted(x.match.Service.Name, retry)
 	x.dispatch.rule = x.retryRule(retry)
@@ -342,6 +361,9 @@
 			telemetry.Value("objective_ms", int64(r.ObjectiveMS)),
 			telemetry.Value("left_ms", x.totalTimeout().Milliseconds()))
 	}
+	if x.customer != nil {
+		fields = append(fields, telemetry.Value("customer", x.customer.Name))
+	}
 	return fields
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -21,6 +21,7 @@
 	"masticturn/internal/lookup"
 	"masticturn/internal/measure"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/ratelimit"
 	"masticturn/internal/settings"
 	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
@@ -35,6 +36,11 @@
 	Observe(o measure.Observation)
 }
 
+// KeyGuard reports whether API keys may be used now.
+type KeyGuard interface {
+	Current() bool
+}
+
 // Deps is what a Handler needs.
 type Deps struct {
 	Config    config.Source
@@ -43,6 +49,8 @@
 	Measure   Observer
 	Keys      idempotency.Registry // nil: keyed requests are refused
 	Screen    quarantine.Screen    // nil: all requests may run
+	KeyGuard  KeyGuard             // nil: keys may always be used
+	Limiter   ratelimit.Limiter    // nil: customers have no limits
 	// Expected returns targets to open connections to ahead of requests; nil: none.
 	Expected func() []*config.TargetIndex
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -25,6 +25,11 @@
 	for _, name := range hopByHop {
 		delete(h, name)
 	}
+	hd.stripInternal(h)
+}
+
+// stripInternal removes the headers that end at the system, in place.
+func (hd *Handler) stripInternal(h http.Header) {
 	for name := range h {
 		if hd.deps.Dialect.Internal(name) {
 			delete(h, name)
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -6,10 +6,13 @@
 // of it since it may change between attempts.
 func (x *exchange) headDigest() digest.Head {
 	names := x.h.deps.Dialect.Credentials
-	caller := make([]string, len(names))
+	caller := make([]string, len(names), len(names)+1)
 	for i, name := range names {
 		caller[i] = first(x.r.Header, name)
 	}
+	if x.customer != nil { // by name: keys must not be derivable from what VMs exchange
+		caller = append(caller, x.customer.Name)
+	}
 	return digest.HeadOf(x.r.Method, x.r.Host, x.r.URL.RequestURI(), caller...)
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -21,6 +22,26 @@
 	leaving  *metrics.Counter
 	backoffs *metrics.Counter
 	ended    sync.Map // endKey -> *metrics.Counter
+
+	customers     sync.Map // names with series of their own
+	customerCount atomic.Int64
+	byCustomer    sync.Map // customerSeries -> *metrics.Histogram
+}
+
+// customerSeries names one histogram of a customer's requests.
+type customerSeries struct {
+	customer string
+	outcome  outcome.Outcome
+}
+
+// customerDuration returns the histogram of a customer's requests.
+func (c *seriesCache) customerDuration(k customerSeries) *metrics.Histogram {
+	if v, ok := c.byCustomer.Load(k); ok {
+		return v.(*metrics.Histogram)
+	}
+	name := fmt.Sprintf("masticturn_customer_request_duration_seconds{customer=%q,outcome=%q}", k.customer, k.outcome)
+	v, _ := c.byCustomer.LoadOrStore(k, c.set.GetOrCreateHistogram(name))
+	return v.(*metrics.Histogram)
 }
 
 type endKey struct {
@@ -69,9 +90,12 @@
 	if n := x.dispatch.attempts; n > 1 {
 		s.retries.Add(n - 1)
 	}
+	took := x.h.deps.Clock.Now().Sub(x.startedAt)
+	if x.customer != nil {
+		s.customerDuration(customerSeries{s.label(x.customer), k.outcome}).Update(took.Seconds())
+	}
 	if x.match.Service == nil {
 		return
 	}
-	took := x.h.deps.Clock.Now().Sub(x.startedAt)
 	s.duration(seriesKey{x.match.Service.Name, x.match.Class.Name, x.match.Route.Tenant}).Update(took.Seconds())
 }
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -50,6 +50,9 @@
 	if a.target.Instance != "" {
 		setOne(header, d.TargetExpect, a.target.Instance)
 	}
+	if x.customer != nil {
+		setOne(header, d.TargetCustomer, x.customer.Name)
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // none is added by the library
 	}
@@ -69,7 +72,10 @@
 		a.stream.watch = a.watch
 		req.Body = a.stream
 		req.ContentLength = x.r.ContentLength
-		req.Trailer = x.r.Trailer
+		if len(x.r.Trailer) > 0 {
+			req.Trailer = x.r.Trailer
+			req.Body = &trailerFilter{a.stream, x.r.Trailer, d.Internal}
+		}
 	case len(x.body) > 0:
 		req.Body = io.NopCloser(bytes.NewReader(x.body))
 		req.ContentLength = int64(len(x.body))
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -39,6 +39,8 @@
 const (
 	StepParse    Step = "parse"    // the caller's request is read and checked
 	StepRoute    Step = "route"    // service and route are found
+	StepIdentify Step = "identify" // the customer is found by its key
+	StepLimit    Step = "limit"    // the customer's rate limit is checked
 	StepScreen   Step = "screen"   // requests that crash targets are held back
 	StepClaim    Step = "claim"    // the idempotency key is claimed
 	StepAdmit    Step = "admit"    // waiting for a slot at a target
