--- a/internal/customer/customer_test.go
+++ b/internal/customer/customer_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"masticturn/internal/telemetry"
 )
 
@@ -113,7 +115,8 @@
 					announced.Store(1)
 				}
 			},
-			Logger: telemetry.Discard(),
+			Logger:  telemetry.Discard(),
+			Metrics: metrics.NewSet(),
 		})
 		if err := g.Start(context.Background()); err != nil {
 			t.Fatal(err)
--- a/internal/customer/guard.go
+++ b/internal/customer/guard.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"masticturn/internal/kernel"
 	"masticturn/internal/telemetry"
 )
@@ -31,6 +33,7 @@
 	// Announce tells the other VMs whether this one serves requests with keys.
 	Announce func(serves bool)
 	Logger   *telemetry.Logger
+	Metrics  *metrics.Set
 }
 
 // Guard allows keys to be used only while this VM can prove that it would know of their removal.
@@ -46,6 +49,9 @@
 
 // NewGuard returns a guard.
 func NewGuard(d GuardDeps) *Guard {
+	if d.Revocation > 0 {
+		d.Metrics.GetOrCreateGauge("masticturn_document_age_seconds", func() float64 { return d.Age().Seconds() })
+	}
 	return &Guard{deps: d, limit: d.Revocation - guardMargin, done: make(chan struct{})}
 }
 
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -186,6 +186,7 @@
 		},
 		Announce: func(serves bool) { w.members.SetLimited(!serves) },
 		Logger:   d.opts.Logger,
+		Metrics:  d.opts.Metrics,
 	}), nil
 }
 
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -50,3 +50,14 @@
 	verdictTaken
 	verdictOver // the limit is reached
 )
+
+// String returns the name used in metrics.
+func (v verdict) String() string {
+	switch v {
+	case verdictTaken:
+		return "allowed"
+	case verdictOver:
+		return "over"
+	}
+	return "unknown"
+}
--- a/internal/ratelimit/meter.go
+++ b/internal/ratelimit/meter.go
@@ -1,26 +1,50 @@
 package ratelimit
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+	"sync"
 
-// meter counts the results of Take.
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// maxSeries bounds the customers with counters of their own; others share one.
+const maxSeries = 256
+
+// otherCustomers is the label of customers without counters of their own.
+const otherCustomers = "(other)"
+
+// meter counts the results of Take by customer.
 type meter struct {
-	taken, over, unknown *metrics.Counter
+	set *metrics.Set
+
+	mu       sync.Mutex
+	counters map[meterKey]*metrics.Counter
+	names    map[string]bool
 }
 
-func newMeter(set *metrics.Set) meter {
-	counter := func(result string) *metrics.Counter {
-		return set.GetOrCreateCounter(`masticturn_limit_requests_total{result="` + result + `"}`)
-	}
-	return meter{counter("allowed"), counter("over"), counter("unknown")}
+type meterKey struct {
+	customer string
+	result   verdict
+}
+
+func newMeter(set *metrics.Set) *meter {
+	return &meter{set: set, counters: make(map[meterKey]*metrics.Counter), names: make(map[string]bool)}
 }
 
-func (m meter) count(v verdict) {
-	switch v {
-	case verdictTaken:
-		m.taken.Inc()
-	case verdictOver:
-		m.over.Inc()
-	default:
-		m.unknown.Inc()
+func (m *meter) count(customer string, result verdict) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.names[customer] {
+		if len(m.names) >= maxSeries {
+			customer = otherCustomers
+		}
+		m.names[customer] = true
+	}
+	key := meterKey{customer, result}
+	c := m.counters[key]
+	if c == nil {
+		c = m.set.GetOrCreateCounter(fmt.Sprintf("masticturn_limit_requests_total{customer=%q,result=%q}", customer, result))
+		m.counters[key] = c
 	}
+	c.Inc()
 }
--- a/internal/ratelimit/service.go
+++ b/internal/ratelimit/service.go
@@ -88,7 +88,7 @@
 	urgent chan struct{} // a report is due
 	// stopFollowing ends the subscription to the members.
 	stopFollowing func()
-	meter         meter
+	meter         *meter
 
 	mu       sync.Mutex
 	holder   *holder
@@ -211,7 +211,7 @@
 		return nil
 	}
 	result, wait := s.take(ctx, c)
-	s.meter.count(result)
+	s.meter.count(c.Name, result)
 	switch result {
 	case verdictTaken:
 		return nil
