Limits after a restart of the fleet: the first claim names the new processes

Cause, by logs: the first claim of the new granter named the ended processes, so that the reports of the new ones waited for the next renewal, and were sent again and again. Returns after a refusal without a granter are told to come after an election.

--- a/internal/ratelimit/election.go
+++ b/internal/ratelimit/election.go
@@ -125,8 +125,9 @@
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	s.mu.Lock()
-	version, earlier := s.lease.version, s.lease.holders
-	holders := s.possibleHolders()
+	version := s.lease.version
+	earlier := s.lease.holders.without(s.lease.holders.ended(s.deps.Members.View()))
+	holders := s.possibleHolders(earlier)
 	s.mu.Unlock()
 	value, err := json.Marshal(claim{Granter: s.deps.Self, Incarnation: s.deps.Incarnation, Holders: packHolders(holders)})
 	if err != nil {
@@ -158,15 +159,15 @@
 	return s.deps.Store.Update(ctx, platform.KindLimits, leaseName, value, version)
 }
 
-// possibleHolders returns the VMs that may get shares until the next renewal; s.mu is held. Those of
-// the object stay while they may hold shares of an earlier term.
-func (s *Service) possibleHolders() holderSet {
+// possibleHolders returns the VMs that may get shares until the next renewal; s.mu is held. Earlier
+// ones stay while they may hold shares of an earlier term.
+func (s *Service) possibleHolders(earlier holderSet) holderSet {
 	set := make(holderSet)
 	for _, m := range s.deps.Members.View().Members {
 		set[m.Name] = processID(m.Process)
 	}
 	if s.granter == nil {
-		set.keep(s.lease.holders)
+		set.keep(earlier)
 		return set
 	}
 	now := s.deps.Boot.SinceBoot()
--- a/internal/ratelimit/holderset.go
+++ b/internal/ratelimit/holderset.go
@@ -23,6 +23,15 @@
 // keep adds VMs. Of a VM with two processes the earlier one is kept, as its shares may be in force.
 func (s holderSet) keep(others holderSet) { maps.Copy(s, others) }
 
+// without returns the set without some VMs.
+func (s holderSet) without(vms []string) holderSet {
+	rest := maps.Clone(s)
+	for _, vm := range vms {
+		delete(rest, vm)
+	}
+	return rest
+}
+
 // ended returns the VMs whose process has ended, as another one runs.
 func (s holderSet) ended(v *membership.View) []string {
 	var names []string
--- a/internal/ratelimit/lease_test.go
+++ b/internal/ratelimit/lease_test.go
@@ -75,7 +75,11 @@
 func TestEndedProcessesHoldNothing(t *testing.T) {
 	set := holderSet{"a": processID(1), "b": processID(1), "c": processID(1)}
 	view := &membership.View{Members: []membership.Member{{Name: "a", Process: 1}, {Name: "b", Process: 2}, {Name: "d", Process: 2}}}
-	if got := set.ended(view); len(got) != 1 || got[0] != "b" {
+	got := set.ended(view)
+	if len(got) != 1 || got[0] != "b" {
 		t.Errorf("ended: %v", got)
 	}
+	if rest := set.without(got); len(rest) != 2 || len(set) != 3 {
+		t.Errorf("%v without them: %v", set, rest)
+	}
 }
--- a/internal/ratelimit/reports.go
+++ b/internal/ratelimit/reports.go
@@ -21,9 +21,12 @@
 		}
 		timer.Stop()
 		expected = expected || s.expectShares()
-		s.report(ctx)
+		spacing := reportSpacing
+		if !s.report(ctx) {
+			spacing = failedSpacing
+		}
 		s.sweep()
-		pause(ctx, reportSpacing)
+		pause(ctx, spacing)
 	}
 }
 
@@ -57,12 +60,12 @@
 	}
 }
 
-// report makes one report, if there is something to report.
-func (s *Service) report(ctx context.Context) {
+// report makes one report, if there is something to report. It is false if the granter did not answer.
+func (s *Service) report(ctx context.Context) bool {
 	view := s.deps.Members.View()
 	granter := granterOf(view)
 	if granter == "" {
-		return
+		return true
 	}
 	m, _ := view.Member(granter)
 	s.mu.Lock()
@@ -71,12 +74,12 @@
 	due := len(r.Entries) > 0 || s.reported != m.Term
 	s.mu.Unlock()
 	if !due {
-		return
+		return true
 	}
 	a, err := s.sendReport(ctx, granter, r)
 	if err != nil {
 		s.deps.Logger.Log(eventReportFailed, telemetry.Peer(granter), telemetry.Err(err))
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,6 +89,7 @@
 	}
 	close(s.granted)
 	s.granted = make(chan struct{})
+	return true
 }
 
 func (s *Service) sendReport(ctx context.Context, granter string, r *report) (*grants, error) {
--- a/internal/ratelimit/service.go
+++ b/internal/ratelimit/service.go
@@ -27,6 +27,8 @@
 	reportInterval = 500 * time.Millisecond
 	// reportSpacing is the least time between two reports.
 	reportSpacing = 30 * time.Millisecond
+	// failedSpacing is the same after a report that was not answered.
+	failedSpacing = 100 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 450 * time.Millisecond
 	// shareWait is how long a request waits for this VM's first share of its customer's limit.
@@ -41,8 +43,10 @@
 	minHolderBurst = 12
 	// tokenWait is how long requests wait for a token. Only as many do as get one in that time.
 	tokenWait = 50 * time.Millisecond
-	// unknownRetryAfter is the Retry-After while no holder knows its share.
-	unknownRetryAfter = 200 * time.Millisecond
+	// unknownRetryAfter is the Retry-After while no holder knows its share. Without a granter it is
+	// electionRetryAfter to twice that, which an election takes.
+	unknownRetryAfter  = 200 * time.Millisecond
+	electionRetryAfter = 500 * time.Millisecond
 	// maxExpected bounds the customers whose shares a VM asks for when it starts.
 	maxExpected = 1000
 	// denialMemory bounds how long a refusal by a holder is repeated here without asking it.
@@ -218,7 +222,19 @@
 	case verdictOver:
 		return &Refusal{Over: true, RetryAfter: max(wait, time.Millisecond)}
 	}
-	return &Refusal{RetryAfter: unknownRetryAfter}
+	return &Refusal{RetryAfter: s.unknownRetry()}
+}
+
+// unknownRetry returns when to come back for a request whose limit is not known here.
+func (s *Service) unknownRetry() time.Duration {
+	view := s.deps.Members.View()
+	m, _ := view.Member(granterOf(view))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Term != 0 && m.Term == s.reported {
+		return unknownRetryAfter
+	}
+	return electionRetryAfter + time.Duration(rand.Float64()*float64(electionRetryAfter))
 }
 
 // take asks the holders of the region, of which this VM may be one.
