--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -172,6 +172,7 @@
 		Region:        d.settings.VM.Region,
 		PeerAddress:   d.PeerAddress(),
 		CallerAddress: d.CallerAddress(),
+		Cores:         d.settings.VM.Cores,
 		Incarnation:   d.incarnation,
 	}
 }
--- a/internal/forward/customer.go
+++ b/internal/forward/customer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -47,7 +48,9 @@
 	if x.customer == nil || x.h.deps.Limiter == nil {
 		return nil
 	}
-	refusal := x.h.deps.Limiter.Take(x.r.Context(), x.customer)
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errDeadline)
+	defer cancel()
+	refusal := x.h.deps.Limiter.Take(ctx, x.customer)
 	if refusal == nil {
 		return nil
 	}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -14,6 +14,7 @@
 	Region        string
 	PeerAddress   string
 	CallerAddress string
+	Cores         float64 // processor time; 0: not known
 	Incarnation   uint64
 	Process       uint64 // first incarnation of the process
 	Seq           uint64 // increased by the member with each change and to refute a suspicion
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -82,6 +82,7 @@
 	return Record{
 		Name: c.Self.Name, Zone: c.Self.Zone, Region: c.Self.Region,
 		PeerAddress: c.Self.PeerAddress, CallerAddress: c.Self.CallerAddress,
+		Cores:       c.Self.Cores,
 		Incarnation: c.Self.Incarnation,
 	}
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -24,8 +24,9 @@
 	Name          string
 	Zone          string
 	Region        string
-	PeerAddress   string // host:port of the peer listener
-	CallerAddress string // host:port of the caller listener
+	PeerAddress   string  // host:port of the peer listener
+	CallerAddress string  // host:port of the caller listener
+	Cores         float64 // processor time; 0: not known
 	Incarnation   uint64
 	Process       uint64 // first incarnation of its process; others follow without a restart
 	State         State
--- a/internal/ratelimit/election.go
+++ b/internal/ratelimit/election.go
@@ -11,7 +11,6 @@
 
 	"masticturn/internal/membership"
 	"masticturn/internal/platform"
-	"masticturn/internal/rendezvous"
 	"masticturn/internal/telemetry"
 )
 
@@ -70,13 +69,8 @@
 
 // candidateRank returns this VM's rank among the candidates; -1 if it is none.
 func candidateRank(v *membership.View) int {
-	var names []string
-	for _, m := range v.Members {
-		if m.State == membership.Alive && !m.Limited {
-			names = append(names, m.Name)
-		}
-	}
-	return slices.Index(rendezvous.Top(electionKey, names, len(names), func(n string) string { return n }), v.Self)
+	candidates := aliveIn(v, "")
+	return slices.Index(rankByCores(electionKey, candidates, len(candidates)), v.Self)
 }
 
 // granterOf returns the VM with the highest term; empty if there is none.
--- a/internal/ratelimit/holders.go
+++ b/internal/ratelimit/holders.go
@@ -6,10 +6,15 @@
 	"masticturn/internal/rendezvous"
 )
 
+const (
+	// minHolderBurst is the least burst of a holder for which there are more of them.
+	minHolderBurst = 12
+)
+
 // holderCache are the holders of customers under one view of the members.
 type holderCache struct {
 	view      *membership.View
-	region    []string // VMs that may hold shares
+	region    []membership.Member // VMs that may hold shares
 	customers map[string]holderList
 }
 
@@ -31,19 +36,36 @@
 		return l.vms
 	}
 	n := holderCount(s.deps.Tolerance.Budget(c.Limit), s.deps.Regions)
-	vms := rendezvous.Top("limit of "+c.Name, s.holders.region, n, func(vm string) string { return vm })
+	vms := rankByCores("limit of "+c.Name, s.holders.region, n)
 	s.holders.customers[c.Name] = holderList{c.Limit, vms}
 	return vms
 }
 
-// aliveIn returns the VMs of a region that serve requests with keys.
-func aliveIn(v *membership.View, region string) []string {
-	var names []string
+// aliveIn returns the VMs of a region that serve requests with keys; "" means all regions.
+func aliveIn(v *membership.View, region string) []membership.Member {
+	var members []membership.Member
 	for _, m := range v.Members {
-		if m.Region == region && m.State == membership.Alive && !m.Limited {
-			names = append(names, m.Name)
+		if (region == "" || m.Region == region) && m.State == membership.Alive && !m.Limited {
+			members = append(members, m)
 		}
 	}
+	return members
+}
+
+// rankByCores returns the first VMs for a key. A VM with more processor time ranks first more often,
+// as others wait for it.
+func rankByCores(key string, members []membership.Member, n int) []string {
+	name := func(m membership.Member) string { return m.Name }
+	cores := func(m membership.Member) float64 {
+		if m.Cores <= 0 {
+			return 1
+		}
+		return m.Cores
+	}
+	var names []string
+	for _, m := range rendezvous.TopWeighted(key, members, n, name, cores) {
+		names = append(names, m.Name)
+	}
 	return names
 }
 
--- a/internal/ratelimit/reports.go
+++ b/internal/ratelimit/reports.go
@@ -5,10 +5,25 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/peer"
 	"masticturn/internal/telemetry"
 )
 
+const (
+	// reportInterval is the interval of reports to the granter.
+	reportInterval = 500 * time.Millisecond
+	// reportSpacing is the least time between two reports.
+	reportSpacing = 30 * time.Millisecond
+	// failedSpacing is the same after a report that was not answered.
+	failedSpacing = 100 * time.Millisecond
+	// reportTimeout bounds a report.
+	reportTimeout = 450 * time.Millisecond
+	// maxExpected bounds the customers whose shares a VM asks for when it starts.
+	maxExpected = 1000
+)
+
 // runReports reports this VM's demand to the granter, which answers with shares.
 func (s *Service) runReports(ctx context.Context) {
 	expected := false
@@ -113,3 +128,35 @@
 		s.granter.sweep(s.deps.Boot.SinceBoot())
 	}
 }
+
+// errNotGranter answers reports to another VM than the granter.
+var errNotGranter = trace.CompareFailed("this VM is not the granter of rate limits")
+
+// handleReport answers a holder's report.
+func (s *Service) handleReport(_ context.Context, from string, payload []byte) (any, error) {
+	var r report
+	if err := peer.Decode(payload, &r); err != nil {
+		return nil, err
+	}
+	return s.grant(from, &r)
+}
+
+func (s *Service) grant(from string, r *report) (*grants, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.deps.Boot.SinceBoot()
+	if s.granter == nil || !s.lease.valid(now) {
+		return nil, errNotGranter
+	}
+	if id, named := s.lease.holders[from]; !named || id != processID(r.Incarnation) {
+		s.granter.replaced(from, r.Incarnation)
+		s.lease.early = true // the next renewal names the process
+		return nil, errNotGranter
+	}
+	s.granter.processesEnded(s.granter.pending.ended(s.deps.Members.View()))
+	a, ok := s.granter.report(from, r, s.limitOf, now)
+	if !ok {
+		return nil, errNotGranter
+	}
+	return a, nil
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -41,16 +41,25 @@
 	return -weight / math.Log(unit)
 }
 
+// TopWeighted is Top for candidates with weights.
+func TopWeighted[T any](key string, candidates []T, n int, name func(T) string, weight func(T) float64) []T {
+	return top(candidates, n, name, func(c T) float64 { return WeightedScore(key, name(c), weight(c)) })
+}
+
 // Top returns the n best candidates for a key, best first. name returns the
 // stable name of a candidate; candidates is not changed.
 func Top[T any](key string, candidates []T, n int, name func(T) string) []T {
+	return top(candidates, n, name, func(c T) uint64 { return Score(key, name(c)) })
+}
+
+func top[T any, S cmp.Ordered](candidates []T, n int, name func(T) string, score func(T) S) []T {
 	type scored struct {
 		item  T
-		score uint64
+		score S
 	}
 	all := make([]scored, len(candidates))
 	for i, c := range candidates {
-		all[i] = scored{c, Score(key, name(c))}
+		all[i] = scored{c, score(c)}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		if c := cmp.Compare(b.score, a.score); c != 0 {
@@ -59,9 +68,9 @@
 		return cmp.Compare(name(a.item), name(b.item))
 	})
 	n = min(n, len(all))
-	top := make([]T, n)
-	for i := range top {
-		top[i] = all[i].item
+	out := make([]T, n)
+	for i := range out {
+		out[i] = all[i].item
 	}
-	return top
+	return out
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,8 @@
 	Name   string `json:"name"`
 	Zone   string `json:"zone"`   // availability zone
 	Region string `json:"region"` // region of the zone
+	// Cores is the processor time of the VM in cores; 0: not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Listen holds the listeners' addresses, host:port each.
