--- a/internal/command/bench_placement.go
+++ b/internal/command/bench_placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -49,7 +50,7 @@
 
 func placementLoadNames() string {
 	var names []string
-	for _, l := range append(emulation.Loads(), emulation.GrownLoads()...) {
+	for _, l := range slices.Concat(emulation.Loads(), emulation.GrownLoads(), emulation.ShiftedLoads()) {
 		names = append(names, l.Name)
 	}
 	return joined(names)
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -184,7 +184,7 @@
 			snap := w.discovery.Current()
 			return snap != nil && snap.Customers.Required()
 		},
-		Announce: func(serves bool) { w.members.SetLimited(!serves) },
+		Announce: func(serves bool) { w.members.SetRefusesKeys(!serves) },
 		Logger:   d.opts.Logger,
 		Metrics:  d.opts.Metrics,
 	}), nil
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -11,9 +11,9 @@
 
 // candidates are VMs that may be named to callers of a region.
 type candidates struct {
-	local   []string // of the region
-	all     []string
-	limited []string // of the region, that serve only public routes
+	local    []string // of the region
+	all      []string
+	refusing []string // of the region, that serve only public routes
 }
 
 // Choose returns the caller addresses of VMs for callers of a region: its live VMs, or those of all
@@ -36,9 +36,9 @@
 			continue
 		}
 		switch {
-		case m.Limited && m.Region == region:
-			c.limited = append(c.limited, m.CallerAddress)
-		case m.Limited:
+		case m.RefusesKeys && m.Region == region:
+			c.refusing = append(c.refusing, m.CallerAddress)
+		case m.RefusesKeys:
 		case m.Region == region:
 			c.local = append(c.local, m.CallerAddress)
 			c.all = append(c.all, m.CallerAddress)
@@ -56,5 +56,5 @@
 	case len(c.all) > 0:
 		return c.all
 	}
-	return c.limited
+	return c.refusing
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -47,8 +47,8 @@
 
 // VMs that refuse keys are named only where nobody serves them.
 func TestChooseAvoidsVMsThatRefuseKeys(t *testing.T) {
-	limited := func(m membership.Member) membership.Member {
-		m.Limited = true
+	refusing := func(m membership.Member) membership.Member {
+		m.RefusesKeys = true
 		return m
 	}
 	a1, a2 := member("a1", "a", membership.Alive, 1), member("a2", "a", membership.Alive, 1)
@@ -57,9 +57,9 @@
 		members []membership.Member
 		want    []string
 	}{
-		"one of the region": {[]membership.Member{limited(a1), a2, b1}, []string{"a2:80"}},
-		"the region":        {[]membership.Member{limited(a1), limited(a2), b1}, []string{"b1:80"}},
-		"all":               {[]membership.Member{limited(a1), limited(a2), limited(b1)}, []string{"a1:80", "a2:80"}},
+		"one of the region": {[]membership.Member{refusing(a1), a2, b1}, []string{"a2:80"}},
+		"the region":        {[]membership.Member{refusing(a1), refusing(a2), b1}, []string{"b1:80"}},
+		"all":               {[]membership.Member{refusing(a1), refusing(a2), refusing(b1)}, []string{"a1:80", "a2:80"}},
 	}
 	for name, tt := range tests {
 		if got := Choose(&membership.View{Members: tt.members}, "a"); !slices.Equal(got, tt.want) {
--- a/internal/membership/derive.go
+++ b/internal/membership/derive.go
@@ -30,7 +30,7 @@
 	return Member{
 		Name: e.Name, Zone: e.Zone, Region: e.Region,
 		PeerAddress: e.PeerAddress, CallerAddress: e.CallerAddress, Cores: e.Cores,
-		Incarnation: e.Incarnation, Process: e.Process, State: m.derive(e), Generation: e.Generation, Hash: e.Hash, Limited: e.Limited, Term: e.Term,
+		Incarnation: e.Incarnation, Process: e.Process, State: m.derive(e), Generation: e.Generation, Hash: e.Hash, RefusesKeys: e.RefusesKeys, Term: e.Term,
 	}
 }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -198,11 +198,11 @@
 	return m.end()
 }
 
-// SetLimited sets whether this daemon refuses requests with keys.
-func (m *Machine) SetLimited(now time.Time, limited bool) []Action {
+// SetRefusesKeys sets whether this daemon refuses requests with keys.
+func (m *Machine) SetRefusesKeys(now time.Time, refuses bool) []Action {
 	m.begin(now)
-	if m.self.Limited != limited {
-		m.changeSelf(now, func(r *Record) { r.Limited = limited })
+	if m.self.RefusesKeys != refuses {
+		m.changeSelf(now, func(r *Record) { r.RefusesKeys = refuses })
 		m.sendDue(now)
 	}
 	return m.end()
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -23,7 +23,7 @@
 	Gone          bool // final for this incarnation
 	Generation    uint64
 	Hash          uint64
-	Limited       bool   // refuses requests with keys, as its document may be outdated
+	RefusesKeys   bool   // refuses requests with keys, as its document may be outdated
 	Term          uint64 // as granter of rate limits; 0: it is not the granter
 }
 
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -156,9 +156,9 @@
 	s.handle(func(now time.Time) []Action { return s.machine.SetGeneration(now, generation, hash) })
 }
 
-// SetLimited announces whether this daemon refuses requests with keys.
-func (s *Service) SetLimited(limited bool) {
-	s.handle(func(now time.Time) []Action { return s.machine.SetLimited(now, limited) })
+// SetRefusesKeys announces whether this daemon refuses requests with keys.
+func (s *Service) SetRefusesKeys(refuses bool) {
+	s.handle(func(now time.Time) []Action { return s.machine.SetRefusesKeys(now, refuses) })
 }
 
 // SetTerm announces this daemon's term as granter of rate limits; 0: it is not the granter.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -32,7 +32,7 @@
 	State         State
 	Generation    uint64 // generation of the document it has in force
 	Hash          uint64 // hash of that document
-	Limited       bool   // refuses requests with keys
+	RefusesKeys   bool   // refuses requests with keys
 	Term          uint64 // as granter of rate limits; 0: it is not the granter
 }
 
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -28,7 +28,7 @@
 
 // LoadNamed returns the load of a name, nil when there is none.
 func LoadNamed(name string) *Load {
-	for _, l := range slices.Concat(Loads(), GrownLoads(), LargeLoads()) {
+	for _, l := range slices.Concat(Loads(), GrownLoads(), LargeLoads(), ShiftedLoads()) {
 		if l.Name == name {
 			return l
 		}
--- a/internal/ratelimit/holders.go
+++ b/internal/ratelimit/holders.go
@@ -45,7 +45,7 @@
 func aliveIn(v *membership.View, region string) []membership.Member {
 	var members []membership.Member
 	for _, m := range v.Members {
-		if (region == "" || m.Region == region) && m.State == membership.Alive && !m.Limited {
+		if (region == "" || m.Region == region) && m.State == membership.Alive && !m.RefusesKeys {
 			members = append(members, m)
 		}
 	}
