--- a/internal/customer/guard.go
+++ b/internal/customer/guard.go
@@ -9,6 +9,7 @@
 
 	"masticturn/internal/kernel"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 // GuardName is the name under which the guard is registered.
@@ -71,18 +72,8 @@
 
 func (g *Guard) run(ctx context.Context) {
 	defer close(g.done)
-	if g.deps.Revocation == 0 {
-		return
-	}
-	ticker := time.NewTicker(guardInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			g.check()
-		case <-ctx.Done():
-			return
-		}
+	if g.deps.Revocation > 0 {
+		wait.Every(ctx, guardInterval, g.check)
 	}
 }
 
--- a/internal/ratelimit/reports.go
+++ b/internal/ratelimit/reports.go
@@ -9,6 +9,7 @@
 
 	"masticturn/internal/peer"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 const (
@@ -41,7 +42,7 @@
 			spacing = failedSpacing
 		}
 		s.sweep()
-		pause(ctx, spacing)
+		wait.For(ctx, spacing)
 	}
 }
 
@@ -66,15 +67,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // report makes one report, if there is something to report. It is false if the granter did not answer.
 func (s *Service) report(ctx context.Context) bool {
 	view := s.deps.Members.View()
--- a/internal/ratelimit/service.go
+++ b/internal/ratelimit/service.go
@@ -14,6 +14,7 @@
 	"masticturn/internal/peer"
 	"masticturn/internal/platform"
 	"masticturn/internal/telemetry"
+	"masticturn/internal/wait"
 )
 
 // ServiceName is the name under which the service is registered.
@@ -97,24 +98,11 @@
 func (s *Service) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.stopFollowing = s.deps.Members.Subscribe(s.follow)
-	s.wg.Go(func() { s.runElection(ctx) })
+	s.wg.Go(func() { wait.Every(ctx, electionInterval, func() { s.elect(ctx) }) })
 	s.wg.Go(func() { s.runReports(ctx) })
 	return nil
 }
 
-func (s *Service) runElection(ctx context.Context) {
-	ticker := time.NewTicker(electionInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.elect(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // follow reports to a new granter at once, as it grants little before all have reported.
 func (s *Service) follow(view *membership.View) {
 	m, _ := view.Member(granterOf(view))
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -9,6 +9,7 @@
 
 	"masticturn/internal/customer"
 	"masticturn/internal/peer"
+	pause "masticturn/internal/wait"
 )
 
 const (
@@ -146,8 +147,7 @@
 	defer s.dequeue(name)
 	deadline := s.deps.Boot.SinceBoot() + tokenWait
 	for s.deps.Boot.SinceBoot()+wait <= deadline {
-		pause(ctx, wait)
-		if ctx.Err() != nil {
+		if !pause.For(ctx, wait) {
 			return verdictUnknown, 0
 		}
 		s.mu.Lock()
