Discovery: polls of peers follow each failed call of an outage

Cause, by a model in fake time: a call to a silent store takes up to 1.2 s, and by chance several followed each other, so that a watcher's document was up to 5.9 s old (bound 5 s). TestAgesOfDocuments plays silence too.

--- a/internal/discovery/confirm_test.go
+++ b/internal/discovery/confirm_test.go
@@ -117,6 +117,11 @@
 				if age := f.oldest(8 * time.Second); age >= revocationBound {
 					t.Errorf("a document may be %v old, where the store refuses two VMs", age)
 				}
+				f.reach[reading[0]].silent.Store(true)
+				f.reach[leader].silent.Store(true)
+				if age := f.oldest(8 * time.Second); age >= revocationBound {
+					t.Errorf("a document may be %v old, where the store is silent to two VMs", age)
+				}
 			})
 		})
 	}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -32,9 +32,9 @@
 	// minStaleAnswers peers in a row were stale. The store may refuse all readers and serve others.
 	fallbackReadRate = 12
 	minStaleAnswers  = 2
-	// peerPollShare is the share of steps in an outage that poll a random peer, after
-	// peerPollPause and for peerPollTimeout at most.
-	peerPollShare   = 0.5
+	// peerPolls is the number of polls of random peers after each failed call to the store, each
+	// after peerPollPause and for peerPollTimeout at most.
+	peerPolls       = 2
 	peerPollPause   = 100 * time.Millisecond
 	peerPollTimeout = 400 * time.Millisecond
 )
@@ -74,6 +74,7 @@
 	lastDraw     time.Time            // of a fallback read, or the last success
 	outage       bool                 // neither peers nor the store have current state
 	readFailed   bool                 // the last read of the store
+	pollsDue     int                  // of random peers before the next read
 	lostAt       time.Time
 	readNow      bool // read the store next, regardless of sources
 }
@@ -147,10 +148,14 @@
 	}
 }
 
-// prefersPeers reports whether the next step of an outage polls a peer, as all do that come before
-// the next call to the store is due.
+// prefersPeers reports whether the next step of an outage polls a peer. A call to a silent store takes
+// long, so that some polls follow each.
 func (w *watcher) prefersPeers() bool {
-	return rand.Float64() < peerPollShare || !w.backoff.due(w.clock.Now())
+	if w.pollsDue > 0 {
+		w.pollsDue--
+		return true
+	}
+	return !w.backoff.due(w.clock.Now())
 }
 
 // pollAnyPeer polls a random peer. In a partial outage the store may serve others than its readers.
@@ -294,6 +299,7 @@
 		return
 	}
 	w.readFailed = true
+	w.pollsDue = peerPolls
 	w.loseStore(err)
 }
 
--- a/internal/ratelimit/faults_test.go
+++ b/internal/ratelimit/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,10 +121,12 @@
 func limitsUnderFaults(t *testing.T, seed uint64) {
 	limits := []customer.Limit{{PerSecond: 40, Burst: 40}, {PerSecond: 4, Burst: 4}, {PerSecond: 300, Burst: 0}}
 	f := newFleet(t, seed, 9, limits...)
+	var mu sync.Mutex
+	storeFaults := rand.New(rand.NewPCG(seed, 4))
 	f.store.SetHook(func(context.Context, platformtest.Call) platformtest.Fault {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		switch f.random.IntN(20) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch storeFaults.IntN(20) {
 		case 0:
 			return platformtest.FaultLostAnswer
 		case 1:
