--- a/internal/customer/guard.go
+++ b/internal/customer/guard.go
@@ -31,7 +31,7 @@
 	Age func() time.Duration
 	// Keyed reports whether the document has customers.
 	Keyed func() bool
-	// Announce tells the other VMs whether this one serves requests with keys.
+	// Announce publishes to the other VMs whether this one serves requests with keys.
 	Announce func(serves bool)
 	Logger   *telemetry.Logger
 	Metrics  *metrics.Set
--- a/internal/ratelimit/election.go
+++ b/internal/ratelimit/election.go
@@ -190,7 +190,7 @@
 	s.deps.Logger.Log(eventDeposed)
 }
 
-// announce tells the other VMs this VM's term, after a change.
+// announce publishes this VM's term to the other VMs, after a change.
 func (s *Service) announce() {
 	s.mu.Lock()
 	term := s.lease.term
--- a/internal/ratelimit/service.go
+++ b/internal/ratelimit/service.go
@@ -32,7 +32,7 @@
 	Network     peer.Network
 	Members     membership.Source
 	Joined      func() bool
-	Announce    func(term uint64) // tells the other VMs this VM's term as granter
+	Announce    func(term uint64) // publishes this VM's term to the other VMs as granter
 	Boot        kernel.BootClock
 	Logger      *telemetry.Logger
 	Metrics     *metrics.Set
