Three red tests traced: requests that outlive a test, polls answered by stopped VMs, small fleets that wait for chance

TestLimitsAfterAllVMsRestart panicked as a request of the test still waited for an answer when the test had ended; fake time stands still then.

TestRestartedFleetReadsStoreAtOnce: a VM took its document from a peer whose service the test had stopped, but which still answered polls in the test's network.

Ruled out: state that goes backwards, polls in a circle.

--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -98,8 +97,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 30)
 		time.Sleep(5 * time.Second)
-		for _, s := range f.vms {
-			_ = s.Stop(context.Background())
+		for name := range f.vms {
+			f.kill(name)
 		}
 		f.writeDocument()
 		for _, m := range f.view.Members {
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -139,6 +139,12 @@
 	f.startStopped(name)
 }
 
+// kill stops a VM's service. Polls of the VM then fail at once, as its address refuses connections.
+func (f *fleet) kill(name string) {
+	_ = f.vms[name].Stop(context.Background())
+	f.hub.Network(name) // without handlers
+}
+
 // startStopped starts the service of a stopped VM and keeps its call count.
 func (f *fleet) startStopped(name string) {
 	calls := f.access[name].calls.Load()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -215,18 +215,20 @@
 }
 
 // recordStaleAnswer records that a peer's state is stale. Readers then read the store. Other VMs do
-// so at random, at a total rate that does not grow with the fleet.
+// so at random, at a total rate that does not grow with the fleet. A fleet that is small enough for all
+// VMs to read within a second at that rate does not wait for chance at first.
 func (w *watcher) recordStaleAnswer(src *sources) {
 	w.staleAnswers++
 	w.readStoreNext = src.isReader
 	if w.staleAnswers < minStaleAnswers {
 		return
 	}
+	immediate := !w.inOutage && src.fleetSize <= fallbackReadRate
 	w.beginOutage(errStale)
 	now := w.clock.Now()
 	expected := fallbackReadRate * now.Sub(w.lastFallbackDraw).Seconds()
 	w.lastFallbackDraw = now
-	w.readStoreNext = w.readStoreNext || rand.Float64()*float64(src.fleetSize) < expected
+	w.readStoreNext = w.readStoreNext || immediate || rand.Float64()*float64(src.fleetSize) < expected
 }
 
 // poll polls a peer and applies its answer. If immediate is set, the peer answers without waiting for
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -70,6 +70,7 @@
 	store     *platformtest.Store
 	vms       []*testVM
 	customers atomic.Pointer[customer.Directory]
+	inFlight  sync.WaitGroup // requests that have no result yet
 
 	mu    sync.Mutex
 	ran   map[string][]time.Time
@@ -89,14 +90,20 @@
 	for _, vm := range f.vms {
 		f.start(vm)
 	}
-	t.Cleanup(func() {
-		for _, vm := range f.vms {
-			f.kill(vm)
-		}
-	})
+	t.Cleanup(f.stop)
 	return f
 }
 
+// stop waits until no request and no call between VMs is in progress, and stops all VMs. Fake time stands
+// still once a test has ended, so whatever still waits for a timer then would never end.
+func (f *fleet) stop() {
+	f.inFlight.Wait()
+	for _, vm := range f.vms {
+		f.kill(vm)
+	}
+	time.Sleep(takeTimeout) // handlers of calls that their callers have abandoned
+}
+
 func (f *fleet) setLimits(limits ...customer.Limit) {
 	var list []customer.Customer
 	for i, l := range limits {
@@ -163,7 +170,7 @@
 // request sends a customer's request to a VM and records whether the limit allowed it.
 func (f *fleet) request(vm *testVM, name string) {
 	service := vm.service
-	go func() {
+	f.inFlight.Go(func() {
 		refusal := service.Take(context.Background(), f.customers.Load().ByName(name))
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -171,7 +178,7 @@
 		if refusal == nil {
 			f.ran[name] = append(f.ran[name], time.Now())
 		}
-	}()
+	})
 }
 
 // offer sends requests at the given mean rate for some time. pick chooses the VM of each request. Member
