Callers that send further requests and leave: their run is cancelled, nothing behind it runs

Cause: while a handler runs, net/http watches for the caller's close by a read of one byte, which ends with the first byte of the next request. A request that waited behind another counts its deadline from when it was received.

--- a/internal/forward/frontend.go
+++ b/internal/forward/frontend.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"masticturn/internal/callerconn"
 	"masticturn/internal/config"
 )
 
@@ -43,6 +44,7 @@
 type frontend struct {
 	listener net.Listener
 	handler  http.Handler
+	now      func() time.Time
 
 	mu      sync.Mutex
 	limits  headLimits
@@ -50,8 +52,8 @@
 	servers []*http.Server
 }
 
-func newFrontend(l net.Listener, h http.Handler, limits headLimits) *frontend {
-	f := &frontend{listener: l, handler: h}
+func newFrontend(l net.Listener, h http.Handler, limits headLimits, now func() time.Time) *frontend {
+	f := &frontend{listener: l, handler: h, now: now}
 	f.setLimits(limits)
 	return f
 }
@@ -71,6 +73,7 @@
 		MaxHeaderBytes:    l.bytes,
 		ReadHeaderTimeout: l.timeout,
 		IdleTimeout:       l.idle,
+		ConnContext:       connContext,
 		ErrorLog:          log.New(discardWriter{}, "", 0),
 	}
 	f.limits, f.current = l, newConnListener(f.listener.Addr())
@@ -79,6 +82,14 @@
 	go func() { _ = server.Serve(current) }()
 }
 
+// connContext returns the parent context of a connection's requests.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*callerconn.Conn); ok {
+		return c.Context(ctx)
+	}
+	return ctx
+}
+
 // discardWriter discards the log lines of http.Server about canceled requests.
 type discardWriter struct{}
 
@@ -96,7 +107,7 @@
 			time.Sleep(acceptErrorDelay)
 			continue
 		}
-		f.handOff(conn)
+		f.handOff(callerconn.New(conn, f.now))
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"masticturn/internal/admission"
+	"masticturn/internal/callerconn"
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
 	"masticturn/internal/idempotency"
@@ -109,10 +110,23 @@
 	if h.closing.Load() {
 		setHeader(w.Header(), "Connection", "close")
 	}
-	x := exchange{h: h, w: w, r: r, startedAt: h.deps.Clock.Now()}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // the caller left before its request was handled
+	}
+	x := exchange{h: h, w: w, r: r, startedAt: h.receivedAt(r)}
 	x.serve()
 }
 
+// receivedAt returns when a request was received. A request that the caller sent before the answer to its
+// previous one has waited since then.
+func (h *Handler) receivedAt(r *http.Request) time.Time {
+	now := h.deps.Clock.Now()
+	if at := callerconn.ReceivedAt(r.Context()); !at.IsZero() && at.Before(now) {
+		return at
+	}
+	return now
+}
+
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -70,7 +70,7 @@
 		}
 	}
 	s.listener = l
-	s.front = newFrontend(newLimitedListener(l, s.deps.Config), s.handler(), headLimitsOf(s.deps.Config.Current()))
+	s.front = newFrontend(newLimitedListener(l, s.deps.Config), s.handler(), headLimitsOf(s.deps.Config.Current()), s.deps.Handler.deps.Clock.Now)
 	s.cancel = s.deps.Config.Subscribe(s.applySnapshot)
 	go s.front.serve()
 	go s.runEvery(ctx, sweepInterval, s.deps.Handler.Sweep)
