Slow callers: responses are received at the target's pace, within a quarter of the VM's memory

Cause: relayStream read from the target only after the caller had taken the part before, and the watchdog counted that as the target's silence. A target that aborts an unread response after three seconds cut a 2 MB response to a caller of 60 KB/s. internal/relaybuf receives ahead within a limit that all responses share; a request whose rule's responses were large lately reserves its memory first, or is refused as not run with when to return. The slot and the connection are free once the response is in. Compared and left out: one fixed buffer a response (200 callers of 1 MB at 136 MB: 200 MB or cuts).

Not covered: the first responses of a rule, whose size is not known yet.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -15,6 +15,7 @@
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/relaybuf"
 	"masticturn/internal/telemetry"
 )
 
@@ -41,9 +42,11 @@
 	stream        *upload       // larger body; nil if there is none
 	reservedBytes int64         // memory reserved to read the body ahead, in bytes
 	claim         idempotency.Claim
-	recorder      *responseRecorder // nil if there is no claim
-	lease         *quarantine.Lease // nil: the request needs none
-	probeDone     <-chan struct{}   // closed once it is known whether the last target crashed; nil: no probe
+	// relayReservation is the memory reserved for the response; nil before it is reserved.
+	relayReservation *relaybuf.Reservation
+	recorder         *responseRecorder // nil if there is no claim
+	lease            *quarantine.Lease // nil: the request needs none
+	probeDone        <-chan struct{}   // closed once it is known whether the last target crashed; nil: no probe
 
 	dispatch      dispatch
 	tried         []string
@@ -58,6 +61,7 @@
 // serve handles the request from parsing to the final response.
 func (x *exchange) serve() {
 	defer x.releaseQuarantine()
+	defer func() { x.relayReservation.Release() }()
 	err := x.prepare()
 	if err == nil && x.claim != nil && x.claim.Replay() != nil {
 		x.replay(x.claim.Replay())
@@ -86,6 +90,9 @@
 	if err := x.chooseService(); err != nil {
 		return err
 	}
+	if err := x.reserveRelayMemory(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -23,6 +23,7 @@
 	"masticturn/internal/measure"
 	"masticturn/internal/quarantine"
 	"masticturn/internal/ratelimit"
+	"masticturn/internal/relaybuf"
 	"masticturn/internal/settings"
 	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
@@ -73,6 +74,8 @@
 	regions          *regionCounter
 	crashProber      *crashProber
 	readAheadMemory  memoryBudget
+	relayMemory      *relaybuf.Memory
+	responseSizes    relaybuf.Sizes
 	aheadBudget      targetconn.AheadBudget
 	repeatableShares *repeatableShares
 	buffers          sync.Pool
@@ -98,11 +101,26 @@
 		regions:          newRegionCounter(d.Logger, d.Metrics, d.Clock),
 		repeatableShares: newRepeatableShares(),
 		crashProber:      newCrashProber(d),
+		relayMemory:      relaybuf.NewMemory(relayMemoryLimit(d.VM.MemoryBytes)),
 	}
 	h.buffers.New = func() any { return new([relayBufferBytes]byte) }
 	return h
 }
 
+// Limits of the memory for responses that callers read more slowly than targets send them.
+const (
+	relayMemoryFraction     = 4        // 1/4 of the VM's memory
+	defaultRelayMemoryBytes = 32 << 20 // if the VM's memory is unknown
+)
+
+// relayMemoryLimit returns the limit for a VM with the given memory, both in bytes.
+func relayMemoryLimit(memory int64) int64 {
+	if memory <= 0 {
+		return defaultRelayMemoryBytes
+	}
+	return memory / relayMemoryFraction
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"maps"
 	"net/http"
 	"strconv"
+	"sync"
+	"time"
 
 	"masticturn/internal/edge"
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
+	"masticturn/internal/relaybuf"
 )
 
 // relay sends the response to the caller. A short one is read completely first, so that the slot is
@@ -24,7 +28,10 @@
 	if a.undelimited() {
 		return a.relayUndelimited(buf[:])
 	}
-	return a.relayStream(buf[:])
+	if n := a.resp.ContentLength; n > 0 {
+		a.x.h.responseSizes.Observe(a.x.sizeKey(), n)
+	}
+	return a.relayStream()
 }
 
 func (a *attempt) relayWhole(buf []byte) attemptResult {
@@ -33,6 +40,7 @@
 		return a.receiveFailure(err)
 	}
 	a.finishReceive()
+	a.x.h.responseSizes.Observe(a.x.sizeKey(), int64(n))
 	a.x.writeHead(a)
 	a.x.recorder.write(buf[:n])
 	if n == 0 {
@@ -56,7 +64,7 @@
 		io.Reader
 		io.Closer
 	}{io.MultiReader(bytes.NewReader(bytes.Clone(buf[:n])), a.resp.Body), a.resp.Body}
-	return a.relayStream(buf)
+	return a.relayStream()
 }
 
 // readAll reads a body into buf. It fails with io.ErrShortBuffer if the body is longer.
@@ -81,35 +89,87 @@
 	}
 }
 
-func (a *attempt) relayStream(buf []byte) attemptResult {
+// relayStream sends a response of any length to the caller while it is received, as far as there is memory
+// at the target's pace: a target aborts a response that is left unread for seconds.
+func (a *attempt) relayStream() attemptResult {
+	b := relaybuf.NewBuffer(a.x.relayReservation, a.resp.ContentLength)
+	var receiving sync.WaitGroup
+	receiving.Go(func() { b.Receive(a.receive, a.watchdog.pause) })
+	result := a.sendReceived(b)
+	if result.Fault != FaultNone {
+		a.cancel(context.Canceled)
+	}
+	b.Close()
+	receiving.Wait()
+	return result
+}
+
+// receive reads a part of the response. At its end it releases the slot and the connection, also if the
+// caller has not read it yet.
+func (a *attempt) receive(p []byte) (int, error) {
+	a.watchdog.resume()
+	n, err := a.resp.Body.Read(p)
+	if err == io.EOF {
+		a.watchdog.pause()
+		a.finishReceive()
+		return n, err
+	}
+	a.watchdog.responseProgress()
+	return n, err
+}
+
+// sendReceived sends a response to the caller as it is received.
+func (a *attempt) sendReceived(b *relaybuf.Buffer) attemptResult {
 	x := a.x
 	flush := a.resp.ContentLength < 0 // without a known length, each part is forwarded as it arrives
+	size := int64(0)
 	for {
-		n, err := a.resp.Body.Read(buf)
+		part, err := b.Next()
 		if err != nil && err != io.EOF {
 			return a.receiveFailure(err)
 		}
-		a.watchdog.responseProgress()
-		if err == io.EOF {
-			a.finishReceive()
-		}
 		if !x.headWritten {
 			x.writeHead(a)
 		}
-		x.recorder.write(buf[:n])
-		if result := a.writeToCaller(buf[:n]); result.Fault != FaultNone {
-			return result
-		}
 		if err == io.EOF {
+			x.h.responseSizes.Observe(x.sizeKey(), size)
 			x.copyTrailer(a.resp.Trailer)
 			return attemptResult{}
 		}
+		size += int64(len(part))
+		x.recorder.write(part)
+		if result := a.writeToCaller(part); result.Fault != FaultNone {
+			return result
+		}
 		if flush && !x.callerGone {
 			_ = x.rc.Flush()
 		}
 	}
 }
 
+// relayRetryAfter is the Retry-After while the memory for responses is in use.
+const relayRetryAfter = 500 * time.Millisecond
+
+// reserveRelayMemory reserves memory for a response that is expected to be large. Without it the request
+// is refused: the response might be lost if the caller reads it slowly.
+func (x *exchange) reserveRelayMemory() *outcome.Error {
+	x.relayReservation = x.h.relayMemory.Reserve(x.h.responseSizes.Expect(x.sizeKey()))
+	if x.relayReservation != nil {
+		return nil
+	}
+	err := notRunError(outcome.StepAdmit, http.StatusServiceUnavailable, "the memory for large responses is in use")
+	err.RetryAfter = relayRetryAfter
+	return err
+}
+
+// sizeKey is the key by which sizes of responses are predicted.
+func (x *exchange) sizeKey() string {
+	if x.match.Rule != nil {
+		return x.match.Rule.Name
+	}
+	return x.match.Service.Name + x.match.Route.PathPrefix
+}
+
 // writeToCaller sends a part of the response. If the caller of a run with an idempotency key has
 // disconnected, the response is still read to its end and recorded.
 func (a *attempt) writeToCaller(p []byte) attemptResult {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -20,6 +20,7 @@
 	watchSend    watchPhase = iota // a part of the caller's body to be sent
 	watchWait                      // the first byte of the response
 	watchReceive                   // further bytes of the response
+	watchPaused                    // nothing: the target is not being read
 )
 
 // watchdog cancels an attempt that makes no progress. All phases share one timer, which progress resets.
@@ -78,6 +79,16 @@
 	}
 }
 
+// pause stops the watch while the target is not read.
+func (w *watchdog) pause() { w.phase.Store(uint32(watchPaused)) }
+
+// resume continues the watch after a pause.
+func (w *watchdog) resume() {
+	if w.phase.Load() == uint32(watchPaused) {
+		w.responseProgress()
+	}
+}
+
 // responseProgress records the arrival of the response head or a part of its body.
 func (w *watchdog) responseProgress() {
 	w.phase.Store(uint32(watchReceive))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,8 @@
 	Region string `json:"region"` // region of the availability zone
 	// Cores is the CPU capacity available to the VM, in cores; 0: unknown.
 	Cores float64 `json:"cores,omitempty"`
+	// MemoryBytes is the memory available to the process; 0: unknown.
+	MemoryBytes int64 `json:"memory_bytes,omitempty"`
 }
 
 // Listen holds the listen addresses, each as host:port.
