Load reports of four figures are used; unreadable ones are counted

Cause: parseLoad took exactly three figures. Where targets share machines they send a fourth, how long work takes there now, and the whole report was dropped without a word.

The fourth is a factor of the moment (decays within half a second) beside the slowness of a target, which it no longer disturbs. It is kept as the slowness stays that of the target.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -47,6 +47,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkPercent is how long work takes at the target now, in percent of the usual time; 0: not
+	// reported.
+	WorkPercent int
 }
 
 // Credentials returns the standard HTTP headers that identify a caller (RFC 9110,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -21,7 +21,9 @@
 	hedges         *metrics.Counter
 	leavingNotices *metrics.Counter
 	backoffNotices *metrics.Counter
-	requestCounts  sync.Map // outcomeKey -> *metrics.Counter
+	// unreadableLoads counts load reports of targets that could not be parsed.
+	unreadableLoads *metrics.Counter
+	requestCounts   sync.Map // outcomeKey -> *metrics.Counter
 
 	customerLabels    sync.Map // names of customers with metrics of their own
 	customerCount     atomic.Int64
@@ -56,6 +58,8 @@
 		hedges:         set.GetOrCreateCounter("masticturn_hedges_total"),
 		leavingNotices: set.GetOrCreateCounter(`masticturn_target_notices_total{notice="leaving"}`),
 		backoffNotices: set.GetOrCreateCounter(`masticturn_target_notices_total{notice="retry-after"}`),
+
+		unreadableLoads: set.GetOrCreateCounter("masticturn_target_loads_unreadable_total"),
 	}
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -83,8 +83,12 @@
 // readTargetReport reads the load and the notices that the target reports in its headers.
 func (a *attempt) readTargetReport(h http.Header) {
 	d := a.x.h.deps.Dialect
-	if load, ok := d.ParseLoad(headerValue(h, d.TargetLoad)); ok {
-		a.load = &load
+	if value := headerValue(h, d.TargetLoad); value != "" {
+		if load, ok := d.ParseLoad(value); ok {
+			a.load = &load
+		} else {
+			a.x.h.series.unreadableLoads.Inc()
+		}
 	}
 	if timeout := keepAliveTimeout(h.Get("Keep-Alive")); timeout > 0 {
 		a.conn.SetKeepAliveTimeout(timeout)
--- a/internal/placement/emulation/emulation_test.go
+++ b/internal/placement/emulation/emulation_test.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// Where other work slows targets down, requests must earn no less if the targets report it.
+func TestReportedWorkFactorsIncreaseWorth(t *testing.T) {
+	t.Parallel()
+	told, hidden := SharedMachineReads(), SharedMachineReads()
+	hidden.HideWorkFactor = true
+	with, without := runSeeds(told, placement.PolicyCompletion, thresholdSeeds), runSeeds(hidden, placement.PolicyCompletion, thresholdSeeds)
+	t.Logf("worth %.4f with reported work factors, %.4f without; in the worst region %.4f and %.4f", with.worth, without.worth, with.region, without.region)
+	if with.worth < without.worth {
+		t.Errorf("worth %.4f with reported work factors, %.4f without", with.worth, without.worth)
+	}
+}
+
 // Waves and bursts of load must move only few requests between regions, as the targets of an
 // object don't depend on the load.
 func TestRegionsStaySteady(t *testing.T) {
--- a/internal/placement/emulation/load.go
+++ b/internal/placement/emulation/load.go
@@ -38,10 +38,21 @@
 	CrashRequests []CrashRequest // they have no worth
 	Length        time.Duration
 
+	Neighbors      Neighbors // other work on the targets' machines
+	HideWorkFactor bool      // targets do not report the work factor that results from Neighbors
+
 	NoReports        bool // VMs send no load reports
 	ModelConnections bool // opening a connection takes a round trip; false: takes no time
 }
 
+// Neighbors describes other work on the machines of targets, which slows a part of the targets down. Which
+// ones it slows changes all the time.
+type Neighbors struct {
+	Share    float64       // of the targets that are slowed down at any time
+	Factor   float64       // of the run times there
+	Interval time.Duration // after which each target may be slowed down or not anew
+}
+
 // Region is a region and the size of its part of the fleet.
 type Region struct {
 	Name    string
--- a/internal/placement/emulation/loads.go
+++ b/internal/placement/emulation/loads.go
@@ -27,7 +27,7 @@
 
 // WorkloadByName returns the workload with a name, or nil if there is none.
 func WorkloadByName(name string) *Workload {
-	for _, w := range slices.Concat(Workloads(), GrownWorkloads(), LargeWorkloads(), ShiftedWorkloads()) {
+	for _, w := range slices.Concat(Workloads(), GrownWorkloads(), LargeWorkloads(), ShiftedWorkloads(), []*Workload{SharedMachineReads()}) {
 		if w.Name == name {
 			return w
 		}
@@ -130,6 +130,14 @@
 	}
 }
 
+// SharedMachineReads is PlanReads at targets whose machines do other work besides.
+func SharedMachineReads() *Workload {
+	w := PlanReads()
+	w.Name = "shared-machine-reads"
+	w.Neighbors = Neighbors{Share: 0.15, Factor: 2.5, Interval: 600 * time.Millisecond}
+	return w
+}
+
 // GrownWorkloads returns workloads modelled on the services of the two deployments with eight times
 // as many VMs.
 func GrownWorkloads() []*Workload {
--- a/internal/placement/emulation/requests.go
+++ b/internal/placement/emulation/requests.go
@@ -165,7 +165,34 @@
 	} else {
 		s.tally.coldRuns++
 	}
-	s.after(time.Duration(runTime), func() { s.finishRun(a) })
+	s.after(time.Duration(runTime*t.workFactor), func() { s.finishRun(a) })
+}
+
+// percent is the unit of reported work factors.
+const percent = 100
+
+// reportedLoad returns the load that a target reports.
+func (s *simulation) reportedLoad(t *target) *edge.Load {
+	load := &edge.Load{Running: t.running, Waiting: len(t.queue), Slots: t.slots}
+	if s.workload.Neighbors.Share > 0 && !s.workload.HideWorkFactor {
+		load.WorkPercent = int(percent * t.workFactor)
+	}
+	return load
+}
+
+// disturbTargets periodically chooses the targets that other work slows down.
+func (s *simulation) disturbTargets() {
+	n := s.workload.Neighbors
+	if n.Share == 0 || s.now.Sub(startTime) > s.workload.Length {
+		return
+	}
+	for _, t := range s.targets {
+		t.workFactor = 1
+		if s.rng.Float64() < n.Share {
+			t.workFactor = n.Factor
+		}
+	}
+	s.after(n.Interval, s.disturbTargets)
 }
 
 // releaseSlot frees a slot and starts queued requests.
@@ -189,7 +216,7 @@
 	delete(s.inFlight, a)
 	t := a.target
 	s.releaseSlot(t)
-	load := &edge.Load{Running: t.running, Waiting: len(t.queue), Slots: t.slots}
+	load := s.reportedLoad(t)
 	leaving := t.leaving
 	s.after(s.delay(t.region, a.req.region), func() {
 		s.handleAnswer(a, leaving)
@@ -205,7 +232,7 @@
 	a.done = true
 	delete(s.inFlight, a)
 	a.vm.connsTo(a.target.name).release(s.now)
-	load := &edge.Load{Running: a.target.running, Waiting: len(a.target.queue), Slots: a.target.slots}
+	load := s.reportedLoad(a.target)
 	a.vm.pool.Release(a.entry.Selected, placement.Result{Load: load, Shed: true}, s.now)
 	s.tryNextTarget(a)
 }
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -100,6 +100,7 @@
 	for _, e := range w.Events {
 		s.after(e.At, func() { s.applyEvent(e) })
 	}
+	s.disturbTargets()
 	for i := range w.Regions {
 		s.scheduleArrival(i)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -222,7 +222,7 @@
 
 // estimateRun estimates the run time of a request at a target.
 func (p *Pool) estimateRun(t *targetState, known bool, rank int, now time.Time) time.Duration {
-	return time.Duration(t.slowness.factorAt(now) * float64(p.runTimes.expect(known, rank)))
+	return time.Duration(t.slowness.factorAt(now) * t.workFactor.at(now) * float64(p.runTimes.expect(known, rank)))
 }
 
 // hasUsableTarget reports whether any target is usable and eligible. A cold or full one may
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -91,13 +91,14 @@
 	p.roundTrips[region] = m
 }
 
-// recordRun records the run time of a request. Requests that were queued at the target are
-// left out, as their latency includes the wait.
+// recordRun records the run time of a request, without the work factor that the target reported with
+// the answer. Requests that were queued at the target are left out, as their latency includes the wait.
 func (p *Pool) recordRun(sel *Selection, runTime time.Duration, now time.Time) {
 	if sel.queued {
 		return
 	}
 	runTime = max(runTime-time.Duration(p.roundTrips[sel.target.Region]), time.Millisecond)
+	runTime = time.Duration(float64(runTime) / sel.target.workFactor.at(now))
 	if expected := p.runTimes.expect(true, 0); sel.known && expected > 0 {
 		sel.target.slowness.observe(float64(runTime)/float64(expected), now)
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -40,6 +40,7 @@
 	lastRequest       time.Time // last request of this VM or another of the region
 	objects           objects
 	slowness          slowness
+	workFactor        workFactor
 }
 
 // load estimates the number of running and queued requests at the target. The target's load
@@ -64,6 +65,7 @@
 	t.reportedRequests = max(0, load.Running+load.Waiting-own)
 	t.reportedAt = now
 	t.reportTTL = ttl
+	t.workFactor.report(load.WorkPercent, now)
 }
 
 // reportAge returns the age of the last load report; -1 ms if there is none.
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -85,6 +85,34 @@
 	s.measuredAt = now
 }
 
+// workFactorDecay is the time constant by which a reported work factor decays to 1. It is short, as
+// targets that share a machine change theirs several times a second.
+const workFactorDecay = 500 * time.Millisecond
+
+// workFactor is the time that work takes at a target, in multiples of its usual time, as last reported.
+// Unlike slowness it is a property of the moment.
+type workFactor struct {
+	factor     float64 // 0: not reported
+	reportedAt time.Time
+}
+
+// report records a report in percent; 0: the target reported none.
+func (f *workFactor) report(percent int, now time.Time) {
+	if percent <= 0 {
+		*f = workFactor{}
+		return
+	}
+	*f = workFactor{factor: min(max(float64(percent)/100, 1/maxSlowness), maxSlowness), reportedAt: now}
+}
+
+// at returns the factor expected at a time; 1 if none was reported.
+func (f *workFactor) at(now time.Time) float64 {
+	if f.factor == 0 {
+		return 1
+	}
+	return 1 + (f.factor-1)*math.Exp(-float64(now.Sub(f.reportedAt))/float64(workFactorDecay))
+}
+
 // slownessWeight is the weight of a new measurement in slowness. It exceeds meanWeight, so
 // that a slow target is detected after a few answers.
 const slownessWeight = 0.25
