Discovery: the work for a change no longer grows with the number of targets

Causes, found by reading for a fleet of 9,996 targets: each change sorted all entries, described all for the log twice and built all services anew; each answer to a poll sorted all entries, for up to 16 pollers and three kinds; all VMs logged each target of their first list; a list that changes was packed for each of 16 children.

Now the mirror keeps its changes by version, the catalog applies only the changed ids, views share the services without changes, and a long list is packed at most once a second.

--- a/internal/config/advise.go
+++ b/internal/config/advise.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		return nil, err
 	}
-	snap := newSnapshot(0, &Encoded{}, effective)
+	snap := newSnapshot(0, &Encoded{}, effective, nil)
 	a := &adviser{snap: snap}
 	a.checkLinks()
 	for i := range effective.Services {
--- a/internal/config/encoded.go
+++ b/internal/config/encoded.go
@@ -92,5 +92,5 @@
 		return nil, trace.Wrap(err, "load generation %d", gen)
 	}
 	SetDefaults(doc)
-	return newSnapshot(gen, e, doc), nil
+	return newSnapshot(gen, e, doc, nil), nil
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -26,7 +26,6 @@
 	regionOfZone map[string]string
 	services     []*ServiceIndex
 	byName       map[string]*ServiceIndex
-	targets      map[string]*TargetIndex
 	classes      map[string]*Class
 	links        map[regionPair]*Link
 	hosts        hostTable
@@ -38,6 +37,17 @@
 	*Service
 	TargetsByRegion map[string][]*TargetIndex
 	AllTargets      []*TargetIndex
+
+	targetsByName map[string]*TargetIndex
+}
+
+// SharesTargets reports whether both indexes share the same targets, as those of successive live
+// snapshots do while the service's targets do not change.
+func (s *ServiceIndex) SharesTargets(other *ServiceIndex) bool {
+	if len(s.AllTargets) != len(other.AllTargets) {
+		return false
+	}
+	return len(s.AllTargets) == 0 || &s.AllTargets[0] == &other.AllTargets[0]
 }
 
 // TargetIndex is a target with its service and region.
@@ -56,10 +66,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return newSnapshot(gen, e, doc), nil
+	return newSnapshot(gen, e, doc, nil), nil
 }
 
-func newSnapshot(gen Generation, e *Encoded, doc *Document) *Snapshot {
+// newSnapshot builds a snapshot. shared returns the index whose targets a service shares; nil: none. The
+// function may be nil.
+func newSnapshot(gen Generation, e *Encoded, doc *Document, shared func(service string) *ServiceIndex) *Snapshot {
 	s := &Snapshot{
 		Generation:   gen,
 		Hash:         e.Hash(),
@@ -67,7 +79,6 @@
 		Document:     doc,
 		regionOfZone: make(map[string]string),
 		byName:       make(map[string]*ServiceIndex),
-		targets:      make(map[string]*TargetIndex),
 		classes:      make(map[string]*Class),
 		links:        make(map[regionPair]*Link),
 	}
@@ -84,7 +95,12 @@
 		s.links[regionPair{l.From, l.To}] = l
 	}
 	for i := range doc.Services {
-		s.addService(&doc.Services[i])
+		svc := &doc.Services[i]
+		var old *ServiceIndex
+		if shared != nil {
+			old = shared(svc.Name)
+		}
+		s.addService(svc, old)
 	}
 	s.hosts = newHostTable(doc.Hosts)
 	return s
@@ -94,21 +110,48 @@
 // removed at run time, independently of the stored configuration. The document
 // is not validated, and Hash is not computed from it.
 func NewLiveSnapshot(gen Generation, doc *Document) *Snapshot {
-	return newSnapshot(gen, &Encoded{}, doc)
+	return newSnapshot(gen, &Encoded{}, doc, nil)
 }
 
-func (s *Snapshot) addService(svc *Service) {
-	idx := &ServiceIndex{Service: svc, TargetsByRegion: make(map[string][]*TargetIndex)}
-	for i := range svc.Targets {
-		t := &TargetIndex{Target: &svc.Targets[i], Service: svc.Name, Region: s.regionOfZone[svc.Targets[i].Zone]}
-		idx.TargetsByRegion[t.Region] = append(idx.TargetsByRegion[t.Region], t)
-		idx.AllTargets = append(idx.AllTargets, t)
-		s.targets[t.Name] = t
+// NextLiveSnapshot is like NewLiveSnapshot for a document that follows the one of previous. The services
+// for which unchanged is set have the same targets as there and share their indexes.
+func NextLiveSnapshot(previous *Snapshot, gen Generation, doc *Document, unchanged map[string]bool) *Snapshot {
+	return newSnapshot(gen, &Encoded{}, doc, func(service string) *ServiceIndex {
+		if unchanged[service] {
+			return previous.Service(service)
+		}
+		return nil
+	})
+}
+
+// addService adds a service that shares the targets of old, if it is not nil.
+func (s *Snapshot) addService(svc *Service, old *ServiceIndex) {
+	idx := &ServiceIndex{Service: svc}
+	if old != nil {
+		idx.TargetsByRegion, idx.AllTargets, idx.targetsByName = old.TargetsByRegion, old.AllTargets, old.targetsByName
+	} else {
+		s.indexTargets(idx)
 	}
 	s.services = append(s.services, idx)
 	s.byName[svc.Name] = idx
 }
 
+// indexTargets builds the indexes of a service's targets.
+func (s *Snapshot) indexTargets(idx *ServiceIndex) {
+	targets := idx.Targets
+	idx.TargetsByRegion = make(map[string][]*TargetIndex)
+	idx.AllTargets = make([]*TargetIndex, 0, len(targets))
+	idx.targetsByName = make(map[string]*TargetIndex, len(targets))
+	all := make([]TargetIndex, len(targets))
+	for i := range targets {
+		t := &all[i]
+		*t = TargetIndex{Target: &targets[i], Service: idx.Name, Region: s.regionOfZone[targets[i].Zone]}
+		idx.TargetsByRegion[t.Region] = append(idx.TargetsByRegion[t.Region], t)
+		idx.AllTargets = append(idx.AllTargets, t)
+		idx.targetsByName[t.Name] = t
+	}
+}
+
 // RegionOfZone returns the region of an availability zone, or "" if unknown.
 func (s *Snapshot) RegionOfZone(zone string) string { return s.regionOfZone[zone] }
 
@@ -119,7 +162,14 @@
 func (s *Snapshot) Services() []*ServiceIndex { return s.services }
 
 // Target returns the target with the given name, or nil.
-func (s *Snapshot) Target(name string) *TargetIndex { return s.targets[name] }
+func (s *Snapshot) Target(name string) *TargetIndex {
+	for _, svc := range s.services {
+		if t := svc.targetsByName[name]; t != nil {
+			return t
+		}
+	}
+	return nil
+}
 
 // Class returns the class with the given name, or nil.
 func (s *Snapshot) Class(name string) *Class { return s.classes[name] }
--- a/internal/discovery/catalog.go
+++ b/internal/discovery/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"masticturn/internal/config"
@@ -24,23 +25,25 @@
 
 	documentVersion platform.Version // version of the last object read, valid or not
 
-	targets       map[string]*catalogEntry    // by id
-	entryVersions map[string]platform.Version // by id; version of the entry last read
-	latestStarts  map[string]int64            // by id; latest known start, kept after the entry is deleted
-	evacuated     map[string]bool
-	listed        map[platform.Kind]bool // kinds of which a complete list was received
-	outageEnd     time.Time              // end of the last outage
+	targets      map[string]*catalogEntry   // by id
+	services     map[string]*serviceTargets // by service
+	missing      map[string]bool            // ids of the targets without an entry that are kept for rejoinGrace
+	latestStarts map[string]int64           // by id; latest known start, kept after the entry is deleted
+	evacuated    map[string]bool
+	listed       map[platform.Kind]bool // kinds of which a complete list was received
+	outageEnd    time.Time              // end of the last outage
 }
 
 func newCatalog(d Decoder, regionByZone map[string]string) *catalog {
 	return &catalog{
-		decoder:       d,
-		regionByZone:  regionByZone,
-		targets:       make(map[string]*catalogEntry),
-		entryVersions: make(map[string]platform.Version),
-		latestStarts:  make(map[string]int64),
-		evacuated:     make(map[string]bool),
-		listed:        make(map[platform.Kind]bool),
+		decoder:      d,
+		regionByZone: regionByZone,
+		targets:      make(map[string]*catalogEntry),
+		services:     make(map[string]*serviceTargets),
+		missing:      make(map[string]bool),
+		latestStarts: make(map[string]int64),
+		evacuated:    make(map[string]bool),
+		listed:       make(map[platform.Kind]bool),
 	}
 }
 
@@ -76,11 +79,17 @@
 		}
 		c.evacuated[o.Name] = true
 	}
+	if maps.Equal(before, c.evacuated) {
+		return unknown
+	}
 	for _, e := range c.targets {
 		if before[e.Zone] && !c.evacuated[e.Zone] {
 			e.markCold(now.Add(zoneReturnColdTime))
 		}
 	}
+	for _, s := range c.services {
+		s.changed = true
+	}
 	return unknown
 }
 
@@ -97,24 +106,65 @@
 	err  error
 }
 
-// setTargets applies the changed entries of targets and returns the invalid ones among them. An
-// invalid entry makes its target unusable and does not affect other targets.
-func (c *catalog) setTargets(m *Mirror, now time.Time) []invalidEntry {
-	var invalid []invalidEntry
-	seen := make(map[string]bool)
-	for _, o := range m.Objects() {
-		seen[o.Name] = true
-		if version, ok := c.entryVersions[o.Name]; ok && version == o.Version {
+// targetState is a target's name with its state as described in the log.
+type targetState struct{ name, state string }
+
+// targetChanges lists what setTargets has changed.
+type targetChanges struct {
+	entries int           // number of entries that were changed, added or removed
+	states  []targetState // new states of the targets whose state changed
+	invalid []invalidEntry
+}
+
+// setTargets applies the entries of targets that changed in the mirror. An invalid entry makes its
+// target unusable and does not affect other targets. The work does not depend on the number of
+// targets.
+func (c *catalog) setTargets(m *Mirror, now time.Time) targetChanges {
+	ids := m.TakeChanged()
+	changes := targetChanges{entries: len(ids)}
+	before := c.states(ids)
+	var removed []string
+	for _, id := range ids {
+		o, ok := m.Get(id)
+		if !ok {
+			removed = append(removed, id)
 			continue
 		}
-		c.entryVersions[o.Name] = o.Version
 		if err := c.readTarget(o, now); err != nil {
-			invalid = append(invalid, invalidEntry{o.Name, err})
+			changes.invalid = append(changes.invalid, invalidEntry{id, err})
 		}
 	}
-	maps.DeleteFunc(c.entryVersions, func(name string, _ platform.Version) bool { return !seen[name] })
-	c.reconcileMissing(seen, now)
-	return invalid
+	c.reconcileMissing(removed, now)
+	changes.states = c.changedStates(before)
+	return changes
+}
+
+// states returns the states of the targets with the given ids and of the missing ones, by id.
+func (c *catalog) states(ids []string) map[string]targetState {
+	out := make(map[string]targetState, len(ids))
+	for _, id := range ids {
+		out[id] = c.state(id)
+	}
+	for id := range c.missing {
+		out[id] = c.state(id)
+	}
+	return out
+}
+
+// changedStates returns the states that differ from those before, in the order of the ids.
+func (c *catalog) changedStates(before map[string]targetState) []targetState {
+	var out []targetState
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		now := c.state(id)
+		if now == before[id] {
+			continue
+		}
+		if c.targets[id] == nil {
+			now.name = before[id].name
+		}
+		out = append(out, now)
+	}
+	return out
 }
 
 // readTarget decodes, validates and applies a changed entry.
@@ -128,6 +178,7 @@
 	}
 	if e := c.targets[o.Name]; e != nil {
 		e.invalid = err != nil
+		c.markChanged(e)
 	}
 	if err != nil {
 		return err
@@ -150,12 +201,14 @@
 	c.recordStart(&t)
 	e := c.targets[t.Instance]
 	if e != nil && e.StartMS == t.StartMS && t.StartMS != 0 && t.Sequence < e.Sequence && now.Sub(e.reportedAt) <= reportReorderWindow {
-		e.missingSince = time.Time{}
+		c.markPresent(e)
 		return
 	}
+	if e != nil {
+		c.drop(e)
+	}
 	if e == nil || e.StartMS != t.StartMS {
 		e = &catalogEntry{}
-		c.targets[t.Instance] = e
 		if c.listed[c.decoder.Kinds().Targets] {
 			e.markCold(now.Add(c.coldTime(t.Service)))
 		}
@@ -165,7 +218,35 @@
 	}
 	e.Target = t
 	e.reportedAt = now
+	c.keep(e)
+	c.markPresent(e)
+}
+
+// keep adds a target.
+func (c *catalog) keep(e *catalogEntry) {
+	c.targets[e.Instance] = e
+	s := c.services[e.Service]
+	if s == nil {
+		s = &serviceTargets{}
+		c.services[e.Service] = s
+	}
+	s.insert(e)
+}
+
+// drop removes a target.
+func (c *catalog) drop(e *catalogEntry) {
+	delete(c.targets, e.Instance)
+	delete(c.missing, e.Instance)
+	c.services[e.Service].remove(e)
+}
+
+// markChanged records that the state of a target has changed.
+func (c *catalog) markChanged(e *catalogEntry) { c.services[e.Service].changed = true }
+
+// markPresent records that a target has an entry.
+func (c *catalog) markPresent(e *catalogEntry) {
 	e.missingSince = time.Time{}
+	delete(c.missing, e.Instance)
 }
 
 // maxStarts is the number of recorded starts at which those of targets without an entry are
@@ -201,18 +282,17 @@
 
 // reconcileMissing drops targets without an entry. If their entries expired in an outage of the
 // store, it keeps those that are not leaving for rejoinGrace.
-func (c *catalog) reconcileMissing(seen map[string]bool, now time.Time) {
-	var missing []string
-	for name := range c.targets {
-		if !seen[name] {
-			missing = append(missing, name)
+func (c *catalog) reconcileMissing(removed []string, now time.Time) {
+	for _, id := range removed {
+		if c.targets[id] != nil {
+			c.missing[id] = true
 		}
 	}
-	expired := now.Sub(c.outageEnd) <= rejoinGrace && float64(len(missing)) >= minExpiredFraction*float64(len(c.targets))
-	for _, name := range missing {
-		e := c.targets[name]
+	expired := now.Sub(c.outageEnd) <= rejoinGrace && float64(len(c.missing)) >= minExpiredFraction*float64(len(c.targets))
+	for id := range c.missing {
+		e := c.targets[id]
 		if !expired || e.Leaving {
-			delete(c.targets, name)
+			c.drop(e)
 			continue
 		}
 		if e.missingSince.IsZero() {
@@ -223,30 +303,24 @@
 
 // hasMissing reports whether the catalog keeps targets for rejoinGrace that the store no longer
 // lists.
-func (c *catalog) hasMissing() bool {
-	for _, e := range c.targets {
-		if !e.missingSince.IsZero() {
-			return true
-		}
-	}
-	return false
-}
+func (c *catalog) hasMissing() bool { return len(c.missing) > 0 }
 
-// expireMissing drops missing targets once rejoinGrace is over. It reports whether it dropped any.
-func (c *catalog) expireMissing(now time.Time) bool {
-	dropped := false
-	for name, e := range c.targets {
-		if !e.missingSince.IsZero() && now.Sub(c.outageEnd) > rejoinGrace {
-			delete(c.targets, name)
-			dropped = true
-		}
+// expireMissing drops missing targets once rejoinGrace is over. It returns their new states.
+func (c *catalog) expireMissing(now time.Time) []targetState {
+	if now.Sub(c.outageEnd) <= rejoinGrace {
+		return nil
+	}
+	before := c.states(nil)
+	for id := range c.missing {
+		c.drop(c.targets[id])
 	}
-	return dropped
+	return c.changedStates(before)
 }
 
 // view returns a view of the catalog with this VM's shares. It is nil until a complete list of
-// each kind was received, as a VM could otherwise send requests to an evacuated zone.
-func (c *catalog) view(shares func() (config.Fleet, config.Retry)) *View {
+// each kind was received, as a VM could otherwise send requests to an evacuated zone. Parts that have
+// not changed are shared with the previous view, which may be nil.
+func (c *catalog) view(shares func() (config.Fleet, config.Retry), previous *View, now time.Time) *View {
 	kinds := c.decoder.Kinds()
 	if c.document == nil || !c.listed[kinds.Targets] || !c.listed[kinds.Evacuations] {
 		return nil
@@ -254,27 +328,27 @@
 	doc := *c.document
 	doc.Fleet, doc.Retry = shares()
 	config.SetDefaults(&doc)
-	v := buildView(&doc, c.gen, c.regionByZone, c.targets, c.evacuated)
+	v := c.buildView(&doc, previous, now)
 	v.Snapshot.Customers = c.customers
 	return v
 }
 
-// states describes the state of each target for the log, by target name.
-func (c *catalog) states() map[string]string {
-	out := make(map[string]string, len(c.targets))
-	for _, e := range c.targets {
-		state := "ready"
-		switch {
-		case e.invalid:
-			state = "unreadable"
-		case e.Leaving:
-			state = "leaving"
-		case !e.missingSince.IsZero():
-			state = "missing"
-		case !e.coldUntil.IsZero():
-			state = "cold for " + e.ColdTime.String()
-		}
-		out[e.Name()] = e.Service + " at " + e.Address + " in " + e.Zone + " " + state
+// state describes the state of the target with an id for the log.
+func (c *catalog) state(id string) targetState {
+	e := c.targets[id]
+	if e == nil {
+		return targetState{id, "gone"}
 	}
-	return out
+	state := "ready"
+	switch {
+	case e.invalid:
+		state = "unreadable"
+	case e.Leaving:
+		state = "leaving"
+	case !e.missingSince.IsZero():
+		state = "missing"
+	case !e.coldUntil.IsZero():
+		state = "cold for " + e.ColdTime.String()
+	}
+	return targetState{e.Name(), e.Service + " at " + e.Address + " in " + e.Zone + " " + state}
 }
--- a/internal/discovery/catalog_test.go
+++ b/internal/discovery/catalog_test.go
@@ -130,6 +130,9 @@
 	f.catalog.setZones(f.zones, f.now)
 }
 
+// view returns a view that follows no other one.
+func (f *catalogFixture) view() *View { return f.catalog.view(noShares, nil, f.now) }
+
 func (f *catalogFixture) cold(name string) bool {
 	return f.now.Before(f.catalog.targets[name].coldUntil)
 }
@@ -139,8 +142,8 @@
 	if !f.document(7) || f.document(6) || f.document(7) {
 		t.Error("only a document of a higher generation may take effect")
 	}
-	if f.catalog.view(noShares).Snapshot.Generation != 7 {
-		t.Errorf("generation %d is in force", f.catalog.view(noShares).Snapshot.Generation)
+	if f.view().Snapshot.Generation != 7 {
+		t.Errorf("generation %d is in force", f.view().Snapshot.Generation)
 	}
 }
 
@@ -149,7 +152,7 @@
 	for _, kind := range []platform.Kind{"zones", "targets"} {
 		f := newCatalogFixture(t, "a")
 		delete(f.catalog.listed, kind)
-		if f.catalog.view(noShares) != nil {
+		if f.view() != nil {
 			t.Errorf("got a view without a list of %s", kind)
 		}
 	}
@@ -162,7 +165,7 @@
 	if adopted, err := f.catalog.setDocument(f.docs); adopted || err == nil {
 		t.Errorf("adopted %v, error %v", adopted, err)
 	}
-	if f.catalog.view(noShares).Snapshot.Generation != 1 {
+	if f.view().Snapshot.Generation != 1 {
 		t.Error("the previous document is no longer in force")
 	}
 }
@@ -200,7 +203,7 @@
 func TestTargetsOfAZoneThatReturnsAreHeldForAMoment(t *testing.T) {
 	f := newCatalogFixture(t, "a")
 	f.evacuate("z1")
-	if !f.catalog.view(noShares).Evacuated["z1"] {
+	if !f.view().Evacuated["z1"] {
 		t.Fatal("the zone is not evacuated")
 	}
 	f.evacuate()
@@ -208,7 +211,7 @@
 		t.Error("the target must be cold, as its own report may arrive later")
 	}
 	f.now = f.now.Add(zoneReturnColdTime)
-	if f.cold("a") || f.catalog.view(noShares).Evacuated["z1"] {
+	if f.cold("a") || f.view().Evacuated["z1"] {
 		t.Error("the target is still cold or its zone evacuated")
 	}
 }
@@ -254,7 +257,7 @@
 	f.now = f.now.Add(rejoinGrace)
 	f.catalog.expireMissing(f.now)
 	if f.catalog.targets["a"] == nil || f.catalog.targets["b"] != nil {
-		t.Errorf("targets: %v", f.catalog.states())
+		t.Errorf("targets: %v", f.catalog.targets)
 	}
 }
 
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -64,6 +64,13 @@
 		Meaning: "A target was added or removed, is leaving, or became cold, as of the given version.",
 		Action:  "None.",
 	})
+	eventTargetsListed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 109,
+		Level:   logrus.InfoLevel,
+		Name:    "targets listed",
+		Meaning: "This VM has received its first list of targets, with the given number of entries, as of the given version.",
+		Action:  "None.",
+	})
 	eventZonesEvacuated = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 105,
 		Level:   logrus.InfoLevel,
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -24,7 +24,7 @@
 func checkEntry(t *testing.T, data []byte) {
 	f := newCatalogFixture(t, "other", "a")
 	invalid := f.put("a", string(data))
-	v := f.catalog.view(noShares)
+	v := f.view()
 	found := 0
 	for _, target := range v.Snapshot.Services()[0].AllTargets {
 		found++
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -9,22 +10,40 @@
 
 // Mirror is a copy of the objects of one kind as of a version of the store. Its version never
 // decreases: older state is ignored, whatever its source. It does no I/O and is not safe for
-// concurrent use.
+// concurrent use. The work for a change does not depend on the number of objects.
 type Mirror struct {
 	maxBytes     int // limit of an object's content
 	asOf         platform.Version
 	objects      map[string]platform.Object
 	tombstones   map[string]platform.Version // names of deleted objects, with the version of the deletion
 	historyStart platform.Version            // version from which tombstones is complete
+	history      []historyEntry
+	unsorted     bool                // history is not in the order of versions
+	changed      map[string]struct{} // names of the objects changed since TakeChanged
+}
+
+// historyEntry records that an object was changed or deleted at a version. It is outdated if the
+// object has another version by now.
+type historyEntry struct {
+	version platform.Version
+	name    string
 }
 
 // maxTombstones is the number of tombstones at which all of them are discarded.
 const maxTombstones = 4096
 
+// minCompactHistory is the length of the history below which outdated entries are kept.
+const minCompactHistory = 256
+
 // NewMirror returns an empty mirror. To bound memory, it discards the content of objects larger
 // than maxBytes.
 func NewMirror(maxBytes int) *Mirror {
-	return &Mirror{maxBytes: maxBytes, objects: make(map[string]platform.Object), tombstones: make(map[string]platform.Version)}
+	return &Mirror{
+		maxBytes:   maxBytes,
+		objects:    make(map[string]platform.Object),
+		tombstones: make(map[string]platform.Version),
+		changed:    make(map[string]struct{}),
+	}
 }
 
 // AsOf returns the version of the store that the mirror reflects; 0 if it has no state yet.
@@ -40,12 +59,23 @@
 	return out
 }
 
+// Len returns the number of objects.
+func (m *Mirror) Len() int { return len(m.objects) }
+
 // Get returns the object of a name.
 func (m *Mirror) Get(name string) (platform.Object, bool) {
 	o, ok := m.objects[name]
 	return o, ok
 }
 
+// TakeChanged returns the names of the objects that were changed or removed since the last call, in
+// order.
+func (m *Mirror) TakeChanged() []string {
+	names := slices.Sorted(maps.Keys(m.changed))
+	clear(m.changed)
+	return names
+}
+
 // Replace applies a complete list as of a version. It reports whether anything changed.
 func (m *Mirror) Replace(list []platform.Object, asOf platform.Version) bool {
 	if asOf < m.asOf {
@@ -71,20 +101,24 @@
 	return changed
 }
 
+// KnowsChangesSince reports whether ChangesSince can tell the changes since a version.
+func (m *Mirror) KnowsChangesSince(v platform.Version) bool { return v >= m.historyStart && v != 0 }
+
 // ChangesSince returns the objects changed and the names removed after a version. ok is false if
 // the mirror does not know all removals since then, so that the complete list is needed.
 func (m *Mirror) ChangesSince(v platform.Version) (changed []platform.Object, removed []string, ok bool) {
-	if v < m.historyStart || v == 0 {
+	if !m.KnowsChangesSince(v) {
 		return nil, nil, false
 	}
-	for _, o := range m.Objects() {
-		if o.Version > v {
+	m.sortHistory()
+	first, _ := slices.BinarySearchFunc(m.history, v+1, func(e historyEntry, v platform.Version) int {
+		return cmp.Compare(e.version, v)
+	})
+	for _, e := range m.history[first:] {
+		if o, exists := m.objects[e.name]; exists && o.Version == e.version {
 			changed = append(changed, o)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(m.tombstones)) {
-		if m.tombstones[name] > v {
-			removed = append(removed, name)
+		} else if m.tombstones[e.name] == e.version {
+			removed = append(removed, e.name)
 		}
 	}
 	return changed, removed, true
@@ -113,6 +147,7 @@
 	}
 	delete(m.tombstones, o.Name)
 	m.objects[o.Name] = m.limitSize(o)
+	m.record(o.Name, o.Version)
 	return true
 }
 
@@ -139,4 +174,35 @@
 		m.historyStart = at
 	}
 	m.tombstones[name] = at
+	m.record(name, at)
+}
+
+// record adds a change to the history.
+func (m *Mirror) record(name string, at platform.Version) {
+	m.changed[name] = struct{}{}
+	if n := len(m.history); n > 0 && m.history[n-1].version > at {
+		m.unsorted = true
+	}
+	m.history = append(m.history, historyEntry{at, name})
+	if current := len(m.objects) + len(m.tombstones); len(m.history) > max(2*current, minCompactHistory) {
+		m.history = slices.DeleteFunc(m.history, m.isOutdated)
+	}
+}
+
+func (m *Mirror) isOutdated(e historyEntry) bool {
+	if o, ok := m.objects[e.name]; ok {
+		return o.Version != e.version
+	}
+	return m.tombstones[e.name] != e.version
+}
+
+// sortHistory sorts the history by version. Lists arrive by name, changes mostly by version.
+func (m *Mirror) sortHistory() {
+	if !m.unsorted {
+		return
+	}
+	slices.SortFunc(m.history, func(x, y historyEntry) int {
+		return cmp.Or(cmp.Compare(x.version, y.version), cmp.Compare(x.name, y.name))
+	})
+	m.unsorted = false
 }
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -282,12 +282,16 @@
 		}
 		s.deps.Logger.Log(eventZonesEvacuated, version, telemetry.Value("zones", strings.Join(slices.Sorted(maps.Keys(s.catalog.evacuated)), ",")))
 	case kinds.Targets:
-		before := s.catalog.states()
-		for _, entry := range s.catalog.setTargets(m, now) {
+		changes := s.catalog.setTargets(m, now)
+		for _, entry := range changes.invalid {
 			s.unreadableCounter(kind).Inc()
 			s.deps.Logger.Log(eventTargetInvalid, version, telemetry.Peer(entry.name), telemetry.Err(entry.err))
 		}
-		s.logTargets(before, version)
+		if !s.catalog.listed[kind] {
+			s.deps.Logger.Log(eventTargetsListed, version, telemetry.Value("targets", changes.entries))
+			return
+		}
+		s.logTargets(changes.states, version)
 	}
 }
 
@@ -296,24 +300,16 @@
 	return s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_unreadable_total{kind=%q}", string(kind)))
 }
 
-// logTargets logs the targets whose state changed.
-func (s *Service) logTargets(before map[string]string, version telemetry.Field) {
-	after := s.catalog.states()
-	for name, state := range after {
-		if before[name] != state {
-			s.deps.Logger.Log(eventTargetChanged, version, telemetry.Peer(name), telemetry.Value("state", state))
-		}
-	}
-	for name := range before {
-		if _, ok := after[name]; !ok {
-			s.deps.Logger.Log(eventTargetChanged, version, telemetry.Peer(name), telemetry.Value("state", "gone"))
-		}
+// logTargets logs the new states of targets.
+func (s *Service) logTargets(states []targetState, cause telemetry.Field) {
+	for _, t := range states {
+		s.deps.Logger.Log(eventTargetChanged, cause, telemetry.Peer(t.name), telemetry.Value("state", t.state))
 	}
 }
 
 // publish stores a new view and passes it to the subscribers. s.mu is held.
 func (s *Service) publish() {
-	v := s.catalog.view(s.deps.Shares)
+	v := s.catalog.view(s.deps.Shares, s.view.Load(), s.deps.Clock.Now())
 	if v == nil {
 		return
 	}
@@ -345,9 +341,8 @@
 	if !s.catalog.hasMissing() {
 		return false
 	}
-	before := s.catalog.states()
-	if s.catalog.expireMissing(s.deps.Clock.Now()) {
-		s.logTargets(before, telemetry.Value("cause", "did not register again after the outage"))
+	if dropped := s.catalog.expireMissing(s.deps.Clock.Now()); len(dropped) > 0 {
+		s.logTargets(dropped, telemetry.Value("cause", "did not register again after the outage"))
 		s.publish()
 	}
 	return s.catalog.hasMissing()
--- a/internal/discovery/serving.go
+++ b/internal/discovery/serving.go
@@ -66,27 +66,45 @@
 		return a, nil
 	}
 	a.Complete = true
-	var err error
-	a.Packed, err = s.packedObjects(r.Kind, m)
-	return a, err
+	list, err := s.packedObjects(r.Kind, m)
+	if err != nil {
+		return nil, err
+	}
+	a.Packed = list.bytes
+	if list.asOf != a.AsOf {
+		// The peer fetches the changes since then with its next poll, and is not up to date before.
+		a.AsOf, a.Confirmed = list.asOf, false
+	}
+	return a, nil
 }
 
 // packedList is a compressed complete list as of a version.
 type packedList struct {
-	asOf  platform.Version
-	bytes []byte
+	asOf     platform.Version
+	packedAt time.Time
+	bytes    []byte
 }
 
-// packedObjects returns the compressed list of a kind. The list is cached because many VMs fetch it
-// when a fleet starts. s.mu is held.
-func (s *Service) packedObjects(kind platform.Kind, m *Mirror) ([]byte, error) {
-	if p := s.packed[kind]; p.bytes != nil && p.asOf == m.AsOf() {
-		return p.bytes, nil
+// repackInterval is the minimum interval between packings of a list of more than largeList objects that
+// changes. Shorter lists are always packed as they are now.
+const (
+	repackInterval = time.Second
+	largeList      = 500
+)
+
+// packedObjects returns a compressed list of a kind. The list is cached because many VMs fetch it when
+// a fleet starts. It may be older than the mirror if the mirror knows all changes since. s.mu is held.
+func (s *Service) packedObjects(kind platform.Kind, m *Mirror) (packedList, error) {
+	now := s.deps.Clock.Now()
+	p := s.packed[kind]
+	if p.bytes != nil && (p.asOf == m.AsOf() || m.Len() > largeList && now.Sub(p.packedAt) < repackInterval && m.KnowsChangesSince(p.asOf)) {
+		return p, nil
 	}
 	raw, err := packObjects(m.Objects())
 	if err != nil {
-		return nil, err
+		return packedList{}, err
 	}
-	s.packed[kind] = packedList{m.AsOf(), raw}
-	return raw, nil
+	p = packedList{m.AsOf(), now, raw}
+	s.packed[kind] = p
+	return p, nil
 }
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -13,7 +13,7 @@
 // names returns the names of the view's targets by instance id.
 func (f *catalogFixture) names() map[string]string {
 	out := make(map[string]string)
-	for _, t := range f.catalog.view(noShares).Snapshot.Services()[0].AllTargets {
+	for _, t := range f.view().Snapshot.Services()[0].AllTargets {
 		out[t.Instance] = t.Name
 	}
 	return out
@@ -23,7 +23,7 @@
 func (f *catalogFixture) put(name, value string) []invalidEntry {
 	f.version++
 	f.targets.Apply([]platform.Event{{Object: platform.Object{Name: name, Version: f.version, Value: []byte(value)}}}, f.version)
-	return f.catalog.setTargets(f.targets, f.now)
+	return f.catalog.setTargets(f.targets, f.now).invalid
 }
 
 // A restarted target must not share state with its previous start.
@@ -42,7 +42,7 @@
 	if !f.cold("a") {
 		t.Error("a target that starts while this VM watches must be cold")
 	}
-	if got := f.catalog.view(noShares).ColdUntil[f.names()["a"]]; got.IsZero() {
+	if got := f.view().ColdUntil[f.names()["a"]]; got.IsZero() {
 		t.Error("the view does not mark the new start as cold")
 	}
 }
@@ -53,16 +53,16 @@
 	want := f.names()["a"]
 	f.report("a", Target{StartMS: 1000, Leaving: true})
 	if f.names()["a"] != want || f.catalog.targets["a"].Leaving {
-		t.Errorf("an older start replaced a newer one: %v", f.catalog.states())
+		t.Errorf("an older start replaced a newer one: %v", f.catalog.targets)
 	}
 	f.remove("a")
 	f.report("a", Target{StartMS: 1000})
 	if len(f.names()) != 0 {
-		t.Errorf("an older start was accepted after the newer one was removed: %v", f.catalog.states())
+		t.Errorf("an older start was accepted after the newer one was removed: %v", f.catalog.targets)
 	}
 	f.report("a", Target{StartMS: 2000})
 	if f.names()["a"] != want {
-		t.Errorf("the newer start was not accepted again: %v", f.catalog.states())
+		t.Errorf("the newer start was not accepted again: %v", f.catalog.targets)
 	}
 }
 
@@ -99,7 +99,7 @@
 	f.report("b", Target{Sequence: 7, Leaving: true})
 	f.report("b", Target{Sequence: 1})
 	if f.catalog.targets["b"].Leaving || f.names()["b"] != "b" {
-		t.Errorf("targets: %v", f.catalog.states())
+		t.Errorf("targets: %v", f.catalog.targets)
 	}
 }
 
@@ -134,7 +134,7 @@
 			}
 			// An invalid entry is reported only once per change of it.
 			f.report("other", Target{Sequence: 1})
-			if again := f.catalog.setTargets(f.targets, f.now); again != nil {
+			if again := f.catalog.setTargets(f.targets, f.now).invalid; again != nil {
 				t.Errorf("reported again: %v", again)
 			}
 			if invalid := f.put("a", good); invalid != nil || len(f.names()) != 2 || f.cold("a") {
@@ -188,7 +188,7 @@
 	if unknown := f.catalog.setZones(f.zones, f.now); len(unknown) != 1 || unknown[0] != "nowhere" {
 		t.Errorf("unknown zones %v", unknown)
 	}
-	if got := f.catalog.view(noShares).Evacuated; len(got) != 1 || !got["z1"] {
+	if got := f.view().Evacuated; len(got) != 1 || !got["z1"] {
 		t.Errorf("evacuated %v", got)
 	}
 }
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,40 +25,108 @@
 	invalid      bool      // the latest entry is invalid
 }
 
-// buildView returns a view of the document with the given targets. It leaves out targets of
-// unknown services and targets with an invalid entry.
-func buildView(doc *config.Document, gen config.Generation, regionByZone map[string]string, targets map[string]*catalogEntry, evacuated map[string]bool) *View {
+// serviceTargets holds the targets of one service.
+type serviceTargets struct {
+	sorted  []*catalogEntry // by id
+	changed bool            // any target or its state has changed since the last view
+}
+
+// find returns the index at which a target is or would be inserted.
+func (s *serviceTargets) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(s.sorted, id, func(e *catalogEntry, id string) int {
+		return cmp.Compare(e.Instance, id)
+	})
+}
+
+func (s *serviceTargets) insert(e *catalogEntry) {
+	s.changed = true
+	i, found := s.find(e.Instance)
+	if found {
+		s.sorted[i] = e
+		return
+	}
+	s.sorted = slices.Insert(s.sorted, i, e)
+}
+
+func (s *serviceTargets) remove(e *catalogEntry) {
+	s.changed = true
+	if i, found := s.find(e.Instance); found {
+		s.sorted = slices.Delete(s.sorted, i, i+1)
+	}
+}
+
+// buildView returns a view of the document with the targets. It leaves out targets of unknown
+// services and targets with an invalid entry. Services without changes share their targets with the
+// previous view, which may be nil.
+func (c *catalog) buildView(doc *config.Document, previous *View, now time.Time) *View {
 	live := *doc
-	live.Regions = regionsOf(regionByZone)
+	live.Regions = regionsOf(c.regionByZone)
 	live.Services = slices.Clone(doc.Services)
-	index := make(map[string]int, len(live.Services))
+	unchanged := make(map[string]bool)
 	for i := range live.Services {
-		live.Services[i].Targets = nil
-		index[live.Services[i].Name] = i
+		svc := &live.Services[i]
+		targets := c.services[svc.Name]
+		if old := previousService(previous, svc.Name); old != nil && targets != nil && !targets.changed && old.Connections == svc.Connections {
+			svc.Targets = old.Targets
+			unchanged[svc.Name] = true
+			continue
+		}
+		svc.Targets = nil
+		if targets != nil {
+			svc.Targets = targets.configTargets(svc.Connections)
+		}
 	}
-	v := &View{Evacuated: evacuated, ColdUntil: make(map[string]time.Time)}
-	for _, name := range slices.Sorted(maps.Keys(targets)) {
-		t := targets[name]
-		i, ok := index[t.Service]
-		if !ok || t.invalid {
+	v := &View{Evacuated: c.evacuated, ColdUntil: c.coldTargets(now)}
+	if previous == nil {
+		v.Snapshot = config.NewLiveSnapshot(c.gen, &live)
+	} else {
+		v.Snapshot = config.NextLiveSnapshot(previous.Snapshot, c.gen, &live, unchanged)
+	}
+	for _, s := range c.services {
+		s.changed = false
+	}
+	return v
+}
+
+// previousService returns a service of the previous view, or nil.
+func previousService(previous *View, name string) *config.ServiceIndex {
+	if previous == nil {
+		return nil
+	}
+	return previous.Snapshot.Service(name)
+}
+
+// configTargets returns the usable targets, each with the given number of connections.
+func (s *serviceTargets) configTargets(connections int) []config.Target {
+	out := make([]config.Target, 0, len(s.sorted))
+	for _, e := range s.sorted {
+		if e.invalid {
 			continue
 		}
-		svc := &live.Services[i]
-		svc.Targets = append(svc.Targets, config.Target{
-			Name:        t.Name(),
-			Instance:    t.Instance,
-			Address:     t.Address,
-			Zone:        t.Zone,
-			Slots:       t.Slots,
-			Connections: svc.Connections,
-			Leaving:     t.Leaving,
+		out = append(out, config.Target{
+			Name:        e.Name(),
+			Instance:    e.Instance,
+			Address:     e.Address,
+			Zone:        e.Zone,
+			Slots:       e.Slots,
+			Connections: connections,
+			Leaving:     e.Leaving,
 		})
-		if !t.coldUntil.IsZero() {
-			v.ColdUntil[t.Name()] = t.coldUntil
+	}
+	return out
+}
+
+// coldTargets returns until when the cold targets are cold, by name.
+func (c *catalog) coldTargets(now time.Time) map[string]time.Time {
+	out := make(map[string]time.Time)
+	for _, s := range c.services {
+		for _, e := range s.sorted {
+			if e.coldUntil.After(now) {
+				out[e.Name()] = e.coldUntil
+			}
 		}
 	}
-	v.Snapshot = config.NewLiveSnapshot(gen, &live)
-	return v
+	return out
 }
 
 // regionsOf returns the regions with their availability zones, both sorted by name.
