Placement: work per request and report follows the targets in use; fewer connections ahead in large regions

A pool's reports, totals and queue estimates went through all targets of the service, and ranking sorted all for each object; both now follow what is in use, and the few best are selected instead of sorted. Pools keep their rankings while the targets of their service do not change.

Connections were opened ahead to targets at which any VM of the region had a request in the last ten seconds. The window is now 30 s divided by the region's VMs, as before for three. Test: TestExpectedInLargeRegions.

--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -66,6 +67,8 @@
 type servicePool struct {
 	*Pool
 	name           string
+	service        *config.ServiceIndex              // the targets of the pool; nil: none yet
+	evacuated      map[string]bool                   // evacuated availability zones
 	waiters        map[*WaitingRequest]chan struct{} // closed when the request is placed or refused
 	serveScheduled bool
 }
@@ -157,11 +160,23 @@
 			p.SetFleet(a.fleet)
 			a.pools[svc.Name] = p
 		}
-		p.SetTargets(svc, v)
+		p.update(svc, v)
 		a.serveQueue(p, now)
 	}
 }
 
+// update passes a new view to the pool if anything has changed for its service.
+func (p *servicePool) update(svc *config.ServiceIndex, v *discovery.View) {
+	old := p.service
+	p.service = svc
+	if old != nil && svc.SharesTargets(old) && maps.Equal(p.evacuated, v.Evacuated) &&
+		old.ColdRequestsPerSecond == svc.ColdRequestsPerSecond && old.ColdMS == svc.ColdMS {
+		return
+	}
+	p.evacuated = v.Evacuated
+	p.SetTargets(svc, v)
+}
+
 // serveQueue serves a pool's queue and wakes the requests that were decided. a.mu is held.
 func (a *Admitter) serveQueue(p *servicePool, now time.Time) {
 	for _, w := range p.Serve(now) {
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -33,6 +33,6 @@
 	p := NewPool(testOptions("ros"))
 	p.SetTargets(svc, view)
 	for b.Loop() {
-		p.rank("object")
+		p.rank("object", maxCachedTargets)
 	}
 }
--- a/internal/placement/expected.go
+++ b/internal/placement/expected.go
@@ -9,8 +9,10 @@
 
 const (
 	// expectedWindow is how long after a request from any VM of the region a target is
-	// expected to get one from this VM, as callers choose a VM of the region at random.
-	expectedWindow = 10 * time.Second
+	// expected to get one from this VM before an idle connection expires, if this VM is the
+	// region's only one. Callers choose a VM at random, so that it is shorter by the number of
+	// VMs.
+	expectedWindow = 30 * time.Second
 	// minConnectFraction is the fraction of the run time, and of the time that the objective
 	// leaves besides it, that connecting must take for opening connections ahead to be worth
 	// it.
@@ -21,8 +23,12 @@
 // connect to, the most recently used first. Cold and unusable targets are left out.
 func (p *Pool) PreconnectCandidates(now time.Time) []*config.TargetIndex {
 	var expected []*targetState
+	if !p.anySlowToConnect() {
+		return nil
+	}
+	window := expectedWindow / time.Duration(max(p.regionVMs, 1))
 	for _, t := range p.sortedTargets {
-		if p.slowToConnect(t.Region) && now.Sub(t.lastRequest) <= expectedWindow && t.usable(now) && !t.cold(now) {
+		if p.slowToConnect(t.Region) && now.Sub(t.lastRequest) <= window && t.usable(now) && !t.cold(now) {
 			expected = append(expected, t)
 		}
 	}
@@ -34,6 +40,16 @@
 	return targets
 }
 
+// anySlowToConnect reports whether slowToConnect holds for any region.
+func (p *Pool) anySlowToConnect() bool {
+	for region := range p.roundTrips {
+		if p.slowToConnect(region) {
+			return true
+		}
+	}
+	return false
+}
+
 // slowToConnect reports whether connecting to a region takes long enough for callers to
 // notice.
 func (p *Pool) slowToConnect(region string) bool {
--- a/internal/placement/expected_test.go
+++ b/internal/placement/expected_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,25 @@
 		t.Errorf("%v are expected, want idle and far in this order", got)
 	}
 }
+
+// Callers choose a VM of the region at random. The more VMs there are, the more recently a target must have got a
+// request for this VM to expect one; without that, most connections opened ahead would expire unused.
+func TestExpectedInLargeRegions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		vms  int
+		age  time.Duration // of the region's last request to the target
+		want bool
+	}{{3, 9 * time.Second, true}, {3, 11 * time.Second, false}, {30, 900 * time.Millisecond, true}, {30, 2 * time.Second, false}, {300, 500 * time.Millisecond, false}} {
+		p := expectedPool(110*time.Millisecond, 228*time.Millisecond, now)
+		fleet := Fleet{Self: "vm-0"}
+		for i := range tt.vms {
+			fleet.VMs = append(fleet.VMs, VM{fmt.Sprintf("vm-%d", i), "r1"}, VM{fmt.Sprintf("other-%d", i), "r2"})
+		}
+		p.SetFleet(fleet)
+		p.targets["far"].lastRequest = now.Add(-tt.age)
+		if got := len(p.PreconnectCandidates(now)) == 1; got != tt.want {
+			t.Errorf("%d VMs, last request %v ago: expected %v, want %v", tt.vms, tt.age, got, tt.want)
+		}
+	}
+}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -86,7 +86,7 @@
 // regions, in rank order.
 func (p *Pool) rankedTargets(req *Request, local bool, now time.Time) []*targetState {
 	var out []*targetState
-	for _, t := range p.rank(p.hashKey(req)) {
+	for _, t := range p.rank(p.hashKey(req), len(p.sortedTargets)) {
 		if p.allowed(t, req, local, now) {
 			out = append(out, t)
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -5,7 +5,7 @@
 package placement
 
 import (
-	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -62,8 +62,13 @@
 	chooseTarget  chooseFunc
 	rand          *rand.Rand
 	targets       map[string]*targetState
-	sortedTargets []*targetState // by name
+	byID          map[uint32]*targetState // by shortID
+	sortedTargets []*targetState          // by name
+	totalSlots    int                     // of all targets
+	inUse         map[*targetState]bool   // targets with requests of this VM
+	inPeerUse     map[*targetState]bool   // targets with peerRequests
 	fleet         Fleet
+	regionVMs     int // number of VMs in this VM's region
 	// fleetVersion is incremented when the fleet or the cold rate changes.
 	fleetVersion uint64
 	coldRate     float64       // maximum rate of requests to a cold target, requests/s; 0: no limit
@@ -91,6 +96,8 @@
 		chooseTarget: chooseFuncs[o.Policy],
 		rand:         o.Rand,
 		targets:      make(map[string]*targetState),
+		inUse:        make(map[*targetState]bool),
+		inPeerUse:    make(map[*targetState]bool),
 		roundTrips:   make(map[string]movingAverage),
 		notices:      make(notices),
 		newObjects:   make(map[uint32][]string),
@@ -101,12 +108,20 @@
 func (p *Pool) SetFleet(f Fleet) {
 	p.fleet = f
 	p.fleetVersion++
+	p.regionVMs = 0
+	for _, vm := range f.VMs {
+		if vm.Region == p.region {
+			p.regionVMs++
+		}
+	}
 }
 
 // SetTargets replaces the targets. The state of targets that remain is kept.
 func (p *Pool) SetTargets(svc *config.ServiceIndex, v *discovery.View) {
 	next := make(map[string]*targetState, len(svc.AllTargets))
+	p.byID = make(map[uint32]*targetState, len(svc.AllTargets))
 	p.sortedTargets = p.sortedTargets[:0]
+	p.totalSlots = 0
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
 		if s == nil {
@@ -116,9 +131,12 @@
 		s.evacuated = v.Evacuated[t.Zone]
 		s.coldUntil = later(s.coldUntil, v.ColdUntil[t.Name])
 		next[t.Name] = s
+		p.byID[s.id] = s
+		p.totalSlots += s.Slots
 		p.sortedTargets = append(p.sortedTargets, s)
 	}
 	p.targets = next
+	maps.DeleteFunc(p.inPeerUse, func(t *targetState, _ bool) bool { return next[t.Name] != t })
 	p.notices.prune(next)
 	if p.coldRate != svc.ColdRequestsPerSecond {
 		p.coldRate = svc.ColdRequestsPerSecond
@@ -255,38 +273,29 @@
 	key := p.hashKey(req)
 	ranked := p.ranking.get(key)
 	if ranked == nil {
-		ranked = p.rank(key)
+		ranked = p.rank(key, maxCachedTargets)
 		if req.Key != "" {
 			p.ranking.add(key, ranked)
 		}
 	}
 	out, complete := p.firstReplicas(req, ranked, now)
 	if !complete && len(ranked) < len(p.sortedTargets) {
-		out, _ = p.firstReplicas(req, p.rank(key), now)
+		out, _ = p.firstReplicas(req, p.rank(key, len(p.sortedTargets)), now)
 	}
 	return out
 }
 
-// rank returns all targets in the order of their rendezvous scores for an object.
-func (p *Pool) rank(key string) []*targetState {
-	type scored struct {
-		t     *targetState
-		score float64
-	}
-	all := make([]scored, len(p.sortedTargets))
-	for i, t := range p.sortedTargets {
-		weight := float64(t.Slots)
-		if t.Region != p.region {
-			weight *= p.remoteWeight
-		}
-		all[i] = scored{t, rendezvous.WeightedScore(key, t.Name, weight)}
-	}
-	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	ranked := make([]*targetState, len(all))
-	for i := range all {
-		ranked[i] = all[i].t
-	}
-	return ranked
+// rank returns the n targets with the highest rendezvous scores for an object, in the order of their
+// scores.
+func (p *Pool) rank(key string, n int) []*targetState {
+	return rendezvous.TopWeighted(key, p.sortedTargets, n,
+		func(t *targetState) string { return t.Name },
+		func(t *targetState) float64 {
+			if t.Region != p.region {
+				return float64(t.Slots) * p.remoteWeight
+			}
+			return float64(t.Slots)
+		})
 }
 
 // hashKey returns the key by which targets are ranked: the object's, or a random one.
@@ -321,6 +330,7 @@
 func (p *Pool) Acquire(sel *Selection, now time.Time) {
 	t := sel.target
 	t.ownRequests++
+	p.inUse[t] = true
 	t.lastRequest = now
 	if sel.key != "" {
 		t.objects.add(sel.key, now)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -250,7 +250,7 @@
 // If the cached targets of an object are unusable, those that rank after them are chosen.
 func TestTargetsBeyondTheCachedRankingAreChosen(t *testing.T) {
 	p, _ := newTestPool(t, "ros", targetLayout{perRegion: map[string]int{"ros": maxCachedTargets + 4}, slots: 2})
-	order := p.rank("a")
+	order := p.rank("a", len(p.sortedTargets))
 	p.candidates(newRequest("a"), start)
 	for i, target := range order {
 		if sel := p.Choose(newRequest("a"), start); sel == nil || sel.target != target {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -71,14 +71,10 @@
 
 // estimateQueueWait estimates the time until the given number of requests have got a slot.
 func (p *Pool) estimateQueueWait(ahead int) time.Duration {
-	slots := 0
-	for _, t := range p.sortedTargets {
-		slots += t.Slots
-	}
-	if ahead == 0 || slots == 0 {
+	if ahead == 0 || p.totalSlots == 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / float64(slots) * float64(p.runTimes.expect(true, 0)))
+	return time.Duration(float64(ahead) / float64(p.totalSlots) * float64(p.runTimes.expect(true, 0)))
 }
 
 // servedBefore reports whether request a is served before request b.
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -44,6 +44,9 @@
 func (p *Pool) Release(sel *Selection, r Result, now time.Time) (ejected time.Duration) {
 	t := sel.target
 	t.ownRequests--
+	if t.ownRequests == 0 {
+		delete(p.inUse, t)
+	}
 	if r.Load != nil {
 		t.applyReport(r.Load, t.ownRequests, p.reportTTL(t, r.Load), now)
 	}
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -51,8 +51,8 @@
 func (p *Pool) ReportUsage() *Usage {
 	u := &Usage{Running: make(map[uint32]int), Objects: p.newObjects}
 	p.newObjects = make(map[uint32][]string)
-	for _, t := range p.sortedTargets {
-		if t.ownRequests > 0 {
+	for t := range p.inUse {
+		if p.targets[t.Name] == t {
 			u.Running[t.id] = t.ownRequests
 		}
 	}
@@ -63,13 +63,23 @@
 // ApplyUsage applies the region's total, valid for ttl. The total includes this VM's last
 // report, which is subtracted.
 func (p *Pool) ApplyUsage(total *Usage, ttl time.Duration, now time.Time) {
-	for _, t := range p.sortedTargets {
-		t.peerRequests = min(max(total.Running[t.id]-p.lastReported[t.id], 0), t.maxRequests())
-		if t.peerRequests > 0 {
+	p.clearPeerUse()
+	for id, running := range total.Running {
+		t := p.byID[id]
+		if t == nil {
+			continue
+		}
+		if n := min(max(running-p.lastReported[id], 0), t.maxRequests()); n > 0 {
+			t.peerRequests = n
 			t.lastRequest = now
+			p.inPeerUse[t] = true
 		}
-		for _, key := range total.Objects[t.id] {
-			t.objects.add(key, now)
+	}
+	for id, keys := range total.Objects {
+		if t := p.byID[id]; t != nil {
+			for _, key := range keys {
+				t.objects.add(key, now)
+			}
 		}
 	}
 	p.usageExpires = now.Add(ttl)
@@ -80,7 +90,13 @@
 	if now.Before(p.usageExpires) {
 		return
 	}
-	for _, t := range p.sortedTargets {
+	p.clearPeerUse()
+}
+
+// clearPeerUse drops the usage of the region's other VMs.
+func (p *Pool) clearPeerUse() {
+	for t := range p.inPeerUse {
 		t.peerRequests = 0
 	}
+	clear(p.inPeerUse)
 }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -56,25 +56,53 @@
 	return top(candidates, n, name, func(c T) uint64 { return Score(key, name(c)) })
 }
 
+// selectionRatio is the ratio of candidates to results above which the results are selected one by one
+// instead of by sorting all candidates.
+const selectionRatio = 8
+
+// scored is a candidate with its score.
+type scored[T any, S cmp.Ordered] struct {
+	item  T
+	score S
+}
+
 func top[T any, S cmp.Ordered](candidates []T, n int, name func(T) string, score func(T) S) []T {
-	type scored struct {
-		item  T
-		score S
-	}
-	all := make([]scored, len(candidates))
-	for i, c := range candidates {
-		all[i] = scored{c, score(c)}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
+	n = min(n, len(candidates))
+	before := func(a, b scored[T, S]) int {
 		if c := cmp.Compare(b.score, a.score); c != 0 {
 			return c
 		}
 		return cmp.Compare(name(a.item), name(b.item))
-	})
-	n = min(n, len(all))
+	}
+	var best []scored[T, S]
+	if n*selectionRatio < len(candidates) {
+		best = selectBest(candidates, n, score, before)
+	} else {
+		best = make([]scored[T, S], len(candidates))
+		for i, c := range candidates {
+			best[i] = scored[T, S]{c, score(c)}
+		}
+		slices.SortFunc(best, before)
+	}
 	out := make([]T, n)
 	for i := range out {
-		out[i] = all[i].item
+		out[i] = best[i].item
 	}
 	return out
 }
+
+// selectBest returns the first n candidates in the order of before. Its cost is little more than that of the
+// scores if n is small.
+func selectBest[T any, S cmp.Ordered](candidates []T, n int, score func(T) S, before func(a, b scored[T, S]) int) []scored[T, S] {
+	best := make([]scored[T, S], 0, n+1)
+	for _, c := range candidates {
+		s := scored[T, S]{c, score(c)}
+		if len(best) == n && (n == 0 || before(best[n-1], s) < 0) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(best, s, before)
+		best = slices.Insert(best, i, s)
+		best = best[:min(len(best), n)]
+	}
+	return best
+}
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -61,3 +61,14 @@
 		t.Error("a candidate of weight 0 ranked before one of positive weight")
 	}
 }
+
+// Selecting a few of many candidates must give the same result as ranking all of them.
+func TestTopOfManyIsTheBeginningOfTheRanking(t *testing.T) {
+	all := candidates(500)
+	ranked := Top("k", all, len(all), identity)
+	for _, n := range []int{0, 1, 2, 16, 62, 63, 499} {
+		if got := Top("k", all, n, identity); !slices.Equal(got, ranked[:n]) {
+			t.Errorf("the first %d are %v, want %v", n, got, ranked[:n])
+		}
+	}
+}
