--- a/internal/membership/derive.go
+++ b/internal/membership/derive.go
@@ -11,6 +11,7 @@
 		return m.view
 	}
 	m.viewStale = false
+	m.viewBuiltAt = m.lastEvent
 	v := &View{Self: m.self.Name, Version: 1}
 	if m.view != nil {
 		v.Version = m.view.Version + 1
@@ -48,15 +49,25 @@
 
 // reportStates emits an action for each member whose state changed.
 func (m *StateMachine) reportStates() {
-	if !m.statesStale {
+	if len(m.staleStates) == 0 {
 		return
 	}
-	m.statesStale = false
-	for name, e := range m.table {
+	for name, e := range m.staleStates {
 		s := m.memberState(e)
 		if !e.isReported || e.reported != s {
 			e.reported, e.isReported = s, true
 			m.emit(ReportState{Name: name, State: s})
 		}
 	}
+	clear(m.staleStates)
+}
+
+// markRegionStale requires the states of a region's members to be reported, and a new view.
+func (m *StateMachine) markRegionStale(region uint32) {
+	m.viewStale = true
+	for name, e := range m.table {
+		if e.region == region {
+			m.staleStates[name] = e
+		}
+	}
 }
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -31,9 +31,9 @@
 
 // changeMember changes the record of another member, to mark it suspect or gone.
 func (m *StateMachine) changeMember(e *entry, now time.Time, change func(*Record)) {
-	m.digest ^= e.Record.digest()
+	m.toggle(&e.Record)
 	change(&e.Record)
-	m.digest ^= e.Record.digest()
+	m.toggle(&e.Record)
 	e.changedAt, e.suspectSince = now, now
 	m.markRecordChanged(e, nil)
 }
@@ -151,11 +151,13 @@
 // forget removes a member. If it may be alive it remains a join candidate, so that a partitioned
 // fleet merges again.
 func (m *StateMachine) forget(name string, e *entry, mayBeAlive bool) {
-	m.digest ^= e.Record.digest()
+	m.toggle(&e.Record)
 	delete(m.table, name)
 	delete(m.byID, e.shortID())
 	m.version++
-	m.topologyStale, m.viewStale = true, true
+	delete(m.staleStates, name)
+	e.recordVersion, e.generationVersion = 0, 0 // outdates the member's changes in the logs
+	m.topologyInvalid, m.viewStale = true, true
 	m.emit(SetPeerAddress{VM: name})
 	if mayBeAlive && !e.Gone {
 		m.forgotten = append(m.forgotten, Candidate{Name: name, Address: e.PeerAddress})
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -14,7 +14,11 @@
 // callCandidate sends a join request to a candidate outside the view: every JoinInterval while
 // joining, and every MergeInterval as a member, so that a partitioned fleet merges again.
 func (m *StateMachine) callCandidate(now time.Time) {
-	if now.Before(m.nextJoin) || m.phase > PhaseMember {
+	if m.phase == PhaseJoining && now.Sub(m.started) >= m.opts.JoinTimeout {
+		m.becomeMember(true)
+	}
+	joining := !m.joinPending.IsZero() && now.Sub(m.joinPending) < joinAnswerTimeout
+	if now.Before(m.nextJoin) || m.phase > PhaseMember || joining {
 		return
 	}
 	m.nextJoin = now.Add(m.opts.JoinInterval)
@@ -22,11 +26,20 @@
 		m.nextJoin = now.Add(m.jitter(m.opts.MergeInterval))
 	}
 	if c, ok := m.pickCandidate(); ok {
+		m.joinPending = now
 		m.emit(CallJoin{Candidate: c, Request: JoinRequest{Record: m.self.Record}})
 	}
-	if m.phase == PhaseJoining && now.Sub(m.started) >= m.opts.JoinTimeout {
-		m.becomeMember(true)
-	}
+}
+
+// joinAnswerTimeout is how long a candidate may take to answer until another one is asked. Asking several at
+// once would multiply the transfers of tables while a whole fleet starts.
+const joinAnswerTimeout = 500 * time.Millisecond
+
+// HandleJoinFailed records that the last join request has failed.
+func (m *StateMachine) HandleJoinFailed(now time.Time) []Action {
+	m.begin(now)
+	m.joinPending = time.Time{}
+	return m.end()
 }
 
 // pickCandidate returns a random candidate outside the view.
@@ -57,6 +70,7 @@
 // HandleJoinResponse applies the response to a CallJoin. A response from this daemon itself is ignored.
 func (m *StateMachine) HandleJoinResponse(now time.Time, response *JoinResponse) []Action {
 	m.begin(now)
+	m.joinPending = time.Time{}
 	if response.Name == m.self.Name {
 		return m.end()
 	}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -18,6 +18,7 @@
 	recordVersion     uint64     // table version of the record's last change
 	generationVersion uint64     // table version of the generation's last change
 	recordSource      *linkState // link from which the record was received; nil: none
+	knownBy           uint64     // bits of the links whose peers sent the same record
 	generationSource  *linkState // link from which the generation was received
 	changedAt         time.Time  // last change of the record
 	suspectSince      time.Time  // start of the period in which a suspicion may be refuted
@@ -49,20 +50,31 @@
 	regions map[uint32]*regionState
 	links   map[string]*linkState
 
-	topology        topology
+	recordLog      changeLog // of records
+	generationLog  changeLog // of generations
+	buckets        buckets
+	tableChangedAt time.Time // last change of any record
+
+	topology topology
+	// topologyInvalid requires a new topology before the next use, topologyStale from the next tick on.
+	topologyInvalid bool
 	topologyStale   bool
-	statesStale     bool
+	staleStates     map[string]*entry // members whose state is to be reported
 	viewStale       bool
 	viewStaleAtTick bool // set viewStale at the next tick
+	viewBuiltAt     time.Time
 	view            *View
 
 	candidates  []Candidate
 	forgotten   []Candidate // removed members that may still be alive
 	nextJoin    time.Time
+	joinPending time.Time // when the join request that is not answered yet was sent; zero: none
 	nextExpire  time.Time
 	nextSummary time.Time // of this daemon's region, if it is a relay
 	renewedAt   time.Time
 
+	tableRequestedAt time.Time // last request of a table from an unknown sender
+
 	actions []Action
 }
 
@@ -81,10 +93,12 @@
 		byID:      make(map[uint32]*entry),
 		regions:   make(map[uint32]*regionState),
 		links:     make(map[string]*linkState),
+
+		staleStates: make(map[string]*entry),
 	}
 	m.self = &entry{Record: self, region: regionID(self.Region), changedAt: now, lastAlive: now}
 	m.table[self.Name] = m.self
-	m.digest = self.digest()
+	m.toggle(&self)
 	m.markRecordChanged(m.self, nil)
 	m.markGenerationChanged(m.self, nil)
 	return m
@@ -101,6 +115,7 @@
 	m.begin(now)
 	m.viewStale = m.viewStale || m.viewStaleAtTick
 	m.viewStaleAtTick = false
+	m.topologyInvalid = m.topologyInvalid || m.topologyStale
 	if m.phase == PhaseLeft {
 		return m.end()
 	}
@@ -158,25 +173,38 @@
 	m.version++
 	m.byID[e.shortID()] = e
 	e.recordVersion, m.latest.record = m.version, m.version
-	e.recordSource = source
+	m.recordLog.add(m.version, e, len(m.table), func(e *entry) uint64 { return e.recordVersion })
+	e.recordSource, e.knownBy = source, 0
+	m.tableChangedAt = m.lastEvent
+	m.staleStates[e.Name] = e
+	m.invalidateSoon()
+}
+
+// invalidateSoon requires a new view and topology: now if the present ones were made some time ago, and else
+// from the next tick on, as they are derived from the whole table and changes often come many at a time.
+func (m *StateMachine) invalidateSoon() {
 	m.topologyStale = true
-	m.viewStale, m.statesStale = true, true
+	m.viewStaleAtTick = true
+	if m.lastEvent.Sub(m.viewBuiltAt) >= m.opts.TickInterval {
+		m.topologyInvalid, m.viewStale = true, true
+	}
 }
 
 func (m *StateMachine) markGenerationChanged(e *entry, source *linkState) {
 	m.version++
 	e.generationVersion, m.latest.generation = m.version, m.version
+	m.generationLog.add(m.version, e, len(m.table), func(e *entry) uint64 { return e.generationVersion })
 	e.generationSource = source
 	m.viewStaleAtTick = true
 }
 
 // changeSelf changes this daemon's own record.
 func (m *StateMachine) changeSelf(now time.Time, change func(*Record)) {
-	m.digest ^= m.self.Record.digest()
+	m.toggle(&m.self.Record)
 	delete(m.byID, m.self.shortID())
 	change(&m.self.Record)
 	m.self.Seq++
-	m.digest ^= m.self.Record.digest()
+	m.toggle(&m.self.Record)
 	m.self.changedAt = now
 	m.markRecordChanged(m.self, nil)
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -14,6 +14,9 @@
 		return
 	}
 	if !r.supersedes(&e.Record) {
+		if source != nil && !e.Record.supersedes(r) {
+			e.knownBy |= source.bit
+		}
 		m.mergeGeneration(e, r.Incarnation, r.Generation, r.Hash, source)
 		return
 	}
@@ -23,7 +26,7 @@
 func (m *StateMachine) add(r *Record, source *linkState, now time.Time) {
 	e := &entry{Record: *r, region: regionID(r.Region), changedAt: now, suspectSince: now, lastAlive: now}
 	m.table[r.Name] = e
-	m.digest ^= r.digest()
+	m.toggle(&e.Record)
 	m.markRecordChanged(e, source)
 	m.updateAddress(e, "")
 	m.startRegionTimer(e.region, now)
@@ -31,7 +34,7 @@
 
 func (m *StateMachine) replace(e *entry, r *Record, source *linkState, now time.Time) {
 	oldAddress := e.PeerAddress
-	m.digest ^= e.Record.digest()
+	m.toggle(&e.Record)
 	delete(m.byID, e.shortID())
 	generation, hash := r.Generation, r.Hash
 	if e.Incarnation == r.Incarnation && e.Generation > generation {
@@ -43,7 +46,7 @@
 	e.Record, e.region = *r, regionID(r.Region)
 	e.Generation, e.Hash = generation, hash
 	e.changedAt, e.suspectSince = now, now
-	m.digest ^= e.Record.digest()
+	m.toggle(&e.Record)
 	m.markRecordChanged(e, source)
 	m.updateAddress(e, oldAddress)
 }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -24,6 +24,8 @@
 
 	Probes   []string        // members for which the sender requests evidence
 	Evidence []AliveEvidence // answers to the receiver's probes
+
+	Buckets []uint32 // hashes of the buckets of the sender's table; empty: not sent
 }
 
 // Incarnation returns the sender's incarnation.
@@ -63,4 +65,5 @@
 	Name    string // of the responding daemon
 	Records []Record
 	Regions []RegionSummary
+	Packed  []byte // records packed by pack.Pack, instead of Records
 }
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -101,7 +101,7 @@
 	m.setSummary(r, summary, source, now)
 	if r.silent {
 		r.silent = false
-		m.viewStale, m.statesStale = true, true
+		m.markRegionStale(summary.Region)
 	}
 	if summary.Region == m.self.region {
 		return
@@ -120,7 +120,7 @@
 		silent := id != m.self.region && now.Sub(r.lastSummary) >= m.opts.RegionSuspectAfter
 		if silent != r.silent {
 			r.silent = silent
-			m.viewStale, m.statesStale = true, true
+			m.markRegionStale(id)
 		}
 	}
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -237,7 +237,7 @@
 		response, actions = s.machine.HandleJoin(now, &request)
 		return actions
 	})
-	return response, nil
+	return response, response.pack()
 }
 
 // handle passes an event to the state machine, stores the new view and executes the actions. A pause
@@ -271,6 +271,10 @@
 	}
 }
 
+// publishInterval is the minimum time between two views that subscribers get. They derive state from the whole
+// view, and many changes often come at once.
+const publishInterval = 100 * time.Millisecond
+
 // publish calls the subscribers with the latest view after changes.
 func (s *Service) publish() {
 	var last *View
@@ -283,6 +287,9 @@
 		if v := s.View(); v != last {
 			last = v
 			s.viewSubs.call(v)
+			if !s.sleep(publishInterval) {
+				return
+			}
 		}
 	}
 }
@@ -322,8 +329,13 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Options.JoinTimeout)
 	defer cancel()
 	var response JoinResponse
-	if err := s.cfg.Network.Call(ctx, name, peer.KindJoin, &a.Request, &response); err != nil {
+	err := s.cfg.Network.Call(ctx, name, peer.KindJoin, &a.Request, &response)
+	if err == nil {
+		err = response.unpack()
+	}
+	if err != nil {
 		s.cfg.Logger.Log(eventJoinFailed, telemetry.Peer(name), telemetry.Err(err))
+		s.handle(s.machine.HandleJoinFailed)
 		return
 	}
 	s.handle(func(now time.Time) []Action { return s.machine.HandleJoinResponse(now, &response) })
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -10,6 +10,7 @@
 // linkState is the state of the heartbeat exchange with one peer.
 type linkState struct {
 	peer              string
+	bit               uint64 // identifies the link in entry.knownBy; 0: none
 	epoch             uint64 // of the peer's process
 	lastReceived      time.Time
 	received          bool
@@ -24,9 +25,11 @@
 	mergedVersion     uint64    // version of the peer's table merged into this daemon's
 	oneWay            bool      // the peer does not receive our heartbeats
 	probes            []string  // members for which the peer requests evidence
-	tableRequestedAt  time.Time // last request of the peer's table
+	unknownSince      time.Time // first heartbeat of a peer that is not a known member; zero: none
 	hashMismatches    int       // consecutive heartbeats with another table hash
 	resendTableAt     int       // value of hashMismatches above which the table is resent
+	sendBuckets       bool      // the next heartbeat contains the hashes of the buckets
+	differing         []int     // buckets whose records are to be sent
 }
 
 // minUrgentInterval is the minimum time between heartbeats to a peer that carry urgent changes.
@@ -43,11 +46,30 @@
 // newLink starts the exchange with a peer. A peer that has joined is assumed to have the current
 // table; compareTables corrects that assumption.
 func (m *StateMachine) newLink(peer string) *linkState {
-	l := &linkState{peer: peer, knownVersion: m.version, resendTableAt: initialResendTableAt}
+	delete(m.links, peer)
+	l := &linkState{peer: peer, bit: m.freeLinkBit(), knownVersion: m.version, resendTableAt: initialResendTableAt}
 	m.links[peer] = l
 	return l
 }
 
+// freeLinkBit returns a bit that no link uses, or 0 if there is none.
+func (m *StateMachine) freeLinkBit() uint64 {
+	used := uint64(0)
+	for _, l := range m.links {
+		used |= l.bit
+	}
+	free := ^used & (used + 1)
+	if free != 0 {
+		for _, e := range m.table {
+			e.knownBy &^= free
+		}
+	}
+	return free
+}
+
+// isKnownTo reports whether the peer of a link has sent the record itself.
+func (e *entry) isKnownTo(l *linkState) bool { return e.recordSource == l || e.knownBy&l.bit != 0 }
+
 // Receive processes a heartbeat.
 func (m *StateMachine) Receive(now time.Time, from string, hb *Heartbeat) []Action {
 	m.begin(now)
@@ -112,6 +134,7 @@
 		m.requestTable(l, now)
 		return
 	}
+	l.unknownSince = time.Time{}
 	if e.Incarnation != hb.Incarnation() {
 		return
 	}
@@ -121,15 +144,22 @@
 		e.Hash = hb.Hash
 		m.viewStaleAtTick = true
 	}
-	m.compareTables(l, hb)
+	m.compareTables(l, hb, now)
 }
 
-// requestTable requests the table of a sender that is not a known member.
+// unknownSenderGrace is how long a sender's record may be on its way, and the minimum time between requests of
+// tables.
+const unknownSenderGrace = time.Second
+
+// requestTable requests the table of a sender that has not become a known member for some time.
 func (m *StateMachine) requestTable(l *linkState, now time.Time) {
-	if m.phase != PhaseMember || now.Sub(l.tableRequestedAt) < m.opts.JoinInterval {
+	if l.unknownSince.IsZero() {
+		l.unknownSince = now
+	}
+	if m.phase != PhaseMember || now.Sub(l.unknownSince) < unknownSenderGrace || now.Sub(m.tableRequestedAt) < unknownSenderGrace {
 		return
 	}
-	l.tableRequestedAt = now
+	m.tableRequestedAt = now
 	m.emit(CallJoin{Candidate: Candidate{Name: l.peer}, Request: JoinRequest{Record: m.self.Record}})
 }
 
@@ -139,12 +169,17 @@
 
 // compareTables compares the table hashes. If they are equal, the peer has all records and they need
 // not be sent. If they remain different, the whole table is resent.
-func (m *StateMachine) compareTables(l *linkState, hb *Heartbeat) {
+func (m *StateMachine) compareTables(l *linkState, hb *Heartbeat, now time.Time) {
 	if hb.TableHash == uint32(m.digest) {
 		l.knownVersion = m.version
 		l.hashMismatches, l.resendTableAt = 0, initialResendTableAt
 		return
 	}
+	m.compareBuckets(l, hb)
+	if !m.isSettled(now) {
+		return
+	}
+	l.sendBuckets = true
 	l.hashMismatches++
 	if l.hashMismatches > l.resendTableAt {
 		l.ackedVersion, l.knownVersion, l.inFlightVersion = 0, 0, 0
@@ -212,8 +247,16 @@
 	if known >= m.latest.record {
 		return false
 	}
-	for _, e := range m.table {
-		if e.recordVersion > known && e.recordSource != l && e.changedAt.After(l.lastSent) {
+	changes := m.recordLog.since(known)
+	for i := len(changes) - 1; i >= 0; i-- {
+		e := changes[i].entry
+		if e.recordVersion != changes[i].version {
+			continue
+		}
+		if !e.changedAt.After(l.lastSent) {
+			return false // as are those before it
+		}
+		if !e.isKnownTo(l) {
 			return true
 		}
 	}
@@ -254,6 +297,12 @@
 		hb.ReceivedAgoMS = uint32(now.Sub(l.lastReceived).Milliseconds())
 	}
 	m.addChanges(hb, l)
+	m.addSelf(hb, l)
+	m.addDiffering(hb, l)
+	if l.sendBuckets {
+		hb.Buckets = slices.Clone(m.buckets[:])
+		l.sendBuckets = false
+	}
 	m.addEvidence(hb, l, now)
 	l.lastSent = now
 	if l.firstSent.IsZero() {
@@ -308,6 +357,15 @@
 	}
 }
 
+// addSelf adds the own record for a peer that has not acknowledged anything yet, as it may not know this
+// daemon.
+func (m *StateMachine) addSelf(hb *Heartbeat, l *linkState) {
+	isListed := func(r Record) bool { return r.Name == m.self.Name }
+	if l.ackedVersion == 0 && !m.self.isKnownTo(l) && !slices.ContainsFunc(hb.Records, isListed) {
+		hb.Records = append(hb.Records, m.self.Record)
+	}
+}
+
 // addGeneration adds a member to the update for its generation.
 func (h *Heartbeat) addGeneration(r *Record) {
 	for i := range h.GenerationUpdates {
@@ -344,13 +402,18 @@
 // changedMembers returns the changed records and, for a peer in the same region, the changed
 // generations of the region's members.
 func (m *StateMachine) changedMembers(l *linkState, from uint64) (out []change) {
-	sameRegion := m.isInOwnRegion(l.peer)
-	for _, e := range m.table {
-		if e.recordVersion > max(from, l.knownVersion) && e.recordSource != l {
-			out = append(out, change{version: e.recordVersion, entry: e})
+	for _, c := range m.recordLog.since(max(from, l.knownVersion)) {
+		if e := c.entry; e.recordVersion == c.version && m.table[e.Name] == e && !e.isKnownTo(l) {
+			out = append(out, change{version: c.version, entry: e})
 		}
-		if sameRegion && e.generationVersion > from && e.generationSource != l && e.Region == m.self.Region {
-			out = append(out, change{version: e.generationVersion, entry: e, generationOnly: true})
+	}
+	if !m.isInOwnRegion(l.peer) {
+		return out
+	}
+	for _, c := range m.generationLog.since(from) {
+		e := c.entry
+		if e.generationVersion == c.version && m.table[e.Name] == e && e.generationSource != l && e.Region == m.self.Region {
+			out = append(out, change{version: c.version, entry: e, generationOnly: true})
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/membership/start_test.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// startCost is what the simultaneous start of a whole fleet takes.
+type startCost struct {
+	complete  time.Duration // until all VMs know all VMs
+	neighbors int           // of a VM
+	copies    float64       // number of times that a VM is sent the record of another one
+	meanBytes float64       // received per VM; 0: not measured
+	maxBytes  float64       // sent or received by the busiest VM
+	joinBytes float64       // part of meanBytes that are answers to join requests
+	processor time.Duration // per VM, including the codec if bytes are measured
+}
+
+// startAtOnce starts a fleet in three regions whose VMs start within 0.3 s of each other and know three
+// seeds, as on the platform. measure counts bytes as well, which takes long.
+func startAtOnce(t testing.TB, vms int, measure bool) startCost {
+	const regions, zones, spread = 3, 3, 300 * time.Millisecond
+	s := newSim(t, uint64(vms))
+	s.opts.JoinInterval = 100 * time.Millisecond
+	s.latency = func(from, to string) time.Duration {
+		if from[:2] != to[:2] {
+			return 3 * simStep
+		}
+		return simStep
+	}
+	var records []Record
+	for i := range vms {
+		records = append(records, s.record(fmt.Sprintf("r%d", i%regions), fmt.Sprintf("z%d", i/regions%zones), i))
+	}
+	seeds := []string{records[0].Name, records[vms/3].Name, records[2*vms/3].Name}
+	s.measuring = measure
+	began := time.Now()
+	for started, elapsed := 0, time.Duration(0); started < vms; elapsed += simStep {
+		for ; started < vms && time.Duration(started)*spread/time.Duration(vms) <= elapsed; started++ {
+			r := records[started]
+			r.Incarnation = uint64(s.now.UnixMilli()) * incarnationStep
+			s.add(r, seeds...)
+		}
+		s.run(simStep)
+	}
+	for !s.allKnown(vms) {
+		if s.now.Sub(s.start) > 30*time.Second {
+			t.Errorf("%d VMs: not all know each other after %v", vms, s.now.Sub(s.start))
+			break
+		}
+		s.run(simStep)
+	}
+	c := startCost{
+		complete:  s.now.Sub(s.start),
+		neighbors: len(s.nodes[seeds[0]].currentTopology().neighbors),
+		copies:    float64(s.records) / float64(vms*vms),
+		processor: time.Since(began) / time.Duration(vms),
+		joinBytes: float64(s.joinBytes) / float64(vms),
+	}
+	for _, name := range s.order {
+		c.meanBytes += float64(s.bytesIn[name]) / float64(vms)
+		c.maxBytes = max(c.maxBytes, float64(s.bytesOut[name]), float64(s.bytesIn[name]))
+	}
+	return c
+}
+
+// allKnown reports whether all VMs see all VMs alive.
+func (s *sim) allKnown(vms int) bool {
+	for _, m := range s.nodes {
+		if m.View().Count(Alive) != vms {
+			return false
+		}
+	}
+	return true
+}
+
+// While a whole fleet starts, the copies of a record that a VM gets may grow with the number of its neighbors, which
+// is logarithmic in the size of its region, and not with the fleet.
+func TestStartCostFollowsTheNeighbors(t *testing.T) {
+	const small, large = 60, 300
+	few, many := startAtOnce(t, small, false), startAtOnce(t, large, false)
+	perNeighbor := func(c startCost) float64 { return c.copies / float64(c.neighbors) }
+	if perNeighbor(many) > 1.2*perNeighbor(few) {
+		t.Errorf("%.2f copies of a record with %d neighbors in a fleet of %d, %.2f with %d in a fleet of %d; want at most a fifth more per neighbor",
+			many.copies, many.neighbors, large, few.copies, few.neighbors, small)
+	}
+	for vms, c := range map[int]startCost{small: few, large: many} {
+		if c.complete > 3*time.Second {
+			t.Errorf("the VMs of a fleet of %d know each other after %v, want 3s", vms, c.complete)
+		}
+	}
+}
+
+// BenchmarkStart measures what the start of a whole fleet takes.
+func BenchmarkStart(b *testing.B) {
+	for _, vms := range []int{99, 195, 495, 985} {
+		b.Run(fmt.Sprintf("members=%d", vms), func(b *testing.B) {
+			for b.Loop() {
+				c := startAtOnce(b, vms, true)
+				b.ReportMetric(c.complete.Seconds(), "s/complete")
+				b.ReportMetric(c.meanBytes, "B/daemon")
+				b.ReportMetric(c.maxBytes, "B/max")
+				b.ReportMetric(c.joinBytes, "joinB/daemon")
+				b.ReportMetric(c.copies, "copies")
+				b.ReportMetric(float64(c.processor.Milliseconds()), "ms/daemon")
+			}
+		})
+	}
+}
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -26,10 +26,10 @@
 
 // currentTopology returns the topology for the current table.
 func (m *StateMachine) currentTopology() *topology {
-	if !m.topologyStale {
+	if !m.topologyInvalid {
 		return &m.topology
 	}
-	m.topologyStale = false
+	m.topologyInvalid, m.topologyStale = false, false
 	byRegion := m.membersByRegion()
 	ring := byRegion[m.self.Region]
 	t := topology{ring: ring, neighbors: neighborsOf(m.self.Name, ring, m.opts.MeshSize)}
