Discovery: targets that register by the hundred are published in batches and passed on compressed; limits: buckets of an idle budget start full when they appear

Cause: targets of the whole fleet register for many seconds, some hundreds a second; each batch (five a second) made a new view at all VMs and went to each at 300 B an entry. A view whose only news are added targets now waits 0.1 ms for each known target, a second at most; all other changes are published at once. Test: TestAddedTargetsArePublishedInBatches.

The second region's bucket of a small limit appeared later than 0.2 s after the first one and started empty.

--- a/internal/discovery/catalog.go
+++ b/internal/discovery/catalog.go
@@ -112,6 +112,7 @@
 // targetChanges lists what setTargets has changed.
 type targetChanges struct {
 	entries int           // number of entries that were changed, added or removed
+	onlyNew bool          // all of them are new targets
 	states  []targetState // new states of the targets whose state changed
 	invalid []invalidEntry
 }
@@ -121,7 +122,10 @@
 // targets.
 func (c *catalog) setTargets(m *Mirror, now time.Time) targetChanges {
 	ids := m.TakeChanged()
-	changes := targetChanges{entries: len(ids)}
+	changes := targetChanges{entries: len(ids), onlyNew: len(c.missing) == 0}
+	for _, id := range ids {
+		changes.onlyNew = changes.onlyNew && c.targets[id] == nil
+	}
 	before := c.states(ids)
 	var removed []string
 	for _, id := range ids {
--- a/internal/discovery/growth_test.go
+++ b/internal/discovery/growth_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"masticturn/internal/config"
@@ -145,3 +146,39 @@
 		})
 	}
 }
+
+// While many targets register, a view is published at an interval that follows the number of targets. A target that
+// leaves is still known at once.
+func TestAddedTargetsArePublishedInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const added = 3000
+		f := newFleet(t, 10)
+		s := f.vms["vm-005"]
+		published := 0
+		cancel := s.SubscribeView(func(*View) { published++ })
+		defer cancel()
+		began := time.Now()
+		for i := range added {
+			name := fmt.Sprintf("t-%04d", i)
+			f.store.Put("targets", name, encode(t, Target{Instance: name, Service: "svc", Zone: "z1", Slots: 1, Address: "10.0.0.1:80"}))
+			time.Sleep(3 * time.Millisecond)
+		}
+		// An interval of up to 0.3 s at 3,000 targets, and one of 0.2 s at least by the reads of the store.
+		if most := int(time.Since(began)/(200*time.Millisecond)) - 2; published > most {
+			t.Errorf("%d views in %v, want at most %d", published, time.Since(began), most)
+		}
+		time.Sleep(maxPublishDelay + f.bound)
+		f.wantTargets("after the last one was added", added)
+		f.store.Put("targets", "t-0000", encode(t, Target{Instance: "t-0000", Service: "svc", Zone: "z1", Slots: 1, Address: "10.0.0.1:80", Leaving: true}))
+		f.store.Put("targets", "new", encode(t, Target{Instance: "new", Service: "svc", Zone: "z1", Slots: 1, Address: "10.0.0.2:80"}))
+		time.Sleep(f.bound)
+		for name, vm := range f.vms {
+			if target := vm.View().Snapshot.Target("t-0000"); target == nil || !target.Leaving {
+				t.Errorf("%s does not know that a target is leaving", name)
+			}
+		}
+		if n := f.hub.Stats().Bytes; n > added*len(f.vms)*150 {
+			t.Errorf("%d bytes between VMs, want at most 150 for each target and VM", n)
+		}
+	})
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -51,7 +51,7 @@
 	Removed  []string
 	AsOf     platform.Version
 	Age      time.Duration // time since the last contact with the store, by any VM on the path
-	Packed   []byte        // complete list compressed by packObjects, instead of Changed
+	Packed   []byte        // objects compressed by packObjects, instead of Changed
 	// Confirmed is set if the peer knows a time at which its state was the store's latest.
 	// ConfirmedAt is that time relative to the peer's receipt of the poll.
 	Confirmed   bool
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -76,10 +76,13 @@
 
 	mu            sync.Mutex // guards the fields below and serializes publication
 	catalog       *catalog
+	publishedAt   time.Time // of the last view
+	delayed       bool      // a view with new targets is to be published later
 	mirrors       map[platform.Kind]*Mirror
 	lastContact   map[platform.Kind]time.Time     // time of the last contact with the store
 	contactSignal map[platform.Kind]chan struct{} // closed and replaced on contact with the store
 	packed        map[platform.Kind]packedList    // cached compressed lists
+	packedChanges map[platform.Kind]packedChanges // latest compressed changes
 	subs          map[int]func(*View)
 	nextSub       int
 
@@ -112,6 +115,7 @@
 		lastContact:   make(map[platform.Kind]time.Time),
 		contactSignal: make(map[platform.Kind]chan struct{}),
 		packed:        make(map[platform.Kind]packedList),
+		packedChanges: make(map[platform.Kind]packedChanges),
 		subs:          make(map[int]func(*View)),
 		stopped:       make(chan struct{}),
 		missingSignal: make(chan struct{}, 1),
@@ -226,8 +230,11 @@
 		s.catalog.outageEnd = now
 	}
 	if s.updateMirror(c) || s.isFirstList(c) {
-		s.applyMirror(c.kind, s.mirrors[c.kind], now)
-		s.publish()
+		if onlyNew := s.applyMirror(c.kind, s.mirrors[c.kind], now); onlyNew && s.view.Load() != nil {
+			s.publishSoon(now)
+		} else {
+			s.publish()
+		}
 	}
 	s.confirmed[c.kind].record(c.confirmed)
 	if s.catalog.hasMissing() {
@@ -262,8 +269,9 @@
 	s.contactSignal[kind] = make(chan struct{})
 }
 
-// applyMirror updates the catalog from a changed mirror and logs what changed.
-func (s *Service) applyMirror(kind platform.Kind, m *Mirror, now time.Time) {
+// applyMirror updates the catalog from a changed mirror and logs what changed. onlyNew means that nothing has
+// changed but for targets that were added.
+func (s *Service) applyMirror(kind platform.Kind, m *Mirror, now time.Time) (onlyNew bool) {
 	version := telemetry.Value("version", uint64(m.AsOf()))
 	defer func() { s.catalog.listed[kind] = true }()
 	switch kinds := s.deps.Decoder.Kinds(); kind {
@@ -289,10 +297,12 @@
 		}
 		if !s.catalog.listed[kind] {
 			s.deps.Logger.Log(eventTargetsListed, version, telemetry.Value("targets", changes.entries))
-			return
+			return false
 		}
 		s.logTargets(changes.states, version)
+		return changes.onlyNew
 	}
+	return false
 }
 
 // unreadableCounter returns the counter of invalid objects of a kind.
@@ -307,6 +317,40 @@
 	}
 }
 
+// Delay of a view whose only news are added targets. A view costs work in proportion to the number of targets,
+// and while a fleet starts its targets register for many seconds, some at a time. All other changes are published
+// at once.
+const (
+	delayPerTarget  = 100 * time.Microsecond
+	maxPublishDelay = time.Second
+)
+
+// publishSoon publishes a view once enough time has passed since the last one. s.mu is held.
+func (s *Service) publishSoon(now time.Time) {
+	wait := s.publishedAt.Add(min(time.Duration(len(s.catalog.targets))*delayPerTarget, maxPublishDelay)).Sub(now)
+	switch {
+	case wait <= 0:
+		s.publish()
+	case !s.delayed:
+		s.delayed = true
+		time.AfterFunc(wait, s.publishDelayed)
+	}
+}
+
+// publishDelayed publishes the view that publishSoon has put off, unless another one was published since.
+func (s *Service) publishDelayed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stopped:
+		return
+	default:
+	}
+	if s.delayed {
+		s.publish()
+	}
+}
+
 // publish stores a new view and passes it to the subscribers. s.mu is held.
 func (s *Service) publish() {
 	v := s.catalog.view(s.deps.Shares, s.view.Load(), s.deps.Clock.Now())
@@ -314,6 +358,7 @@
 		return
 	}
 	s.view.Store(v)
+	s.publishedAt, s.delayed = s.deps.Clock.Now(), false
 	for _, f := range s.subs {
 		f(v)
 	}
--- a/internal/discovery/serving.go
+++ b/internal/discovery/serving.go
@@ -62,8 +62,10 @@
 	a.Confirmed, a.ConfirmedAt = s.confirmed[r.Kind].sinceReceipt(received)
 	changed, removed, ok := m.ChangesSince(r.Since)
 	if ok {
-		a.Changed, a.Removed = changed, removed
-		return a, nil
+		var err error
+		a.Removed = removed
+		a.Changed, a.Packed, err = s.packChanges(r, a.AsOf, changed)
+		return a, err
 	}
 	a.Complete = true
 	list, err := s.packedObjects(r.Kind, m)
@@ -78,6 +80,29 @@
 	return a, nil
 }
 
+// minPackedChanges is the number of changed objects from which on they are compressed.
+const minPackedChanges = 16
+
+// packedChanges are the compressed changes of one kind between two versions.
+type packedChanges struct {
+	since, asOf platform.Version
+	bytes       []byte
+}
+
+// packChanges compresses the changed objects if there are many. The result is cached, as all peers that poll this
+// VM mostly request the same changes. s.mu is held.
+func (s *Service) packChanges(r *pollRequest, asOf platform.Version, changed []platform.Object) (plain []platform.Object, packed []byte, err error) {
+	if len(changed) < minPackedChanges {
+		return changed, nil, nil
+	}
+	if p := s.packedChanges[r.Kind]; p.bytes != nil && p.since == r.Since && p.asOf == asOf {
+		return nil, p.bytes, nil
+	}
+	packed, err = packObjects(changed)
+	s.packedChanges[r.Kind] = packedChanges{r.Since, asOf, packed}
+	return nil, packed, err
+}
+
 // packedList is a compressed complete list as of a version.
 type packedList struct {
 	asOf     platform.Version
--- a/internal/ratelimit/allocation.go
+++ b/internal/ratelimit/allocation.go
@@ -37,14 +37,26 @@
 	emptiedAt     time.Duration // when a reservation was last removed
 }
 
-// newAllocation returns an allocation without reservations. New buckets may start full until
-// fullUntil, which must be 0 unless no share of the budget was in force for a window.
-func newAllocation(b Budget, fullUntil time.Duration) *allocation {
+// newAllocation returns an allocation without reservations. idle means that no share of the budget was in
+// force for a window, so that its whole burst is available to new buckets.
+func newAllocation(b Budget, idle bool) *allocation {
 	a := &allocation{reservations: make(map[string]*reservation)}
-	a.fills = fillBudget{tokens: b.Burst, fullUntil: fullUntil}
+	if idle {
+		a.fills.initial = b.Burst
+	}
 	return a
 }
 
+// limitInitialFill limits the tokens that an idle budget still has for new buckets to the part of the burst
+// that is not reserved: the other buckets may hold tokens for the rest.
+func (a *allocation) limitInitialFill(b Budget) {
+	free := b.Burst
+	for _, res := range a.reservations {
+		free -= float64(res.share.Burst)
+	}
+	a.fills.initial = min(a.fills.initial, max(free, 0))
+}
+
 // adopt reserves the share that a VM holds from an earlier granter.
 func (a *allocation) adopt(vm string, held Share, until time.Duration) {
 	a.adoptedShares.Rate += held.Rate
@@ -55,7 +67,14 @@
 // removeVM removes the reservation of a VM whose process has ended.
 func (a *allocation) removeVM(vm string, now time.Duration) {
 	delete(a.reservations, vm)
+	a.recordEnd(now)
+}
+
+// recordEnd records that a share has ended. The tokens that its bucket started with may have been used in the
+// same window, so that no other bucket may start with them.
+func (a *allocation) recordEnd(now time.Duration) {
 	a.emptiedAt = now
+	a.fills.initial = 0
 }
 
 // idle reports whether no share of the budget was in force for a window.
@@ -124,7 +143,7 @@
 	for vm, res := range a.reservations {
 		if now >= res.expiresAt {
 			delete(a.reservations, vm)
-			a.emptiedAt = now
+			a.recordEnd(now)
 		}
 	}
 }
@@ -132,30 +151,26 @@
 // fillBudget limits the tokens with which the buckets of new holders start, so that holders that join
 // do not raise the total over the limit. It is itself a token bucket. In any window at most the
 // budget's Fill is taken: half of it may have accumulated before the window (the cap), and the other
-// half is refilled during it. The initial tokens come on top; they are available until fullUntil, and
-// what is left of them then is discarded.
+// half is refilled during it. The initial tokens come on top; they only become fewer.
 type fillBudget struct {
-	tokens    float64
-	last      time.Duration
-	fullUntil time.Duration
+	initial float64
+	tokens  float64
+	last    time.Duration
 }
 
 // take returns the number of tokens for a new bucket, at most maxTokens.
 func (f *fillBudget) take(b Budget, window time.Duration, maxTokens int, now time.Duration) int {
-	if now >= f.fullUntil {
-		f.refill(b, window, now)
-	}
-	n := min(int(f.tokens), maxTokens)
-	f.tokens -= float64(n)
+	f.refill(b, window, now)
+	n := min(int(f.initial+f.tokens), maxTokens)
+	fromInitial := min(f.initial, float64(n))
+	f.initial -= fromInitial
+	f.tokens -= float64(n) - fromInitial
 	return n
 }
 
-// refill adds the tokens for the time since the last refill. The first refill discards the initial
-// tokens.
+// refill adds the tokens for the time since the last refill.
 func (f *fillBudget) refill(b Budget, window, now time.Duration) {
-	if f.last == 0 {
-		f.tokens = 0
-	} else if window > 0 {
+	if f.last != 0 && window > 0 {
 		f.tokens += b.Fill / 2 * (now - f.last).Seconds() / window.Seconds()
 	}
 	f.tokens = min(f.tokens, b.Fill/2)
--- a/internal/ratelimit/allocation_test.go
+++ b/internal/ratelimit/allocation_test.go
@@ -33,7 +33,7 @@
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		budget := testTolerance.Budget(customer.Limit{PerSecond: 1 + 100*random.Float64(), Burst: float64(random.IntN(50))})
-		a := newAllocation(budget, 0)
+		a := newAllocation(budget, false)
 		vms := make([]holderModel, 2+random.IntN(40))
 		now := time.Second
 		for range 400 {
@@ -103,7 +103,7 @@
 // The share of a holder that no longer reports must be available to others after shareTTL.
 func TestExpiredSharesAreGrantedToOthers(t *testing.T) {
 	budget := testTolerance.Budget(customer.Limit{PerSecond: 40, Burst: 40})
-	a := newAllocation(budget, 0)
+	a := newAllocation(budget, false)
 	now := time.Second
 	a.renew(shareRequest{vm: "a", demand: 100}, budget, 1, false, now, now+shareTTL)
 	now += shareTTL
@@ -158,3 +158,56 @@
 		t.Errorf("got %v, want only process 1 of a", got)
 	}
 }
+
+// The first buckets of an idle budget start full, also in a region whose first request comes later. Together with
+// the tokens that the earlier buckets may hold, they never get more than the burst, however shares move.
+func TestIdleBudgetFillsBucketsWhenTheyAppear(t *testing.T) {
+	budget := Budget{Rate: 4.2, Burst: 19.3}
+	const window, ttl = 5 * time.Second, time.Minute
+	a := newAllocation(budget, true)
+	now := time.Second
+	grant := func(vm string, held Share, demand float64) (Share, int) {
+		s := a.renew(shareRequest{vm: vm, held: held, demand: demand}, budget, 2, false, now, now+ttl)
+		fill := 0
+		if held == (Share{}) {
+			fill = a.fills.take(budget, window, s.Burst, now)
+		}
+		a.limitInitialFill(budget)
+		return s, fill
+	}
+	first, fill := grant("vm-1", Share{}, 2)
+	if fill != first.Burst {
+		t.Errorf("the first bucket starts with %d of %d tokens", fill, first.Burst)
+	}
+	now += 2 * time.Second
+	if second, fill := grant("vm-2", Share{}, 2); fill != second.Burst || fill < 2 {
+		t.Errorf("the second bucket starts with %d of %d tokens two seconds later", fill, second.Burst)
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	held := make(map[string]Share)
+	total := 0
+	for range 2000 {
+		vm := fmt.Sprintf("vm-%d", 3+random.IntN(6))
+		if random.Float64() < 0.3 {
+			a.removeVM(vm, now)
+			delete(held, vm)
+			continue
+		}
+		before := held[vm]
+		capacity := 0
+		for name, res := range a.reservations {
+			if name != vm {
+				capacity += res.share.Burst
+			}
+		}
+		s, fill := grant(vm, before, random.Float64()*4)
+		held[vm] = s
+		total += fill
+		if float64(capacity+fill) > budget.Burst {
+			t.Fatalf("a bucket starts with %d tokens while others may hold %d of %.1f", fill, capacity, budget.Burst)
+		}
+	}
+	if float64(total) > budget.Burst {
+		t.Errorf("%d tokens were given to new buckets of a budget with a burst of %.1f", total, budget.Burst)
+	}
+}
--- a/internal/ratelimit/granter.go
+++ b/internal/ratelimit/granter.go
@@ -105,11 +105,7 @@
 func (g *granter) allocation(customer string, b Budget, now time.Duration) *allocation {
 	a := g.allocations[customer]
 	if a == nil {
-		fullUntil := time.Duration(0)
-		if now >= g.idleFrom {
-			fullUntil = now + g.tolerance.fullStartPeriod()
-		}
-		a = newAllocation(b, fullUntil)
+		a = newAllocation(b, now >= g.idleFrom)
 		g.allocations[customer] = a
 	}
 	return a
@@ -124,6 +120,7 @@
 	if e.share() == (Share{}) {
 		out.Fill = a.fills.take(budget, g.tolerance.Window, share.Burst, now)
 	}
+	a.limitInitialFill(budget)
 	return out
 }
 
--- a/internal/ratelimit/tolerance.go
+++ b/internal/ratelimit/tolerance.go
@@ -31,16 +31,6 @@
 	fillSlackFraction = 0.25
 )
 
-// fullStartFraction is the fraction of the rate's overage that is used for buckets which start full
-// shortly after the first one.
-const fullStartFraction = 0.4
-
-// fullStartPeriod returns how long after the first bucket of an idle budget other buckets may start
-// full. It is limited because the first buckets refill in the meantime.
-func (t Tolerance) fullStartPeriod() time.Duration {
-	return time.Duration(fullStartFraction * t.Overage * float64(t.Window))
-}
-
 // Budget is what all VMs together may use under a limit. In any window they run at most
 // Rate × Window + Burst + Fill requests, which is less than Tolerance.Bound.
 type Budget struct {
