--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -167,6 +167,15 @@
 	f.store.Put("doc", "main", encode(f.t, testDocument{Generation: f.gen}))
 }
 
+// liveByRegion returns the live members of each region, in the order that is the same on all VMs.
+func liveByRegion(v *membership.View) map[string][]*membership.Member {
+	regions := liveMembers(v)
+	for region, members := range regions {
+		regions[region] = topOfRegion(region, members, len(members))
+	}
+	return regions
+}
+
 // watchersAndLeader returns the watchers and the leader of the region that has no watcher.
 func (f *fleet) watchersAndLeader() (reading []string, leader string) {
 	order := rankedLeaders(liveByRegion(f.view))
--- a/internal/discovery/registrar.go
+++ b/internal/discovery/registrar.go
@@ -110,8 +110,9 @@
 		return true
 	}
 	v := r.deps.Members.View()
-	own := liveByRegion(v)[regionOf(v, v.Self)]
-	return slices.ContainsFunc(own[:min(entriesPerRegion, len(own))], func(m membership.Member) bool { return m.Name == v.Self })
+	region := regionOf(v, v.Self)
+	first := topOfRegion(region, liveMembers(v)[region], entriesPerRegion)
+	return slices.ContainsFunc(first, func(m *membership.Member) bool { return m.Name == v.Self })
 }
 
 // register creates the entry, or updates the one of an earlier process. It is idempotent, so that
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -69,10 +69,15 @@
 // sourcesFor returns the sources of the VM that owns the view. All VMs with the same members derive
 // the same tree, without cycles.
 func sourcesFor(v *membership.View) sources {
-	regions := liveByRegion(v)
-	ranked := rankedLeaders(regions)
-	own := regions[regionOf(v, v.Self)]
-	rank := slices.IndexFunc(own, func(m membership.Member) bool { return m.Name == v.Self })
+	live := liveMembers(v)
+	ownRegion := regionOf(v, v.Self)
+	leaders := make(map[string][]*membership.Member)
+	for region, members := range live {
+		leaders[region] = topOfRegion(region, members, 1)
+	}
+	ranked := rankedLeaders(leaders)
+	own := topOfRegion(ownRegion, live[ownRegion], len(live[ownRegion]))
+	rank := slices.IndexFunc(own, func(m *membership.Member) bool { return m.Name == v.Self })
 	s := sources{isReader: rank < readersPerRegion, fleetSize: len(v.Members)}
 	if rank < 0 {
 		return s // this VM is not alive, for example leaving
@@ -109,29 +114,33 @@
 	return m.Region
 }
 
-func memberName(m membership.Member) string { return m.Name }
+func memberName(m *membership.Member) string { return m.Name }
 
-// liveByRegion returns the live members of each region, in an order that is the same on all VMs.
-func liveByRegion(v *membership.View) map[string][]membership.Member {
-	regions := make(map[string][]membership.Member)
-	for _, m := range v.Members {
-		if m.State == membership.Alive {
+// liveMembers returns the live members of each region.
+func liveMembers(v *membership.View) map[string][]*membership.Member {
+	regions := make(map[string][]*membership.Member)
+	for i := range v.Members {
+		if m := &v.Members[i]; m.State == membership.Alive {
 			regions[m.Region] = append(regions[m.Region], m)
 		}
 	}
-	for region, members := range regions {
-		regions[region] = rendezvous.Top("leader of "+region, members, len(members), memberName)
-	}
 	return regions
 }
 
-// rankedLeaders returns the leader of each region. The first watcherCount of them are the watchers.
-func rankedLeaders(regions map[string][]membership.Member) []membership.Member {
-	var out []membership.Member
+// topOfRegion returns the first n members of a region in an order that is the same on all VMs. The first one is
+// the region's leader.
+func topOfRegion(region string, members []*membership.Member, n int) []*membership.Member {
+	return rendezvous.Top("leader of "+region, members, n, memberName)
+}
+
+// rankedLeaders returns the leaders of the regions, each the first of its region's members. The first
+// watcherCount of them are the watchers.
+func rankedLeaders(regions map[string][]*membership.Member) []*membership.Member {
+	var out []*membership.Member
 	for _, members := range regions {
 		out = append(out, members[0])
 	}
-	return rendezvous.Top("watchers", out, len(out), func(m membership.Member) string { return m.Region })
+	return rendezvous.Top("watchers", out, len(out), func(m *membership.Member) string { return m.Region })
 }
 
 // Errors of polls whose answer holds no current state.
