--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -57,7 +57,8 @@
 
 // JoinRequest is the request of the peer.KindJoin call.
 type JoinRequest struct {
-	Record Record
+	Record        Record
+	AcceptsPacked bool // the response may be packed
 }
 
 // JoinResponse is the response to a JoinRequest.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -237,7 +237,10 @@
 		response, actions = s.machine.HandleJoin(now, &request)
 		return actions
 	})
-	return response, response.pack()
+	if request.AcceptsPacked {
+		return response, response.pack()
+	}
+	return response, nil
 }
 
 // handle passes an event to the state machine, stores the new view and executes the actions. A pause
@@ -329,6 +332,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Options.JoinTimeout)
 	defer cancel()
 	var response JoinResponse
+	a.Request.AcceptsPacked = true
 	err := s.cfg.Network.Call(ctx, name, peer.KindJoin, &a.Request, &response)
 	if err == nil {
 		err = response.unpack()
