--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -25,7 +25,10 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	rc        *http.ResponseController
-	startedAt time.Time
+	startedAt time.Time // when handling began
+	// receivedAt is when the request was received. It is before startedAt if the request has waited for the
+	// answer to the one before it.
+	receivedAt time.Time
 
 	keysCurrent bool // API keys of snap are accepted
 	snap        *config.Snapshot
@@ -155,7 +158,7 @@
 	x.match = m
 	x.repeatable = m.Repeatable && headerValue(x.r.Header, x.h.deps.Dialect.NoRetry) != "1"
 	x.region = x.h.callerPlace(x.r).Region
-	x.deadline = x.startedAt.Add(x.timeout())
+	x.deadline = x.receivedAt.Add(x.timeout())
 	if x.r.ContentLength > x.maxBody() {
 		return notRunError(outcome.StepRoute, http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -131,14 +131,14 @@
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler) // the caller left before its request was handled
 	}
-	x := exchange{h: h, w: w, r: r, startedAt: h.receivedAt(r)}
+	now := h.deps.Clock.Now()
+	x := exchange{h: h, w: w, r: r, startedAt: now, receivedAt: receivedAt(r, now)}
 	x.serve()
 }
 
-// receivedAt returns when a request was received. A request that the caller sent before the answer to its
-// previous one has waited since then.
-func (h *Handler) receivedAt(r *http.Request) time.Time {
-	now := h.deps.Clock.Now()
+// receivedAt returns when a request was received that is handled from now on. A request that the caller sent
+// before the answer to its previous one has waited since then.
+func receivedAt(r *http.Request, now time.Time) time.Time {
 	if at := callerconn.ReceivedAt(r.Context()); !at.IsZero() && at.Before(now) {
 		return at
 	}
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -9,11 +9,14 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"masticturn/internal/edge"
 )
 
 // recordingTarget is a target on in-memory connections that records the requests it runs.
@@ -23,6 +26,7 @@
 	mu       sync.Mutex
 	runs     []string // method, path and body of each run
 	canceled []string
+	left     []int // milliseconds until the deadline of each run
 }
 
 func (r *recordingTarget) dial(context.Context, string, string) (net.Conn, error) {
@@ -42,6 +46,8 @@
 	text := fmt.Sprintf("%s %s %s", req.Method, req.URL.Path, body)
 	r.mu.Lock()
 	r.runs = append(r.runs, text)
+	left, _ := strconv.Atoi(req.Header.Get(edge.HeaderTargetDeadlineMS))
+	r.left = append(r.left, left)
 	r.mu.Unlock()
 	timer := time.NewTimer(r.runTime)
 	defer timer.Stop()
@@ -99,6 +105,36 @@
 	}
 }
 
+// A request that has waited behind another is run even if its objective has passed, as long as its caller waits. Its
+// target gets the time that is left.
+func TestRequestsThatWaitedBehindOthersRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, timeout = 4, 4000
+		conn, target := newRecordedProxy(t, 400*time.Millisecond)
+		go func() {
+			for i := range requests {
+				_, _ = fmt.Fprintf(conn, "GET /svc/%d HTTP/1.1\r\nHost: x\r\n%s: %d\r\n\r\n", i, edge.HeaderTimeoutMS, timeout)
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		answers := bufio.NewReader(conn)
+		for i := range requests {
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("request %d: got %v, %v", i, resp, err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		for i, left := range target.left {
+			if waited := i * 400; left > timeout-waited {
+				t.Errorf("the target of request %d got %d ms after it had waited %d of %d", i, left, waited, timeout)
+			}
+		}
+	})
+}
+
 // pipelinedRequest is a request on a raw connection, and what its target and its caller must see.
 type pipelinedRequest struct {
 	raw    string
