--- a/internal/forward/pipe_test.go
+++ b/internal/forward/pipe_test.go
@@ -63,6 +63,18 @@
 func (pipeAddr) Network() string { return "pipe" }
 func (pipeAddr) String() string  { return "pipe" }
 
+// dialHandler returns a function that opens connections to a target which is served by the handler.
+func dialHandler(h http.Handler) dialFunc {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		l := newPipeListener()
+		go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
+		l.conns <- far
+		_ = l.Close()
+		return near, nil
+	}
+}
+
 // silentConn returns a connection to a target that reads everything and sends nothing.
 func silentConn(context.Context, string, string) (net.Conn, error) {
 	near, far := net.Pipe()
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -29,15 +28,6 @@
 	left     []int // milliseconds until the deadline of each run
 }
 
-func (r *recordingTarget) dial(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	l := newPipeListener()
-	go func() { _ = (&http.Server{Handler: r}).Serve(l) }()
-	l.conns <- far
-	_ = l.Close()
-	return near, nil
-}
-
 func (r *recordingTarget) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
@@ -70,7 +60,7 @@
 // newRecordedProxy returns a connection to a proxy and the target behind it.
 func newRecordedProxy(t *testing.T, runTime time.Duration) (net.Conn, *recordingTarget) {
 	target := &recordingTarget{runTime: runTime}
-	b := newPipeProxy(t, testDocument("10.0.0.1:80"), target.dial)
+	b := newPipeProxy(t, testDocument("10.0.0.1:80"), dialHandler(target))
 	conn, err := b.client.Transport.(*http.Transport).DialContext(t.Context(), "", "")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forward/slow_caller_test.go
+++ b/internal/forward/slow_caller_test.go
@@ -25,15 +25,6 @@
 	aborted   atomic.Int64
 }
 
-func (i *impatientTarget) dial(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	l := newPipeListener()
-	go func() { _ = (&http.Server{Handler: i}).Serve(l) }()
-	l.conns <- far
-	_ = l.Close()
-	return near, nil
-}
-
 func (i *impatientTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/svc/large" {
 		_, _ = io.WriteString(w, "small")
@@ -93,7 +84,7 @@
 func TestSlowCallerGetsTheWholeResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target := &impatientTarget{size: 2_000_000, maxUnread: 3 * time.Second}
-		b := newPipeProxy(t, largeDocument(), target.dial)
+		b := newPipeProxy(t, largeDocument(), dialHandler(target))
 		status, n, _, err := getSlowly(b, "/svc/large", 60_000)
 		if err != nil || status != http.StatusOK || n != target.size || target.aborted.Load() != 0 {
 			t.Errorf("got %d with %d bytes, %v; %d responses were aborted", status, n, err, target.aborted.Load())
@@ -110,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const callers, memory = 200, 136 << 20
 		target := &impatientTarget{size: 1_000_000, maxUnread: 3 * time.Second}
-		b := newPipeProxyOn(t, largeDocument(), target.dial, settings.VM{Name: "vm1", Zone: "z1", Region: "r1", MemoryBytes: memory})
+		b := newPipeProxyOn(t, largeDocument(), dialHandler(target), settings.VM{Name: "vm1", Zone: "z1", Region: "r1", MemoryBytes: memory})
 		if status, _, _, err := getSlowly(b, "/svc/large", 10_000_000); status != http.StatusOK || err != nil {
 			t.Fatal(status, err)
 		}
--- a/internal/relaybuf/buffer.go
+++ b/internal/relaybuf/buffer.go
@@ -1,7 +1,5 @@
 package relaybuf
 
-import "io"
-
 // part is a part of a response.
 type part struct {
 	buf *[PartBytes]byte
@@ -16,7 +14,7 @@
 
 	// Guarded by memory.mu.
 	held    []part
-	ended   error // set once receiving has ended: io.EOF or its error
+	ended   error // set once receiving has ended: io.EOF, or why it failed
 	closed  bool  // nothing more will be sent
 	sending *[PartBytes]byte
 }
@@ -128,13 +126,6 @@
 	return p.buf[:p.n], nil
 }
 
-// Complete reports whether the whole response was received.
-func (b *Buffer) Complete() bool {
-	b.memory.mu.Lock()
-	defer b.memory.mu.Unlock()
-	return b.ended == io.EOF
-}
-
 // fitReservation releases what the rest of the response cannot need.
 func (b *Buffer) fitReservation() {
 	if b.unreceived < 0 && b.ended == nil {
