One log of changes by version for the mirror and the member table; one test of partnership

The buckets to be sent are a bit set, as there are 64. The version of the last record's change followed from the log. Messages and their order stay as they were, but that removals of equal version are no longer sorted by name within an answer to a poll.

--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -1,10 +1,10 @@
 package discovery
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
+	"masticturn/internal/changelog"
 	"masticturn/internal/platform"
 )
 
@@ -17,33 +17,24 @@
 	objects      map[string]platform.Object
 	tombstones   map[string]platform.Version // names of deleted objects, with the version of the deletion
 	historyStart platform.Version            // version from which tombstones is complete
-	history      []historyEntry
-	unsorted     bool                // history is not in the order of versions
-	changed      map[string]struct{} // names of the objects changed since TakeChanged
-}
-
-// historyEntry records that an object was changed or deleted at a version. It is outdated if the
-// object has another version by now.
-type historyEntry struct {
-	version platform.Version
-	name    string
+	history      *changelog.Log[string]      // changes and deletions by name
+	changed      map[string]struct{}         // names of the objects changed since TakeChanged
 }
 
 // maxTombstones is the number of tombstones at which all of them are discarded.
 const maxTombstones = 4096
 
-// minCompactHistory is the length of the history below which outdated entries are kept.
-const minCompactHistory = 256
-
 // NewMirror returns an empty mirror. To bound memory, it discards the content of objects larger
 // than maxBytes.
 func NewMirror(maxBytes int) *Mirror {
-	return &Mirror{
+	m := &Mirror{
 		maxBytes:   maxBytes,
 		objects:    make(map[string]platform.Object),
 		tombstones: make(map[string]platform.Version),
 		changed:    make(map[string]struct{}),
 	}
+	m.history = changelog.New(m.isLatest)
+	return m
 }
 
 // AsOf returns the version of the store that the mirror reflects; 0 if it has no state yet.
@@ -110,15 +101,14 @@
 	if !m.KnowsChangesSince(v) {
 		return nil, nil, false
 	}
-	m.sortHistory()
-	first, _ := slices.BinarySearchFunc(m.history, v+1, func(e historyEntry, v platform.Version) int {
-		return cmp.Compare(e.version, v)
-	})
-	for _, e := range m.history[first:] {
-		if o, exists := m.objects[e.name]; exists && o.Version == e.version {
+	for _, c := range m.history.Since(uint64(v)) {
+		if m.history.IsOutdated(c) {
+			continue
+		}
+		if o, exists := m.objects[c.Item]; exists {
 			changed = append(changed, o)
-		} else if m.tombstones[e.name] == e.version {
-			removed = append(removed, e.name)
+		} else {
+			removed = append(removed, c.Item)
 		}
 	}
 	return changed, removed, true
@@ -180,29 +170,13 @@
 // record adds a change to the history.
 func (m *Mirror) record(name string, at platform.Version) {
 	m.changed[name] = struct{}{}
-	if n := len(m.history); n > 0 && m.history[n-1].version > at {
-		m.unsorted = true
-	}
-	m.history = append(m.history, historyEntry{at, name})
-	if current := len(m.objects) + len(m.tombstones); len(m.history) > max(2*current, minCompactHistory) {
-		m.history = slices.DeleteFunc(m.history, m.isOutdated)
-	}
-}
-
-func (m *Mirror) isOutdated(e historyEntry) bool {
-	if o, ok := m.objects[e.name]; ok {
-		return o.Version != e.version
-	}
-	return m.tombstones[e.name] != e.version
+	m.history.Add(uint64(at), name, len(m.objects)+len(m.tombstones))
 }
 
-// sortHistory sorts the history by version. Lists arrive by name, changes mostly by version.
-func (m *Mirror) sortHistory() {
-	if !m.unsorted {
-		return
+// isLatest reports whether an object, or its deletion, still has the version of a change.
+func (m *Mirror) isLatest(c changelog.Change[string]) bool {
+	if o, ok := m.objects[c.Item]; ok {
+		return uint64(o.Version) == c.Version
 	}
-	slices.SortFunc(m.history, func(x, y historyEntry) int {
-		return cmp.Or(cmp.Compare(x.version, y.version), cmp.Compare(x.name, y.name))
-	})
-	m.unsorted = false
+	return uint64(m.tombstones[c.Item]) == c.Version
 }
--- a/internal/membership/buckets.go
+++ b/internal/membership/buckets.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,7 +9,7 @@
 // When the table hashes of two daemons differ for some time, each sends the hashes of its table's buckets. The
 // other one answers with the records of the buckets that differ, instead of the whole table.
 const (
-	// bucketCount is the number of buckets of a table.
+	// bucketCount is the number of buckets of a table, as many as a bit set of uint64 holds.
 	bucketCount = 64
 	// settleTime is the time without a change of the own table after which a difference counts. Before,
 	// the records that the tables differ by are usually on their way.
@@ -38,20 +37,20 @@
 	if len(hb.Buckets) != bucketCount {
 		return
 	}
-	l.differing = l.differing[:0]
+	l.differing = 0
 	for i, hash := range hb.Buckets {
 		if hash != m.buckets[i] {
-			l.differing = append(l.differing, i)
+			l.differing |= 1 << i
 		}
 	}
-	if len(l.differing) > 0 {
+	if l.differing != 0 {
 		l.nextSend = m.lastEvent
 	}
 }
 
 // addDiffering adds the records of the buckets that differ at the peer.
 func (m *StateMachine) addDiffering(hb *Heartbeat, l *linkState) {
-	if len(l.differing) == 0 {
+	if l.differing == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(hb.Records))
@@ -62,9 +61,9 @@
 		if len(hb.Records) == m.opts.MaxRecords {
 			break
 		}
-		if !listed[name] && !e.isKnownTo(l) && slices.Contains(l.differing, bucketOf(name)) {
+		if !listed[name] && !e.isKnownTo(l) && l.differing&(1<<bucketOf(name)) != 0 {
 			hb.Records = append(hb.Records, e.Record)
 		}
 	}
-	l.differing = l.differing[:0]
+	l.differing = 0
 }
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 )
 
@@ -139,10 +138,9 @@
 			m.forget(name, e, regionLost)
 		}
 	}
-	partners := m.currentTopology().partners
 	for name, l := range m.links {
 		unused := now.Sub(l.lastReceived) > m.opts.ForgetAfter && now.Sub(l.lastSent) > m.opts.ForgetAfter
-		if unused && !slices.Contains(partners, name) {
+		if unused && !m.isPartner(name) {
 			delete(m.links, name)
 		}
 	}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"masticturn/internal/changelog"
 )
 
 // Candidate is a daemon that may be sent a join request. The name is empty if unknown.
@@ -27,9 +29,6 @@
 	lastAlive         time.Time // last heartbeat, evidence from others, or newer Seq
 }
 
-// latestVersions holds the table versions of the last changes of any record and any generation.
-type latestVersions struct{ record, generation uint64 }
-
 // StateMachine implements the membership protocol of one daemon. It takes events with their times
 // and returns actions. It does no I/O and is not safe for concurrent use.
 type StateMachine struct {
@@ -42,16 +41,16 @@
 	started   time.Time
 	lastEvent time.Time
 
-	table   map[string]*entry
-	byID    map[uint32]*entry // by short ID
-	version uint64            // increases with each change of the table
-	digest  uint64            // hash of all records
-	latest  latestVersions
-	regions map[uint32]*regionState
-	links   map[string]*linkState
+	table            map[string]*entry
+	byID             map[uint32]*entry // by short ID
+	version          uint64            // increases with each change of the table
+	digest           uint64            // hash of all records
+	latestGeneration uint64            // table version of the last change of any generation
+	regions          map[uint32]*regionState
+	links            map[string]*linkState
 
-	recordLog      changeLog // of records
-	generationLog  changeLog // of generations
+	recordLog      *changelog.Log[*entry] // of records
+	generationLog  *changelog.Log[*entry] // of generations
 	buckets        buckets
 	tableChangedAt time.Time // last change of any record
 
@@ -95,6 +94,9 @@
 		links:     make(map[string]*linkState),
 
 		staleStates: make(map[string]*entry),
+
+		recordLog:     changelog.New(func(c changelog.Change[*entry]) bool { return c.Item.recordVersion == c.Version }),
+		generationLog: changelog.New(func(c changelog.Change[*entry]) bool { return c.Item.generationVersion == c.Version }),
 	}
 	m.self = &entry{Record: self, region: regionID(self.Region), changedAt: now, lastAlive: now}
 	m.table[self.Name] = m.self
@@ -172,8 +174,8 @@
 func (m *StateMachine) markRecordChanged(e *entry, source *linkState) {
 	m.version++
 	m.byID[e.shortID()] = e
-	e.recordVersion, m.latest.record = m.version, m.version
-	m.recordLog.add(m.version, e, len(m.table), func(e *entry) uint64 { return e.recordVersion })
+	e.recordVersion = m.version
+	m.recordLog.Add(m.version, e, len(m.table))
 	e.recordSource, e.knownBy = source, 0
 	m.tableChangedAt = m.lastEvent
 	m.staleStates[e.Name] = e
@@ -192,8 +194,8 @@
 
 func (m *StateMachine) markGenerationChanged(e *entry, source *linkState) {
 	m.version++
-	e.generationVersion, m.latest.generation = m.version, m.version
-	m.generationLog.add(m.version, e, len(m.table), func(e *entry) uint64 { return e.generationVersion })
+	e.generationVersion, m.latestGeneration = m.version, m.version
+	m.generationLog.Add(m.version, e, len(m.table))
 	e.generationSource = source
 	m.viewStaleAtTick = true
 }
--- a/internal/membership/region.go
+++ b/internal/membership/region.go
@@ -42,7 +42,7 @@
 		return
 	}
 	r := m.region(m.self.region)
-	publishEarly := m.latest.generation > r.version && now.Sub(r.changedAt) >= m.opts.RegionInterval/maxEarlySummaries
+	publishEarly := m.latestGeneration > r.version && now.Sub(r.changedAt) >= m.opts.RegionInterval/maxEarlySummaries
 	if now.Before(m.nextSummary) && !publishEarly {
 		return
 	}
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -29,7 +29,7 @@
 	hashMismatches    int       // consecutive heartbeats with another table hash
 	resendTableAt     int       // value of hashMismatches above which the table is resent
 	sendBuckets       bool      // the next heartbeat contains the hashes of the buckets
-	differing         []int     // buckets whose records are to be sent
+	differing         uint64    // bit set of the buckets whose records are to be sent
 }
 
 // minUrgentInterval is the minimum time between heartbeats to a peer that carry urgent changes.
@@ -71,8 +71,7 @@
 // among theirs while their tables differ, get heartbeats, and records only by the comparison of buckets: while a
 // fleet starts, hundreds of daemons know only a few others and take them for their neighbors.
 func (m *StateMachine) isPartner(peer string) bool {
-	_, found := slices.BinarySearch(m.topology.neighbors, peer)
-	return found || slices.Contains(m.topology.remote, peer)
+	return slices.Contains(m.currentTopology().partners, peer)
 }
 
 // isKnownTo reports whether the peer of a link has sent the record itself.
@@ -224,7 +223,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.links)) {
 		l := m.links[name]
 		mustReply := l.expectsHeartbeats && now.Sub(l.lastReceived) <= m.replyTimeout()
-		if mustReply && !slices.Contains(t.partners, name) && m.shouldSend(l, now) {
+		if mustReply && !m.isPartner(name) && m.shouldSend(l, now) {
 			m.send(l, now)
 		}
 	}
@@ -251,19 +250,15 @@
 			return true
 		}
 	}
-	known := max(l.ackedVersion, l.knownVersion)
-	if known >= m.latest.record {
-		return false
-	}
 	if !m.isPartner(l.peer) {
 		return false
 	}
-	changes := m.recordLog.since(known)
+	changes := m.recordLog.Since(max(l.ackedVersion, l.knownVersion))
 	for i := len(changes) - 1; i >= 0; i-- {
-		e := changes[i].entry
-		if e.recordVersion != changes[i].version {
+		if m.recordLog.IsOutdated(changes[i]) {
 			continue
 		}
+		e := changes[i].Item
 		if !e.changedAt.After(l.lastSent) {
 			return false // as are those before it
 		}
@@ -302,7 +297,7 @@
 		AckEpoch:          uint32(l.epoch),
 		Ack:               l.mergedVersion,
 		Base:              m.sendAfterVersion(l, now),
-		ExpectsHeartbeats: slices.Contains(m.currentTopology().partners, l.peer),
+		ExpectsHeartbeats: m.isPartner(l.peer),
 	}
 	if l.received {
 		hb.ReceivedAgoMS = uint32(now.Sub(l.lastReceived).Milliseconds())
@@ -400,10 +395,7 @@
 }
 
 func (m *StateMachine) changedSince(l *linkState, from uint64) []change {
-	var out []change
-	if max(m.latest.record, m.latest.generation) > from {
-		out = m.changedMembers(l, from)
-	}
+	out := m.changedMembers(l, from)
 	for _, r := range m.regions {
 		if r.version > from && r.source != l && r.Counter > 0 {
 			out = append(out, change{version: r.version, region: r})
@@ -416,18 +408,18 @@
 // changedMembers returns the changed records and, for a peer in the same region, the changed
 // generations of the region's members.
 func (m *StateMachine) changedMembers(l *linkState, from uint64) (out []change) {
-	for _, c := range m.recordLog.since(max(from, l.knownVersion)) {
-		if e := c.entry; e.recordVersion == c.version && m.table[e.Name] == e && !e.isKnownTo(l) {
-			out = append(out, change{version: c.version, entry: e})
+	for _, c := range m.recordLog.Since(max(from, l.knownVersion)) {
+		if !m.recordLog.IsOutdated(c) && !c.Item.isKnownTo(l) {
+			out = append(out, change{version: c.Version, entry: c.Item})
 		}
 	}
 	if !m.isInOwnRegion(l.peer) {
 		return out
 	}
-	for _, c := range m.generationLog.since(from) {
-		e := c.entry
-		if e.generationVersion == c.version && m.table[e.Name] == e && e.generationSource != l && e.Region == m.self.Region {
-			out = append(out, change{version: c.version, entry: e, generationOnly: true})
+	for _, c := range m.generationLog.Since(from) {
+		e := c.Item
+		if !m.generationLog.IsOutdated(c) && e.generationSource != l && e.Region == m.self.Region {
+			out = append(out, change{version: c.Version, entry: e, generationOnly: true})
 		}
 	}
 	return out
