Views share targets by the identity of their list; the collector's check ends with its purpose; one test handler

Sharing took a set of unchanged services, a closure over it and a flag that building a view reset, so that a view built beside others would have hidden a change from the next. The check of the heap's size went on each second after there was nothing left to set. Tests of forward build their handlers in one place.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -30,17 +30,16 @@
 	return smallHeapPercent
 }
 
-// Run sets the collector's percentage until the context is done. Once the heap was large, the percentage for
-// large heaps stays.
+// Run sets the collector's percentage for small heaps, and the one for large heaps once the heap is large. It
+// returns then, or when the context is done.
 func Run(ctx context.Context) {
-	percent := smallHeapPercent
-	debug.SetGCPercent(percent)
-	wait.Every(ctx, checkInterval, func() {
-		if next := percentFor(liveHeap()); next > percent {
-			percent = next
+	debug.SetGCPercent(smallHeapPercent)
+	for wait.For(ctx, checkInterval) {
+		if percent := percentFor(liveHeap()); percent != smallHeapPercent {
 			debug.SetGCPercent(percent)
+			return
 		}
-	})
+	}
 }
 
 // liveHeap returns the bytes that the last collection found in use.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -41,13 +41,15 @@
 	targetsByName map[string]*TargetIndex
 }
 
-// SharesTargets reports whether both indexes share the same targets, as those of successive live
-// snapshots do while the service's targets do not change.
+// SharesTargets reports whether both services have the same list of targets in memory, as in successive live
+// snapshots while the service's targets do not change.
 func (s *ServiceIndex) SharesTargets(other *ServiceIndex) bool {
-	if len(s.AllTargets) != len(other.AllTargets) {
-		return false
-	}
-	return len(s.AllTargets) == 0 || &s.AllTargets[0] == &other.AllTargets[0]
+	return sameTargets(s.Targets, other.Targets)
+}
+
+// sameTargets reports whether two lists are the same in memory.
+func sameTargets(a, b []Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // TargetIndex is a target with its service and region.
@@ -69,9 +71,9 @@
 	return newSnapshot(gen, e, doc, nil), nil
 }
 
-// newSnapshot builds a snapshot. shared returns the index whose targets a service shares; nil: none. The
-// function may be nil.
-func newSnapshot(gen Generation, e *Encoded, doc *Document, shared func(service string) *ServiceIndex) *Snapshot {
+// newSnapshot builds a snapshot. Services with the same list of targets in memory as in a previous snapshot, which
+// may be nil, share their indexes with it.
+func newSnapshot(gen Generation, e *Encoded, doc *Document, previous *Snapshot) *Snapshot {
 	s := &Snapshot{
 		Generation:   gen,
 		Hash:         e.Hash(),
@@ -95,12 +97,7 @@
 		s.links[regionPair{l.From, l.To}] = l
 	}
 	for i := range doc.Services {
-		svc := &doc.Services[i]
-		var old *ServiceIndex
-		if shared != nil {
-			old = shared(svc.Name)
-		}
-		s.addService(svc, old)
+		s.addService(&doc.Services[i], previous)
 	}
 	s.hosts = newHostTable(doc.Hosts)
 	return s
@@ -110,24 +107,23 @@
 // removed at run time, independently of the stored configuration. The document
 // is not validated, and Hash is not computed from it.
 func NewLiveSnapshot(gen Generation, doc *Document) *Snapshot {
-	return newSnapshot(gen, &Encoded{}, doc, nil)
+	return NextLiveSnapshot(nil, gen, doc)
 }
 
-// NextLiveSnapshot is like NewLiveSnapshot for a document that follows the one of previous. The services
-// for which unchanged is set have the same targets as there and share their indexes.
-func NextLiveSnapshot(previous *Snapshot, gen Generation, doc *Document, unchanged map[string]bool) *Snapshot {
-	return newSnapshot(gen, &Encoded{}, doc, func(service string) *ServiceIndex {
-		if unchanged[service] {
-			return previous.Service(service)
-		}
-		return nil
-	})
+// NextLiveSnapshot is like NewLiveSnapshot for a document that follows the one of a previous snapshot, which may
+// be nil, with the same regions. Services whose list of targets is the same in memory share its indexes.
+func NextLiveSnapshot(previous *Snapshot, gen Generation, doc *Document) *Snapshot {
+	return newSnapshot(gen, &Encoded{}, doc, previous)
 }
 
-// addService adds a service that shares the targets of old, if it is not nil.
-func (s *Snapshot) addService(svc *Service, old *ServiceIndex) {
+// addService adds a service. It shares the indexes of the previous snapshot if the targets are the same.
+func (s *Snapshot) addService(svc *Service, previous *Snapshot) {
 	idx := &ServiceIndex{Service: svc}
-	if old != nil {
+	var old *ServiceIndex
+	if previous != nil {
+		old = previous.Service(svc.Name)
+	}
+	if old != nil && sameTargets(svc.Targets, old.Targets) {
 		idx.TargetsByRegion, idx.AllTargets, idx.targetsByName = old.TargetsByRegion, old.AllTargets, old.targetsByName
 	} else {
 		s.indexTargets(idx)
--- a/internal/discovery/catalog.go
+++ b/internal/discovery/catalog.go
@@ -88,7 +88,7 @@
 		}
 	}
 	for _, s := range c.services {
-		s.changed = true
+		s.markChanged()
 	}
 	return unknown
 }
@@ -182,7 +182,7 @@
 	}
 	if e := c.targets[o.Name]; e != nil {
 		e.invalid = err != nil
-		c.markChanged(e)
+		c.services[e.Service].markChanged()
 	}
 	if err != nil {
 		return err
@@ -244,9 +244,6 @@
 	c.services[e.Service].remove(e)
 }
 
-// markChanged records that the state of a target has changed.
-func (c *catalog) markChanged(e *catalogEntry) { c.services[e.Service].changed = true }
-
 // markPresent records that a target has an entry.
 func (c *catalog) markPresent(e *catalogEntry) {
 	e.missingSince = time.Time{}
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -27,10 +27,16 @@
 
 // serviceTargets holds the targets of one service.
 type serviceTargets struct {
-	sorted  []*catalogEntry // by id
-	changed bool            // any target or its state has changed since the last view
+	sorted []*catalogEntry // by id
+	// listed is the list of the last view, with listedConnections each. It is nil if any target or its state has
+	// changed since.
+	listed            []config.Target
+	listedConnections int
 }
 
+// markChanged requires a new list.
+func (s *serviceTargets) markChanged() { s.listed = nil }
+
 // find returns the index at which a target is or would be inserted.
 func (s *serviceTargets) find(id string) (int, bool) {
 	return slices.BinarySearchFunc(s.sorted, id, func(e *catalogEntry, id string) int {
@@ -39,7 +45,7 @@
 }
 
 func (s *serviceTargets) insert(e *catalogEntry) {
-	s.changed = true
+	s.markChanged()
 	i, found := s.find(e.Instance)
 	if found {
 		s.sorted[i] = e
@@ -49,7 +55,7 @@
 }
 
 func (s *serviceTargets) remove(e *catalogEntry) {
-	s.changed = true
+	s.markChanged()
 	if i, found := s.find(e.Instance); found {
 		s.sorted = slices.Delete(s.sorted, i, i+1)
 	}
@@ -62,48 +68,36 @@
 	live := *doc
 	live.Regions = regionsOf(c.regionByZone)
 	live.Services = slices.Clone(doc.Services)
-	unchanged := make(map[string]bool)
 	for i := range live.Services {
 		svc := &live.Services[i]
-		targets := c.services[svc.Name]
-		if old := previousService(previous, svc.Name); old != nil && targets != nil && !targets.changed && old.Connections == svc.Connections {
-			svc.Targets = old.Targets
-			unchanged[svc.Name] = true
-			continue
-		}
 		svc.Targets = nil
-		if targets != nil {
-			svc.Targets = targets.configTargets(svc.Connections)
+		if targets := c.services[svc.Name]; targets != nil {
+			svc.Targets = targets.list(svc.Connections)
 		}
 	}
-	v := &View{Evacuated: c.evacuated, ColdUntil: c.coldTargets(now)}
-	if previous == nil {
-		v.Snapshot = config.NewLiveSnapshot(c.gen, &live)
-	} else {
-		v.Snapshot = config.NextLiveSnapshot(previous.Snapshot, c.gen, &live, unchanged)
+	var base *config.Snapshot
+	if previous != nil {
+		base = previous.Snapshot
 	}
-	for _, s := range c.services {
-		s.changed = false
+	return &View{
+		Snapshot:  config.NextLiveSnapshot(base, c.gen, &live),
+		Evacuated: c.evacuated,
+		ColdUntil: c.coldTargets(now),
 	}
-	return v
 }
 
-// previousService returns a service of the previous view, or nil.
-func previousService(previous *View, name string) *config.ServiceIndex {
-	if previous == nil {
-		return nil
+// list returns the usable targets, each with the given number of connections. It returns the same list until a
+// target changes.
+func (s *serviceTargets) list(connections int) []config.Target {
+	if s.listed != nil && s.listedConnections == connections {
+		return s.listed
 	}
-	return previous.Snapshot.Service(name)
-}
-
-// configTargets returns the usable targets, each with the given number of connections.
-func (s *serviceTargets) configTargets(connections int) []config.Target {
-	out := make([]config.Target, 0, len(s.sorted))
+	s.listed, s.listedConnections = make([]config.Target, 0, len(s.sorted)), connections
 	for _, e := range s.sorted {
 		if e.invalid {
 			continue
 		}
-		out = append(out, config.Target{
+		s.listed = append(s.listed, config.Target{
 			Name:        e.Name(),
 			Instance:    e.Instance,
 			Address:     e.Address,
@@ -113,7 +107,7 @@
 			Leaving:     e.Leaving,
 		})
 	}
-	return out
+	return s.listed
 }
 
 // coldTargets returns until when the cold targets are cold, by name.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -138,7 +138,12 @@
 	return newTestProxyWithClock(t, doc, keys, logger, kernel.SystemClock{})
 }
 
-func newTestProxyWithClock(t testing.TB, doc *config.Document, keys idempotency.Registry, logger *telemetry.Logger, clock kernel.Clock) *testProxy {
+// testVM is the VM of the handlers under test.
+var testVM = settings.VM{Name: "vm1", Zone: "z1", Region: "r1"}
+
+// newTestHandler returns a handler for a document, with an admitter. The given dependencies are kept, and the others
+// set for tests.
+func newTestHandler(t testing.TB, doc *config.Document, d Deps) (*Handler, *roundRobinAdmitter) {
 	t.Helper()
 	snap, err := config.NewSnapshot(1, doc)
 	if err != nil {
@@ -146,11 +151,13 @@
 	}
 	c := fixedConfig{snap}
 	a := &roundRobinAdmitter{}
-	h := NewHandler(Deps{
-		Config: c, Admission: a, Locator: c, Measure: c, Keys: keys,
-		Dial: (&net.Dialer{}).DialContext, Logger: logger, Metrics: metrics.NewSet(),
-		VM: settings.VM{Name: "vm1", Zone: "z1", Region: "r1"}, Clock: clock,
-	})
+	d.Config, d.Admission, d.Locator, d.Measure, d.Metrics = c, a, c, c, metrics.NewSet()
+	return NewHandler(d), a
+}
+
+func newTestProxyWithClock(t testing.TB, doc *config.Document, keys idempotency.Registry, logger *telemetry.Logger, clock kernel.Clock) *testProxy {
+	t.Helper()
+	h, a := newTestHandler(t, doc, Deps{Keys: keys, Dial: (&net.Dialer{}).DialContext, Logger: logger, VM: testVM, Clock: clock})
 	b := &testProxy{Server: httptest.NewServer(h), handler: h, admission: a}
 	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	t.Cleanup(func() {
--- a/internal/forward/pipe_test.go
+++ b/internal/forward/pipe_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"masticturn/internal/config"
 	"masticturn/internal/kernel"
 	"masticturn/internal/settings"
@@ -89,7 +87,7 @@
 // tests in fake time.
 func newPipeProxy(t *testing.T, doc *config.Document, dial dialFunc) *testProxy {
 	t.Helper()
-	return newPipeProxyOn(t, doc, dial, settings.VM{Name: "vm1", Zone: "z1", Region: "r1"})
+	return newPipeProxyOn(t, doc, dial, testVM)
 }
 
 // dialFunc opens a connection to a target.
@@ -98,19 +96,9 @@
 // newPipeProxyOn is like newPipeProxy, on the given VM.
 func newPipeProxyOn(t *testing.T, doc *config.Document, dial dialFunc, vm settings.VM) *testProxy {
 	t.Helper()
-	snap, err := config.NewSnapshot(1, doc)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := fixedConfig{snap}
-	a := &roundRobinAdmitter{}
-	h := NewHandler(Deps{
-		Config: c, Admission: a, Locator: c, Measure: c, Dial: dial,
-		Logger: telemetry.Discard(), Metrics: metrics.NewSet(),
-		VM: vm, Clock: kernel.SystemClock{},
-	})
+	h, a := newTestHandler(t, doc, Deps{Dial: dial, Logger: telemetry.Discard(), VM: vm, Clock: kernel.SystemClock{}})
 	l := newPipeListener()
-	front := newFrontend(l, h, headLimitsOf(snap), time.Now)
+	front := newFrontend(l, h, headLimitsOf(h.deps.Config.Current()), time.Now)
 	go front.serve()
 	b := &testProxy{Server: &httptest.Server{URL: "http://proxy"}, handler: h, admission: a}
 	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: l.dial}}
--- a/internal/forward/slow_caller_test.go
+++ b/internal/forward/slow_caller_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"masticturn/internal/config"
-	"masticturn/internal/settings"
 )
 
 // impatientTarget answers with a body of the given size and aborts it if it was not read within maxUnread.
@@ -101,7 +100,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const callers, memory = 200, 136 << 20
 		target := &impatientTarget{size: 1_000_000, maxUnread: 3 * time.Second}
-		b := newPipeProxyOn(t, largeDocument(), dialHandler(target), settings.VM{Name: "vm1", Zone: "z1", Region: "r1", MemoryBytes: memory})
+		vm := testVM
+		vm.MemoryBytes = memory
+		b := newPipeProxyOn(t, largeDocument(), dialHandler(target), vm)
 		if status, _, _, err := getSlowly(b, "/svc/large", 10_000_000); status != http.StatusOK || err != nil {
 			t.Fatal(status, err)
 		}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -17,7 +17,7 @@
 	// PolicyHashing chooses the object's first target in this VM's region at which the VM
 	// has not used up its share of the slots.
 	PolicyHashing Policy = "hashing"
-	// PolicyHashingRegions is like PolicyHashing, but goes on to other regions if the VM has
+	// PolicyHashingRegions is like PolicyHashing, but also considers other regions if the VM has
 	// used up its share of all targets in its own.
 	PolicyHashingRegions Policy = "hashing-regions"
 	// PolicyLeastLoaded chooses the target in this VM's region with the lowest estimated
