--- a/internal/forward/pipe_test.go
+++ b/internal/forward/pipe_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,43 +15,14 @@
 	"masticturn/internal/telemetry"
 )
 
-// pipeListener is a net.Listener of in-memory connections, which work in fake time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return pipeAddr{} }
-
-// dial connects to the listener.
-func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
+// dialPipe returns a function that opens in-memory connections to a listener, which work in fake time.
+func dialPipe(l *connListener) dialFunc {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		if !l.deliver(far) {
+			return nil, net.ErrClosed
+		}
 		return near, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
 	}
 }
 
@@ -63,13 +33,11 @@
 
 // dialHandler returns a function that opens connections to a target which is served by the handler.
 func dialHandler(h http.Handler) dialFunc {
-	return func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		l := newPipeListener()
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		l := newConnListener(pipeAddr{})
+		defer l.Close()
 		go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
-		l.conns <- far
-		_ = l.Close()
-		return near, nil
+		return dialPipe(l)(ctx, network, address)
 	}
 }
 
@@ -97,11 +65,11 @@
 func newPipeProxyOn(t *testing.T, doc *config.Document, dial dialFunc, vm settings.VM) *testProxy {
 	t.Helper()
 	h, a := newTestHandler(t, doc, Deps{Dial: dial, Logger: telemetry.Discard(), VM: vm, Clock: kernel.SystemClock{}})
-	l := newPipeListener()
+	l := newConnListener(pipeAddr{})
 	front := newFrontend(l, h, headLimitsOf(h.deps.Config.Current()), time.Now)
 	go front.serve()
 	b := &testProxy{Server: &httptest.Server{URL: "http://proxy"}, handler: h, admission: a}
-	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: l.dial}}
+	b.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dialPipe(l)}}
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
 		_ = front.close()
