Unknown outcomes: the test's deadline starts with the first write

The state machine was read for this: a write in doubt keeps an attempt from that answer. The checks are the same; the deadline now starts when the first write reaches the store.

--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -193,14 +193,16 @@
 
 func TestUnknownOutcomeIsNeverCalledAFailure(t *testing.T) {
 	r := newRig(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var written sync.Once
 	r.store.SetHook(func(_ context.Context, c platformtest.Call) platformtest.Fault {
-		if c.Op == platform.OpCreate {
-			return platformtest.FaultDelayedEffect
+		if c.Op != platform.OpCreate {
+			return platformtest.FaultNone
 		}
-		return platformtest.FaultNone
+		written.Do(func() { time.AfterFunc(200*time.Millisecond, cancel) })
+		return platformtest.FaultDelayedEffect
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-	defer cancel()
 	req := httptest.NewRequestWithContext(ctx, http.MethodPut, edge.PathOperatorConfig, bytes.NewReader(estiba()))
 	req.Header.Set(edge.HeaderIfMatch, "0")
 	rec := httptest.NewRecorder()
