Discovery: in a partial outage a VM stays with the source that is fresh

All answers not served were 503 in seconds 4 to 8: the document was older than the bound for removed keys.

Now the source that gives fresh state stays in use until it fails or the regular ones are fresh again; peers are polled beside a store call; answers name the VMs they have passed, as ages don't grow in a cycle; and where keys can be removed every VM has tried the store within a quarter of that bound. Later tries keep the total rate of 12 a second. Polls cut off by a refusing store (tried first) left a watcher without state for 6.5 s in TestAgesOfDocuments at 300, so at least one poll follows each call.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -36,13 +36,6 @@
 	return err
 }
 
-// due reports whether a call may start now without waiting.
-func (b *outageBackoff) due(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.down || !now.Before(b.next)
-}
-
 // reserve reserves the next call and returns the time to wait until it may start. It is 0 if
 // there is no outage.
 func (b *outageBackoff) reserve(now time.Time) time.Duration {
--- a/internal/discovery/confirm_test.go
+++ b/internal/discovery/confirm_test.go
@@ -175,8 +175,45 @@
 func TestConfirmationsAreNotInTheFuture(t *testing.T) {
 	c := confirmationTracker{boot: kernel.NewMonotonicBootClock()}
 	a := pollAnswer{Confirmed: true, ConfirmedAt: time.Hour}
-	c.record(a.toChange("doc", c.boot.SinceBoot()).confirmed)
+	c.record(a.toChange("doc", "vm-peer", c.boot.SinceBoot()).confirmed)
 	if age := c.age(); age < 0 {
 		t.Errorf("age %v", age)
 	}
 }
+
+// VMs that can't reach the store must find the one VM that still does, and keep to it: keys must be accepted nearly
+// all the time, whichever VM it is.
+func TestAgesOfDocumentsWithOneVMConnected(t *testing.T) {
+	for _, size := range []int{6, 12, 85} {
+		for connected := range 6 {
+			t.Run(fmt.Sprintf("%d VMs, vm-%03d connected", size, connected), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRevocationFleet(t, size)
+					f.hub.SetFault(peertest.Any, peertest.Any, peertest.Fault{Delay: 20 * time.Millisecond})
+					for i, m := range f.view.Members {
+						f.access[m.Name].silent.Store(i != connected)
+					}
+					if share := f.expiredShare(30 * time.Second); share > 0.01 {
+						t.Errorf("the document was too old for keys in %.3f of the time, want at most 0.01", share)
+					}
+				})
+			})
+		}
+	}
+}
+
+// expiredShare returns the share of the time, over all VMs, in which DocumentAge was above the revocation bound.
+func (f *fleet) expiredShare(duration time.Duration) float64 {
+	expired, all := 0, 0
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(37 * time.Millisecond)
+		synctest.Wait()
+		for _, s := range f.vms {
+			all++
+			if s.DocumentAge() >= revocationBound {
+				expired++
+			}
+		}
+	}
+	return float64(expired) / float64(all)
+}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -296,8 +296,8 @@
 		"looser": {settings.Bounds{ConfigInForce: 4 * time.Second, ZoneEvacuation: 9 * time.Second}, changeTiming, zonesTiming},
 		"half": {
 			settings.Bounds{ConfigInForce: time.Second, ZoneEvacuation: 2500 * time.Millisecond},
-			Timing{475 * time.Millisecond, 675 * time.Millisecond},
-			Timing{1200 * time.Millisecond, 1400 * time.Millisecond},
+			Timing{WatchTimeout: 475 * time.Millisecond, StaleAfter: 675 * time.Millisecond},
+			Timing{WatchTimeout: 1200 * time.Millisecond, StaleAfter: 1400 * time.Millisecond},
 		},
 	}
 	for name, tt := range tests {
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -76,7 +76,7 @@
 	}
 	m := NewMirror(maxEntryBytes)
 	m.Replace([]platform.Object{object("a", 5)}, 5)
-	if c := a.toChange("targets", 0); c.complete {
+	if c := a.toChange("targets", "vm-peer", 0); c.complete {
 		m.Replace(c.objects, c.asOf)
 	} else {
 		m.Apply(c.events, c.asOf)
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,10 +57,14 @@
 	// ConfirmedAt is that time relative to the peer's receipt of the poll.
 	Confirmed   bool
 	ConfirmedAt time.Duration
+	// Path names the VMs between the store and the peer, the one nearest to the store first. It is empty if the
+	// peer reads the store itself.
+	Path []string
 }
 
 // sources lists the peers from which a VM receives the store's state.
 type sources struct {
+	self      string   // this VM
 	preferred []string // most preferred first; if empty, the VM reads the store itself
 	isReader  bool     // the VM reads the store if its sources are stale
 	others    []string // all other live VMs, which are polled at random during an outage
@@ -78,7 +83,7 @@
 	ranked := rankedLeaders(leaders)
 	own := topOfRegion(ownRegion, live[ownRegion], len(live[ownRegion]))
 	rank := slices.IndexFunc(own, func(m *membership.Member) bool { return m.Name == v.Self })
-	s := sources{isReader: rank < readersPerRegion, fleetSize: len(v.Members)}
+	s := sources{self: v.Self, isReader: rank < readersPerRegion, fleetSize: len(v.Members)}
 	if rank < 0 {
 		return s // this VM is not alive, for example leaving
 	}
@@ -95,7 +100,8 @@
 	}
 	for _, leader := range ranked[:min(watcherCount, len(ranked))] {
 		if leader.Name == v.Self {
-			return sources{isReader: true, others: s.others, fleetSize: s.fleetSize}
+			s.isReader, s.preferred = true, nil
+			return s
 		}
 		s.preferred = appendUnique(s.preferred, leader.Name)
 	}
@@ -147,6 +153,7 @@
 var (
 	errStale    = errors.New("the peer's state is stale")
 	errStarting = errors.New("the peer is starting and has no state")
+	errCircular = fmt.Errorf("%w: it received its state from this VM", errStale)
 )
 
 // peerSource polls a peer.
@@ -173,10 +180,10 @@
 	return &a, trace.Wrap(err, "poll %s from %s", kind, s.vm)
 }
 
-// toChange converts the answer to a poll that was sent at the given time on this VM's boot clock.
+// toChange converts a peer's answer to a poll that was sent at the given time on this VM's boot clock.
 // The peer received the poll later, so the resulting confirmation is a lower bound.
-func (a *pollAnswer) toChange(kind platform.Kind, sent time.Duration) change {
-	c := change{kind: kind, complete: a.Complete, asOf: a.AsOf, age: a.Age}
+func (a *pollAnswer) toChange(kind platform.Kind, vm string, sent time.Duration) change {
+	c := change{kind: kind, complete: a.Complete, asOf: a.AsOf, age: a.Age, path: append(slices.Clone(a.Path), vm)}
 	c.confirmed = confirmation{known: a.Confirmed, at: sent}.add(a.ConfirmedAt)
 	if a.Complete {
 		c.objects = a.Changed
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -80,6 +80,7 @@
 	delayed       bool      // a view with new targets is to be published later
 	mirrors       map[platform.Kind]*Mirror
 	lastContact   map[platform.Kind]time.Time     // time of the last contact with the store
+	paths         map[platform.Kind][]string      // VMs through which that contact was made; not modified
 	contactSignal map[platform.Kind]chan struct{} // closed and replaced on contact with the store
 	packed        map[platform.Kind]packedList    // cached compressed lists
 	packedChanges map[platform.Kind]packedChanges // latest compressed changes
@@ -113,6 +114,7 @@
 		catalog:       newCatalog(d.Decoder, d.RegionByZone),
 		mirrors:       make(map[platform.Kind]*Mirror),
 		lastContact:   make(map[platform.Kind]time.Time),
+		paths:         make(map[platform.Kind][]string),
 		contactSignal: make(map[platform.Kind]chan struct{}),
 		packed:        make(map[platform.Kind]packedList),
 		packedChanges: make(map[platform.Kind]packedChanges),
@@ -155,6 +157,7 @@
 
 			firstStart: s.deps.FirstStart,
 			skipUntil:  make(map[string]time.Time),
+			fallback:   fallbackSchedule{firstWithin: s.timings[kind].FallbackWithin},
 		}
 		s.wg.Go(func() { w.run(ctx) })
 	}
@@ -225,7 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Clock.Now()
-	s.recordContact(c.kind, now.Add(-c.age))
+	s.recordContact(c.kind, now.Add(-c.age), c.path)
 	if c.endsOutage && c.kind == s.deps.Decoder.Kinds().Targets {
 		s.catalog.outageEnd = now
 	}
@@ -260,10 +263,10 @@
 // staleAfter returns the age above which the state of a kind is stale.
 func (s *Service) staleAfter(kind platform.Kind) time.Duration { return s.timings[kind].StaleAfter }
 
-// recordContact records contact with the store and wakes the waiting polls of peers.
-func (s *Service) recordContact(kind platform.Kind, at time.Time) {
+// recordContact records contact with the store through other VMs, if any, and wakes the waiting polls of peers.
+func (s *Service) recordContact(kind platform.Kind, at time.Time, path []string) {
 	if at.After(s.lastContact[kind]) {
-		s.lastContact[kind] = at
+		s.lastContact[kind], s.paths[kind] = at, path
 	}
 	close(s.contactSignal[kind])
 	s.contactSignal[kind] = make(chan struct{})
--- a/internal/discovery/serving.go
+++ b/internal/discovery/serving.go
@@ -58,7 +58,7 @@
 // buildAnswer returns the answer to a poll that was received at the given time on the boot clock.
 // s.mu is held.
 func (s *Service) buildAnswer(m *Mirror, r *pollRequest, received time.Duration) (*pollAnswer, error) {
-	a := &pollAnswer{AsOf: m.AsOf(), Age: s.deps.Clock.Now().Sub(s.lastContact[r.Kind])}
+	a := &pollAnswer{AsOf: m.AsOf(), Age: s.deps.Clock.Now().Sub(s.lastContact[r.Kind]), Path: s.paths[r.Kind]}
 	a.Confirmed, a.ConfirmedAt = s.confirmed[r.Kind].sinceReceipt(received)
 	changed, removed, ok := m.ChangesSince(r.Since)
 	if ok {
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -16,6 +16,9 @@
 	// StaleAfter is the age above which a peer's state is stale. It covers a watch, the delay between
 	// regions and coalesceDelay. The rest of the bound is left for polling other peers.
 	StaleAfter time.Duration
+	// FallbackWithin bounds the time until every VM whose sources are stale has read the store itself. 0: no
+	// bound, so that these reads don't grow with the fleet.
+	FallbackWithin time.Duration
 }
 
 // Default timings and the bounds that they meet. For tighter bounds they are shortened in
@@ -33,12 +36,19 @@
 // which a removed key must be refused, so that a VM may miss several of them.
 const watchesPerRevocation = 10
 
+// fallbacksPerRevocation is the number of times that FallbackWithin of the document goes into the same bound.
+const fallbacksPerRevocation = 4
+
 // Timings returns the timing of each kind under the deployment's bounds.
 func Timings(kinds Kinds, b settings.Bounds) map[platform.Kind]Timing {
 	document := changeTiming.scaledTo(changeBound, b.ConfigInForce)
 	if b.KeyRevocation > 0 {
 		watch := min(document.WatchTimeout, b.KeyRevocation/watchesPerRevocation)
-		document = Timing{WatchTimeout: watch, StaleAfter: document.StaleAfter - document.WatchTimeout + watch}
+		document = Timing{
+			WatchTimeout:   watch,
+			StaleAfter:     document.StaleAfter - document.WatchTimeout + watch,
+			FallbackWithin: b.KeyRevocation / fallbacksPerRevocation,
+		}
 	}
 	return map[platform.Kind]Timing{
 		kinds.Document:    document,
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"masticturn/internal/kernel"
@@ -31,16 +31,9 @@
 	// bootstrapPollTimeout is the timeout of a poll while bootstrapping. It is short because the
 	// peer may not have started yet.
 	bootstrapPollTimeout = 250 * time.Millisecond
-	// fallbackReadRate is the total rate, in reads/s per kind, at which the VMs that are not
-	// readers read the store. Each of them does so once minStaleAnswers consecutive polls were
-	// answered with stale state. The store may refuse all readers and still serve other VMs.
-	fallbackReadRate = 12
-	minStaleAnswers  = 2
-	// peerPollsPerFailure is the number of random peers that are polled after each failed call to
-	// the store. Each poll starts after peerPollDelay and takes at most peerPollTimeout.
-	peerPollsPerFailure = 2
-	peerPollDelay       = 100 * time.Millisecond
-	peerPollTimeout     = 400 * time.Millisecond
+	// minStaleAnswers is the number of consecutive polls answered with stale state from which on the VMs
+	// that are not readers read the store as well; see fallbackSchedule.
+	minStaleAnswers = 2
 )
 
 // change is the result of one read of the store or one poll of a peer.
@@ -51,6 +44,7 @@
 	events     []platform.Event
 	asOf       platform.Version
 	age        time.Duration // age of the content
+	path       []string      // VMs between the store and this VM; see pollAnswer.Path
 	endsOutage bool          // the first success after an outage in which entries may have expired
 	// confirmed is a time at which the content was at least as recent as the store's.
 	confirmed confirmation
@@ -72,16 +66,15 @@
 	publish    func(change change)
 	confirm    func(c confirmation) // records a confirmation of the current state
 
-	firstStart       bool                 // see Deps.FirstStart
-	asOf             platform.Version     // version of the current state; 0: a complete list is needed
-	skipUntil        map[string]time.Time // by peer; the peer is not polled before that time
-	staleAnswers     int                  // number of consecutive stale answers
-	lastFallbackDraw time.Time            // last random draw for a fallback read, or last success
-	inOutage         bool                 // neither peers nor the store provide current state
-	lastReadFailed   bool                 // the last read of the store failed
-	peerPollsLeft    int                  // polls of random peers before the next read
-	outageStart      time.Time
-	readStoreNext    bool // read the store in the next step, regardless of sources
+	firstStart    bool                 // see Deps.FirstStart
+	asOf          platform.Version     // version of the current state; 0: a complete list is needed
+	skipUntil     map[string]time.Time // by peer; the peer is not polled before that time
+	staleAnswers  int                  // number of consecutive stale answers
+	fallback      fallbackSchedule     // reads of the store by a VM that is not a reader
+	inOutage      bool                 // neither peers nor the store provide current state
+	outageStart   time.Time
+	readStoreNext bool        // read the store in the next step, regardless of sources
+	substitute    *substitute // nil if the regular sources are used
 }
 
 // run bootstraps the mirror and then updates it until the context is done.
@@ -139,14 +132,20 @@
 	src := w.sources()
 	vm := w.nextSource(src.preferred)
 	switch {
-	case w.inOutage && (!w.readStoreNext || w.lastReadFailed) && w.takePeerPoll():
-		w.pollRandomPeer(ctx, &src)
+	case w.substitute != nil:
+		w.useSubstitute(ctx, &src)
 	case w.readStoreNext || vm == "" && w.staleAnswers == 0:
 		w.readStoreNext = false
 		w.staleAnswers = 0
-		if err := w.backoff.call(ctx, w.clock, w.read); err != nil {
-			w.recordFailure(ctx, err)
+		if w.inOutage {
+			w.readStoreBesidePeers(ctx, &src)
+		} else {
+			w.readStore(ctx)
 		}
+	case w.inOutage && vm != "" && len(src.others) > 0:
+		w.pollNow(ctx, vm, &src)
+	case w.inOutage:
+		w.pollRandomPeer(ctx, &src)
 	case vm == "":
 		sleep(ctx, allSkippedDelay)
 	default:
@@ -154,31 +153,9 @@
 	}
 }
 
-// takePeerPoll reports whether this step of an outage polls a peer: for some polls after each failed
-// call, which it counts, and while the backoff allows no call. The polls are needed because a call
-// to an unresponsive store takes long.
-func (w *watcher) takePeerPoll() bool {
-	if w.peerPollsLeft > 0 {
-		w.peerPollsLeft--
-		return true
-	}
-	return !w.backoff.due(w.clock.Now())
-}
-
-// pollRandomPeer polls a random peer. In a partial outage the store may serve VMs other than its
-// usual readers.
-func (w *watcher) pollRandomPeer(ctx context.Context, src *sources) {
-	sleep(ctx, peerPollDelay)
-	if len(src.others) == 0 {
-		return
-	}
-	vm := src.others[rand.IntN(len(src.others))]
-	if !w.clock.Now().After(w.skipUntil[vm]) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
-	defer cancel()
-	w.pollPeer(ctx, vm, src, true)
+// readStore makes one store call and reports whether it succeeded.
+func (w *watcher) readStore(ctx context.Context) bool {
+	return w.recordRead(ctx, w.callStore(ctx, w.asOf))
 }
 
 // nextSource returns the most preferred source that is not skipped, or "" if there is none.
@@ -192,13 +169,16 @@
 	return ""
 }
 
-// pollPeer polls a peer. If the poll fails, the peer is skipped for some time, and the next step may
-// read the store.
-func (w *watcher) pollPeer(ctx context.Context, vm string, src *sources, immediate bool) {
+// pollPeer polls a peer and reports whether its state is fresh. If the poll fails, the peer is skipped for some time,
+// and the next step may read the store.
+func (w *watcher) pollPeer(ctx context.Context, vm string, src *sources, immediate bool) (fresh bool) {
 	start := w.clock.Now()
 	err := w.poll(ctx, vm, immediate)
-	if err == nil || ctx.Err() != nil {
-		return
+	if err == nil {
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
 	}
 	now := w.clock.Now()
 	if !w.inOutage {
@@ -207,28 +187,28 @@
 	if errors.Is(err, errStale) || errors.Is(err, errStarting) {
 		w.skipUntil[vm] = now.Add(skipStale)
 		w.recordStaleAnswer(src)
-		return
+		return false
 	}
 	w.skipUntil[vm] = now.Add(skipUnresponsive)
 	// After a slow failure, a poll of another slow peer would exceed the bound.
 	w.readStoreNext = now.Sub(start) > w.staleAfter/2
+	return false
 }
 
-// recordStaleAnswer records that a peer's state is stale. Readers then read the store. Other VMs do
-// so at random, at a total rate that does not grow with the fleet. A fleet that is small enough for all
-// VMs to read within a second at that rate does not wait for chance at first.
+// recordStaleAnswer records that a peer's state is stale. Readers then read the store; other VMs do so by their
+// schedule.
 func (w *watcher) recordStaleAnswer(src *sources) {
 	w.staleAnswers++
 	w.readStoreNext = src.isReader
 	if w.staleAnswers < minStaleAnswers {
 		return
 	}
-	immediate := !w.inOutage && src.fleetSize <= fallbackReadRate
-	w.beginOutage(errStale)
 	now := w.clock.Now()
-	expected := fallbackReadRate * now.Sub(w.lastFallbackDraw).Seconds()
-	w.lastFallbackDraw = now
-	w.readStoreNext = w.readStoreNext || immediate || rand.Float64()*float64(src.fleetSize) < expected
+	if !w.inOutage {
+		w.fallback.begin(now, src.fleetSize)
+	}
+	w.beginOutage(errStale)
+	w.readStoreNext = w.readStoreNext || w.fallback.take(now, src.fleetSize)
 }
 
 // poll polls a peer and applies its answer. If immediate is set, the peer answers without waiting for
@@ -245,54 +225,71 @@
 	if a.AsOf < w.asOf {
 		return errStale // older than this VM's state
 	}
+	if slices.Contains(a.Path, w.sources().self) {
+		return errCircular
+	}
+	c := a.toChange(w.kind, vm, sent)
 	if a.Age > w.staleAfter {
-		w.applyNewer(a, sent)
+		w.applyNewer(c)
 		return errStale
 	}
 	w.staleAnswers = 0
-	w.recordSuccess(a.toChange(w.kind, sent))
+	w.recordSuccess(c)
 	return nil
 }
 
 // applyNewer applies an answer whose state is stale, but not older than this VM's state.
-func (w *watcher) applyNewer(a *pollAnswer, sent time.Duration) {
+func (w *watcher) applyNewer(c change) {
 	if w.asOf == 0 {
 		return
 	}
-	if a.AsOf == w.asOf {
-		w.confirm(a.toChange(w.kind, sent).confirmed)
+	if c.asOf == w.asOf {
+		w.confirm(c.confirmed)
 		return
 	}
-	w.asOf = a.AsOf
-	w.publish(a.toChange(w.kind, sent))
+	w.asOf = c.asOf
+	w.publish(c)
 }
 
-// read makes one store call: a list if this VM has no state, else a watch.
-func (w *watcher) read(ctx context.Context) error {
-	confirmed := confirmation{known: true, at: w.boot.SinceBoot()}
-	if w.asOf == 0 {
-		list, asOf, err := w.store.List(ctx, w.kind)
-		if err != nil {
-			return err
+// storeRead is the result of one store call.
+type storeRead struct {
+	change change
+	err    error
+}
+
+// callStore makes one store call: a list if since is 0, else a watch from that version. During an outage it first
+// waits for its turn.
+func (w *watcher) callStore(ctx context.Context, since platform.Version) storeRead {
+	var r storeRead
+	r.err = w.backoff.call(ctx, w.clock, func(ctx context.Context) error {
+		c := change{kind: w.kind, complete: since == 0, confirmed: confirmation{known: true, at: w.boot.SinceBoot()}}
+		var err error
+		if c.complete {
+			c.objects, c.asOf, err = w.store.List(ctx, w.kind)
+		} else {
+			c.events, c.asOf, err = w.store.Watch(ctx, w.kind, since)
 		}
-		w.recordSuccess(change{kind: w.kind, objects: list, complete: true, asOf: asOf, confirmed: confirmed})
-		return nil
-	}
-	events, asOf, err := w.store.Watch(ctx, w.kind, w.asOf)
-	if err != nil {
+		r.change = c
 		return err
+	})
+	return r
+}
+
+// recordRead applies the result of a store call and reports whether it succeeded.
+func (w *watcher) recordRead(ctx context.Context, r storeRead) bool {
+	if r.err != nil {
+		w.recordFailure(ctx, r.err)
+		return false
 	}
-	w.recordSuccess(change{kind: w.kind, events: events, asOf: asOf, confirmed: confirmed})
-	if len(events) > 0 {
+	w.recordSuccess(r.change)
+	if len(r.change.events) > 0 {
 		sleep(ctx, coalesceDelay)
 	}
-	return nil
+	return true
 }
 
 func (w *watcher) recordSuccess(c change) {
-	w.lastFallbackDraw = w.clock.Now()
 	w.asOf = c.asOf
-	w.lastReadFailed = false
 	if w.inOutage {
 		w.inOutage = false
 		c.endsOutage = w.clock.Now().Sub(w.outageStart) >= minExpiryOutage
@@ -310,8 +307,6 @@
 		w.asOf = 0
 		return
 	}
-	w.lastReadFailed = true
-	w.peerPollsLeft = peerPollsPerFailure
 	w.beginOutage(err)
 }
 
