Views while targets register: sorted once, names kept, pools updated in place

Ruled out as causes: decoding (6), sorting states for the log (1).

Added targets are sorted in once for a view, the index of names is built when first needed, names are kept with the entry, and a pool updates its maps. The gain on the fleet is not measured yet.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -38,7 +38,24 @@
 	TargetsByRegion map[string][]*TargetIndex
 	AllTargets      []*TargetIndex
 
-	targetsByName map[string]*TargetIndex
+	names *targetNames
+}
+
+// targetNames indexes a service's targets by name once that is first needed.
+type targetNames struct {
+	once   sync.Once
+	byName map[string]*TargetIndex
+}
+
+// target returns the target with the given name, or nil.
+func (s *ServiceIndex) target(name string) *TargetIndex {
+	s.names.once.Do(func() {
+		s.names.byName = make(map[string]*TargetIndex, len(s.AllTargets))
+		for _, t := range s.AllTargets {
+			s.names.byName[t.Name] = t
+		}
+	})
+	return s.names.byName[name]
 }
 
 // SharesTargets reports whether both services have the same list of targets in memory, as in successive live
@@ -124,7 +141,7 @@
 		old = previous.Service(svc.Name)
 	}
 	if old != nil && sameTargets(svc.Targets, old.Targets) {
-		idx.TargetsByRegion, idx.AllTargets, idx.targetsByName = old.TargetsByRegion, old.AllTargets, old.targetsByName
+		idx.TargetsByRegion, idx.AllTargets, idx.names = old.TargetsByRegion, old.AllTargets, old.names
 	} else {
 		s.indexTargets(idx)
 	}
@@ -137,14 +154,13 @@
 	targets := idx.Targets
 	idx.TargetsByRegion = make(map[string][]*TargetIndex)
 	idx.AllTargets = make([]*TargetIndex, 0, len(targets))
-	idx.targetsByName = make(map[string]*TargetIndex, len(targets))
+	idx.names = &targetNames{}
 	all := make([]TargetIndex, len(targets))
 	for i := range targets {
 		t := &all[i]
 		*t = TargetIndex{Target: &targets[i], Service: idx.Name, Region: s.regionOfZone[targets[i].Zone]}
 		idx.TargetsByRegion[t.Region] = append(idx.TargetsByRegion[t.Region], t)
 		idx.AllTargets = append(idx.AllTargets, t)
-		idx.targetsByName[t.Name] = t
 	}
 }
 
@@ -160,7 +176,7 @@
 // Target returns the target with the given name, or nil.
 func (s *Snapshot) Target(name string) *TargetIndex {
 	for _, svc := range s.services {
-		if t := svc.targetsByName[name]; t != nil {
+		if t := svc.target(name); t != nil {
 			return t
 		}
 	}
--- a/internal/discovery/catalog.go
+++ b/internal/discovery/catalog.go
@@ -208,11 +208,9 @@
 		c.markPresent(e)
 		return
 	}
-	if e != nil {
-		c.drop(e)
-	}
+	previous := e
 	if e == nil || e.StartMS != t.StartMS {
-		e = &catalogEntry{}
+		e = &catalogEntry{name: t.Name()}
 		if c.listed[c.decoder.Kinds().Targets] {
 			e.markCold(now.Add(c.coldTime(t.Service)))
 		}
@@ -220,9 +218,18 @@
 	if t.ColdTime > 0 {
 		e.markCold(now.Add(t.ColdTime))
 	}
+	if previous != nil && previous.Service != t.Service {
+		c.drop(previous)
+		previous = nil
+	}
 	e.Target = t
 	e.reportedAt = now
-	c.keep(e)
+	if previous != nil {
+		c.targets[t.Instance] = e
+		c.services[t.Service].replace(e)
+	} else {
+		c.keep(e)
+	}
 	c.markPresent(e)
 }
 
@@ -234,7 +241,7 @@
 		s = &serviceTargets{}
 		c.services[e.Service] = s
 	}
-	s.insert(e)
+	s.add(e)
 }
 
 // drop removes a target.
--- a/internal/discovery/growth_test.go
+++ b/internal/discovery/growth_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -121,6 +123,39 @@
 	}
 }
 
+// The list must stay sorted and complete under any order of additions, replacements and removals.
+func TestServiceTargetsStaySorted(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	s, present := &serviceTargets{}, map[string]*catalogEntry{}
+	for step := range 5000 {
+		id := fmt.Sprintf("t-%02d", random.IntN(60))
+		e := &catalogEntry{Target: Target{Instance: id}, name: id}
+		old := present[id]
+		switch {
+		case old == nil:
+			s.add(e)
+			present[id] = e
+		case random.IntN(2) == 0:
+			s.replace(e)
+			present[id] = e
+		default:
+			s.remove(old)
+			delete(present, id)
+		}
+		if step%7 != 0 {
+			continue
+		}
+		s.list(1)
+		var want []*catalogEntry
+		for _, id := range slices.Sorted(maps.Keys(present)) {
+			want = append(want, present[id])
+		}
+		if !slices.Equal(s.sorted, want) {
+			t.Fatalf("step %d: the list is not that of the present targets in order", step)
+		}
+	}
+}
+
 // BenchmarkFirstList measures what a VM does with its first list of targets.
 func BenchmarkFirstList(b *testing.B) {
 	for _, targets := range []int{1000, 2500, 5000} {
@@ -183,3 +218,28 @@
 		}
 	})
 }
+
+// BenchmarkAddedTargets measures what a VM does with 300 added targets, as while all targets register.
+func BenchmarkAddedTargets(b *testing.B) {
+	const added = 300
+	for _, targets := range []int{1000, 2500, 5000} {
+		b.Run(fmt.Sprintf("targets=%d", 4*targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				c, m, v := listedFixture(b, targets, "a", "b", "c", "d")
+				version := platform.Version(1_000_000)
+				var events []platform.Event
+				for i := range added {
+					o := targetObject(string(rune('a'+i%4)), i*targets/added, version, false)
+					o.Name += "x"
+					events = append(events, platform.Event{Object: o})
+				}
+				m.Apply(events, version)
+				b.StartTimer()
+				c.setTargets(m, time.Unix(1000, 0))
+				c.view(noShares, v, time.Unix(1000, 0))
+			}
+		})
+	}
+}
--- a/internal/discovery/view.go
+++ b/internal/discovery/view.go
@@ -19,6 +19,7 @@
 // catalogEntry is a target's entry with this VM's state about it.
 type catalogEntry struct {
 	Target
+	name         string    // Target.Name
 	reportedAt   time.Time // arrival of the last entry applied
 	coldUntil    time.Time
 	missingSince time.Time // time from which the entry is missing; zero if it exists
@@ -28,6 +29,7 @@
 // serviceTargets holds the targets of one service.
 type serviceTargets struct {
 	sorted []*catalogEntry // by id
+	added  []*catalogEntry // new targets in any order; they are sorted in once for all, as each insertion costs a copy
 	// listed is the list of the last view, with listedConnections each. It is nil if any target or its state has
 	// changed since.
 	listed            []config.Target
@@ -44,18 +46,45 @@
 	})
 }
 
-func (s *serviceTargets) insert(e *catalogEntry) {
+// add adds a target that is not in the list.
+func (s *serviceTargets) add(e *catalogEntry) {
 	s.markChanged()
-	i, found := s.find(e.Instance)
-	if found {
+	s.added = append(s.added, e)
+}
+
+// replace replaces the entry of a target that is in the list.
+func (s *serviceTargets) replace(e *catalogEntry) {
+	s.markChanged()
+	s.sortAdded()
+	if i, found := s.find(e.Instance); found {
 		s.sorted[i] = e
+	}
+}
+
+// sortAdded moves the added targets to the sorted ones.
+func (s *serviceTargets) sortAdded() {
+	if len(s.added) == 0 {
 		return
 	}
-	s.sorted = slices.Insert(s.sorted, i, e)
+	byID := func(a, b *catalogEntry) int { return cmp.Compare(a.Instance, b.Instance) }
+	slices.SortFunc(s.added, byID)
+	last, free := len(s.sorted)-1, len(s.sorted)+len(s.added)-1
+	s.sorted = append(s.sorted, s.added...)
+	for i := len(s.added) - 1; i >= 0; free-- {
+		if last >= 0 && byID(s.sorted[last], s.added[i]) > 0 {
+			s.sorted[free] = s.sorted[last]
+			last--
+			continue
+		}
+		s.sorted[free] = s.added[i]
+		i--
+	}
+	s.added = nil
 }
 
 func (s *serviceTargets) remove(e *catalogEntry) {
 	s.markChanged()
+	s.sortAdded()
 	if i, found := s.find(e.Instance); found {
 		s.sorted = slices.Delete(s.sorted, i, i+1)
 	}
@@ -92,13 +121,14 @@
 	if s.listed != nil && s.listedConnections == connections {
 		return s.listed
 	}
+	s.sortAdded()
 	s.listed, s.listedConnections = make([]config.Target, 0, len(s.sorted)), connections
 	for _, e := range s.sorted {
 		if e.invalid {
 			continue
 		}
 		s.listed = append(s.listed, config.Target{
-			Name:        e.Name(),
+			Name:        e.name,
 			Instance:    e.Instance,
 			Address:     e.Address,
 			Zone:        e.Zone,
@@ -114,9 +144,10 @@
 func (c *catalog) coldTargets(now time.Time) map[string]time.Time {
 	out := make(map[string]time.Time)
 	for _, s := range c.services {
+		s.sortAdded()
 		for _, e := range s.sorted {
 			if e.coldUntil.After(now) {
-				out[e.Name()] = e.coldUntil
+				out[e.name] = e.coldUntil
 			}
 		}
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -64,6 +64,7 @@
 	targets       map[string]*targetState
 	byID          map[uint32]*targetState // by shortID
 	sortedTargets []*targetState          // by name
+	listVersion   uint64                  // incremented with each list of targets
 	totalSlots    int                     // of all targets
 	inUse         map[*targetState]bool   // targets with requests of this VM
 	inPeerUse     map[*targetState]bool   // targets with peerRequests
@@ -96,6 +97,7 @@
 		chooseTarget: chooseFuncs[o.Policy],
 		rand:         o.Rand,
 		targets:      make(map[string]*targetState),
+		byID:         make(map[uint32]*targetState),
 		inUse:        make(map[*targetState]bool),
 		inPeerUse:    make(map[*targetState]bool),
 		roundTrips:   make(map[string]movingAverage),
@@ -118,26 +120,33 @@
 
 // SetTargets replaces the targets. The state of targets that remain is kept.
 func (p *Pool) SetTargets(svc *config.ServiceIndex, v *discovery.View) {
-	next := make(map[string]*targetState, len(svc.AllTargets))
-	p.byID = make(map[uint32]*targetState, len(svc.AllTargets))
+	p.listVersion++
+	listed := 0
 	p.sortedTargets = p.sortedTargets[:0]
 	p.totalSlots = 0
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
 		if s == nil {
 			s = &targetState{id: shortID(t.Name), notice: p.notices.get(t.Name)}
+			p.targets[t.Name] = s
+			p.byID[s.id] = s
+		}
+		if s.listVersion != p.listVersion {
+			s.listVersion = p.listVersion
+			listed++
 		}
 		s.TargetIndex = t
 		s.evacuated = v.Evacuated[t.Zone]
 		s.coldUntil = later(s.coldUntil, v.ColdUntil[t.Name])
-		next[t.Name] = s
-		p.byID[s.id] = s
 		p.totalSlots += s.Slots
 		p.sortedTargets = append(p.sortedTargets, s)
 	}
-	p.targets = next
-	maps.DeleteFunc(p.inPeerUse, func(t *targetState, _ bool) bool { return next[t.Name] != t })
-	p.notices.prune(next)
+	if len(p.targets) > listed {
+		p.dropUnlisted()
+	}
+	if len(p.notices) > len(p.targets)+maxNotices {
+		p.notices.prune(p.targets)
+	}
 	if p.coldRate != svc.ColdRequestsPerSecond {
 		p.coldRate = svc.ColdRequestsPerSecond
 		p.fleetVersion++
@@ -147,6 +156,18 @@
 	p.ranking.clear()
 }
 
+// dropUnlisted drops the targets that are not in the present list.
+func (p *Pool) dropUnlisted() {
+	unlisted := func(t *targetState) bool { return t.listVersion != p.listVersion }
+	maps.DeleteFunc(p.targets, func(_ string, t *targetState) bool { return unlisted(t) })
+	clear(p.byID) // not by deletion, as another target may have the same id
+	for _, t := range p.targets {
+		p.byID[t.id] = t
+	}
+	maps.DeleteFunc(p.inPeerUse, func(t *targetState, _ bool) bool { return unlisted(t) })
+	p.notices.prune(p.targets)
+}
+
 // computeRemoteWeight returns the weight of a slot in another region. It grows the more this
 // region's slots fall short of an equal share.
 func (p *Pool) computeRemoteWeight() float64 {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -19,9 +19,10 @@
 // targetState is what this VM knows of one target instance.
 type targetState struct {
 	*config.TargetIndex
-	id        uint32 // shortID of its name
-	coldUntil time.Time
-	evacuated bool
+	id          uint32 // shortID of its name
+	listVersion uint64 // Pool.listVersion of the last list that had the target
+	coldUntil   time.Time
+	evacuated   bool
 
 	ownRequests      int           // requests of this VM at the target
 	reportedRequests int           // requests of other VMs at the target's last load report
