Membership: an unchanged generation is not announced; members are sorted once

Each new view of the targets announced the document's generation, changed or not: at a start about once a second from each VM, sent on to all 985 and followed by a new view of the members at each of them ten times a second. Ruled out: the load of joins, complete by then.

The machine now ignores a generation it has announced, and keeps its entries sorted until a member is added or removed. TestUnchangedGenerationIsNotAnnounced failed before.

--- a/internal/membership/derive.go
+++ b/internal/membership/derive.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -17,16 +18,24 @@
 		v.Version = m.view.Version + 1
 	}
 	v.Members = make([]Member, 0, len(m.table))
-	for _, e := range m.table {
+	for _, e := range m.membersByName() {
 		if !e.Gone || e == m.self {
 			v.Members = append(v.Members, m.toMember(e))
 		}
 	}
-	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	m.view = v
 	return v
 }
 
+// membersByName returns the table's entries by name. They are sorted again only after a member was added or
+// removed, as views follow any change of a member.
+func (m *StateMachine) membersByName() []*entry {
+	if m.sortedTable == nil {
+		m.sortedTable = slices.SortedFunc(maps.Values(m.table), func(a, b *entry) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return m.sortedTable
+}
+
 func (m *StateMachine) toMember(e *entry) Member {
 	return Member{
 		Name: e.Name, Zone: e.Zone, Region: e.Region,
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -151,6 +151,7 @@
 func (m *StateMachine) forget(name string, e *entry, mayBeAlive bool) {
 	m.toggle(&e.Record)
 	delete(m.table, name)
+	m.sortedTable = nil
 	delete(m.byID, e.shortID())
 	m.version++
 	delete(m.staleStates, name)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -42,6 +42,7 @@
 	lastEvent time.Time
 
 	table            map[string]*entry
+	sortedTable      []*entry          // by name; nil after a member was added or removed
 	byID             map[uint32]*entry // by short ID
 	version          uint64            // increases with each change of the table
 	digest           uint64            // hash of all records
@@ -225,9 +226,11 @@
 // SetGeneration sets the generation and hash of the configuration document in force here.
 func (m *StateMachine) SetGeneration(now time.Time, generation, hash uint64) []Action {
 	m.begin(now)
-	m.self.Generation, m.self.Hash = generation, hash
-	m.markGenerationChanged(m.self, nil)
-	m.viewStale = true
+	if m.self.Generation != generation || m.self.Hash != hash {
+		m.self.Generation, m.self.Hash = generation, hash
+		m.markGenerationChanged(m.self, nil)
+		m.viewStale = true
+	}
 	return m.end()
 }
 
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -25,7 +25,7 @@
 
 func (m *StateMachine) add(r *Record, source *linkState, now time.Time) {
 	e := &entry{Record: *r, region: regionID(r.Region), changedAt: now, suspectSince: now, lastAlive: now}
-	m.table[r.Name] = e
+	m.table[r.Name], m.sortedTable = e, nil
 	m.toggle(&e.Record)
 	m.markRecordChanged(e, source)
 	m.updateAddress(e, "")
--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -105,3 +106,24 @@
 		})
 	}
 }
+
+// A VM that announces the generation that it has announced already, as with each new list of targets, must not
+// tell the others anything.
+func TestUnchangedGenerationIsNotAnnounced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := NewStateMachine(Record{Name: "vm-0", Region: "r", Zone: "z", Incarnation: 1}, Options{}, rand.New(rand.NewPCG(1, 1)), now)
+	m.SetGeneration(now, 3, 7)
+	now = now.Add(time.Second)
+	m.Tick(now)
+	view, announced := m.View(), m.latestGeneration
+	now = now.Add(time.Second)
+	m.SetGeneration(now, 3, 7)
+	m.Tick(now)
+	if m.latestGeneration != announced || m.View() != view {
+		t.Errorf("the generation was announced as version %d and again as %d, and the view was built anew: %t", announced, m.latestGeneration, m.View() != view)
+	}
+	m.SetGeneration(now, 4, 7)
+	if m.latestGeneration == announced || m.View() == view {
+		t.Error("a new generation was not announced")
+	}
+}
