--- a/internal/discovery/substitute.go
+++ b/internal/discovery/substitute.go
@@ -39,7 +39,9 @@
 		}
 		select {
 		case read := <-done:
-			if w.recordRead(ctx, read) {
+			// A peer may have given newer state meanwhile. The store is read again from there.
+			isOutdated := read.err == nil && read.change.asOf < w.asOf
+			if isOutdated || w.recordRead(ctx, read) {
 				w.substituteStore(src)
 			}
 			return
