Callers that wait are not taken for gone: deadlines of background reads

The caller was there and waited.

Cause, in callerconn: the server ends its background read by a deadline in the past. Where a read ahead was going on, its timeout could be kept for a later read: if bytes had come just before, so that the waiting read took those, or if the deadline had been lifted before the error was seen. The next background read then failed at once, which the server takes for a caller that has left. Both orders are in TestDeadlinesDoNotReachLaterReads and fail before. Ruled out: the stand-in caller (it got the answer on that connection), a target that answers twice (that log line is of another test, which plays it).

Now a timeout is given to the read that it was meant for or to none.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -35,6 +35,7 @@
 	ahead      []byte     // bytes read ahead and not yet read by the server
 	reading    bool       // a goroutine reads ahead
 	waiting    int        // number of reads that wait for that goroutine
+	deadline   time.Time  // of reads; zero: none
 	timeout    error      // deadline error for a waiting read
 	ended      error      // the error that ended the connection
 	receivedAt time.Time  // time of the last read that received bytes
@@ -141,9 +142,11 @@
 	switch {
 	case err == nil:
 		c.reading = len(c.ahead)+readBytes <= maxAheadBytes
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.deadlinePassed():
+		// The server has lifted the deadline since. It no longer expects a timeout, and would end the connection.
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reading = false
-		if c.waiting > 0 && len(received) == 0 {
+		if c.waiting > 0 && len(c.ahead) == 0 {
 			c.timeout = err
 		}
 	default:
@@ -154,6 +157,25 @@
 	return c.reading
 }
 
+// deadlinePassed reports whether reads time out now. c.mu is held.
+func (c *Conn) deadlinePassed() bool { return !c.deadline.IsZero() && !c.now().Before(c.deadline) }
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -201,3 +202,45 @@
 		}
 	})
 }
+
+// A deadline that the server sets to end its background read must reach that read or nobody. Kept for a later read,
+// it makes the server take a caller that waits for its answer for one that has left.
+func TestDeadlinesDoNotReachLaterReads(t *testing.T) {
+	past := time.Unix(1, 0)
+	newConn := func(t *testing.T) *Conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = near.Close() })
+		c := New(far, time.Now)
+		c.reading, c.waiting = true, 1 // the server's read waits for what is read ahead
+		return c
+	}
+	t.Run("bytes arrive before the deadline", func(t *testing.T) {
+		c := newConn(t)
+		c.keep([]byte("G"), nil)
+		_ = c.SetReadDeadline(past)
+		c.keep(nil, os.ErrDeadlineExceeded)
+		c.waiting = 0
+		if n, err, done := c.readAheadOf(make([]byte, 1)); n != 1 || err != nil || !done {
+			t.Errorf("the waiting read got %d bytes and %v", n, err)
+		}
+		_ = c.SetReadDeadline(time.Time{})
+		if _, err, done := c.readAheadOf(make([]byte, 1)); done {
+			t.Errorf("the next read got %v", err)
+		}
+	})
+	t.Run("the deadline is lifted before its error is seen", func(t *testing.T) {
+		c := newConn(t)
+		_ = c.SetReadDeadline(past)
+		_ = c.SetReadDeadline(time.Time{})
+		if !c.keep(nil, os.ErrDeadlineExceeded) || c.timeout != nil {
+			t.Errorf("a read got %v after the deadline was lifted", c.timeout)
+		}
+	})
+	t.Run("the deadline holds", func(t *testing.T) {
+		c := newConn(t)
+		_ = c.SetReadDeadline(past)
+		if c.keep(nil, os.ErrDeadlineExceeded) || c.timeout == nil {
+			t.Error("the waiting read was not ended")
+		}
+	})
+}
