--- a/internal/discovery/confirm_test.go
+++ b/internal/discovery/confirm_test.go
@@ -202,6 +202,30 @@
 	}
 }
 
+// A VM whose preferred source does not answer must go on to other peers during an outage.
+func TestAgesOfDocumentsBesideASilentPeer(t *testing.T) {
+	const size = 12
+	for silent := range size {
+		t.Run(fmt.Sprintf("vm-%03d silent", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRevocationFleet(t, size)
+				f.hub.SetFault(peertest.Any, peertest.Any, peertest.Fault{Delay: 20 * time.Millisecond})
+				connected := (silent + 1) % size
+				for i, m := range f.view.Members {
+					f.access[m.Name].silent.Store(i != connected)
+				}
+				name := f.view.Members[silent].Name
+				f.hub.SetFault(peertest.Any, name, peertest.Fault{Drop: 1})
+				f.hub.SetFault(name, peertest.Any, peertest.Fault{Drop: 1})
+				delete(f.vms, name) // its own age is not looked at
+				if share := f.expiredShare(30 * time.Second); share > 0.01 {
+					t.Errorf("the document was too old for keys in %.3f of the time, want at most 0.01", share)
+				}
+			})
+		})
+	}
+}
+
 // expiredShare returns the share of the time, over all VMs, in which DocumentAge was above the revocation bound.
 func (f *fleet) expiredShare(duration time.Duration) float64 {
 	expired, all := 0, 0
--- a/internal/discovery/substitute.go
+++ b/internal/discovery/substitute.go
@@ -58,18 +58,11 @@
 		return
 	}
 	vm := src.others[rand.IntN(len(src.others))]
-	if w.clock.Now().After(w.skipUntil[vm]) && w.pollNow(ctx, vm, src) {
+	if w.clock.Now().After(w.skipUntil[vm]) && w.pollPeer(ctx, vm, src, true) {
 		w.substitutePeer(vm)
 	}
 }
 
-// pollNow polls a peer that answers without waiting for changes, and reports whether its state is fresh.
-func (w *watcher) pollNow(ctx context.Context, vm string, src *sources) (fresh bool) {
-	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
-	defer cancel()
-	return w.pollPeer(ctx, vm, src, true)
-}
-
 // substitutePeer makes a peer the substitute source.
 func (w *watcher) substitutePeer(vm string) {
 	w.substitute = &substitute{vm, w.clock.Now().Add(substituteDuration)}
@@ -110,7 +103,7 @@
 // store as well. It reports whether the state is fresh.
 func (w *watcher) tryRegularSource(ctx context.Context, src *sources) (fresh bool) {
 	vm := w.nextSource(src.preferred)
-	if vm != "" && w.pollNow(ctx, vm, src) {
+	if vm != "" && w.pollPeer(ctx, vm, src, true) {
 		return true
 	}
 	usesPeer := w.substitute.vm != ""
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -143,7 +143,7 @@
 			w.readStore(ctx)
 		}
 	case w.inOutage && vm != "" && len(src.others) > 0:
-		w.pollNow(ctx, vm, &src)
+		w.pollPeer(ctx, vm, &src, true)
 	case w.inOutage:
 		w.pollRandomPeer(ctx, &src)
 	case vm == "":
@@ -170,10 +170,17 @@
 }
 
 // pollPeer polls a peer and reports whether its state is fresh. If the poll fails, the peer is skipped for some time,
-// and the next step may read the store.
+// and the next step may read the store. If immediate is set, the peer has peerPollTimeout to answer, and does so
+// without waiting for changes.
 func (w *watcher) pollPeer(ctx context.Context, vm string, src *sources, immediate bool) (fresh bool) {
 	start := w.clock.Now()
-	err := w.poll(ctx, vm, immediate)
+	pollCtx := ctx
+	if immediate {
+		var cancel context.CancelFunc
+		pollCtx, cancel = context.WithTimeout(ctx, peerPollTimeout)
+		defer cancel()
+	}
+	err := w.poll(pollCtx, vm, immediate)
 	if err == nil {
 		return true
 	}
@@ -190,8 +197,10 @@
 		return false
 	}
 	w.skipUntil[vm] = now.Add(skipUnresponsive)
-	// After a slow failure, a poll of another slow peer would exceed the bound.
-	w.readStoreNext = now.Sub(start) > w.staleAfter/2
+	if !immediate {
+		// After a slow failure, a poll of another slow peer would exceed the bound.
+		w.readStoreNext = now.Sub(start) > w.staleAfter/2
+	}
 	return false
 }
 
