Connects to targets are counted by their result

Neither log nor metrics told how connects of a VM end as a whole, so that its own lost way could not be told from single targets that fail: masticturn_target_connects_total{result}. Which of a target's ways is lost needs another VM's view; that comes with the mend, as no VM asks another now.

--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -62,6 +62,7 @@
 	reused    *metrics.Counter
 	ahead     *metrics.Counter
 	dropped   *metrics.Counter
+	connects  connectCounters
 	staleness staleness
 
 	mu    sync.RWMutex
@@ -75,12 +76,13 @@
 // NewPools returns empty pools.
 func NewPools(d Deps) *Pools {
 	p := &Pools{
-		deps:    d,
-		pools:   make(map[poolKey]*pool),
-		opened:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_opened_total"),
-		ahead:   d.Metrics.GetOrCreateCounter("masticturn_target_connections_ahead_total"),
-		reused:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_reused_total"),
-		dropped: d.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total"),
+		deps:     d,
+		pools:    make(map[poolKey]*pool),
+		connects: newConnectCounters(d.Metrics),
+		opened:   d.Metrics.GetOrCreateCounter("masticturn_target_connections_opened_total"),
+		ahead:    d.Metrics.GetOrCreateCounter("masticturn_target_connections_ahead_total"),
+		reused:   d.Metrics.GetOrCreateCounter("masticturn_target_connections_reused_total"),
+		dropped:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total"),
 	}
 	p.transport = &http.Transport{DialContext: p.dial, DisableCompression: true}
 	return p
@@ -138,6 +140,7 @@
 	w.onIdle = func() { pl.putIdle(c, p.deps.Clock.Now()) }
 	w.onClose = func() { pl.remove(c) }
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", address)
+	p.connects[connectResultOf(err)].Inc()
 	if err != nil {
 		return nil, err
 	}
