--- a/internal/standin/network/memory.go
+++ b/internal/standin/network/memory.go
@@ -26,6 +26,7 @@
 	listeners map[string]*memoryListener
 	conns     map[*memoryConn]struct{} // both ends of each
 	held      map[way]bool
+	refused   map[way]bool
 	heal      chan struct{} // closed and replaced when a way is released
 	nextPort  int
 }
@@ -38,6 +39,7 @@
 		listeners: make(map[string]*memoryListener),
 		conns:     make(map[*memoryConn]struct{}),
 		held:      make(map[way]bool),
+		refused:   make(map[way]bool),
 		heal:      make(chan struct{}),
 		nextPort:  firstPort,
 	}
@@ -134,7 +136,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.listeners[to.String()]
-	if l == nil {
+	if l == nil || m.refused[w] {
 		return nil, syscall.ECONNREFUSED
 	}
 	there, back := newQueue(delay), newQueue(delay)
@@ -165,6 +167,13 @@
 	})
 }
 
+// Refuse refuses new connections from one host to another, or no longer does. Open ones live on.
+func (m *Memory) Refuse(from, to Host, on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused[way{from.IP, to.IP}] = on
+}
+
 func (m *Memory) change(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
