A VM that has lost its own ways to targets serves through other VMs

Callers saw: VMs partitioned from all targets stayed named and ready and answered with 502, 503, 504. Cause: a VM had one way to a target and no notion of that way. Each failed connect counted against the target alone. Class: a VM is taken for able to serve because it lives, and what it fails to do is held against what it did it to.

Ruled out: failing targets; marks that outlive a short fault (connects were refused until the end).

What changed: a connect that fails, or takes 250 ms, is tried through another VM (internal/tunnel). If that VM reaches the target, this VM's way is lost: for that target, or, by targets of several zones and services without a connect between, for all. Requests go on through tunnels; admission, limits, keys, quarantine, retries, cold bounds and connection limits stay with the VM that has the request. Look-ups prefer VMs that are not partitioned while those are at least half of the region's. Silent ways are checked. Elsewhere, by the same cause: a refused connect marks a target as restarting only if other VMs were refused as well; crashes are blamed on requests only then; ejections that the cut caused are forgotten.

Why it works: bytes go end to end, so what is known of a request's fate is what is known on a direct connection; a tunnel that breaks never looks like the target's end (tested at each byte).

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -25,6 +25,7 @@
 	"masticturn/internal/quarantine"
 	"masticturn/internal/ratelimit"
 	"masticturn/internal/settings"
+	"masticturn/internal/tunnel"
 )
 
 // errNoDocument is the reason why a daemon on a platform is not ready.
@@ -69,12 +70,13 @@
 		module(membership.ServiceName, d.newMembership, peer.ServiceName, storeName),
 		module(discovery.RegistrarName, d.newRegistrar, storeName, membership.ServiceName),
 		module(discovery.ServiceName, d.newDiscovery, storeName, peer.ServiceName, membership.ServiceName),
-		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName),
+		module(tunnel.ServiceName, d.newTunnels, peer.ServiceName, discovery.ServiceName, membership.ServiceName),
+		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName, tunnel.ServiceName),
 		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
 		module(quarantine.ServiceName, d.newQuarantine, peer.ServiceName, storeName, membership.ServiceName),
 		module(customer.GuardName, d.newKeyGuard, discovery.ServiceName, membership.ServiceName),
 		module(ratelimit.ServiceName, d.newRateLimit, peer.ServiceName, storeName, membership.ServiceName, discovery.ServiceName),
-		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName, quarantine.ServiceName, customer.GuardName, ratelimit.ServiceName),
+		module(forward.ServiceName, d.newHostedForward, discovery.ServiceName, admission.ServiceName, quarantine.ServiceName, customer.GuardName, ratelimit.ServiceName, tunnel.ServiceName),
 		module(operator.ServiceName, d.newHostedOperator, discovery.ServiceName),
 		module(drain.ServiceName, d.newHostedDrain, membership.ServiceName, discovery.ServiceName, forward.ServiceName, entry.ServiceName),
 	}
@@ -151,17 +153,40 @@
 }
 
 func (d *Daemon) newPlacement(w *wiring) (kernel.Service, error) {
-	return placement.NewAdmitter(placement.Deps{
-		Views:   w.discovery,
-		Members: w.members,
-		Network: w.network,
-		Settled: w.members.Ready,
-		VM:      d.settings.VM,
-		Policy:  d.opts.Hosted.Policy,
-		Bounds:  d.settings.Bounds,
-		Metrics: d.opts.Metrics,
-		Clock:   d.opts.Clock,
-		Logger:  d.opts.Logger,
+	a := placement.NewAdmitter(placement.Deps{
+		Views:       w.discovery,
+		Members:     w.members,
+		Network:     w.network,
+		Settled:     w.members.Ready,
+		VM:          d.settings.VM,
+		Policy:      d.opts.Hosted.Policy,
+		ShareNotice: w.tunnels.ShareNotice,
+		Bounds:      d.settings.Bounds,
+		Metrics:     d.opts.Metrics,
+		Clock:       d.opts.Clock,
+		Logger:      d.opts.Logger,
+	})
+	w.tunnels.SetNotices(a)
+	return a, nil
+}
+
+func (d *Daemon) newTunnels(w *wiring) (kernel.Service, error) {
+	streams, ok := w.network.(peer.Streams)
+	if !ok {
+		return nil, trace.BadParameter("the network between VMs has no streams")
+	}
+	return tunnel.NewService(tunnel.Deps{
+		Self:        d.settings.VM.Name,
+		Region:      d.settings.VM.Region,
+		MemoryBytes: d.settings.VM.MemoryBytes,
+		Members:     w.members,
+		Config:      w.discovery,
+		Streams:     streams,
+		Network:     w.network,
+		Dial:        d.opts.Dial,
+		Clock:       d.opts.Clock,
+		Logger:      d.opts.Logger,
+		Metrics:     d.opts.Metrics,
 	}), nil
 }
 
@@ -237,6 +262,7 @@
 		KeyGuard:  w.keyGuard,
 		Limiter:   w.limiter,
 		Dial:      d.opts.Dial,
+		Targets:   w.tunnels,
 		Logger:    d.opts.Logger,
 		Metrics:   d.opts.Metrics,
 		Dialect:   d.opts.Hosted.Dialect,
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -20,6 +20,7 @@
 	"masticturn/internal/platform"
 	"masticturn/internal/quarantine"
 	"masticturn/internal/ratelimit"
+	"masticturn/internal/tunnel"
 	"masticturn/platform/store"
 )
 
@@ -66,6 +67,7 @@
 
 	discovery *discovery.Service
 	entry     *entry.Service
+	tunnels   *tunnel.Service
 }
 
 // module returns a module whose service is built from the services it requires.
@@ -112,6 +114,8 @@
 		return find(k, name, &w.discovery)
 	case entry.ServiceName:
 		return find(k, name, &w.entry)
+	case tunnel.ServiceName:
+		return find(k, name, &w.tunnels)
 	}
 	return nil // required only for the order
 }
@@ -173,6 +177,7 @@
 		CallerAddress: d.CallerAddress(),
 		Cores:         d.settings.VM.Cores,
 		Incarnation:   d.incarnation,
+		Carries:       d.opts.Hosted != nil,
 	}
 }
 
--- a/internal/e2e/memfleet_test.go
+++ b/internal/e2e/memfleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -48,12 +49,13 @@
 // memFleet is a fleet of daemons on the platform within one process, in fake time,
 // with targets and callers.
 type memFleet struct {
-	t       *testing.T
-	net     *network.Memory
-	objects *platformtest.Store
-	vms     []*memVM
-	targets []*memTarget
-	random  *rand.Rand
+	t          *testing.T
+	processors int // GOMAXPROCS before the test
+	net        *network.Memory
+	objects    *platformtest.Store
+	vms        []*memVM
+	targets    []*memTarget
+	random     *rand.Rand
 
 	mu     sync.Mutex
 	runs   []memRun
@@ -111,7 +113,9 @@
 func newMemFleet(t *testing.T, vms, targetsPerZone int) *memFleet {
 	t.Helper()
 	f := &memFleet{
-		t: t, net: network.NewMemory(memDelay), objects: platformtest.NewStore(),
+		// The race detector crashes if timers of one bubble run on several threads at once.
+		processors: runtime.GOMAXPROCS(1),
+		t:          t, net: network.NewMemory(memDelay), objects: platformtest.NewStore(),
 		random: rand.New(rand.NewPCG(1, uint64(vms))),
 	}
 	f.objects.Put("config", "main", []byte(memDocument))
@@ -202,6 +206,7 @@
 		g.end()
 	}
 	time.Sleep(time.Minute) // connections and timers end
+	runtime.GOMAXPROCS(f.processors)
 }
 
 // call is one request of a caller.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -166,3 +166,28 @@
 		t.Error("a leaving VM does not serve look-ups")
 	}
 }
+
+// Partitioned VMs must be returned only if they are the majority of their region's.
+func TestChooseAvoidsPartitionedVMs(t *testing.T) {
+	partitioned := func(m membership.Member) membership.Member {
+		m.Partitioned = true
+		return m
+	}
+	a1, a2, a3 := member("a1", "a", membership.Alive, 1), member("a2", "a", membership.Alive, 1), member("a3", "a", membership.Alive, 1)
+	b1 := member("b1", "b", membership.Alive, 1)
+	tests := map[string]struct {
+		members []membership.Member
+		want    []string
+	}{
+		"one of three":     {[]membership.Member{partitioned(a1), a2, a3, b1}, []string{"a2:80", "a3:80"}},
+		"one of two":       {[]membership.Member{partitioned(a1), a2, b1}, []string{"a2:80"}},
+		"two of three":     {[]membership.Member{partitioned(a1), partitioned(a2), a3, b1}, []string{"a3:80", "a1:80", "a2:80"}},
+		"the whole region": {[]membership.Member{partitioned(a1), partitioned(a2), b1}, []string{"a1:80", "a2:80"}},
+		"all VMs":          {[]membership.Member{partitioned(a1), partitioned(b1)}, []string{"a1:80"}},
+	}
+	for name, tt := range tests {
+		if got := Choose(&membership.View{Members: tt.members}, "a"); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", name, got, tt.want)
+		}
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -40,8 +40,10 @@
 	resp        *http.Response
 	trailers    []string // names of the response's trailers; its map is written while the body is received
 	sentAt      time.Time
-	connectTime time.Duration // time to open the connection; 0: it was already open
-	load        *edge.Load    // load reported by the target; nil: none
+	connectTime time.Duration // time to open the connection; 0: it was already open, or goes through another VM
+	carrier     string        // VM through which the connection goes; empty: it is direct
+	tunnelID    string
+	load        *edge.Load // load reported by the target; nil: none
 	draining    bool
 	backoff     time.Duration // Retry-After of the target; 0: none
 	released    bool
@@ -79,6 +81,7 @@
 // recordTried excludes an attempt's target from further attempts, unless the connection was stale.
 func (x *exchange) recordTried(a *attempt, result *attemptResult) {
 	x.newConnOnly = x.newConnOnly || result.Stale
+	x.carrier, x.tunnelID = a.carrier, a.tunnelID
 	if a.target != nil && !result.Stale {
 		x.tried = append(x.tried, a.target.Name)
 	}
@@ -173,7 +176,7 @@
 	defer cancel()
 	policy := connectionPolicyOf(a.x.snap, a.target)
 	a.keepConn = policy.keep
-	conn, err := a.x.h.conns.Get(ctx, a.target, policy.limit, use)
+	conn, err := a.x.h.conns.Get(ctx, a.target, policy.limit, use, a.x.reach())
 	if err != nil {
 		return attemptResult{
 			Step:       outcome.StepConnect,
@@ -184,6 +187,7 @@
 	}
 	a.conn = conn
 	a.connectTime = conn.ConnectTime()
+	a.carrier, a.tunnelID = conn.Carrier()
 	if a.number > 1 {
 		a.x.h.deps.Logger.Log(eventRequestRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
 			telemetry.Value("digest", a.x.digestText()), telemetry.Value("attempt", a.number),
@@ -193,6 +197,14 @@
 	return attemptResult{}
 }
 
+// reach returns the regions whose VMs may carry the request.
+func (x *exchange) reach() targetconn.Reach {
+	if x.match.Rule == nil {
+		return targetconn.Reach{}
+	}
+	return targetconn.Reach{Regions: x.match.Rule.AllowedRegions}
+}
+
 // send sends the request and waits for the head of the response.
 func (a *attempt) send() attemptResult {
 	req := a.newRequest()
--- a/internal/forward/brokenrun.go
+++ b/internal/forward/brokenrun.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"syscall"
 	"time"
 
 	"masticturn/internal/config"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
 )
 
@@ -73,7 +75,7 @@
 func (p *crashProber) probeState(t *config.TargetIndex) targetState {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	conn, err := p.deps.Dial(ctx, "tcp", t.Address)
+	conn, err := p.dial(ctx, t)
 	switch {
 	case err == nil:
 		_ = conn.Close()
@@ -84,6 +86,13 @@
 	return targetUnknown
 }
 
+func (p *crashProber) dial(ctx context.Context, t *config.TargetIndex) (net.Conn, error) {
+	if p.deps.Targets != nil {
+		return p.deps.Targets.DialTarget(ctx, t, targetconn.Reach{})
+	}
+	return p.deps.Dial(ctx, "tcp", t.Address)
+}
+
 func (p *crashProber) report(r *brokenRun, state targetState) {
 	p.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_broken_runs_total{target=%q}", string(state))).Inc()
 	p.deps.Logger.Log(eventRunBroken,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,6 +59,8 @@
 	headWritten   bool          // the response head was sent to the caller
 	callerGone    bool          // the caller disconnected while its run with an idempotency key continues
 	newConnOnly   bool          // a connection was stale, so further attempts open new ones
+	carrier       string        // VM through which the last attempt went; empty: it was direct
+	tunnelID      string
 }
 
 // serve handles the request from parsing to the final response.
@@ -360,6 +362,9 @@
 		telemetry.Value("attempts", x.dispatch.attempts),
 		telemetry.Value("took_ms", x.h.deps.Clock.Now().Sub(x.startedAt).Milliseconds()),
 	}
+	if x.carrier != "" {
+		fields = append(fields, telemetry.Value("carrier", x.carrier), telemetry.Value("tunnel", x.tunnelID))
+	}
 	if x.snap == nil {
 		return fields
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -56,6 +56,7 @@
 	// Expected returns the targets to which connections are opened ahead of requests; nil: none.
 	Expected func() []*config.TargetIndex
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	Targets  targetconn.Dialer // used for targets instead of Dial if not nil
 	Logger   *telemetry.Logger
 	Metrics  *metrics.Set
 	Dialect  *edge.Dialect // nil: edge.Native()
@@ -93,7 +94,7 @@
 	}
 	h := &Handler{
 		deps:             d,
-		conns:            targetconn.NewPools(targetconn.Deps{Dial: d.Dial, Clock: d.Clock, Metrics: d.Metrics}),
+		conns:            targetconn.NewPools(targetconn.Deps{Dial: d.Dial, Targets: d.Targets, Clock: d.Clock, Metrics: d.Metrics}),
 		retryBudget:      &retryBudget{},
 		series:           newSeriesCache(d.Metrics),
 		faults:           newFaultLog(d.Logger),
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -244,6 +244,16 @@
 	return m.end()
 }
 
+// SetPartitioned sets whether this daemon can't reach targets itself, while other VMs can.
+func (m *StateMachine) SetPartitioned(now time.Time, partitioned bool) []Action {
+	m.begin(now)
+	if m.self.Partitioned != partitioned {
+		m.changeSelf(now, func(r *Record) { r.Partitioned = partitioned })
+		m.sendDue(now)
+	}
+	return m.end()
+}
+
 // SetTerm sets this daemon's term as granter of rate limits; 0: not the granter.
 func (m *StateMachine) SetTerm(now time.Time, term uint64) []Action {
 	m.begin(now)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -26,6 +26,8 @@
 	Hash          uint64
 	RefusesKeys   bool   // refuses requests with keys, because its document may be outdated
 	Term          uint64 // term as granter of rate limits; 0: not the granter
+	Carries       bool   // carries connections of other VMs to targets
+	Partitioned   bool   // can't reach targets itself, while other VMs can
 }
 
 // supersedes reports whether r is newer than old, by Incarnation, Gone, Seq and Suspect in this
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -20,7 +20,7 @@
 
 // Config holds the configuration and dependencies of a Service.
 type Config struct {
-	Self    Member   // only Name, Zone, Region, the addresses, Cores and Incarnation are used
+	Self    Member   // only Name, Zone, Region, the addresses, Cores, Incarnation and Carries are used
 	Seeds   []string // host:port of some peer listeners
 	Options Options
 	Network peer.Network
@@ -83,6 +83,7 @@
 		PeerAddress: c.Self.PeerAddress, CallerAddress: c.Self.CallerAddress,
 		Cores:       c.Self.Cores,
 		Incarnation: c.Self.Incarnation,
+		Carries:     c.Self.Carries,
 	}
 }
 
@@ -162,6 +163,11 @@
 	s.handle(func(now time.Time) []Action { return s.machine.SetRefusesKeys(now, refuses) })
 }
 
+// SetPartitioned announces whether this daemon can't reach targets itself, while other VMs can.
+func (s *Service) SetPartitioned(partitioned bool) {
+	s.handle(func(now time.Time) []Action { return s.machine.SetPartitioned(now, partitioned) })
+}
+
 // SetTerm announces this daemon's term as granter of rate limits; 0: not the granter.
 func (s *Service) SetTerm(term uint64) {
 	s.handle(func(now time.Time) []Action { return s.machine.SetTerm(now, term) })
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -35,6 +35,8 @@
 	Hash          uint64 // hash of that document
 	RefusesKeys   bool   // refuses requests with keys
 	Term          uint64 // its term as granter of rate limits; 0: not the granter
+	Carries       bool   // carries connections of other VMs to targets
+	Partitioned   bool   // can't reach targets itself, while other VMs can
 }
 
 // View is an immutable list of all members that are not gone, sorted by name. It includes this
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -22,6 +22,9 @@
 	VM          string
 	Incarnation uint64
 	Expected    string // VM that the dialing end wants to reach; empty if it knows only an address
+	// StreamRequest, if not empty, opens a stream; StreamResponse is the accepting end's response.
+	StreamRequest  []byte
+	StreamResponse []byte
 }
 
 // readBufferBytes is the size of the read buffer of each connection.
@@ -32,12 +35,14 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	remote hello
+	// serveStream uses the connection of an accepted stream; nil: none was accepted.
+	serveStream func(net.Conn)
 }
 
 // handshake runs the TLS handshake, if keys are set, and exchanges hello messages.
 // expected is empty at the accepting end, and at the dialing end if only the
-// address of the VM is known.
-func (t *TCP) handshake(ctx context.Context, raw net.Conn, server bool, expected string) (*session, error) {
+// address of the VM is known. A streamRequest opens a stream.
+func (t *TCP) handshake(ctx context.Context, raw net.Conn, server bool, expected string, streamRequest []byte) (*session, error) {
 	deadline, _ := ctx.Deadline()
 	if err := raw.SetDeadline(deadline); err != nil {
 		return nil, trace.Wrap(err)
@@ -51,7 +56,8 @@
 		conn = tlsConn
 	}
 	s := &session{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
-	if err := t.exchangeHellos(s, server, expected); err != nil {
+	if err := t.exchangeHellos(ctx, s, server, expected, streamRequest); err != nil {
+		s.abandonStream()
 		return nil, err
 	}
 	return s, trace.Wrap(conn.SetDeadline(time.Time{}))
@@ -59,9 +65,9 @@
 
 // exchangeHellos exchanges and verifies hello messages. The dialing end sends
 // first, so that the accepting end reveals nothing to an unverified peer.
-func (t *TCP) exchangeHellos(s *session, server bool, expected string) error {
+func (t *TCP) exchangeHellos(ctx context.Context, s *session, server bool, expected string, streamRequest []byte) error {
 	if !server {
-		if err := t.writeHello(s.conn, expected); err != nil {
+		if err := t.writeHello(s.conn, &hello{Expected: expected, StreamRequest: streamRequest}); err != nil {
 			return err
 		}
 	}
@@ -71,14 +77,24 @@
 	if err := t.checkHello(s, server, expected); err != nil {
 		return newRefusal(err)
 	}
-	if server {
-		return t.writeHello(s.conn, "")
+	if !server {
+		return nil
+	}
+	reply := &hello{}
+	if len(s.remote.StreamRequest) > 0 {
+		response, err := t.acceptStream(ctx, s)
+		if err != nil {
+			return newRefusal(err)
+		}
+		reply.StreamResponse = response
 	}
-	return nil
+	return t.writeHello(s.conn, reply)
 }
 
-func (t *TCP) writeHello(conn net.Conn, expected string) error {
-	payload, err := Encode(&hello{Version: protocolVersion, VM: t.opts.VM, Incarnation: t.opts.Incarnation, Expected: expected})
+// writeHello sends a hello, in which it fills in this VM.
+func (t *TCP) writeHello(conn net.Conn, h *hello) error {
+	h.Version, h.VM, h.Incarnation = protocolVersion, t.opts.VM, t.opts.Incarnation
+	payload, err := Encode(h)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -233,7 +233,7 @@
 	if expected == address {
 		expected = ""
 	}
-	s, err := t.handshake(ctx, raw, false, expected)
+	s, err := t.handshake(ctx, raw, false, expected, nil)
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -17,6 +17,7 @@
 // kindNames holds the names of kinds in metrics and logs. Kinds without a name are
 // reported as "other".
 var kindNames = map[Kind]string{
+	KindTargetNotice: "target_notice",
 	KindPing:         "ping",
 	KindHeartbeat:    "heartbeat",
 	KindJoin:         "join",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,8 @@
 	KindUsageReport Kind = 72 // placement: usage of a subtree of VMs
 	KindUsageTotal  Kind = 73 // placement: usage of all VMs of the region
 
+	KindTargetNotice Kind = 95 // tunnel: what a target has announced to the sender
+
 	KindLimitTake   Kind = 90 // ratelimit: requests permission for one request of a customer from a holder
 	KindLimitReport Kind = 91 // ratelimit: requests shares of limits from the granter
 
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -36,6 +36,7 @@
 type TCP struct {
 	opts     Options
 	handlers [kindCount]Handler
+	streams  StreamHandler // nil: streams are refused
 	counters *counters
 	keys     *keys // nil without TLS
 	workers  *workerPool
@@ -289,12 +290,16 @@
 	defer cancel()
 	stop := context.AfterFunc(t.ctx, func() { _ = raw.Close() })
 	defer stop()
-	s, err := t.handshake(ctx, raw, true, "")
+	s, err := t.handshake(ctx, raw, true, "", nil)
 	if err != nil {
 		t.reportHandshakeError(raw.RemoteAddr().String(), err)
 		_ = raw.Close()
 		return
 	}
+	if len(s.remote.StreamRequest) > 0 {
+		t.serveStream(s)
+		return
+	}
 	t.counters.accepted.Inc()
 	l := t.link(s.remote.VM)
 	defer l.release()
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -43,9 +43,11 @@
 	VM      settings.VM
 	Bounds  settings.Bounds
 	Policy  Policy // empty: PolicyCompletion
-	Clock   kernel.Clock
-	Logger  *telemetry.Logger
-	Metrics *metrics.Set
+	// ShareNotice tells other VMs what a target has announced to this one; nil: it concerns no other VM.
+	ShareNotice func(target string, leaving bool, backoff time.Duration)
+	Clock       kernel.Clock
+	Logger      *telemetry.Logger
+	Metrics     *metrics.Set
 }
 
 // Admitter grants slots at targets. Each VM decides on its own requests, without asking
@@ -330,10 +332,53 @@
 func (p *permit) Notify(notice admission.Notice) {
 	a := p.admitter
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if p.pool.RecordNotice(p.target.Name, notice, a.deps.Clock.Now()) {
+	stopped := p.pool.RecordNotice(p.target.Name, notice, a.deps.Clock.Now())
+	a.mu.Unlock()
+	if stopped {
 		a.deps.Logger.Log(eventTargetNotice, telemetry.Peer(p.target.Name), telemetry.Value("for_ms", notice.Backoff.Milliseconds()))
 	}
+	if a.deps.ShareNotice != nil {
+		a.deps.ShareNotice(p.target.Name, notice.Leaving, notice.Backoff)
+	}
+}
+
+// Notice returns what a target has announced to this VM, or to one that has told this VM.
+func (a *Admitter) Notice(target string) (leaving bool, backoff time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.poolOf(target); p != nil {
+		return p.Notice(target, a.deps.Clock.Now())
+	}
+	return false, 0
+}
+
+// RecordNotice records what a target has announced to another VM.
+func (a *Admitter) RecordNotice(target string, leaving bool, backoff time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.poolOf(target); p != nil {
+		p.RecordNotice(target, admission.Notice{Leaving: leaving, Backoff: backoff}, a.deps.Clock.Now())
+	}
+}
+
+// ForgetFailures forgets the failures of targets since a time, as they were not the targets'.
+func (a *Admitter) ForgetFailures(since time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.pools {
+		p.Pool.ForgetFailures(since)
+		a.serveQueue(p, a.deps.Clock.Now())
+	}
+}
+
+// poolOf returns the pool of a target, or nil. a.mu is held.
+func (a *Admitter) poolOf(target string) *servicePool {
+	for _, p := range a.pools {
+		if p.targets[target] != nil {
+			return p
+		}
+	}
+	return nil
 }
 
 // Release implements admission.Permit. A second call does nothing.
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -114,3 +114,12 @@
 	}
 	return at, ok
 }
+
+// Notice returns what a target has announced: whether it is leaving, and what is left of its Retry-After.
+func (p *Pool) Notice(name string, now time.Time) (leaving bool, backoff time.Duration) {
+	n := p.notices[name]
+	if n == nil {
+		return false, 0
+	}
+	return n.leaving, max(n.backoffUntil.Sub(now), 0)
+}
--- a/internal/placement/notices_test.go
+++ b/internal/placement/notices_test.go
@@ -163,3 +163,45 @@
 		t.Errorf("%+v, want the request to be placed", w.Refused)
 	}
 }
+
+// What a VM has taken for failures of targets while it was partitioned must not outlive that.
+func TestFailuresOfThisVMAreForgotten(t *testing.T) {
+	p, _ := newTestPool(t, "ros", targetLayout{perRegion: map[string]int{"ros": 2}, slots: 4, coldRate: 1})
+	fail := func(at time.Time) {
+		for range failuresToEject {
+			for _, target := range p.sortedTargets {
+				sel := p.newSelection(target, newRequest(""), 0, true, at)
+				p.Acquire(sel, at)
+				p.Release(sel, Result{Failed: true, ConnectionRefused: true}, at)
+			}
+		}
+	}
+	now := start.Add(time.Second)
+	fail(now)
+	if p.Choose(newRequest("x"), now) != nil {
+		t.Fatal("a target is chosen although all are ejected")
+	}
+	p.ForgetFailures(now.Add(time.Millisecond))
+	if p.Choose(newRequest("x"), now) != nil {
+		t.Error("failures from before the partition are forgotten")
+	}
+	p.ForgetFailures(now)
+	sel := mustChoose(t, p, newRequest("x"), now)
+	if sel.target.cold(now) {
+		t.Error("the target still counts as restarting")
+	}
+}
+
+func TestNoticeTellsWhatIsLeftOfIt(t *testing.T) {
+	p, _ := newTestPool(t, "ros", targetLayout{perRegion: map[string]int{"ros": 2}, slots: 4})
+	p.RecordNotice("ros-0", admission.Notice{Leaving: true, Backoff: 3 * time.Second}, start)
+	if leaving, backoff := p.Notice("ros-0", start.Add(time.Second)); !leaving || backoff != 2*time.Second {
+		t.Errorf("leaving %v, backoff %v", leaving, backoff)
+	}
+	if leaving, backoff := p.Notice("ros-0", start.Add(time.Minute)); !leaving || backoff != 0 {
+		t.Errorf("after its end: leaving %v, backoff %v", leaving, backoff)
+	}
+	if leaving, backoff := p.Notice("ros-1", start); leaving || backoff != 0 {
+		t.Errorf("without a notice: leaving %v, backoff %v", leaving, backoff)
+	}
+}
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -55,6 +55,7 @@
 	}
 	if r.ConnectionRefused {
 		t.restartingUntil = now.Add(restartTTL)
+		t.failedAt = now
 	}
 	switch {
 	case r.Canceled:
@@ -64,6 +65,7 @@
 		t.ejectedUntil = now.Add(p.shedEjection(t))
 	case r.Failed:
 		t.failures++
+		t.failedAt = now
 		if t.failures >= failuresToEject {
 			ejected = min(baseEjection<<min(t.failures-failuresToEject, maxEjectionDoublings), maxEjection)
 			t.ejectedUntil = now.Add(ejected)
@@ -109,3 +111,15 @@
 		p.runTimes.observe(sel.known, sel.rank, runTime)
 	}
 }
+
+// ForgetFailures ends the ejections of targets that have failed since a time, and no longer takes them to be
+// restarting.
+func (p *Pool) ForgetFailures(since time.Time) {
+	for _, t := range p.targets {
+		if t.failedAt.IsZero() || t.failedAt.Before(since) {
+			continue
+		}
+		t.failures = 0
+		t.ejectedUntil, t.restartingUntil, t.failedAt = time.Time{}, time.Time{}, time.Time{}
+	}
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -33,6 +33,7 @@
 	notice            *notice   // what the target announced in its answers
 	ejectedUntil      time.Time // no requests until then, after failures or a refusal
 	failures          int       // consecutive failures
+	failedAt          time.Time // last failure; zero: none
 	replaced          bool      // another instance has its address
 	restartingUntil   time.Time // set by a refused connection, cleared by an answer
 	lastColdRequest   time.Time // last request of this VM while the target was cold
--- a/internal/targetconn/ahead.go
+++ b/internal/targetconn/ahead.go
@@ -26,7 +26,7 @@
 	if !pl.reserveAhead(limit/2, p.deps.Clock.Now()) {
 		return false, nil
 	}
-	c, err := p.connect(ctx, pl, t.Address)
+	c, err := p.connect(ctx, pl, t, Reach{Regions: []string{t.Region}})
 	if err != nil {
 		pl.unreserve()
 		return false, trace.Wrap(err, "open connection ahead to target %s at %s", t.Name, t.Address)
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -55,7 +55,7 @@
 
 // usable reports whether an idle connection may carry another exchange.
 func (c *Conn) usable(now time.Time, idleLimit time.Duration) bool {
-	return c.withinAgeLimits(now, idleLimit) && c.client.Err() == nil
+	return c.withinAgeLimits(now, idleLimit) && c.wire.usable() && c.client.Err() == nil
 }
 
 // withinAgeLimits reports whether neither the age nor the idle time of the connection is too long.
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -1,6 +1,7 @@
 package targetconn
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,14 +30,14 @@
 	return &pool{open: make(map[*Conn]struct{}), dropped: p.dropped, staleness: &p.staleness, now: p.deps.Clock.Now}
 }
 
-// acquireIdleFor returns an idle connection that is suitable for the use, or nil.
-func (p *pool) acquireIdleFor(use Use, now time.Time) *Conn {
+// acquireIdleFor returns an idle connection that is suitable for the use and the request, or nil.
+func (p *pool) acquireIdleFor(use Use, r request, now time.Time) *Conn {
 	switch use {
 	case UseAny:
-		return p.acquireIdle(now, p.staleness.limitIdleTime(p.idleLimit(), now))
+		return p.acquireIdle(now, p.staleness.limitIdleTime(p.idleLimit(), now), r.mayUse)
 	case UseRecent:
 		if !p.isReuseRestricted(now) {
-			return p.acquireIdle(now, p.staleness.limitIdleTime(recentIdleLimit, now))
+			return p.acquireIdle(now, p.staleness.limitIdleTime(recentIdleLimit, now), isDirect)
 		}
 	}
 	return nil
@@ -56,11 +57,11 @@
 	p.reuseRestrictedUntil = until
 }
 
-// acquireIdle begins an exchange on the most recently used idle connection that is usable and has been
-// idle for no longer than the limit. It closes unusable ones and returns nil if none is left.
-func (p *pool) acquireIdle(now time.Time, limit time.Duration) *Conn {
+// acquireIdle begins an exchange on the most recently used idle connection that is suitable, usable and has
+// been idle for no longer than the limit. It closes unusable ones and returns nil if none is left.
+func (p *pool) acquireIdle(now time.Time, limit time.Duration, suits func(*Conn) bool) *Conn {
 	for {
-		c := p.popIdle(now, limit)
+		c := p.popIdle(now, limit, suits)
 		if c == nil {
 			return nil
 		}
@@ -96,19 +97,22 @@
 	return p.idleLimitLocked()
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil. If the limit is below
-// defaultIdleLimit, a connection that has been idle for longer than the limit stays in the pool.
-func (p *pool) popIdle(now time.Time, limit time.Duration) *Conn {
+// popIdle removes and returns the most recently used idle connection that is suitable, or nil. If the limit is
+// below defaultIdleLimit, a connection that has been idle for longer than the limit stays in the pool.
+func (p *pool) popIdle(now time.Time, limit time.Duration, suits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 || limit < defaultIdleLimit && now.Sub(p.idle[n-1].idleSince) > limit {
-		return nil // requests with a longer limit may still use it
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if limit < defaultIdleLimit && now.Sub(c.idleSince) > limit {
+			return nil // requests with a longer limit may still use it
+		}
+		if suits(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 // reserve reserves a new connection within the limit, closing the least recently used idle one if
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -50,6 +50,7 @@
 // Deps holds the dependencies of Pools.
 type Deps struct {
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Targets Dialer // used instead of Dial if not nil
 	Clock   kernel.Clock
 	Metrics *metrics.Set
 }
@@ -73,6 +74,13 @@
 
 type wireKey struct{}
 
+// dialing is the value of a context with which the transport opens a connection.
+type dialing struct {
+	wire   *wire
+	target *config.TargetIndex
+	reach  Reach
+}
+
 // NewPools returns empty pools.
 func NewPools(d Deps) *Pools {
 	p := &Pools{
@@ -90,27 +98,34 @@
 
 // dial opens a connection and returns it wrapped in the wire that the context carries.
 func (p *Pools) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := p.deps.Dial(ctx, network, address)
+	d := ctx.Value(wireKey{}).(*dialing)
+	conn, err := p.dialTarget(ctx, d, network, address)
 	if err != nil {
 		return nil, err
 	}
-	w := ctx.Value(wireKey{}).(*wire)
-	w.Conn = conn
-	return w, nil
+	d.wire.Conn = conn
+	return d.wire, nil
+}
+
+func (p *Pools) dialTarget(ctx context.Context, d *dialing, network, address string) (net.Conn, error) {
+	if p.deps.Targets != nil {
+		return p.deps.Targets.DialTarget(ctx, d.target, d.reach)
+	}
+	return p.deps.Dial(ctx, network, address)
 }
 
-// Get returns a connection to the target that suits the use. The limit is this VM's share of the target's
+// Get returns a connection to the target that suits the use and the reach. The limit is this VM's share of the target's
 // connections; Get returns ErrLimit if all of them are in use. If Get fails, no byte was sent.
-func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use) (*Conn, error) {
+func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use, reach Reach) (*Conn, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
-	if c := pl.acquireIdleFor(use, p.deps.Clock.Now()); c != nil {
+	if c := pl.acquireIdleFor(use, request{t.Region, reach}, p.deps.Clock.Now()); c != nil {
 		p.reused.Inc()
 		return c, nil
 	}
 	if !pl.reserve(limit) {
 		return nil, trace.Wrap(ErrLimit, "target %s, limit %d", t.Name, limit)
 	}
-	c, err := p.open(ctx, pl, t.Address)
+	c, err := p.open(ctx, pl, t, reach)
 	if err != nil {
 		pl.unreserve()
 		return nil, trace.Wrap(err, "connect to target %s at %s", t.Name, t.Address)
@@ -119,8 +134,8 @@
 }
 
 // open opens a connection and begins an exchange on it.
-func (p *Pools) open(ctx context.Context, pl *pool, address string) (*Conn, error) {
-	c, err := p.connect(ctx, pl, address)
+func (p *Pools) open(ctx context.Context, pl *pool, t *config.TargetIndex, reach Reach) (*Conn, error) {
+	c, err := p.connect(ctx, pl, t, reach)
 	if err != nil {
 		return nil, err
 	}
@@ -133,21 +148,23 @@
 }
 
 // connect opens a connection for which the caller has a reservation.
-func (p *Pools) connect(ctx context.Context, pl *pool, address string) (*Conn, error) {
+func (p *Pools) connect(ctx context.Context, pl *pool, t *config.TargetIndex, reach Reach) (*Conn, error) {
 	now := p.deps.Clock.Now()
 	w := &wire{}
 	c := &Conn{pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter)}
 	w.onIdle = func() { pl.putIdle(c, p.deps.Clock.Now()) }
 	w.onClose = func() { pl.remove(c) }
-	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", address)
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &dialing{w, t, reach}), "http", t.Address)
 	p.connects[connectResultOf(err)].Inc()
 	if err != nil {
 		return nil, err
 	}
 	p.opened.Inc()
 	c.client = client
-	c.connectTime = p.deps.Clock.Now().Sub(now)
-	pl.recordConnectTime(c.connectTime)
+	if w.tunnel() == nil {
+		c.connectTime = p.deps.Clock.Now().Sub(now)
+		pl.recordConnectTime(c.connectTime)
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/targetconn/reach.go
@@ -0,0 +1,70 @@
+package targetconn
+
+import (
+	"context"
+	"net"
+	"slices"
+
+	"masticturn/internal/config"
+)
+
+// Reach states through which other VMs a request may be sent to its target.
+type Reach struct {
+	Regions []string // besides the target's region; empty: all
+}
+
+// Allows reports whether a VM of a region may be used for a target of a region.
+func (r Reach) Allows(vmRegion, targetRegion string) bool {
+	return vmRegion == targetRegion || len(r.Regions) == 0 || slices.Contains(r.Regions, vmRegion)
+}
+
+// Dialer opens connections to targets, directly or through other VMs.
+type Dialer interface {
+	DialTarget(ctx context.Context, t *config.TargetIndex, reach Reach) (net.Conn, error)
+}
+
+// Tunnel is implemented by connections that another VM carries.
+type Tunnel interface {
+	// Carrier returns the carrying VM, its region and the tunnel's ID.
+	Carrier() (vm, region, id string)
+}
+
+// tunnel returns the wire's connection if another VM carries it, or nil.
+func (w *wire) tunnel() Tunnel {
+	t, _ := w.Conn.(Tunnel)
+	return t
+}
+
+// usable reports whether a request may be sent on the idle connection, as far as its way to the target is
+// concerned.
+func (w *wire) usable() bool {
+	c, ok := w.Conn.(interface{ Usable() bool })
+	return !ok || c.Usable()
+}
+
+// request is what decides which connections a request may use.
+type request struct {
+	targetRegion string
+	reach        Reach
+}
+
+// mayUse reports whether the request may use a connection.
+func (r request) mayUse(c *Conn) bool {
+	t := c.wire.tunnel()
+	if t == nil {
+		return true
+	}
+	_, region, _ := t.Carrier()
+	return r.reach.Allows(region, r.targetRegion)
+}
+
+// isDirect reports whether no other VM carries a connection.
+func isDirect(c *Conn) bool { return c.wire.tunnel() == nil }
+
+// Carrier returns the VM that carries the connection and the tunnel's ID, or empty texts.
+func (c *Conn) Carrier() (vm, id string) {
+	if t := c.wire.tunnel(); t != nil {
+		vm, _, id = t.Carrier()
+	}
+	return vm, id
+}
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -68,7 +68,7 @@
 
 func get(t *testing.T, p *Pools, target *config.TargetIndex, limit int, use Use) *Conn {
 	t.Helper()
-	c, err := p.Get(t.Context(), target, limit, use)
+	c, err := p.Get(t.Context(), target, limit, use, Reach{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,7 +177,7 @@
 	p := newPools(t)
 	a := get(t, p, target, 2, UseNew)
 	get(t, p, target, 2, UseNew)
-	if _, err := p.Get(t.Context(), target, 2, UseAny); !errors.Is(err, ErrLimit) {
+	if _, err := p.Get(t.Context(), target, 2, UseAny, Reach{}); !errors.Is(err, ErrLimit) {
 		t.Errorf("got %v, want ErrLimit", err)
 	}
 	a.Drop()
--- /dev/null
+++ b/internal/tunnel/events.go
@@ -0,0 +1,54 @@
+package tunnel
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"masticturn/internal/telemetry"
+)
+
+// Log events of tunnels.
+var (
+	eventPartitioned = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 501,
+		Level:   logrus.WarnLevel,
+		Name:    "partitioned from targets",
+		Meaning: "This VM has failed to connect to several targets that other VMs reach at the same time; the last one and the VM that reached it are given, and for how long no target has sent anything. Connections now go through other VMs, and look-ups name others while most of the region's VMs are not partitioned.",
+		Action:  "Check the network between this VM and the targets. See 5502 for its end.",
+	})
+	eventReachable = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 502,
+		Level:   logrus.InfoLevel,
+		Name:    "targets reached again",
+		Meaning: "This VM connects to targets itself again; the last one that it reached is given, and how long the partition has lasted since a target last sent anything.",
+		Action:  "None.",
+	})
+	eventNotCarried = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 503,
+		Level:   logrus.InfoLevel,
+		Name:    "connection not carried",
+		Meaning: "The named VM did not open a connection to the target for this VM. Another VM is asked.",
+		Action:  "None by itself; if there are many, see whether the named VM is partitioned or busy.",
+	})
+	eventCarried = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 504,
+		Level:   logrus.InfoLevel,
+		Name:    "connection carried",
+		Meaning: "This VM has carried a connection to the target for the named VM, whose 5006 and 5001 lines of the requests have the same tunnel.",
+		Action:  "None.",
+		Routine: true,
+	})
+	eventRequestInvalid = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 505,
+		Level:   logrus.ErrorLevel,
+		Name:    "tunnel request unreadable",
+		Meaning: "A request of another VM to carry a connection could not be decoded.",
+		Action:  "Check the builds of both VMs.",
+	})
+	eventNoticeNotSent = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 506,
+		Level:   logrus.WarnLevel,
+		Name:    "notice of a target not sent",
+		Meaning: "What a target has announced could not be passed on to a VM with which this one shares tunnels.",
+		Action:  "Check the connection to the named VM.",
+	})
+)
--- /dev/null
+++ b/internal/tunnel/message.go
@@ -0,0 +1,62 @@
+package tunnel
+
+import "time"
+
+// OpenRequest asks a VM to carry a connection to a target.
+type OpenRequest struct {
+	Target  string // name of the target
+	Address string // its address, as the asking VM knows it
+	ID      string // identifies the tunnel in the logs of both VMs
+}
+
+// Result is a VM's answer to an OpenRequest.
+type Result uint8
+
+// Results of an OpenRequest.
+const (
+	ResultOpened      Result = iota + 1
+	ResultRefused            // nothing listens at the target's address
+	ResultUnreachable        // the target can't be reached from the carrying VM either
+	ResultPartitioned        // the carrying VM is partitioned itself
+	ResultBusy               // the carrying VM carries as many connections as it may
+	ResultUnknown            // the carrying VM knows no such target
+)
+
+// String returns the text used in errors and metrics.
+func (r Result) String() string {
+	switch r {
+	case ResultOpened:
+		return "opened"
+	case ResultRefused:
+		return "refused"
+	case ResultUnreachable:
+		return "unreachable"
+	case ResultPartitioned:
+		return "partitioned"
+	case ResultBusy:
+		return "busy"
+	case ResultUnknown:
+		return "unknown target"
+	}
+	return "invalid"
+}
+
+// OpenResponse is the response to an OpenRequest.
+type OpenResponse struct {
+	Result Result
+	Notice Notice // what the target has announced to the carrying VM
+}
+
+// Notice is what a target has announced in its answers to one VM. It binds all requests that reach the target
+// from that VM, also those that the VM carries for others.
+type Notice struct {
+	Target    string
+	Leaving   bool
+	BackoffMS uint32 // what is left of the target's Retry-After
+}
+
+// backoff returns what is left of the target's Retry-After.
+func (n *Notice) backoff() time.Duration { return time.Duration(n.BackoffMS) * time.Millisecond }
+
+// isZero reports whether the target has announced nothing that still holds.
+func (n *Notice) isZero() bool { return !n.Leaving && n.BackoffMS == 0 }
--- /dev/null
+++ b/internal/tunnel/notices.go
@@ -0,0 +1,65 @@
+package tunnel
+
+import (
+	"context"
+	"time"
+
+	"masticturn/internal/peer"
+	"masticturn/internal/telemetry"
+)
+
+// ShareNotice tells the VMs with which this one shares tunnels what a target has announced to it. The target
+// holds the carrying VM to it, whichever VM a request comes from.
+func (s *Service) ShareNotice(target string, leaving bool, backoff time.Duration) {
+	n := newNotice(target, leaving, backoff)
+	for _, vm := range append(s.carriersInUse.vms(), s.originsInUse.vms()...) {
+		s.send(vm, &n)
+	}
+}
+
+func (s *Service) send(vm string, n *Notice) {
+	if err := s.deps.Network.Send(vm, peer.KindTargetNotice, n); err != nil {
+		s.deps.Logger.Log(eventNoticeNotSent, telemetry.Peer(vm), telemetry.Value("target", n.Target), telemetry.Err(err))
+	}
+}
+
+func newNotice(target string, leaving bool, backoff time.Duration) Notice {
+	return Notice{Target: target, Leaving: leaving, BackoffMS: uint32(max(backoff, 0).Milliseconds())}
+}
+
+// notice returns what a target has announced to this VM.
+func (s *Service) notice(target string) Notice {
+	source := s.noticeSource()
+	if source == nil {
+		return Notice{}
+	}
+	leaving, backoff := source.Notice(target)
+	return newNotice(target, leaving, backoff)
+}
+
+// handleNotice records a notice of another VM, and passes on those of VMs whose connections this VM carries to the
+// other ones for which it carries connections. The latter pass nothing on.
+func (s *Service) handleNotice(_ context.Context, from string, payload []byte) (any, error) {
+	var n Notice
+	if err := peer.Decode(payload, &n); err != nil {
+		return nil, err
+	}
+	s.receiveNotice(&n)
+	origins := s.originsInUse.vms()
+	carried := false
+	for _, vm := range origins {
+		carried = carried || vm == from
+	}
+	for _, vm := range origins {
+		if carried && vm != from {
+			s.send(vm, &n)
+		}
+	}
+	return nil, nil
+}
+
+func (s *Service) receiveNotice(n *Notice) {
+	if source := s.noticeSource(); source != nil && !n.isZero() {
+		source.RecordNotice(n.Target, n.Leaving, n.backoff())
+	}
+}
