Processes partitioned from targets: tests, and a fault of the soak

VMs run as processes whose dialer a test controls (command.Options.Dial): connections to targets hang, are reset, or new ones are refused, for all targets or those of a zone.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -11,6 +11,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
+
+	"masticturn/internal/daemon"
 )
 
 // Exit codes of the program.
@@ -33,11 +35,21 @@
 func usageError(err error) error  { return &exitError{code: ExitUsage, err: err} }
 func brokenError(err error) error { return &exitError{code: ExitBroken, err: err} }
 
+// Options replaces what the daemon uses of its environment. The zero value replaces nothing.
+type Options struct {
+	Dial daemon.DialFunc // opens all connections of the daemon
+}
+
 // Run executes the command line and returns the exit code. It writes errors to
 // stderr, without a stack trace.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return Options{}.Run(ctx, args, stdout, stderr)
+}
+
+// Run is like the function Run, with these options.
+func (o Options) Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	log.SetOutput(io.Discard) // net/http logs protocol errors of its peers there; the daemon's own log has them as numbered events
-	err := newRoot(stdout, stderr).Run(ctx, args)
+	err := o.newRoot(stdout, stderr).Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -53,7 +65,7 @@
 	return ExitFailed
 }
 
-func newRoot(stdout, stderr io.Writer) *cli.Command {
+func (o Options) newRoot(stdout, stderr io.Writer) *cli.Command {
 	root := &cli.Command{
 		Name:                  "masticturn",
 		Usage:                 "global traffic steering",
@@ -64,7 +76,7 @@
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			newServe(),
+			o.newServe(),
 			newDemo(),
 			newLookup(),
 			newConfig(),
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -24,7 +23,6 @@
 	flagSettings = "settings"
 	flagPlatform = "platform"
 	flagLogLines = "log-lines"
-	flagDialFrom = "dial-from"
 )
 
 // gcPercent is the heap growth, in percent of the live heap, that triggers a
@@ -32,7 +30,7 @@
 // more than the processor time of more frequent collections.
 const gcPercent = 30
 
-func newServe() *cli.Command {
+func (o Options) newServe() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run the daemon of this VM",
@@ -42,7 +40,6 @@
 			&cli.StringFlag{Name: flagSettings, Usage: "settings `FILE` (JSON with comments)"},
 			&cli.BoolFlag{Name: flagPlatform, Usage: "run on the users' platform, with the settings file that the environment variable " + adapter.EnvSettings + " names"},
 			&cli.StringFlag{Name: flagPolicy, Value: string(placement.PolicyCompletion), Usage: "policy that chooses targets on the platform: " + placementPolicyNames()},
-			&cli.StringFlag{Name: flagDialFrom, Usage: "local `IP` address of outgoing connections, for VMs with several addresses"},
 			&cli.IntFlag{Name: flagLogLines, Value: telemetry.LinesPerSecond, Usage: "maximum log lines per second, separately for successful requests and for all other events; masticturn losses needs complete logs"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -50,10 +47,6 @@
 			if err != nil {
 				return usageError(err)
 			}
-			dial, err := parseDialFrom(c.String(flagDialFrom))
-			if err != nil {
-				return usageError(err)
-			}
 			level, err := logrus.ParseLevel(s.Log.Level)
 			if err != nil {
 				return usageError(trace.Wrap(err))
@@ -70,23 +63,11 @@
 				s, _, err := loadSettings(c)
 				return s, err
 			}
-			return serve(ctx, s, reload, daemon.Options{Logger: logger, Hosted: hosted, Dial: dial})
+			return serve(ctx, s, reload, daemon.Options{Logger: logger, Hosted: hosted, Dial: o.Dial})
 		},
 	}
 }
 
-// parseDialFrom returns the function that opens connections from a local address; nil: from any.
-func parseDialFrom(text string) (daemon.DialFunc, error) {
-	if text == "" {
-		return nil, nil
-	}
-	ip := net.ParseIP(text)
-	if ip == nil {
-		return nil, trace.BadParameter("--%s: %q is not an IP address", flagDialFrom, text)
-	}
-	return daemon.DialFrom(ip), nil
-}
-
 // loadSettings reads the settings. On the platform it also returns the options
 // of a hosted daemon.
 func loadSettings(c *cli.Command) (*settings.Settings, *daemon.Hosted, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,13 +95,6 @@
 
 func newDialer() *net.Dialer { return &net.Dialer{KeepAliveConfig: keepAlive} }
 
-// DialFrom returns a function that opens connections from a local IP address.
-func DialFrom(ip net.IP) DialFunc {
-	d := newDialer()
-	d.LocalAddr = &net.TCPAddr{IP: ip}
-	return d.DialContext
-}
-
 // Start starts all services. If it returns nil, the listeners serve. PathReadyz
 // reports whether callers may be sent to this VM.
 func (d *Daemon) Start(ctx context.Context) error {
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -28,13 +28,14 @@
 type Network struct {
 	delays Delays
 
-	mu    sync.Mutex
-	hosts map[string]Host // by IP
-	held  map[way]bool
-	alone map[string]bool // hosts whose ways are all held, by IP
-	down  map[string]bool // by IP
-	heal  chan struct{}   // closed and replaced when a way is released
-	conns map[*conn]struct{}
+	mu      sync.Mutex
+	hosts   map[string]Host // by IP
+	held    map[way]bool
+	alone   map[string]bool // hosts whose ways are all held, by IP
+	down    map[string]bool // by IP
+	refused map[way]bool
+	heal    chan struct{} // closed and replaced when a way is released
+	conns   map[*conn]struct{}
 }
 
 // way is a direction between two hosts, by IP.
@@ -43,13 +44,14 @@
 // New returns a network without hosts.
 func New(delays Delays) *Network {
 	return &Network{
-		delays: delays,
-		hosts:  make(map[string]Host),
-		held:   make(map[way]bool),
-		alone:  make(map[string]bool),
-		down:   make(map[string]bool),
-		heal:   make(chan struct{}),
-		conns:  make(map[*conn]struct{}),
+		delays:  delays,
+		hosts:   make(map[string]Host),
+		held:    make(map[way]bool),
+		alone:   make(map[string]bool),
+		down:    make(map[string]bool),
+		refused: make(map[way]bool),
+		heal:    make(chan struct{}),
+		conns:   make(map[*conn]struct{}),
 	}
 }
 
@@ -110,10 +112,17 @@
 	delete(n.down, h.IP)
 }
 
+// Refuse refuses new connections from one host to another, or no longer does. Open ones live on.
+func (n *Network) Refuse(from, to Host, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused[way{from.IP, to.IP}] = on
+}
+
 func (n *Network) isDown(w way) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.down[w.from] || n.down[w.to]
+	return n.down[w.from] || n.down[w.to] || n.refused[w]
 }
 
 // cross waits for a round trip, and while one direction is held.
