Requests on lost connections are abandoned when a VM finds itself partitioned

Callers saw: 504 after 1.9 s for reads that were sent on connections that hang, while the VM knew after a second that its ways were lost. Cause: a silent target is waited for until the deadline, as silence does not tell slow from dead; here it does. Repeatable requests without a response are now retried within the retry budget or ended.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -269,6 +269,7 @@
 		VM:        d.settings.VM,
 		Clock:     d.opts.Clock,
 	})
+	w.tunnels.OnSilence(handler.AbandonUnanswered)
 	return forward.NewService(forward.ServiceDeps{
 		Handler:  handler,
 		Listener: d.listeners.callers,
--- a/internal/e2e/partitioned_test.go
+++ b/internal/e2e/partitioned_test.go
@@ -390,6 +390,30 @@
 	})
 }
 
+// Guards against callers of repeatable requests that wait until their time is over for answers on lost connections.
+func TestRequestsOnLostConnectionsAreAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMemFleet(t, 6, 3)
+		defer f.stop()
+		stop := f.followers(ownRead)
+		time.Sleep(3 * time.Second)
+		defer f.cut(partitionHangs, f.vms[:2], f.targets)()
+		cutAt := time.Now()
+		time.Sleep(memStable)
+		var s served
+		for _, a := range stop() {
+			if a.at.Before(cutAt.Add(-memWork)) || !slices.Contains(f.vms[:2], a.vm) {
+				continue
+			}
+			s.note(a.status == http.StatusOK)
+			if a.took >= memTimeout*3/4 {
+				t.Errorf("%s: answered with %d after %v", a.path, a.status, a.took)
+			}
+		}
+		t.Logf("%d of %d served", s.answers, s.asked)
+	})
+}
+
 // Guards against requests that reach a target, carried by a VM that it has told to stop, later than memDrain.
 func TestCarriedRequestsHeedWhatTargetsTellTheCarryingVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -215,6 +215,7 @@
 	}
 	a.watchdog.start(a.stream != nil)
 	a.armHedge()
+	defer a.x.h.unanswered.add(a)()
 	resp, err := a.conn.RoundTrip(req)
 	if err != nil {
 		return a.sendFailure(err)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -79,6 +79,7 @@
 	responseSizes    relaybuf.Sizes
 	aheadBudget      targetconn.AheadBudget
 	repeatableShares *repeatableShares
+	unanswered       *unanswered
 	buffers          sync.Pool
 	inFlight         atomic.Int64
 	closing          atomic.Bool
@@ -101,6 +102,7 @@
 		splitter:         newSplitter(),
 		regions:          newRegionCounter(d.Logger, d.Metrics, d.Clock),
 		repeatableShares: newRepeatableShares(),
+		unanswered:       newUnanswered(),
 		crashProber:      newCrashProber(d),
 		relayMemory:      relaybuf.NewMemory(relayMemoryLimit(d.VM.MemoryBytes)),
 	}
--- a/internal/tunnel/service.go
+++ b/internal/tunnel/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,7 @@
 
 	mu         sync.Mutex
 	notices    Notices // nil: not set yet
+	onSilence  []func()
 	avoidUntil map[string]time.Time
 	tunnels    map[*carriedTunnel]struct{} // that this VM carries
 
@@ -114,6 +116,20 @@
 	s.notices = n
 }
 
+// OnSilence registers f to be called when this VM finds itself partitioned and no open connection has brought
+// anything for a while: what was sent on them will not be answered soon. It must be called before Start.
+func (s *Service) OnSilence(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onSilence = append(s.onSilence, f)
+}
+
+func (s *Service) silenceHandlers() []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.onSilence)
+}
+
 func (s *Service) noticeSource() Notices {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,6 +183,9 @@
 		}
 		if s.health.Silent(s.deps.Clock.Now()) {
 			s.closeTunnels(func(*carriedTunnel) bool { return true })
+			for _, f := range s.silenceHandlers() {
+				f()
+			}
 		}
 		s.deps.Members.SetPartitioned(true)
 	case BecameReachable:
