--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -19,6 +19,7 @@
 	durations      sync.Map // durationKey -> *metrics.Histogram
 	retries        *metrics.Counter
 	hedges         *metrics.Counter
+	tunneled       *metrics.Counter // requests whose last attempt went through another VM
 	leavingNotices *metrics.Counter
 	backoffNotices *metrics.Counter
 	// unreadableLoads counts load reports of targets that could not be parsed.
@@ -56,6 +57,7 @@
 		set:            set,
 		retries:        set.GetOrCreateCounter("masticturn_retries_total"),
 		hedges:         set.GetOrCreateCounter("masticturn_hedges_total"),
+		tunneled:       set.GetOrCreateCounter("masticturn_requests_tunneled_total"),
 		leavingNotices: set.GetOrCreateCounter(`masticturn_target_notices_total{notice="leaving"}`),
 		backoffNotices: set.GetOrCreateCounter(`masticturn_target_notices_total{notice="retry-after"}`),
 
@@ -94,6 +96,9 @@
 	if n := x.dispatch.attempts; n > 1 {
 		s.retries.Add(n - 1)
 	}
+	if x.carrier != "" {
+		s.tunneled.Inc()
+	}
 	took := x.h.deps.Clock.Now().Sub(x.startedAt)
 	if x.customer != nil {
 		s.customerDuration(customerDurationKey{s.customerLabel(x.customer), k.outcome}).Update(took.Seconds())
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -37,6 +37,7 @@
 	fieldPeer    = "peer"
 	fieldRequest = "request_id"
 	fieldDigest  = "digest"
+	fieldTunnel  = "tunnel"
 )
 
 // maxLineBytes is the maximum length of a log line; Read fails on longer ones.
@@ -116,7 +117,8 @@
 //   - the lines with its id;
 //   - the lines of its VMs without a request id that name one of its targets or no target, from the given
 //     duration before its first line up to its last line;
-//   - the lines of all VMs without a request id that name its digest, up to its last line.
+//   - the lines of all VMs without a request id that name its digest, up to its last line;
+//   - the lines of all VMs without a request id that name a tunnel that carried it.
 //
 // It returns nil if no line has the id.
 func RequestLines(lines []Line, id string, before time.Duration) []Line {
@@ -126,10 +128,11 @@
 	}
 	slices.SortStableFunc(own, byTime)
 	from, to := own[0].At.Add(-before), own[len(own)-1].At
-	vms, peers, digests := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	vms, peers, digests, tunnels := make(map[string]bool), make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for i := range own {
 		vms[own[i].VM] = true
 		digests[own[i].Text(fieldDigest)] = own[i].Text(fieldDigest) != ""
+		tunnels[own[i].Text(fieldTunnel)] = own[i].Text(fieldTunnel) != ""
 		if p := own[i].Text(fieldPeer); p != "" {
 			peers[p] = true
 		}
@@ -139,6 +142,7 @@
 		l := &lines[i]
 		switch {
 		case l.Text(fieldRequest) == id:
+		case l.Text(fieldRequest) == "" && tunnels[l.Text(fieldTunnel)]:
 		case l.Text(fieldRequest) == "" && digests[l.Text(fieldDigest)] && !l.At.After(to):
 		case l.Text(fieldRequest) != "" || l.At.Before(from) || l.At.After(to):
 			continue
--- a/internal/logtrace/logtrace_test.go
+++ b/internal/logtrace/logtrace_test.go
@@ -65,3 +65,18 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestRequestLinesIncludeTheTunnelAtBothVMs(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"event":5006,"msg":"request answered","peer":"t1","carrier":"vm2","tunnel":"vm1-7","request_id":"a","time":"2026-01-02T03:04:05Z","vm":"vm1"}
+{"event":5504,"msg":"connection carried","peer":"vm1","tunnel":"vm1-6","time":"2026-01-02T03:04:05Z","vm":"vm2"}
+{"event":5504,"msg":"connection carried","peer":"vm1","tunnel":"vm1-7","time":"2026-01-02T03:04:09Z","vm":"vm2"}
+{"event":5504,"msg":"connection carried","peer":"vm1","time":"2026-01-02T03:04:09Z","vm":"vm2"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := RequestLines(lines, "a", time.Second)
+	if len(got) != 2 || got[0].Event != 5006 || got[1].Event != 5504 || got[1].Text(fieldTunnel) != "vm1-7" {
+		t.Errorf("got %v, want the request's line and that of its tunnel", got)
+	}
+}
