--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -95,26 +95,35 @@
 }
 
 // dialAfterFailure asks other VMs to connect after a direct connect has failed. No other VM is asked if a similar
-// target accepts a connection, as the target has failed then. If the target can't be reached through other VMs
-// either, the error is that of the direct connect.
+// target accepts a connection, as the target has failed then.
 func (s *Service) dialAfterFailure(ctx context.Context, t *config.TargetIndex, r targetconn.Reach, failure error) (net.Conn, error) {
 	if s.reachesSimilar(ctx, t) {
 		return nil, failure
 	}
+	return s.settle(t, failure, s.dialThrough(ctx, t, r))
+}
+
+// dialThrough connects to a target through another VM.
+func (s *Service) dialThrough(ctx context.Context, t *config.TargetIndex, r targetconn.Reach) dialResult {
 	conn, err := s.dialTunnel(ctx, t, r)
 	if err != nil {
-		return nil, s.combine(failure, err)
+		return dialResult{err: err}
 	}
-	s.reachedByOther(t, conn.carrier)
-	return conn, nil
+	return dialResult{conn: conn}
 }
 
-// reachedByOther records that a carrier has reached a target that this VM did not, and begins to check others.
-func (s *Service) reachedByOther(t *config.TargetIndex, carrier string) {
+// settle returns the result of a connect that has failed directly, or takes long, by that through another VM. If the
+// target can't be reached through other VMs either, the error is that of the direct connect.
+func (s *Service) settle(t *config.TargetIndex, failure error, other dialResult) (net.Conn, error) {
+	if other.err != nil {
+		return nil, s.combine(failure, other.err)
+	}
+	carrier := other.conn.(*Conn).carrier
 	s.apply(s.health.ReachedByOther(t, spreadOf(s.deps.Config.Current()), s.deps.Clock.Now()), t.Name, carrier)
 	if !s.health.Partitioned() {
 		s.requestCheck()
 	}
+	return other.conn, nil
 }
 
 // combine returns the error of a connect that has failed directly and through other VMs. It is ECONNREFUSED only if
@@ -129,45 +138,24 @@
 
 // race waits for a direct connect that takes long and for a tunnel, and returns the connection that is open first.
 func (s *Service) race(ctx context.Context, t *config.TargetIndex, r targetconn.Reach, directly <-chan dialResult) (net.Conn, error) {
-	tunnelCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type tunnelResult struct {
-		conn *Conn
-		err  error
-	}
-	tunneled := make(chan tunnelResult, 1)
-	go func() {
-		conn, err := s.dialTunnel(tunnelCtx, t, r)
-		tunneled <- tunnelResult{conn, err}
-	}()
+	tunneled := s.start(func() dialResult { return s.dialThrough(ctx, t, r) })
 	select {
 	case d := <-directly:
 		if d.err == nil {
-			cancel()
-			go func() {
-				if other := <-tunneled; other.err == nil {
-					_ = other.conn.Close()
-				}
-			}()
+			s.discard(tunneled)
 			return d.conn, nil
 		}
-		other := <-tunneled
-		if other.err != nil {
-			return nil, s.combine(d.err, other.err)
-		}
-		s.reachedByOther(t, other.conn.carrier)
-		return other.conn, nil
+		return s.settle(t, d.err, <-tunneled)
 	case other := <-tunneled:
 		if other.err == nil {
 			s.discard(directly)
-			s.reachedByOther(t, other.conn.carrier)
-			return other.conn, nil
+			return s.settle(t, nil, other)
 		}
 		d := <-directly
-		if d.err != nil {
-			s.health.Failed()
+		if d.err == nil {
+			return d.conn, nil
 		}
-		return d.conn, d.err
+		return nil, s.combine(d.err, other.err)
 	}
 }
 
