--- a/internal/e2e/partitioned_test.go
+++ b/internal/e2e/partitioned_test.go
@@ -489,7 +489,7 @@
 	f.killAndStart(v)
 }
 
-// Guards against carried requests that a target goes on running after their caller has left.
+// Guards against carried requests that a target continues to run after their caller has left.
 func TestCallerThatLeavesEndsCarriedRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newMemFleet(t, 6, 3)
--- a/internal/tunnel/check.go
+++ b/internal/tunnel/check.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// check connects to some targets while this VM is partitioned, has heard from none for a while, or has not reached
+// check connects to some targets while this VM is partitioned, has received nothing for a while, or has not reached
 // one that another VM reaches; otherwise to targets that it reaches through other VMs only.
 func (s *Service) check(ctx context.Context) {
 	snap := s.deps.Config.Current()
