--- a/internal/tunnel/check.go
+++ b/internal/tunnel/check.go
@@ -181,15 +181,13 @@
 		return false
 	}
 	var same, others []*config.TargetIndex
-	for _, svc := range snap.Services() {
-		for _, other := range svc.AllTargets {
-			switch {
-			case other.Name == t.Name || other.Leaving || !match(other):
-			case other.Service == t.Service:
-				same = append(same, other)
-			default:
-				others = append(others, other)
-			}
+	for _, other := range usableTargets(snap) {
+		switch {
+		case other.Name == t.Name || !match(other):
+		case other.Service == t.Service:
+			same = append(same, other)
+		default:
+			others = append(others, other)
 		}
 	}
 	if len(same) == 0 {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -286,11 +288,7 @@
 func (c *useCount) vms() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	vms := make([]string, 0, len(c.counts))
-	for vm := range c.counts {
-		vms = append(vms, vm)
-	}
-	return vms
+	return slices.Collect(maps.Keys(c.counts))
 }
 
 // total returns the number of uses.
--- a/internal/tunnel/notices.go
+++ b/internal/tunnel/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"masticturn/internal/peer"
@@ -46,12 +47,11 @@
 	}
 	s.receiveNotice(&n)
 	origins := s.originsInUse.vms()
-	carried := false
-	for _, vm := range origins {
-		carried = carried || vm == from
+	if !slices.Contains(origins, from) {
+		return nil, nil
 	}
 	for _, vm := range origins {
-		if carried && vm != from {
+		if vm != from {
 			s.send(vm, &n)
 		}
 	}
