--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -17,6 +17,7 @@
 	Service      *config.ServiceIndex
 	Class        *config.Class
 	Tenant       string
+	Customer     string       // name of the customer that the API key identifies; empty: none
 	CallerRegion string       // region of the caller, by client block or by VM
 	Bytes        int64        // expected bytes of request and answer over a link; 0 unknown
 	Deadline     time.Time    // when the caller gives up
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -144,6 +144,7 @@
 		Service:      x.match.Service,
 		Class:        x.match.Class,
 		Tenant:       x.match.Route.Tenant,
+		Customer:     x.customerName(),
 		CallerRegion: x.region,
 		Bytes:        max(x.r.ContentLength, 0),
 		Deadline:     x.deadline,
--- a/internal/forward/customer.go
+++ b/internal/forward/customer.go
@@ -73,6 +73,14 @@
 	return keys[0]
 }
 
+// customerName returns the name of the request's customer; "" if it has none.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 // trailerFilter removes internal headers from a caller's trailer at the end of the body. Trailers arrive
 // after the head of the outgoing request was built.
 type trailerFilter struct {
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -218,6 +218,8 @@
 		ID:       r.ID,
 		Key:      r.ObjectKey,
 		Rule:     r.Rule,
+		Class:    r.Class.Name,
+		Customer: r.Customer,
 		Priority: r.Class.Priority,
 		Exclude:  r.Exclude,
 		Arrived:  r.Arrived,
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -42,6 +42,8 @@
 	ID       string       // for logs
 	Key      string       // key of the object that the request is about; empty: none
 	Rule     *config.Rule // nil: every region is allowed
+	Class    string       // name of the class; runs of different classes take different times
+	Customer string       // name of the customer; empty: none
 	Priority int          // lower values are served first
 	Exclude  []string     // targets already tried
 	Arrived  time.Time
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"maps"
 	"time"
+
+	"masticturn/internal/overload"
 )
 
 // Usage is the load of one or more VMs on the targets of one service. It complements the load
@@ -11,6 +13,20 @@
 type Usage struct {
 	Running map[uint32]int      `msgpack:"r"` // number of requests by shortID of the target
 	Objects map[uint32][]string `msgpack:"o"` // keys first sent to a target since the last report
+
+	// Speeds are runs at targets since the last report, by shortID.
+	Speeds map[uint32]SpeedSample `msgpack:"v,omitempty"`
+	// Demand is what callers ask of the service; nil where admission by priority and customer is off.
+	Demand *overload.Demand `msgpack:"d,omitempty"`
+	// Limits is the region's admission decision; only totals have it.
+	Limits *overload.Limits `msgpack:"a,omitempty"`
+}
+
+// SpeedSample sums the slowness of runs at a target: the ratio of a run time to the mean of its class,
+// without the target's work factor.
+type SpeedSample struct {
+	Runs  uint32 `msgpack:"n"`
+	Ratio uint32 `msgpack:"r"` // sum of the ratios, in percent
 }
 
 func newUsage() *Usage {
