Starting VMs wait 300 ms for the others, and read the store meanwhile

Now the store is read 150 ms after the start if the VM has not joined by then, so that a VM that starts alone still saves the call; what was read is used once a peer has answered, or 300 ms after the start and a round trip.

TestStoreListKeepsWhatAPeerWithholds failed before. Ruled out: joining later than the wait (190 ms in the test), the wait for the peer's answer (2 to 60 ms).

--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -140,9 +140,16 @@
 	return known.Version.Era() < next.Version.Era() && m.policy.keeps != nil && m.policy.keeps(*known, *next)
 }
 
-// withholds reports whether an object counts as deleted, as it may come from the copy.
+// withholds reports whether an object counts as deleted, as it may come from the copy: by what this VM
+// knows, or by what a peer withheld when this VM started.
 func (m *Mirror) withholds(o *platform.Object) bool {
-	if m.policy.deletedFor == 0 || !m.mayBeDeleted(o) {
+	if m.policy.deletedFor == 0 {
+		return false
+	}
+	if w, ok := m.withheld[o.Name]; ok && w.object.Version == o.Version {
+		return true
+	}
+	if !m.mayBeDeleted(o) {
 		return false
 	}
 	m.withhold(o)
--- a/internal/discovery/storecopy_test.go
+++ b/internal/discovery/storecopy_test.go
@@ -192,6 +192,28 @@
 	}
 }
 
+// Guards against a VM that, after a peer has told it what to withhold, takes the same objects from the
+// store's list at its start.
+func TestStoreListKeepsWhatAPeerWithholds(t *testing.T) {
+	m := newCopyMirror(copyPolicy{deletedFor: time.Minute})
+	gone, kept := objectAt("gone", 2, 5, "x"), objectAt("kept", 2, 6, "x")
+	asOf := platform.NewVersion(2, 9)
+	m.ReplaceRelayed([]platform.Object{kept}, []platform.Object{gone}, asOf)
+	m.Replace([]platform.Object{gone, kept}, asOf)
+	if got := m.content(); got != "kept=x" {
+		t.Errorf("after the store's list: %s", got)
+	}
+	m.at = m.at.Add(2 * time.Minute)
+	m.Replace([]platform.Object{gone, kept}, asOf)
+	if got := m.content(); got != "gone=x kept=x" {
+		t.Errorf("after the protection: %s", got)
+	}
+	m.Replace([]platform.Object{objectAt("gone", 2, 12, "y"), kept}, platform.NewVersion(2, 12))
+	if got := m.content(); got != "gone=y kept=x" {
+		t.Errorf("after the object was written again: %s", got)
+	}
+}
+
 // copyFleet is a store with a mirror that reads it and others that poll the mirror, as VMs do.
 type copyFleet struct {
 	t       *testing.T
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"masticturn/internal/kernel"
@@ -72,12 +71,8 @@
 
 // run bootstraps the mirror and then updates it until the context is done.
 func (w *watcher) run(ctx context.Context) {
-	w.bootstrap(ctx)
-	var consulting sync.WaitGroup
-	defer consulting.Wait()
-	if w.asOf == 0 && !w.firstStart {
-		consulting.Go(func() { w.consultPeer(ctx) })
-	}
+	wait := w.start(ctx)
+	defer wait()
 	for ctx.Err() == nil {
 		w.step(ctx)
 	}
