Tests of stale connections advance the clock once the connection is idle

The caller has its response before the connection is idle; if the test's clock was advanced in between, the connection had been idle for 0 s and could not count as stale. The tests now wait for the idle connection, which a new gauge counts (masticturn_target_connections_idle); checks are unchanged.

--- a/internal/forward/ahead_test.go
+++ b/internal/forward/ahead_test.go
@@ -18,12 +18,11 @@
 func newDroppingTarget(t *testing.T, resetAll *atomic.Bool) (address string, runs *atomic.Int32) {
 	t.Helper()
 	runs = &atomic.Int32{}
-	seen := make(map[string]bool) // by remote address of the connection; requests are sequential
+	var seen sync.Map // by remote address of the connection
 	address = newTarget(t, func(w http.ResponseWriter, r *http.Request) {
-		if seen[r.RemoteAddr] || resetAll.Load() {
+		if _, again := seen.LoadOrStore(r.RemoteAddr, true); again || resetAll.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		seen[r.RemoteAddr] = true
 		runs.Add(1)
 		_, _ = io.WriteString(w, "ok")
 	})
@@ -49,6 +48,14 @@
 	c.now = c.now.Add(time.Second)
 }
 
+// stepWhenIdle advances the clock once the connection of the last exchange is idle. The caller has its
+// response before, and a connection that became idle after the step would not count as stale.
+func (c *steppedClock) stepWhenIdle(t *testing.T, b *testProxy) {
+	t.Helper()
+	waitFor(t, func() bool { return b.handler.conns.IdleCount() == 1 })
+	c.step()
+}
+
 // newSteppedProxy returns a proxy with a stepped clock.
 func newSteppedProxy(t *testing.T, targets ...string) (*testProxy, *steppedClock) {
 	t.Helper()
@@ -65,7 +72,9 @@
 	address, runs := newDroppingTarget(t, &atomic.Bool{})
 	b, clock := newSteppedProxy(t, address)
 	for i := range 4 {
-		clock.step()
+		if i > 0 {
+			clock.stepWhenIdle(t, b)
+		}
 		resp, body, err := b.call(t, http.MethodGet, "/svc/get", nil)
 		if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
 			t.Fatalf("request %d: %v, %q, %v", i, resp, body, err)
@@ -97,7 +106,7 @@
 	if resp, _, err := b.call(t, http.MethodGet, "/svc/get", nil); err != nil || resp.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", resp, err)
 	}
-	clock.step()
+	clock.stepWhenIdle(t, b)
 	resp, _, err := b.call(t, http.MethodPost, "/svc/commit", nil)
 	if err != nil || resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("%v, %v; want 502 for an unknown outcome", resp, err)
@@ -117,8 +126,8 @@
 	if _, body, err := b.call(t, http.MethodGet, "/svc/get", nil); err != nil || body != "ok" {
 		t.Fatalf("%q, %v", body, err)
 	}
+	clock.stepWhenIdle(t, b)
 	resetAll.Store(true)
-	clock.step()
 	b.admission.sticky = true
 	resp, body, err := b.call(t, http.MethodGet, "/svc/get", nil)
 	if err != nil || resp.StatusCode != http.StatusOK || body != "sound" {
@@ -148,8 +157,10 @@
 func TestNothingAheadWhileMostAreStale(t *testing.T) {
 	address, _ := newDroppingTarget(t, &atomic.Bool{})
 	b, clock := newSteppedProxy(t, address)
-	for range 4 { // the last three meet a stale connection
-		clock.step()
+	for i := range 4 { // the last three meet a stale connection
+		if i > 0 {
+			clock.stepWhenIdle(t, b)
+		}
 		if _, body, err := b.call(t, http.MethodGet, "/svc/get", nil); err != nil || body != "ok" {
 			t.Fatalf("%q, %v", body, err)
 		}
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -90,6 +90,13 @@
 	return p.shortestConnect
 }
 
+// idleCount returns the number of idle connections.
+func (p *pool) idleCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
 // idleLimit returns the longest idle time of a connection that a repeatable request may reuse.
 func (p *pool) idleLimit() time.Duration {
 	p.mu.Lock()
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -93,9 +93,21 @@
 		dropped:  d.Metrics.GetOrCreateCounter("masticturn_target_connections_dropped_total"),
 	}
 	p.transport = &http.Transport{DialContext: p.dial, DisableCompression: true}
+	d.Metrics.GetOrCreateGauge("masticturn_target_connections_idle", func() float64 { return float64(p.IdleCount()) })
 	return p
 }
 
+// IdleCount returns the number of idle connections to all targets.
+func (p *Pools) IdleCount() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	n := 0
+	for _, pl := range p.pools {
+		n += pl.idleCount()
+	}
+	return n
+}
+
 // dial opens a connection and returns it wrapped in the wire that the context carries.
 func (p *Pools) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := ctx.Value(wireKey{}).(*dialing)
