Starting VMs ask the next seed after 250 ms, and each seed once before any again

Until all have joined, the granter of rate limits grants nothing (elected at 32.2 s, all joined at 32.8, first requests with a key run at 33.0), so customers are refused. Ruled out: reading the document (in force 0.45 s after the start).

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -27,13 +27,17 @@
 	}
 	if c, ok := m.pickCandidate(); ok {
 		m.joinPending = now
+		if m.phase == PhaseJoining {
+			m.asked[c.Address] = now
+		}
 		m.emit(CallJoin{Candidate: c, Request: JoinRequest{Record: m.self.Record}})
 	}
 }
 
-// joinAnswerTimeout is how long a candidate may take to answer until another one is asked. Asking several at
-// once would multiply the transfers of tables while a whole fleet starts.
-const joinAnswerTimeout = 500 * time.Millisecond
+// joinAnswerTimeout is how long a candidate may take to answer until another one is asked: two round trips to
+// another region of 55 ms one way. While a whole fleet starts, candidates that have no power yet do not answer,
+// and asking several at once would multiply the transfers of tables.
+const joinAnswerTimeout = 250 * time.Millisecond
 
 // HandleJoinFailed records that the last join request has failed.
 func (m *StateMachine) HandleJoinFailed(now time.Time) []Action {
@@ -42,7 +46,8 @@
 	return m.end()
 }
 
-// pickCandidate returns a random candidate outside the view.
+// pickCandidate returns a random one of the candidates outside the view that this VM has not asked to join,
+// or the one that it asked first: those asked since have not answered either.
 func (m *StateMachine) pickCandidate() (Candidate, bool) {
 	known := make(map[string]bool)
 	for _, e := range m.table {
@@ -50,20 +55,28 @@
 			known[e.PeerAddress] = true
 		}
 	}
-	var unknown []Candidate
+	var earliest []Candidate
 	for _, c := range slices.Concat(m.candidates, m.forgotten) {
-		if !known[c.Address] {
-			unknown = append(unknown, c)
+		if known[c.Address] {
+			continue
+		}
+		if len(earliest) > 0 {
+			if order := m.asked[c.Address].Compare(m.asked[earliest[0].Address]); order > 0 {
+				continue
+			} else if order < 0 {
+				earliest = earliest[:0]
+			}
 		}
+		earliest = append(earliest, c)
 	}
-	if len(unknown) == 0 {
+	if len(earliest) == 0 {
 		return Candidate{}, false
 	}
-	return unknown[m.random.IntN(len(unknown))], true
+	return earliest[m.random.IntN(len(earliest))], true
 }
 
 func (m *StateMachine) becomeMember(alone bool) {
-	m.phase = PhaseMember
+	m.phase, m.asked = PhaseMember, nil
 	m.emit(ReportJoined{Alone: alone})
 }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -68,7 +68,8 @@
 	candidates  []Candidate
 	forgotten   []Candidate // removed members that may still be alive
 	nextJoin    time.Time
-	joinPending time.Time // when the join request that is not answered yet was sent; zero: none
+	joinPending time.Time            // when the join request that is not answered yet was sent; zero: none
+	asked       map[string]time.Time // when a candidate was asked to join, by address; nil once this VM has joined
 	nextExpire  time.Time
 	nextSummary time.Time // of this daemon's region, if it is a relay
 	renewedAt   time.Time
@@ -90,6 +91,7 @@
 		started:   now,
 		lastEvent: now,
 		table:     make(map[string]*entry),
+		asked:     make(map[string]time.Time),
 		byID:      make(map[uint32]*entry),
 		regions:   make(map[uint32]*regionState),
 		links:     make(map[string]*linkState),
--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+// Guards against starts that wait long for seeds that have no power: the one of three seeds that answers must
+// be asked soon, whichever it is.
+func TestSilentSeedsDoNotHoldUpAStart(t *testing.T) {
+	seeds := []Candidate{{Address: "10.0.0.1:1"}, {Address: "10.0.0.2:1"}, {Address: "10.0.0.3:1"}}
+	for seed := range uint64(100) {
+		start := time.Unix(1000, 0)
+		m := NewStateMachine(Record{Name: "vm-0", Region: "r", Zone: "z", Incarnation: 1},
+			Options{JoinInterval: 100 * time.Millisecond}, rand.New(rand.NewPCG(seed, 1)), start)
+		m.SetCandidates(seeds)
+		answering, asked := seeds[seed%3].Address, time.Duration(-1)
+		for elapsed := time.Duration(0); elapsed < 5*time.Second && asked < 0; elapsed += 20 * time.Millisecond {
+			for _, a := range m.Tick(start.Add(elapsed)) {
+				if c, ok := a.(CallJoin); ok && c.Candidate.Address == answering {
+					asked = elapsed
+				}
+			}
+		}
+		if asked < 0 || asked > 800*time.Millisecond {
+			t.Errorf("seed %d: the seed that answers was asked after %v", seed, asked)
+		}
+	}
+}
+
 // A VM that announces the generation that it has announced already, as with each new list of targets, must not
 // tell the others anything.
 func TestUnchangedGenerationIsNotAnnounced(t *testing.T) {
