Emulation: targets of which half are persistently slow, requests without an object

SlowHalf makes every second target slower, and the other half from a given time on. Objects 0 means requests without an object. Workloads that set neither run as before.

--- a/internal/placement/emulation/load.go
+++ b/internal/placement/emulation/load.go
@@ -21,7 +21,7 @@
 	Slots      int // per target
 	QueueLimit int // per target; further requests are shed
 	CacheSize  int // number of objects that a target caches
-	Objects    int // number of objects that each region's callers request
+	Objects    int // number of objects that each region's callers request; 0: requests without an object
 
 	ColdRunTime      time.Duration // mean run time of an object that is not cached
 	RunTimeVariation float64       // standard deviation of the run time divided by its mean
@@ -40,6 +40,7 @@
 
 	Neighbors      Neighbors // other work on the targets' machines
 	HideWorkFactor bool      // targets do not report the work factor that results from Neighbors
+	SlowHalf       SlowHalf
 
 	NoReports        bool // VMs send no load reports
 	ModelConnections bool // opening a connection takes a round trip; false: takes no time
@@ -53,6 +54,12 @@
 	Interval time.Duration // after which each target may be slowed down or not anew
 }
 
+// SlowHalf makes every second target persistently slower than the others. They do not report it.
+type SlowHalf struct {
+	Factor float64       // of the run times there; 0: all targets are alike
+	SwapAt time.Duration // time at which the other half is the slow one instead; 0: never
+}
+
 // Region is a region and the size of its part of the fleet.
 type Region struct {
 	Name    string
--- a/internal/placement/emulation/requests.go
+++ b/internal/placement/emulation/requests.go
@@ -23,7 +23,9 @@
 	}
 	s.after(gap, func() {
 		q := s.newRequest(w.Regions[region].Name)
-		q.object = fmt.Sprintf("%s-%d", q.region, s.rng.IntN(w.Objects))
+		if w.Objects > 0 {
+			q.object = fmt.Sprintf("%s-%d", q.region, s.rng.IntN(w.Objects))
+		}
 		s.tally.recordRequest(q)
 		s.after(w.Deadline, func() { s.expire(q) })
 		s.arriveAtVM(q)
@@ -165,7 +167,7 @@
 	} else {
 		s.tally.coldRuns++
 	}
-	s.after(time.Duration(runTime*t.workFactor), func() { s.finishRun(a) })
+	s.after(time.Duration(runTime*t.workFactor*t.slowness), func() { s.finishRun(a) })
 }
 
 // percent is the unit of reported work factors.
@@ -195,6 +197,19 @@
 	s.after(n.Interval, s.disturbTargets)
 }
 
+// slowHalf makes every second target slow, beginning with the given one.
+func (s *simulation) slowHalf(first int) {
+	if s.workload.SlowHalf.Factor == 0 {
+		return
+	}
+	for i, t := range s.targets {
+		t.slowness = 1
+		if i%2 == first {
+			t.slowness = s.workload.SlowHalf.Factor
+		}
+	}
+}
+
 // releaseSlot frees a slot and starts queued requests.
 func (s *simulation) releaseSlot(t *target) {
 	t.running = max(0, t.running-1)
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -101,6 +101,10 @@
 		s.after(e.At, func() { s.applyEvent(e) })
 	}
 	s.disturbTargets()
+	s.slowHalf(0)
+	if at := w.SlowHalf.SwapAt; at > 0 {
+		s.after(at, func() { s.slowHalf(1) })
+	}
 	for i := range w.Regions {
 		s.scheduleArrival(i)
 	}
--- a/internal/placement/emulation/target.go
+++ b/internal/placement/emulation/target.go
@@ -22,6 +22,7 @@
 	leaving    bool          // announces in its answers that it is leaving
 	backoff    time.Duration // Retry-After of its refusals; 0: accepts requests
 	workFactor float64       // run times there now, in multiples of the usual ones
+	slowness   float64       // run times there, in multiples of those of usual targets
 	arrivals   int
 
 	cached map[string]*list.Element
@@ -29,7 +30,7 @@
 }
 
 func newTarget(name string, region string, w *Workload) *target {
-	t := &target{name: name, region: region, slots: w.Slots, queueLimit: w.QueueLimit, cacheSize: w.CacheSize, workFactor: 1}
+	t := &target{name: name, region: region, slots: w.Slots, queueLimit: w.QueueLimit, cacheSize: w.CacheSize, workFactor: 1, slowness: 1}
 	t.clearCache()
 	return t
 }
