Placement: run times by class, speeds of targets shared in load reports

A look-up and an upload on one service shared one mean, and each VM learned on its own which targets are slow and forgot it within 4 s. Now each class has its mean, with the service's for queues and for classes without measurements. The VMs of a region send the ratios of run times to the mean of their class with their load reports; the total carries the sums, from which every VM computes the same slowness, rounded to a power of two for the ranking of targets. Where both targets of an object would miss the objective because of it, further ones are considered.

--- a/internal/placement/aggregator.go
+++ b/internal/placement/aggregator.go
@@ -42,13 +42,14 @@
 	reportHeaderBytes = 64 // including the frame of the message
 	targetEntryBytes  = 6
 	objectKeyBytes    = 6
+	speedEntryBytes   = 10
 )
 
 // size returns the approximate encoded size, in bytes.
 func (r *LoadReport) size() int {
 	n := reportHeaderBytes
 	for _, u := range r.Services {
-		n += targetEntryBytes * len(u.Running)
+		n += targetEntryBytes*len(u.Running) + speedEntryBytes*len(u.Speeds)
 		for _, keys := range u.Objects {
 			n += targetEntryBytes + objectKeyBytes*len(keys)
 		}
@@ -101,13 +102,14 @@
 	position   TreePosition
 	children   map[string]childReport
 	newObjects map[string]*Usage // reported by children and not yet forwarded, by service
+	newSpeeds  speedBuffers      // runs of the subtree that have not been forwarded
 	nextTotal  time.Time         // when the root sends the next total
 	lastEmpty  bool              // the last report was empty
 }
 
 // NewAggregator returns an Aggregator. It sends nothing until it has a position.
 func NewAggregator() *Aggregator {
-	return &Aggregator{children: make(map[string]childReport), newObjects: make(map[string]*Usage), lastEmpty: true}
+	return &Aggregator{children: make(map[string]childReport), newObjects: make(map[string]*Usage), newSpeeds: make(speedBuffers), lastEmpty: true}
 }
 
 // SetPosition sets the VM's position in the tree.
@@ -130,6 +132,7 @@
 			a.newObjects[service] = newUsage()
 		}
 		a.newObjects[service].addObjects(u)
+		a.newSpeeds.add(service, u.Speeds, now)
 	}
 	return a.position.Parent != ""
 }
@@ -188,5 +191,6 @@
 		r.usage(service).addObjects(u)
 	}
 	clear(a.newObjects)
+	a.newSpeeds.forward(r, now)
 	return r
 }
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -30,6 +30,13 @@
 		Meaning: "The target announced with an answer that it is leaving (for_ms 0) or asked for backoff. This VM sends it no more requests, or none until the backoff ends, even if its entry in the store says otherwise.",
 		Action:  "None.",
 	})
+	eventTargetSpeed = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 405,
+		Level:   logrus.InfoLevel,
+		Name:    "speed of target changed",
+		Meaning: "Runs at the target take about the given multiple (slowness, a power of two) of the time that they take at a target of mean speed, by the runs of all VMs of the region; before is the last such value. Objects are sent to slow targets less often. Only the VM that sums the region's load reports logs it.",
+		Action:  "If a target stays slow (slowness 2 or more), check its machine.",
+	})
 	eventTargetEjected = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 403,
 		Level:   logrus.WarnLevel,
--- a/internal/placement/fuzz_test.go
+++ b/internal/placement/fuzz_test.go
@@ -15,6 +15,7 @@
 func reportSeeds(t testing.TB) [][]byte {
 	raw, err := peer.Encode(&LoadReport{TTL: time.Second, Services: map[string]*Usage{"svc": {
 		Running: map[uint32]int{shortID("ros-0"): 3, shortID("ros-1"): 1}, Objects: map[uint32][]string{shortID("ros-0"): {"a", "b"}},
+		Speeds: map[uint32]SpeedSample{shortID("ros-0"): {Runs: 3, Ratio: 900}, shortID("ros-1"): {Runs: 1, Ratio: 80}},
 	}}})
 	if err != nil {
 		t.Fatal(err)
@@ -23,7 +24,7 @@
 }
 
 // checkReport applies a report as one of a child and as one of the parent. The set of targets
-// must not change, the requests and objects counted at a target must stay within bounds, and
+// must not change, the requests, objects and slowness of a target must stay within bounds, and
 // the VM's own requests must still be reported.
 func checkReport(t *testing.T, p *Pool, data []byte) {
 	var report LoadReport
@@ -44,6 +45,12 @@
 			t.Errorf("%q: %s has %d requests and %d objects, out of bounds", data, target.Name, target.peerRequests, len(target.objects.lastSent))
 		}
 	}
+	for _, target := range p.sortedTargets {
+		slowness := target.slowness.shared.at(start)
+		if !(slowness >= 1/(maxSlowness*maxSlowness) && slowness <= maxSlowness*maxSlowness) || !(target.weight > 0) {
+			t.Errorf("%q: %s has slowness %v and weight %v, out of bounds", data, target.Name, slowness, target.weight)
+		}
+	}
 	aggregator := NewAggregator()
 	aggregator.SetPosition(TreePosition{Parent: "top", Children: []string{"below"}})
 	aggregator.Receive("below", &report, start)
--- a/internal/placement/meter.go
+++ b/internal/placement/meter.go
@@ -27,6 +27,13 @@
 	m.set.GetOrCreateHistogram("masticturn_placement_wait_seconds{" + labels + "}").Update(waited.Seconds())
 }
 
+// setTargetSpeeds records the number of a service's targets by shared slowness.
+func (m decisionMetrics) setTargetSpeeds(service string, targets map[float64]int) {
+	for slowness, n := range targets {
+		m.set.GetOrCreateGauge(fmt.Sprintf("masticturn_targets_by_slowness{service=%q,slowness=\"%g\"}", service, slowness), nil).Set(float64(n))
+	}
+}
+
 // countRefused counts a refused request by reason.
 func (m decisionMetrics) countRefused(r *admission.Request, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("masticturn_refused_total{service=%q,class=%q,reason=%q}",
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -79,7 +79,8 @@
 	fleetVersion uint64
 	coldRate     float64       // maximum rate of requests to a cold target, requests/s; 0: no limit
 	coldDuration time.Duration // how long a target is cold after its start
-	runTimes     runTimes
+	runTimes     runTimes      // of all classes together
+	classTimes   classTimes
 	roundTrips   map[string]movingAverage // round-trip time by region
 	remoteWeight float64                  // weight of a slot in another region
 	objective    time.Duration            // shortest objective of any request; 0: none
@@ -88,6 +89,7 @@
 	tokens       tokenUse
 
 	notices      notices
+	speeds       poolSpeeds
 	newObjects   map[uint32][]string // first sent to a target since the last report, by shortID of the target
 	lastReported map[uint32]int      // this VM's requests in its last report, by shortID of the target
 	usageExpires time.Time           // when the last total of the region expires
@@ -109,6 +111,7 @@
 		byID:         make(map[uint32]*targetState),
 		inUse:        make(map[*targetState]bool),
 		inPeerUse:    make(map[*targetState]bool),
+		classTimes:   make(classTimes),
 		roundTrips:   make(map[string]movingAverage),
 		tokens:       tokenUse{limits: o.Limits, refusedAt: make(map[int]time.Time)},
 		notices:      make(notices),
@@ -163,6 +166,7 @@
 	}
 	p.coldDuration = svc.ColdMS.Duration()
 	p.remoteWeight = p.computeRemoteWeight()
+	p.weighTargets()
 	p.ranking.clear()
 }
 
@@ -206,9 +210,11 @@
 	target           *targetState
 	index            *config.TargetIndex // the target's entry when it was chosen
 	key              string
+	class            string
 	rank             int           // position among the object's targets; 0 is the first
 	known            bool          // the object is recorded at the target, or the request has none
 	queued           bool          // all slots were in use, so the request queues at the target
+	ahead            int           // requests at the target that must end before it runs
 	ownRequests      int           // requests of this VM at the target
 	reportedRequests int           // requests of other VMs at the target's last load report
 	reportAge        time.Duration // age of that report
@@ -238,30 +244,44 @@
 	var best *Selection
 	var bestCost time.Duration
 	for rank, t := range p.candidates(req, now) {
-		if !p.hasCapacity(t, now) {
+		known, ok := p.hasRoom(t, req, rank, now)
+		if !ok {
 			continue
 		}
-		known := req.Key == "" || t.objects.known(req.Key)
-		if rank > 0 && !known && t.Slots-t.load(now) < min(minSpareSlots, t.Slots) {
-			continue
-		}
-		cost := p.estimateWait(t, now) + p.estimateRun(t, known, rank, now) + time.Duration(rank)*rankPenalty
+		cost := p.estimateAnswer(t, req, known, rank, now) + time.Duration(rank)*rankPenalty
 		if best == nil || cost < bestCost {
 			best = p.newSelection(t, req, rank, known, now)
 			bestCost = cost
 		}
 	}
+	if p.speeds.differ && (best == nil || !p.inTime(best.target, req, best.known, best.rank, now)) {
+		if further := p.chooseFurther(req, now); further != nil {
+			return further
+		}
+	}
 	return best
 }
 
+// hasRoom reports whether the target of the given rank may get the request now, and whether its object
+// is known there.
+func (p *Pool) hasRoom(t *targetState, req *Request, rank int, now time.Time) (known, ok bool) {
+	if !p.hasCapacity(t, now) {
+		return false, false
+	}
+	known = req.Key == "" || t.objects.known(req.Key)
+	return known, rank == 0 || known || t.Slots-t.load(now) >= min(minSpareSlots, t.Slots)
+}
+
 func (p *Pool) newSelection(t *targetState, req *Request, rank int, known bool, now time.Time) *Selection {
 	return &Selection{
 		target:           t,
 		index:            t.TargetIndex,
 		key:              req.Key,
+		class:            req.Class,
 		rank:             rank,
 		known:            known,
 		queued:           t.load(now) >= t.Slots,
+		ahead:            max(0, t.load(now)-t.Slots+1),
 		ownRequests:      t.ownRequests,
 		reportedRequests: t.reportedRequests,
 		reportAge:        t.reportAge(now),
@@ -279,12 +299,17 @@
 	if ahead <= 0 || t.Slots == 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / float64(t.Slots) * float64(p.estimateRun(t, true, 0, now)))
+	return time.Duration(float64(ahead) / float64(t.Slots) * float64(p.estimateRun(t, &p.runTimes, true, 0, now)))
+}
+
+// estimateRun estimates the time of a run at a target, by the run times of its class or of the service.
+func (p *Pool) estimateRun(t *targetState, times *runTimes, known bool, rank int, now time.Time) time.Duration {
+	return time.Duration(t.slowness.factorAt(now) * t.workFactor.at(now) * float64(times.expect(known, rank)))
 }
 
-// estimateRun estimates the run time of a request at a target.
-func (p *Pool) estimateRun(t *targetState, known bool, rank int, now time.Time) time.Duration {
-	return time.Duration(t.slowness.factorAt(now) * t.workFactor.at(now) * float64(p.runTimes.expect(known, rank)))
+// estimateAnswer estimates the time until a target has run a request.
+func (p *Pool) estimateAnswer(t *targetState, req *Request, known bool, rank int, now time.Time) time.Duration {
+	return p.estimateWait(t, now) + p.estimateRun(t, p.timesOf(req.Class), known, rank, now)
 }
 
 // hasUsableTarget reports whether any target is usable and eligible. A cold or full one may
@@ -337,9 +362,9 @@
 		func(t *targetState) string { return t.Name },
 		func(t *targetState) float64 {
 			if t.Region != p.region {
-				return float64(t.Slots) * p.remoteWeight
+				return t.weight * p.remoteWeight
 			}
-			return float64(t.Slots)
+			return t.weight
 		})
 }
 
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -98,6 +98,13 @@
 // own run and those queued before it at the target.
 const runsToAnswer = 1 + maxQueuedPerSlot
 
+// timeToAnswer returns the maximum expected time from placement to the answer. The request's own run takes
+// the time of its class, those queued before it the service's mean.
+func (p *Pool) timeToAnswer(req *Request) time.Duration {
+	mean := p.runTimes.expect(true, 0)
+	return time.Duration(runsToAnswer*float64(mean)) + p.timesOf(req.Class).expect(true, 0) - mean
+}
+
 // waitUntil returns until when a request may wait: as long as the answer can meet the
 // objective, or the deadline if there is no objective.
 func (p *Pool) waitUntil(req *Request) time.Time {
@@ -106,7 +113,7 @@
 		total = min(total, req.Rule.ObjectiveMS.Duration())
 	}
 	minWait := time.Duration(minWaitFraction * float64(total))
-	return req.Arrived.Add(max(minWait, total-time.Duration(runsToAnswer*float64(p.runTimes.expect(true, 0)))))
+	return req.Arrived.Add(max(minWait, total-p.timeToAnswer(req)))
 }
 
 // refuseNoTarget refuses a request that has no usable target. If all targets have asked for
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -73,7 +73,7 @@
 	default:
 		t.failures = 0
 		t.recordSuccess(p.coldDuration, now)
-		p.recordRun(sel, r.Latency, now)
+		p.recordRun(sel, &r, now)
 	}
 	return ejected
 }
@@ -97,18 +97,24 @@
 }
 
 // recordRun records the run time of a request, without the work factor that the target reported with
-// the answer. Requests that were queued at the target are left out, as their latency includes the wait.
-func (p *Pool) recordRun(sel *Selection, runTime time.Duration, now time.Time) {
+// the answer. The means are of the time that a run takes at a target of mean speed. Requests that were queued at the target are left out, as their latency includes the wait.
+func (p *Pool) recordRun(sel *Selection, r *Result, now time.Time) {
+	t := sel.target
+	runTime := max(r.Latency-time.Duration(p.roundTrips[t.Region]), time.Millisecond)
+	runTime = time.Duration(float64(runTime) / t.workFactor.at(now))
+	if !t.cold(now) {
+		p.recordSpeed(sel, runTime, r.Load, now)
+	}
 	if sel.queued {
 		return
 	}
-	runTime = max(runTime-time.Duration(p.roundTrips[sel.target.Region]), time.Millisecond)
-	runTime = time.Duration(float64(runTime) / sel.target.workFactor.at(now))
-	if expected := p.runTimes.expect(true, 0); sel.known && expected > 0 {
-		sel.target.slowness.observe(float64(runTime)/float64(expected), now)
+	if times, ok := p.observedTimesOf(sel.class); ok && sel.known && times.expect(true, 0) > 0 {
+		t.slowness.observe(float64(runTime)/float64(times.expect(true, 0)), now)
 	}
-	if !sel.target.cold(now) {
-		p.runTimes.observe(sel.known, sel.rank, runTime)
+	if !t.cold(now) {
+		usual := time.Duration(float64(runTime) / t.slowness.shared.at(now))
+		p.runTimes.observe(sel.known, sel.rank, usual)
+		p.classTimes.observe(sel.class, sel.known, sel.rank, usual)
 	}
 }
 
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -8,6 +8,7 @@
 
 	"masticturn/internal/membership"
 	"masticturn/internal/peer"
+	"masticturn/internal/telemetry"
 )
 
 // reportLoop sends load reports until the context is done.
@@ -37,7 +38,7 @@
 	a.mu.Lock()
 	now := a.deps.Clock.Now()
 	for _, p := range a.pools {
-		p.expireUsage(now)
+		a.recordSpeedChanges(p, p.expireUsage(now))
 	}
 	next := a.aggregator.Next(a.ownUsage, now)
 	kind := peer.KindUsageReport
@@ -75,7 +76,26 @@
 		if u == nil {
 			u = newUsage()
 		}
-		p.ApplyUsage(u, min(r.TTL, maxReportTTL), now)
+		a.recordSpeedChanges(p, p.ApplyUsage(u, min(r.TTL, maxReportTTL), now))
+	}
+}
+
+// recordSpeedChanges counts a service's targets by shared slowness. The root logs the changes for its
+// region. a.mu is held.
+func (a *Admitter) recordSpeedChanges(p *servicePool, changes []SpeedChange) {
+	if len(changes) == 0 {
+		return
+	}
+	a.metrics.setTargetSpeeds(p.name, p.TargetsBySlowness())
+	if a.aggregator.position.Parent != "" {
+		return
+	}
+	for _, c := range changes {
+		a.deps.Logger.Log(eventTargetSpeed,
+			telemetry.Peer(c.Target),
+			telemetry.Value("service", p.name),
+			telemetry.Value("slowness", c.Slowness),
+			telemetry.Value("before", c.Before))
 	}
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -19,8 +19,9 @@
 // targetState is what this VM knows of one target instance.
 type targetState struct {
 	*config.TargetIndex
-	id          uint32 // shortID of its name
-	listVersion uint64 // Pool.listVersion of the last list that had the target
+	id          uint32  // shortID of its name
+	weight      float64 // in rankings: its slots, corrected for differences in speed
+	listVersion uint64  // Pool.listVersion of the last list that had the target
 	coldUntil   time.Time
 	evacuated   bool
 
--- a/internal/placement/timing.go
+++ b/internal/placement/timing.go
@@ -64,18 +64,62 @@
 	return uncached - time.Duration(r.cachedByOthers[rank]*float64(uncached-cached))
 }
 
+// maxClasses bounds the classes with run times of their own. When it is exceeded, all are measured anew.
+const maxClasses = 64
+
+// classTimes holds the run times of a service's classes by name. Classes of one service may differ
+// several times in their run times.
+type classTimes map[string]*runTimes
+
+// observe records a run of a class, as runTimes.observe does. Runs without a class are not recorded.
+func (c classTimes) observe(class string, known bool, rank int, d time.Duration) {
+	if class == "" {
+		return
+	}
+	r := c[class]
+	if r == nil {
+		if len(c) >= maxClasses {
+			clear(c)
+		}
+		r = &runTimes{}
+		c[class] = r
+	}
+	r.observe(known, rank, d)
+}
+
+// timesOf returns the run times of a class; those of the whole service if the class has not been
+// measured.
+func (p *Pool) timesOf(class string) *runTimes {
+	if r := p.classTimes[class]; r != nil {
+		return r
+	}
+	return &p.runTimes
+}
+
+// observedTimesOf returns the run times of a class with which a run of it is compared; false if the
+// class has not been measured, as the service's mean may be that of other classes.
+func (p *Pool) observedTimesOf(class string) (*runTimes, bool) {
+	if class == "" {
+		return &p.runTimes, true
+	}
+	r := p.classTimes[class]
+	return r, r != nil
+}
+
 const (
 	// maxSlowness is the upper bound of a measured ratio, and 1/maxSlowness the lower bound.
 	maxSlowness = 20.0
-	// slownessDecay is the time constant by which slowness decays to 1, so that a slow
-	// target is tried again.
+	// slownessDecay is the time constant by which slowness decays to the shared one, so that a
+	// target that seemed slow to this VM alone is tried again.
 	slownessDecay = 4 * time.Second
 )
 
-// slowness is the ratio of a target's run times to those of the whole service.
+// slowness is the ratio of a target's run times to those of the whole service, by this VM's runs. It
+// decays to the one that the VMs of the region share.
 type slowness struct {
 	factor     float64 // 0: not measured
 	measuredAt time.Time
+	shared     sharedSlowness
 }
 
 // observe records the ratio of a run time to the expected run time.
@@ -117,10 +161,11 @@
 // that a slow target is detected after a few answers.
 const slownessWeight = 0.25
 
-// factorAt returns the factor at a time; 1 if none has been measured.
+// factorAt returns the factor at a time; the shared one if none has been measured.
 func (s *slowness) factorAt(at time.Time) float64 {
+	shared := s.shared.at(at)
 	if s.factor == 0 {
-		return 1
+		return shared
 	}
-	return 1 + (s.factor-1)*math.Exp(-float64(at.Sub(s.measuredAt))/float64(slownessDecay))
+	return shared + (s.factor-shared)*math.Exp(-float64(at.Sub(s.measuredAt))/float64(slownessDecay))
 }
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -33,8 +33,10 @@
 	return &Usage{Running: make(map[uint32]int), Objects: make(map[uint32][]string)}
 }
 
-// Empty reports whether there are neither requests nor objects.
-func (u *Usage) Empty() bool { return len(u.Running) == 0 && len(u.Objects) == 0 }
+// Empty reports whether there are neither requests, objects nor runs.
+func (u *Usage) Empty() bool {
+	return len(u.Running) == 0 && len(u.Objects) == 0 && len(u.Speeds) == 0
+}
 
 // maxRunning bounds the number of requests at one target in a merged report.
 const maxRunning = 1 << 20
@@ -63,9 +65,9 @@
 	return h.Sum32()
 }
 
-// ReportUsage returns this VM's usage, with the objects that are new since the last report.
+// ReportUsage returns this VM's usage, with the objects and runs that are new since the last report.
 func (p *Pool) ReportUsage() *Usage {
-	u := &Usage{Running: make(map[uint32]int), Objects: p.newObjects}
+	u := &Usage{Running: make(map[uint32]int), Objects: p.newObjects, Speeds: p.speeds.takeNew()}
 	p.newObjects = make(map[uint32][]string)
 	for t := range p.inUse {
 		if p.targets[t.Name] == t {
@@ -77,8 +79,9 @@
 }
 
 // ApplyUsage applies the region's total, valid for ttl. The total includes this VM's last
-// report, which is subtracted.
-func (p *Pool) ApplyUsage(total *Usage, ttl time.Duration, now time.Time) {
+// report, which is subtracted; its runs count like those of other VMs, and only here. It returns the
+// targets whose shared slowness has changed.
+func (p *Pool) ApplyUsage(total *Usage, ttl time.Duration, now time.Time) []SpeedChange {
 	p.clearPeerUse()
 	for id, running := range total.Running {
 		t := p.byID[id]
@@ -99,14 +102,16 @@
 		}
 	}
 	p.usageExpires = now.Add(ttl)
+	return p.applySpeeds(total.Speeds, now)
 }
 
-// expireUsage drops the region's total if its TTL has passed.
-func (p *Pool) expireUsage(now time.Time) {
-	if now.Before(p.usageExpires) {
-		return
+// expireUsage drops the region's total if its TTL has passed. It returns the targets whose shared slowness
+// has changed as it decays.
+func (p *Pool) expireUsage(now time.Time) []SpeedChange {
+	if !now.Before(p.usageExpires) {
+		p.clearPeerUse()
 	}
-	p.clearPeerUse()
+	return p.applySpeeds(nil, now)
 }
 
 // clearPeerUse drops the usage of the region's other VMs.
--- a/internal/placement/usage_test.go
+++ b/internal/placement/usage_test.go
@@ -14,6 +14,7 @@
 	"masticturn/internal/discovery"
 	"masticturn/internal/kernel"
 	"masticturn/internal/membership"
+	"masticturn/internal/outcome"
 	"masticturn/internal/peer/peertest"
 	"masticturn/internal/settings"
 	"masticturn/internal/telemetry"
@@ -220,6 +221,56 @@
 	})
 }
 
+// With the samples of many runs, reports must take less than a VM's budget for control traffic, too.
+func TestReportRateWithRunsIsBounded(t *testing.T) {
+	const (
+		budget  = 14_000 // of control traffic, bytes/s
+		framing = 90     // bytes per message: frame, TCP and IP headers
+		rounds  = 40
+		run     = 100 * time.Millisecond
+	)
+	for _, vmCount := range []int{28, 65} {
+		synctest.Test(t, func(t *testing.T) {
+			hub, svc, vms := startVMs(t, vmCount)
+			var before peertest.Stats
+			for round := range rounds {
+				var permits []admission.Permit
+				for name, a := range vms {
+					if name != "far" {
+						permits = append(permits, acquireObject(t, a, svc, ""))
+					}
+				}
+				time.Sleep(run)
+				for _, p := range permits {
+					p.Release(admission.Result{Outcome: outcome.Answered, Latency: run})
+				}
+				if round == rounds/2 {
+					before = hub.Stats()
+				}
+			}
+			after := hub.Stats()
+			bytes := after.Bytes - before.Bytes + framing*(after.Messages-before.Messages)
+			seconds := ((rounds - rounds/2 - 1) * run).Seconds()
+			perVM := float64(bytes) / float64(vmCount) / seconds
+			t.Logf("%d VMs with %.0f runs/s each: %.0f bytes/s per VM", vmCount, 1/run.Seconds(), perVM)
+			if perVM > budget {
+				t.Errorf("%d VMs: %.0f bytes/s per VM, want %d at most", vmCount, perVM, budget)
+			}
+			known := 0
+			for _, a := range vms {
+				a.mu.Lock()
+				if a.pools["svc"].speeds.known {
+					known++
+				}
+				a.mu.Unlock()
+			}
+			if known < vmCount {
+				t.Errorf("%d of %d VMs have received samples", known, vmCount)
+			}
+		})
+	}
+}
+
 // Idle VMs send no reports. At all sizes of a region, reports take less than a VM's budget for
 // control traffic.
 func TestReportRateIsBounded(t *testing.T) {
