--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -34,6 +34,7 @@
 	KindMirrorPoll:   "mirror_poll",
 	KindUsageReport:  "usage_report",
 	KindUsageTotal:   "usage_total",
+	KindRegionLoad:   "region-load",
 
 	KindQuarantineReports: "quarantine_news",
 	KindQuarantineSync:    "quarantine_sync",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,7 @@
 	// 70 and 71 are retired and must not be reused.
 	KindUsageReport Kind = 72 // placement: usage of a subtree of VMs
 	KindUsageTotal  Kind = 73 // placement: usage of all VMs of the region
+	KindRegionLoad  Kind = 74 // regionload: capacity and demand of a region
 
 	KindTargetNotice Kind = 95 // tunnel: what a target has announced to the sender
 
