Placement: admission over the VMs of a region, capacity of regions, planned returns

Load reports with optional fields are maps, which earlier builds read; an array of another length they rejected.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -24,6 +24,7 @@
 	"masticturn/internal/placement"
 	"masticturn/internal/quarantine"
 	"masticturn/internal/ratelimit"
+	"masticturn/internal/regionload"
 	"masticturn/internal/settings"
 	"masticturn/internal/targetlimit"
 	"masticturn/internal/tunnel"
@@ -73,7 +74,8 @@
 		module(discovery.ServiceName, d.newDiscovery, storeName, peer.ServiceName, membership.ServiceName),
 		module(tunnel.ServiceName, d.newTunnels, peer.ServiceName, discovery.ServiceName, membership.ServiceName),
 		module(targetlimit.ServiceName, d.newTargetLimits, peer.ServiceName, membership.ServiceName),
-		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName, tunnel.ServiceName, targetlimit.ServiceName),
+		module(regionload.ServiceName, d.newRegionLoads, peer.ServiceName, membership.ServiceName),
+		module(admission.ServiceName, d.newPlacement, peer.ServiceName, discovery.ServiceName, membership.ServiceName, tunnel.ServiceName, targetlimit.ServiceName, regionload.ServiceName),
 		module(entry.ServiceName, d.newEntry, membership.ServiceName, discovery.ServiceName),
 		module(quarantine.ServiceName, d.newQuarantine, peer.ServiceName, storeName, membership.ServiceName),
 		module(customer.GuardName, d.newKeyGuard, discovery.ServiceName, membership.ServiceName),
@@ -164,15 +166,30 @@
 		Policy:      d.opts.Hosted.Policy,
 		ShareNotice: w.tunnels.ShareNotice,
 		RateLimits:  w.targetLimits,
-		Bounds:      d.settings.Bounds,
-		Metrics:     d.opts.Metrics,
-		Clock:       d.opts.Clock,
-		Logger:      d.opts.Logger,
+		RegionLoads: w.regionLoads,
+
+		OverloadControl: d.settings.Overload.Enabled,
+		Bounds:          d.settings.Bounds,
+		Metrics:         d.opts.Metrics,
+		Clock:           d.opts.Clock,
+		Logger:          d.opts.Logger,
 	})
 	w.tunnels.SetNotices(a)
 	return a, nil
 }
 
+func (d *Daemon) newRegionLoads(w *wiring) (kernel.Service, error) {
+	return regionload.NewService(regionload.Deps{
+		Region:  d.settings.VM.Region,
+		Network: w.network,
+		Members: w.members,
+		RootOf:  placement.TreeRoot,
+		Boot:    d.opts.Boot,
+		Logger:  d.opts.Logger,
+		Metrics: d.opts.Metrics,
+	}), nil
+}
+
 func (d *Daemon) newTargetLimits(w *wiring) (kernel.Service, error) {
 	return targetlimit.NewService(targetlimit.Deps{
 		Self:    d.settings.VM.Name,
--- a/internal/daemon/modules.go
+++ b/internal/daemon/modules.go
@@ -20,6 +20,7 @@
 	"masticturn/internal/platform"
 	"masticturn/internal/quarantine"
 	"masticturn/internal/ratelimit"
+	"masticturn/internal/regionload"
 	"masticturn/internal/targetlimit"
 	"masticturn/internal/tunnel"
 	"masticturn/platform/store"
@@ -71,6 +72,7 @@
 	tunnels   *tunnel.Service
 
 	targetLimits *targetlimit.Service
+	regionLoads  *regionload.Service
 }
 
 // module returns a module whose service is built from the services it requires.
@@ -121,6 +123,8 @@
 		return find(k, name, &w.tunnels)
 	case targetlimit.ServiceName:
 		return find(k, name, &w.targetLimits)
+	case regionload.ServiceName:
+		return find(k, name, &w.regionLoads)
 	}
 	return nil // required only for the order
 }
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -48,9 +48,13 @@
 	ShareNotice func(target string, leaving bool, backoff time.Duration)
 	// RateLimits grants requests under the rate limits that targets name; nil: there are none.
 	RateLimits RateLimiter
-	Clock      kernel.Clock
-	Logger     *telemetry.Logger
-	Metrics    *metrics.Set
+	// OverloadControl enables what VMs and regions decide together while a service is short of capacity.
+	OverloadControl bool
+	// RegionLoads exchanges loads with other regions; nil: nothing is known of them.
+	RegionLoads RegionLoads
+	Clock       kernel.Clock
+	Logger      *telemetry.Logger
+	Metrics     *metrics.Set
 }
 
 // Admitter grants slots at targets. Each VM decides on its own requests, without asking
@@ -66,6 +70,11 @@
 	pools      map[string]*servicePool
 	fleet      Fleet
 	aggregator *Aggregator
+	inTree     bool      // the VM has a position in the tree
+	rootSince  time.Time // when the VM has become the root of the tree; zero: it is not
+	scopes     scopeCache
+	// limitedSince is when this VM, as a root, last limited a priority.
+	limitedSince map[limitedPriority]time.Time
 }
 
 // servicePool is the pool of one service with its waiting requests.
@@ -76,6 +85,8 @@
 	evacuated      map[string]bool                   // evacuated availability zones
 	waiters        map[*WaitingRequest]chan struct{} // closed when the request is placed or refused
 	serveScheduled bool
+	splitLogged    bool   // the last event said that the split is not the default
+	splitShown     uint64 // version of the split in the metrics
 }
 
 var (
@@ -89,13 +100,18 @@
 	if d.RateLimits == nil {
 		d.RateLimits = noRateLimits{}
 	}
+	if d.RegionLoads == nil || !d.OverloadControl {
+		d.RegionLoads = noRegionLoads{}
+	}
 	a := &Admitter{
 		deps:           d,
 		metrics:        newDecisionMetrics(d.Metrics),
 		reportReceived: make(chan struct{}, 1),
 		pools:          make(map[string]*servicePool),
 		aggregator:     NewAggregator(),
+		limitedSince:   make(map[limitedPriority]time.Time),
 	}
+	a.aggregator.decide = a.decide
 	d.RateLimits.OnResponse(a.serveTarget)
 	d.Network.Handle(peer.KindUsageReport, a.handleReport)
 	d.Network.Handle(peer.KindUsageTotal, a.handleTotal)
@@ -163,6 +179,8 @@
 					Policy: a.deps.Policy,
 					Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 					Limits: a.deps.RateLimits,
+
+					OverloadControl: a.deps.OverloadControl,
 				}),
 				name:    svc.Name,
 				waiters: make(map[*WaitingRequest]chan struct{}),
@@ -173,6 +191,7 @@
 		p.update(svc, v)
 		a.serveQueue(p, now)
 	}
+	a.applyScopes(v.Snapshot)
 }
 
 // update passes a new view to the pool if anything has changed for its service.
@@ -290,6 +309,7 @@
 // refusalError counts and logs a refused request and returns its error.
 func (a *Admitter) refusalError(r *admission.Request, req *Request, refusal *Refusal) *outcome.Error {
 	a.metrics.countRefused(r, refusal.Reason)
+	a.metrics.countReturn(r, req, refusal)
 	a.deps.Logger.Log(eventRefused,
 		telemetry.Value("request_id", req.ID),
 		telemetry.Value("service", r.Service.Name),
--- a/internal/placement/aggregator.go
+++ b/internal/placement/aggregator.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -43,13 +44,15 @@
 	targetEntryBytes  = 6
 	objectKeyBytes    = 6
 	speedEntryBytes   = 10
+	regionEntryBytes  = 16
 )
 
 // size returns the approximate encoded size, in bytes.
 func (r *LoadReport) size() int {
 	n := reportHeaderBytes
 	for _, u := range r.Services {
-		n += targetEntryBytes*len(u.Running) + speedEntryBytes*len(u.Speeds)
+		n += targetEntryBytes*len(u.Running) + speedEntryBytes*len(u.Speeds) + regionEntryBytes*(len(u.Split)+len(u.Spare))
+		n += u.Demand.Size() + u.Limits.Size()
 		for _, keys := range u.Objects {
 			n += targetEntryBytes + objectKeyBytes*len(keys)
 		}
@@ -76,7 +79,7 @@
 // TreePositionOf returns the position of a VM in the tree of the VMs of its region. It
 // returns false if vms does not include the VM.
 func TreePositionOf(self string, vms []string) (TreePosition, bool) {
-	order := rendezvous.Top("what VMs have at targets", vms, len(vms), func(name string) string { return name })
+	order := rendezvous.Top(treeKey, vms, len(vms), func(name string) string { return name })
 	i := slices.Index(order, self)
 	if i < 0 {
 		return TreePosition{}, false
@@ -90,10 +93,22 @@
 	return p, true
 }
 
+// TreeRoot returns the root of the tree of the given VMs; "" if there are none.
+func TreeRoot(vms []string) string {
+	for _, name := range rendezvous.Top(treeKey, vms, 1, func(name string) string { return name }) {
+		return name
+	}
+	return ""
+}
+
+// treeKey is the key by which the VMs of a tree are ordered.
+const treeKey = "what VMs have at targets"
+
 // childReport is the last report received from a child.
 type childReport struct {
-	report     *LoadReport
-	receivedAt time.Time
+	report      *LoadReport
+	receivedAt  time.Time
+	customersAt time.Time // when the demand of customers in it was received; zero: there is none
 }
 
 // Aggregator merges load reports and decides which ones to send. It does no I/O and is
@@ -105,6 +120,15 @@
 	newSpeeds  speedBuffers      // runs of the subtree that have not been forwarded
 	nextTotal  time.Time         // when the root sends the next total
 	lastEmpty  bool              // the last report was empty
+	short      bool              // a service is short of capacity
+	lastSize   int               // of the last report, in bytes
+	lastSent   time.Time
+	// nextCustomers is when the parent is next told the demand of customers.
+	nextCustomers time.Time
+
+	// decide sets the decisions of the region's root in a total that is about to be sent; nil: there are
+	// none.
+	decide func(total *LoadReport, now time.Time)
 }
 
 // NewAggregator returns an Aggregator. It sends nothing until it has a position.
@@ -115,6 +139,12 @@
 // SetPosition sets the VM's position in the tree.
 func (a *Aggregator) SetPosition(p TreePosition) { a.position = p }
 
+// alone reports whether the VM has neither a parent nor children. It sends and receives no reports.
+func (a *Aggregator) alone() bool { return a.position.Parent == "" && len(a.position.Children) == 0 }
+
+// SetDecide sets the function by which the root sets its decisions in a total that is about to be sent.
+func (a *Aggregator) SetDecide(decide func(total *LoadReport, now time.Time)) { a.decide = decide }
+
 // Receive stores a child's report and reports whether to forward it after GatherDelay.
 // Reports from VMs that are not children of this one by its own member list are dropped, so
 // that usage is not counted twice when differing member lists form a cycle.
@@ -122,7 +152,7 @@
 	if !slices.Contains(a.position.Children, from) {
 		return false
 	}
-	a.children[from] = childReport{r, now}
+	a.children[from] = newChildReport(r, a.children[from], now)
 	for service, u := range r.Services {
 		if u == nil {
 			delete(r.Services, service)
@@ -149,26 +179,42 @@
 // report is due.
 func (a *Aggregator) Next(own func() *LoadReport, now time.Time) OutgoingReport {
 	isRoot := a.position.Parent == ""
-	if isRoot && (len(a.position.Children) == 0 || now.Before(a.nextTotal)) {
+	if isRoot && (len(a.position.Children) == 0 || now.Before(a.nextTotal)) || !isRoot && a.tooSoon(now) {
 		return OutgoingReport{}
 	}
 	r := a.merge(own(), now)
+	if isRoot && a.decide != nil {
+		a.decide(r, now)
+	}
+	if !isRoot {
+		a.thinCustomers(r, now)
+	}
 	if r.Empty() && a.lastEmpty {
 		return OutgoingReport{}
 	}
 	a.lastEmpty = r.Empty()
-	period := ReportInterval
+	a.lastSize, a.lastSent = r.size(), now
+	period := a.Interval()
 	if isRoot {
-		period = max(period, time.Duration(r.size()*len(a.position.Children))*time.Second/totalBytesPerSecond)
+		period = max(min(period, ReportInterval), time.Duration(a.lastSize*len(a.position.Children))*time.Second/totalBytesPerSecond)
 		a.nextTotal = now.Add(period)
 	}
-	r.TTL = reportTTLIntervals * period
+	r.TTL = reportTTLIntervals * max(period, ReportInterval)
 	if isRoot {
 		return OutgoingReport{r, a.position.Children, true}
 	}
 	return OutgoingReport{r, []string{a.position.Parent}, false}
 }
 
+// RemoveDemands removes the demands from a total, which only the root needs.
+func (r *LoadReport) RemoveDemands() {
+	maps.DeleteFunc(r.Services, func(_ string, u *Usage) bool {
+		hadDemand := u.Demand != nil
+		u.Demand = nil
+		return hadDemand && u.Empty()
+	})
+}
+
 // TotalRecipients returns the children to which a total received from a VM is forwarded; false
 // if that VM is not the parent.
 func (a *Aggregator) TotalRecipients(from string) ([]string, bool) {
@@ -185,6 +231,7 @@
 		}
 		for service, u := range child.report.Services {
 			r.usage(service).addRunning(u)
+			r.usage(service).addDemand(u)
 		}
 	}
 	for service, u := range a.newObjects {
--- a/internal/placement/emulation/load.go
+++ b/internal/placement/emulation/load.go
@@ -42,6 +42,15 @@
 	HideWorkFactor bool      // targets do not report the work factor that results from Neighbors
 	SlowHalf       SlowHalf
 
+	// Callers is the share of the callers by region; nil: each region has as many.
+	Callers map[string]float64
+	// RegionLoads makes the roots of regions exchange their loads, by which they split their requests.
+	RegionLoads bool
+	// LoadLoss is the share of these messages that are lost, outside of the time from CutFrom to CutUntil, in
+	// which all are.
+	LoadLoss          float64
+	CutFrom, CutUntil time.Duration
+
 	NoReports        bool // VMs send no load reports
 	ModelConnections bool // opening a connection takes a round trip; false: takes no time
 }
@@ -60,6 +69,14 @@
 	SwapAt time.Duration // time at which the other half is the slow one instead; 0: never
 }
 
+// callers returns a region's share of the callers.
+func (w *Workload) callers(region string) float64 {
+	if w.Callers == nil {
+		return 1 / float64(len(w.Regions))
+	}
+	return w.Callers[region]
+}
+
 // Region is a region and the size of its part of the fleet.
 type Region struct {
 	Name    string
--- a/internal/placement/emulation/reporting.go
+++ b/internal/placement/emulation/reporting.go
@@ -16,7 +16,11 @@
 func (s *simulation) sendReport(v *vm) {
 	own := func() *placement.LoadReport {
 		report := &placement.LoadReport{Services: make(map[string]*placement.Usage)}
-		if u := v.pool.ReportUsage(); !u.Empty() {
+		u := v.pool.ReportUsage()
+		if s.workload.RegionLoads {
+			u.Demand = v.pool.Demand(s.now)
+		}
+		if !u.Empty() {
 			report.Services[s.workload.Name] = u
 		}
 		return report
--- a/internal/placement/emulation/requests.go
+++ b/internal/placement/emulation/requests.go
@@ -16,7 +16,7 @@
 	w := s.workload
 	at := s.now.Sub(startTime)
 	phase := float64(at)/float64(w.Period) + float64(region)/float64(len(w.Regions))
-	rate := w.Rate / float64(len(w.Regions)) * s.rateFactor * (1 + w.Amplitude*math.Sin(2*math.Pi*phase))
+	rate := w.Rate * w.callers(w.Regions[region].Name) * s.rateFactor * (1 + w.Amplitude*math.Sin(2*math.Pi*phase))
 	gap := time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
 	if at+gap > w.Length {
 		return
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -38,6 +38,8 @@
 	queued         map[queueEntry]*request
 	serveScheduled bool
 	aggregator     *placement.Aggregator
+	heardLoads     map[string]heardLoad // by region; used at the root of a region's tree
+	loadSentAt     time.Time
 	collecting     bool // waits for reports of its children before it sends its own
 
 	conns       map[string]*connPool // by target
@@ -146,12 +148,16 @@
 		fleet.VMs = append(fleet.VMs, placement.VM{Name: v.name, Region: v.region})
 	}
 	for _, v := range s.vms {
-		v.pool = placement.NewPool(placement.Options{Region: v.region, Policy: s.policy, Rand: s.rng})
+		v.pool = placement.NewPool(placement.Options{Region: v.region, Policy: s.policy, Rand: s.rng, OverloadControl: s.workload.RegionLoads})
 		fleet.Self = v.name
 		v.pool.SetFleet(fleet)
 		v.aggregator = placement.NewAggregator()
 		position, _ := placement.TreePositionOf(v.name, s.namesIn(v.region))
 		v.aggregator.SetPosition(position)
+		v.heardLoads = make(map[string]heardLoad)
+		if s.workload.RegionLoads {
+			v.aggregator.SetDecide(func(total *placement.LoadReport, now time.Time) { s.decideRegions(v, total, now) })
+		}
 		v.queued = make(map[queueEntry]*request)
 		v.conns = make(map[string]*connPool)
 		v.ledger = quarantine.NewLedger()
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -37,6 +37,34 @@
 		Meaning: "Runs at the target take about the given multiple (slowness, a power of two) of the time that they take at a target of mean speed, by the runs of all VMs of the region; before is the last such value. Objects are sent to slow targets less often. Only the VM that sums the region's load reports logs it.",
 		Action:  "If a target stays slow (slowness 2 or more), check its machine.",
 	})
+	eventSplitSwitched = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 451,
+		Level:   logrus.InfoLevel,
+		Name:    "split over regions switched",
+		Meaning: "For the service, the root of the region's VMs has set another split of the region's requests over regions than the default (on true), or has returned to the default; reason says why. VMs move toward the split by 0.05 a second.",
+		Action:  "If it is on for long, add targets in this region.",
+	})
+	eventOverloadSwitched = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 411,
+		Level:   logrus.InfoLevel,
+		Name:    "admission by priority and customer switched",
+		Meaning: "The document in force calls for admission by priority and customer for the service (on true), or no longer does; reason says why. While it is on and capacity is short, requests are refused by the fractions that the root of the region's VMs computes.",
+		Action:  "None.",
+	})
+	eventFractionLimited = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 412,
+		Level:   logrus.WarnLevel,
+		Name:    "service short of capacity",
+		Meaning: "The capacity of the service's targets is too small for the requests of the region's callers: of the requests of the priority only the fraction is admitted. The VM that logs this decides for its region.",
+		Action:  "If it lasts, add targets, or check for slow ones.",
+	})
+	eventFractionRestored = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 413,
+		Level:   logrus.InfoLevel,
+		Name:    "service has capacity for a priority again",
+		Meaning: "All requests of the priority have been admitted again for 5 s.",
+		Action:  "None.",
+	})
 	eventTargetEjected = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 403,
 		Level:   logrus.WarnLevel,
--- a/internal/placement/further.go
+++ b/internal/placement/intime.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// chooseFurther chooses among the targets of this VM's region that rank after the candidates of an
+// chooseInTime chooses among the targets of this VM's region that rank after the candidates of an
 // object: the first one that is expected to answer within the objective; nil if there is none. It is
 // used where the speeds of targets differ, as both candidates may be slow ones.
-func (p *Pool) chooseFurther(req *Request, now time.Time) *Selection {
+func (p *Pool) chooseInTime(req *Request, now time.Time) *Selection {
 	key := p.hashKey(req)
 	ranked := p.ranking.get(key)
 	if ranked == nil {
--- a/internal/placement/meter.go
+++ b/internal/placement/meter.go
@@ -34,8 +34,27 @@
 	}
 }
 
+// setSplit sets the share of a service's objects whose first target is in each region.
+func (m decisionMetrics) setSplit(service string, shares map[string]float64) {
+	for region, share := range shares {
+		m.set.GetOrCreateFloatCounter(fmt.Sprintf("masticturn_region_split{service=%q,region=%q}", service, region)).Set(share)
+	}
+}
+
 // countRefused counts a refused request by reason.
 func (m decisionMetrics) countRefused(r *admission.Request, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("masticturn_refused_total{service=%q,class=%q,reason=%q}",
 		r.Service.Name, r.Class.Name, reason)).Inc()
 }
+
+// countReturn counts a refusal of a returning caller, and records Retry-After if the refusal is for lack
+// of capacity.
+func (m decisionMetrics) countReturn(r *admission.Request, req *Request, refusal *Refusal) {
+	labels := fmt.Sprintf(`{service=%q,class=%q}`, r.Service.Name, r.Class.Name)
+	if req.Returning {
+		m.set.GetOrCreateCounter("masticturn_returning_refused_total" + labels).Inc()
+	}
+	if refusal.Reason == reasonNoCapacity {
+		m.set.GetOrCreateHistogram("masticturn_retry_after_seconds" + labels).Update(refusal.RetryAfter.Seconds())
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -49,7 +49,14 @@
 	Arrived  time.Time
 	Deadline time.Time
 
-	tokensWanted bool // it was counted at the limited targets that it would use
+	// Returning reports that the caller was probably refused before, as it has less time left
+	// than the rule's callers usually have. Enqueue sets it.
+	Returning bool
+
+	// staysInRegion keeps a waiting request without an object from drawing targets of other regions
+	// again and again, whose load is not known.
+	staysInRegion bool
+	tokensWanted  bool // it was counted at the limited targets that it would use
 }
 
 // Options configures a pool.
@@ -58,6 +65,8 @@
 	Policy Policy     // empty: PolicyCompletion
 	Rand   *rand.Rand // for requests without an object and for random policies
 	Limits RateLimits // nil: no target has a rate limit
+	// OverloadControl enables what VMs and regions decide together while a service is short of capacity.
+	OverloadControl bool
 }
 
 // Pool holds the targets of one service and the queue of its waiting requests. It is not safe
@@ -76,17 +85,29 @@
 	fleet         Fleet
 	regionVMs     int // number of VMs in this VM's region
 	// fleetVersion is incremented when the fleet or the cold rate changes.
-	fleetVersion uint64
-	coldRate     float64       // maximum rate of requests to a cold target, requests/s; 0: no limit
-	coldDuration time.Duration // how long a target is cold after its start
-	runTimes     runTimes      // of all classes together
-	classTimes   classTimes
-	roundTrips   map[string]movingAverage // round-trip time by region
-	remoteWeight float64                  // weight of a slot in another region
-	objective    time.Duration            // shortest objective of any request; 0: none
-	queue        []*WaitingRequest        // in the order in which it is served
-	ranking      rankingCache
-	tokens       tokenUse
+	fleetVersion  uint64
+	coldRate      float64       // maximum rate of requests to a cold target, requests/s; 0: no limit
+	coldDuration  time.Duration // how long a target is cold after its start
+	runTimes      runTimes      // of all classes together
+	classTimes    classTimes
+	roundTrips    map[string]movingAverage // round-trip time by region
+	remoteWeight  float64                  // default weight of a slot in another region
+	split         split
+	planner       regionPlanner  // used while this VM is the root of its region's tree
+	slotsByRegion map[string]int // of targets that neither leave nor are evacuated
+	otherTargets  []*targetState // in other regions
+	spare         spareSlotsInUse
+	turn          float64 // of this VM to use parts of spare slots
+	demandMeter   demandMeter
+	objective     time.Duration     // shortest objective of any request; 0: none
+	queue         []*WaitingRequest // in the order in which it is served
+	ranking       rankingCache
+	tokens        tokenUse
+	overload      overloadState
+	returns       returns
+
+	// overloadControl enables demand metering, planned returns and, by the document, admission.
+	overloadControl bool
 
 	notices      notices
 	speeds       poolSpeeds
@@ -104,18 +125,20 @@
 		o.Limits = noRateLimits{}
 	}
 	return &Pool{
-		region:       o.Region,
-		chooseTarget: chooseFuncs[o.Policy],
-		rand:         o.Rand,
-		targets:      make(map[string]*targetState),
-		byID:         make(map[uint32]*targetState),
-		inUse:        make(map[*targetState]bool),
-		inPeerUse:    make(map[*targetState]bool),
-		classTimes:   make(classTimes),
-		roundTrips:   make(map[string]movingAverage),
-		tokens:       tokenUse{limits: o.Limits, refusedAt: make(map[int]time.Time)},
-		notices:      make(notices),
-		newObjects:   make(map[uint32][]string),
+		region: o.Region,
+
+		overloadControl: o.OverloadControl,
+		chooseTarget:    chooseFuncs[o.Policy],
+		rand:            o.Rand,
+		targets:         make(map[string]*targetState),
+		byID:            make(map[uint32]*targetState),
+		inUse:           make(map[*targetState]bool),
+		inPeerUse:       make(map[*targetState]bool),
+		classTimes:      make(classTimes),
+		roundTrips:      make(map[string]movingAverage),
+		tokens:          tokenUse{limits: o.Limits, refusedAt: make(map[int]time.Time)},
+		notices:         make(notices),
+		newObjects:      make(map[uint32][]string),
 	}
 }
 
@@ -123,6 +146,7 @@
 func (p *Pool) SetFleet(f Fleet) {
 	p.fleet = f
 	p.fleetVersion++
+	p.setTurn()
 	p.regionVMs = 0
 	for _, vm := range f.VMs {
 		if vm.Region == p.region {
@@ -136,6 +160,7 @@
 	p.listVersion++
 	listed := 0
 	p.sortedTargets = p.sortedTargets[:0]
+	p.otherTargets = p.otherTargets[:0]
 	p.totalSlots = 0
 	for _, t := range svc.AllTargets {
 		s := p.targets[t.Name]
@@ -153,6 +178,9 @@
 		s.coldUntil = later(s.coldUntil, v.ColdUntil[t.Name])
 		p.totalSlots += s.Slots
 		p.sortedTargets = append(p.sortedTargets, s)
+		if s.Region != p.region {
+			p.otherTargets = append(p.otherTargets, s)
+		}
 	}
 	if len(p.targets) > listed {
 		p.dropUnlisted()
@@ -167,7 +195,9 @@
 	p.coldDuration = svc.ColdMS.Duration()
 	p.remoteWeight = p.computeRemoteWeight()
 	p.weighTargets()
+	p.updateSlots()
 	p.ranking.clear()
+	p.spare.ranking.clear()
 }
 
 // dropUnlisted drops the targets that are not in the present list.
@@ -182,7 +212,7 @@
 	p.notices.prune(p.targets)
 }
 
-// computeRemoteWeight returns the weight of a slot in another region. It grows the more this
+// computeRemoteWeight returns the default weight of a slot in another region. It grows the more this
 // region's slots fall short of an equal share.
 func (p *Pool) computeRemoteWeight() float64 {
 	regions := make(map[string]bool)
@@ -213,11 +243,13 @@
 	class            string
 	rank             int           // position among the object's targets; 0 is the first
 	known            bool          // the object is recorded at the target, or the request has none
+	spare            int           // free slots at the target, less than 0: requests queued there
 	queued           bool          // all slots were in use, so the request queues at the target
 	ahead            int           // requests at the target that must end before it runs
 	ownRequests      int           // requests of this VM at the target
 	reportedRequests int           // requests of other VMs at the target's last load report
 	reportAge        time.Duration // age of that report
+	usesSpare        bool          // the target is in another region, as the object's candidates are full
 }
 
 // Target returns the target.
@@ -236,7 +268,10 @@
 
 func (p *Pool) choose(req *Request, now time.Time) *Selection {
 	p.tokens.preferred = p.tokens.preferred[:0]
-	return p.chooseTarget(p, req, now)
+	if sel := p.chooseTarget(p, req, now); sel != nil {
+		return sel
+	}
+	return p.chooseSpare(req, now)
 }
 
 // chooseCompletion implements PolicyCompletion.
@@ -248,24 +283,27 @@
 		if !ok {
 			continue
 		}
-		cost := p.estimateAnswer(t, req, known, rank, now) + time.Duration(rank)*rankPenalty
+		cost := p.estimateAnswer(t, req, known, rank, now) + p.preference(t, req, rank, now)
 		if best == nil || cost < bestCost {
 			best = p.newSelection(t, req, rank, known, now)
 			bestCost = cost
 		}
 	}
 	if p.speeds.differ && (best == nil || !p.inTime(best.target, req, best.known, best.rank, now)) {
-		if further := p.chooseFurther(req, now); further != nil {
+		if further := p.chooseInTime(req, now); further != nil {
 			return further
 		}
 	}
+	if p.looksFurther(req, bestCost, best != nil, now) {
+		return p.chooseFurther(req, best, bestCost, now)
+	}
 	return best
 }
 
 // hasRoom reports whether the target of the given rank may get the request now, and whether its object
 // is known there.
 func (p *Pool) hasRoom(t *targetState, req *Request, rank int, now time.Time) (known, ok bool) {
-	if !p.hasCapacity(t, now) {
+	if !p.hasCapacityFor(t, req, now) {
 		return false, false
 	}
 	known = req.Key == "" || t.objects.known(req.Key)
@@ -280,6 +318,7 @@
 		class:            req.Class,
 		rank:             rank,
 		known:            known,
+		spare:            t.Slots - t.load(now),
 		queued:           t.load(now) >= t.Slots,
 		ahead:            max(0, t.load(now)-t.Slots+1),
 		ownRequests:      t.ownRequests,
@@ -360,12 +399,7 @@
 func (p *Pool) rank(key string, n int) []*targetState {
 	return rendezvous.TopWeighted(key, p.sortedTargets, n,
 		func(t *targetState) string { return t.Name },
-		func(t *targetState) float64 {
-			if t.Region != p.region {
-				return t.weight * p.remoteWeight
-			}
-			return t.weight
-		})
+		func(t *targetState) float64 { return t.weight * t.slotWeight })
 }
 
 // hashKey returns the key by which targets are ranked: the object's, or a random one.
@@ -405,6 +439,9 @@
 	t := sel.target
 	t.ownRequests++
 	p.inUse[t] = true
+	if sel.usesSpare {
+		p.spare.acquire(sel.index.Region)
+	}
 	t.lastRequest = now
 	if sel.key != "" {
 		t.objects.add(sel.key, now)
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -47,6 +47,9 @@
 	if t.ownRequests == 0 {
 		delete(p.inUse, t)
 	}
+	if sel.usesSpare {
+		p.spare.release(sel.index.Region)
+	}
 	if r.Load != nil {
 		t.applyReport(r.Load, t.ownRequests, p.reportTTL(t, r.Load), now)
 	}
@@ -71,8 +74,11 @@
 			t.ejectedUntil = now.Add(ejected)
 		}
 	default:
+		p.observeRun(sel, r.Latency, now)
 		t.failures = 0
 		t.recordSuccess(p.coldDuration, now)
+		p.returns.recordCompletion(now)
+		p.recordClassRun(sel, &r, now)
 		p.recordRun(sel, &r, now)
 	}
 	return ejected
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -13,19 +13,20 @@
 
 // reportLoop sends load reports until the context is done.
 func (a *Admitter) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(ReportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(ReportInterval)
+	defer timer.Stop()
 	var collected <-chan time.Time // fires when reports have been collected for GatherDelay; nil: none are pending
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(a.reportInterval())
 			a.publishReport()
 		case <-collected:
 			collected = nil
 			a.publishReport()
 		case <-a.reportReceived:
 			if collected == nil {
-				collected = time.After(GatherDelay)
+				collected = time.After(a.gatherDelay())
 			}
 		case <-ctx.Done():
 			return
@@ -33,6 +34,21 @@
 	}
 }
 
+// reportInterval returns the time until the next report.
+func (a *Admitter) reportInterval() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aggregator.SetShort(a.anyShort(a.deps.Clock.Now()))
+	return a.aggregator.Interval()
+}
+
+// gatherDelay returns how long to collect reports before forwarding them.
+func (a *Admitter) gatherDelay() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.aggregator.Gather()
+}
+
 // publishReport sends the next report, if one is due.
 func (a *Admitter) publishReport() {
 	a.mu.Lock()
@@ -40,12 +56,16 @@
 	for _, p := range a.pools {
 		a.recordSpeedChanges(p, p.expireUsage(now))
 	}
+	a.decideAlone(now)
 	next := a.aggregator.Next(a.ownUsage, now)
 	kind := peer.KindUsageReport
 	if next.Total {
 		kind = peer.KindUsageTotal
 		a.applyTotal(next.Report, now)
 	}
+	for name, p := range a.pools {
+		a.showSplit(name, p)
+	}
 	a.mu.Unlock()
 	a.sendReport(next.To, kind, next.Report)
 }
@@ -60,8 +80,11 @@
 // ownUsage returns this VM's usage. a.mu is held.
 func (a *Admitter) ownUsage() *LoadReport {
 	r := &LoadReport{Services: make(map[string]*Usage)}
+	now := a.deps.Clock.Now()
 	for name, p := range a.pools {
-		if u := p.ReportUsage(); !u.Empty() {
+		u := p.ReportUsage()
+		u.Demand = p.Demand(now)
+		if !u.Empty() {
 			r.Services[name] = u
 		}
 	}
@@ -107,10 +130,20 @@
 			names = append(names, m.Name)
 		}
 	}
-	p, _ := TreePositionOf(a.deps.VM.Name, names) // a leaving VM has no position and sends nothing
+	p, inTree := TreePositionOf(a.deps.VM.Name, names) // a leaving VM has no position and sends nothing
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.aggregator.SetPosition(p)
+	a.inTree = inTree
+	switch isRoot := inTree && p.Parent == ""; {
+	case !isRoot:
+		a.rootSince = time.Time{}
+	case a.rootSince.IsZero():
+		a.rootSince = a.deps.Clock.Now()
+		for _, pool := range a.pools {
+			pool.planner = regionPlanner{} // another root has decided since
+		}
+	}
 }
 
 // handleReport stores a child's report and signals reportLoop to forward it.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -24,6 +24,7 @@
 	listVersion uint64  // Pool.listVersion of the last list that had the target
 	coldUntil   time.Time
 	evacuated   bool
+	slotWeight  float64 // weight of a slot in the ranking of an object's targets
 
 	ownRequests      int           // requests of this VM at the target
 	reportedRequests int           // requests of other VMs at the target's last load report
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -20,6 +20,12 @@
 	Demand *overload.Demand `msgpack:"d,omitempty"`
 	// Limits is the region's admission decision; only totals have it.
 	Limits *overload.Limits `msgpack:"a,omitempty"`
+	// Split is the fraction of the region's requests to run in each region; empty: the default shares;
+	// nil: not known. Only totals have it.
+	Split map[string]float64 `msgpack:"s,omitempty"`
+	// Spare is the number of slots of other regions that each VM may use for requests whose candidates
+	// are full, by region. Only totals have it.
+	Spare map[string]float64 `msgpack:"f,omitempty"`
 }
 
 // SpeedSample sums the slowness of runs at a target: the ratio of a run time to the mean of its class,
@@ -33,9 +39,10 @@
 	return &Usage{Running: make(map[uint32]int), Objects: make(map[uint32][]string)}
 }
 
-// Empty reports whether there are neither requests, objects nor runs.
+// Empty reports whether there are neither requests, objects nor runs, nor demand or decisions of the root.
 func (u *Usage) Empty() bool {
-	return len(u.Running) == 0 && len(u.Objects) == 0 && len(u.Speeds) == 0
+	return len(u.Running) == 0 && len(u.Objects) == 0 && len(u.Speeds) == 0 && u.Demand.Empty() && u.Limits == nil &&
+		u.Split == nil && len(u.Spare) == 0
 }
 
 // maxRunning bounds the number of requests at one target in a merged report.
@@ -50,6 +57,17 @@
 	}
 }
 
+// addDemand adds the demand in other.
+func (u *Usage) addDemand(other *Usage) {
+	if other.Demand.Empty() {
+		return
+	}
+	if u.Demand == nil {
+		u.Demand = &overload.Demand{}
+	}
+	u.Demand.Add(other.Demand)
+}
+
 // addObjects adds the objects in other.
 func (u *Usage) addObjects(other *Usage) {
 	for id, keys := range other.Objects {
@@ -102,12 +120,15 @@
 		}
 	}
 	p.usageExpires = now.Add(ttl)
+	p.applyLimits(total.Limits, ttl, now)
+	p.ApplyRegions(RegionDecision{Split: total.Split, Spare: total.Spare}, ttl, now)
 	return p.applySpeeds(total.Speeds, now)
 }
 
-// expireUsage drops the region's total if its TTL has passed. It returns the targets whose shared slowness
-// has changed as it decays.
+// expireUsage drops the region's total if its TTL has passed, and moves the split if a step is due. It returns
+// the targets whose shared slowness has changed as it decays.
 func (p *Pool) expireUsage(now time.Time) []SpeedChange {
+	p.stepSplit(now)
 	if !now.Before(p.usageExpires) {
 		p.clearPeerUse()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,14 @@
 	// configuration document does not list them.
 	RegionByZone map[string]string `json:"places,omitempty"`
 	Bounds       Bounds            `json:"bounds,omitzero"`
+	Overload     Overload          `json:"overload,omitzero"`
+}
+
+// Overload configures what VMs and regions decide together while a service is short of capacity.
+type Overload struct {
+	// Enabled turns on admission by priority and customer, the use of other regions' capacity, and planned
+	// returns of refused callers. Whether a service has priorities or customers follows from the document.
+	Enabled bool `json:"enabled,omitempty"`
 }
 
 // Bounds are the guarantees and requirements that the environment sets for the
