--- a/internal/e2e/memfleet_test.go
+++ b/internal/e2e/memfleet_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	memTimeout = 2 * time.Second // of a caller's request
 	memWork    = 100 * time.Millisecond
 	memSlots   = 5
+	memBetween = 30 * time.Millisecond // one way between regions
 )
 
 // memPlaces are the availability zones of the memory fleet, by region.
@@ -36,20 +38,36 @@
 
 var memZones = []string{"a1", "a2", "b1", "b2"}
 
-// memDelay is the time one way between two hosts.
-func memDelay(from, to network.Host) time.Duration {
-	switch {
-	case memPlaces[from.Zone] != memPlaces[to.Zone]:
-		return 30 * time.Millisecond
-	case from.Zone != to.Zone:
-		return time.Millisecond
+// memDelay returns the time one way between two hosts, given that between regions.
+func memDelay(between time.Duration) network.Delays {
+	return func(from, to network.Host) time.Duration {
+		switch {
+		case memPlaces[from.Zone] != memPlaces[to.Zone]:
+			return between
+		case from.Zone != to.Zone:
+			return time.Millisecond
+		}
+		return 200 * time.Microsecond
 	}
-	return 200 * time.Microsecond
+}
+
+// memOptions are the properties of a memory fleet.
+type memOptions struct {
+	vms      int
+	zones    []string       // of the VMs, in turn
+	targets  map[string]int // by availability zone
+	between  time.Duration  // one way between regions
+	document string
+	slots    int                             // of each target
+	queue    int                             // requests that may wait at a target; more are refused as not run; 0: no bound
+	work     func(path string) time.Duration // run time at a target of usual speed
+	overload bool                            // overload control is enabled in the settings
 }
 
 // memFleet is a fleet of daemons on the platform within one process, in fake time,
 // with targets and callers.
 type memFleet struct {
+	options    memOptions
 	t          *testing.T
 	processors int // GOMAXPROCS before the test
 	net        *network.Memory
@@ -62,8 +80,9 @@
 	runs   []memRun
 	losses []time.Time
 	ids    int
-	mended bool // no request crashes targets any more
-	over   bool // no target starts any more
+	hosts  []network.Host // of callers
+	mended bool           // no request crashes targets any more
+	over   bool           // no target starts any more
 }
 
 // memRun is a request that reached a target.
@@ -112,20 +131,34 @@
 // newMemFleet starts a number of VMs, and of targets in each availability zone. It
 // is to be called within a bubble of synctest; stop ends it.
 func newMemFleet(t *testing.T, vms, targetsPerZone int) *memFleet {
+	t.Helper()
+	o := memOptions{
+		vms: vms, zones: memZones, targets: make(map[string]int), between: memBetween, document: memDocument,
+		slots: memSlots, work: func(string) time.Duration { return memWork },
+	}
+	for _, zone := range memZones {
+		o.targets[zone] = targetsPerZone
+	}
+	return startMemFleet(t, o)
+}
+
+// startMemFleet starts a fleet within a bubble of synctest; stop ends it.
+func startMemFleet(t *testing.T, o memOptions) *memFleet {
 	t.Helper()
 	f := &memFleet{
+		options: o,
 		// The race detector crashes if timers of one bubble run on several threads at once.
 		processors: runtime.GOMAXPROCS(1),
-		t:          t, net: network.NewMemory(memDelay), objects: platformtest.NewStore(),
-		random: rand.New(rand.NewPCG(1, uint64(vms))),
+		t:          t, net: network.NewMemory(memDelay(o.between)), objects: platformtest.NewStore(),
+		random: rand.New(rand.NewPCG(1, uint64(o.vms))),
 	}
-	f.objects.Put("config", "main", []byte(memDocument))
+	f.objects.Put("config", "main", []byte(o.document))
 	for i, zone := range memZones {
-		for j := range targetsPerZone {
+		for j := range o.targets[zone] {
 			f.addTarget(zone, fmt.Sprintf("10.1.%d.%d", i, j+1))
 		}
 	}
-	for i := range vms {
+	for i := range o.vms {
 		f.addVM(i)
 	}
 	for _, v := range f.vms {
@@ -136,7 +169,7 @@
 }
 
 func (f *memFleet) addVM(number int) {
-	zone := memZones[number%len(memZones)]
+	zone := f.options.zones[number%len(f.options.zones)]
 	v := &memVM{
 		host: network.Host{Name: fmt.Sprintf("vm-%d", number+1), Zone: zone, IP: fmt.Sprintf("10.0.0.%d", number+1)},
 		log:  &logBuffer{},
@@ -156,9 +189,11 @@
 		},
 		Peers:        settings.Peers{Seeds: []string{"10.0.0.1:7620", "10.0.0.2:7620", "10.0.0.3:7620"}},
 		RegionByZone: memPlaces,
+		Overload:     settings.Overload{Enabled: f.options.overload},
 		Bounds: settings.Bounds{
 			StopGrace: 6 * time.Second, TargetDrain: memDrain, ConfigInForce: 2500 * time.Millisecond,
 			ZoneEvacuation: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+			LimitWindow: 5 * time.Second, LimitOverage: 0.1, LimitSlack: 20,
 		},
 	}
 	if err := s.Check(); err != nil {
@@ -216,6 +251,7 @@
 	object             string
 	header             map[string]string
 	chunked            bool
+	within             time.Duration // time left to the caller; 0: memTimeout
 }
 
 // result is what a caller got.
@@ -230,6 +266,7 @@
 	f.mu.Lock()
 	f.ids++
 	host := network.Host{Name: fmt.Sprintf("caller-%d", f.ids), Zone: zone, IP: fmt.Sprintf("10.3.%d.%d", f.ids/250, 1+f.ids%250)}
+	f.hosts = append(f.hosts, host)
 	f.mu.Unlock()
 	f.net.Add(host)
 	dial := f.net.Dialer(host)
@@ -249,14 +286,17 @@
 	if c.chunked {
 		body = io.MultiReader(body)
 	}
-	req, err := http.NewRequest(c.method, "http://"+v.host.IP+":8641"+c.path, body)
+	within := cmp.Or(c.within, memTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(c.within, memTimeout+time.Second))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+v.host.IP+":8641"+c.path, body)
 	if err != nil {
 		f.t.Error(err)
 		return result{}
 	}
 	req.Host = "one.example"
 	req.Header.Set("Masticturn-Request-Id", id)
-	req.Header.Set("Masticturn-Deadline-Ms", fmt.Sprint(memTimeout.Milliseconds()))
+	req.Header.Set("Masticturn-Deadline-Ms", fmt.Sprint(within.Milliseconds()))
 	req.Header.Set("X-Sent", fmt.Sprint(time.Now().UnixNano()))
 	if c.object != "" {
 		req.Header.Set("Masticturn-Affinity-Key", c.object)
--- a/internal/e2e/memtarget_test.go
+++ b/internal/e2e/memtarget_test.go
@@ -36,6 +36,7 @@
 	leaving bool
 	told    map[string]time.Time // by IP of the VM: first answer since it leaves
 	refuse  string               // Retry-After with which it turns all away; empty: it does not
+	slower  float64              // its run times, in multiples of the usual ones; 0: as usual
 	limits  memLimits
 	came    []memArrival
 }
@@ -54,6 +55,7 @@
 	server  *http.Server
 	slots   chan struct{}
 	running atomic.Int64
+	waiting atomic.Int64
 }
 
 func (f *memFleet) addTarget(zone, ip string) {
@@ -79,7 +81,7 @@
 		return
 	}
 	g.starts++
-	s := &memStart{target: g, id: fmt.Sprintf("i-%s-%d", g.host.IP, g.starts), slots: make(chan struct{}, memSlots)}
+	s := &memStart{target: g, id: fmt.Sprintf("i-%s-%d", g.host.IP, g.starts), slots: make(chan struct{}, g.fleet.options.slots)}
 	s.server = &http.Server{Handler: s}
 	g.start = s
 	g.leaving, g.told = false, make(map[string]time.Time)
@@ -90,7 +92,7 @@
 
 func (s *memStart) entry(state string) []byte {
 	return fmt.Appendf(nil, `{"address":"%s:8000","info":{"service":"s","version":"v1","zone":%q,"slots":%d},`+
-		`"status":{"state":%q,"sequence":1,"coldRemaining":"0ms"}}`, s.target.host.IP, s.target.host.Zone, memSlots, state)
+		`"status":{"state":%q,"sequence":1,"coldRemaining":"0ms"}}`, s.target.host.IP, s.target.host.Zone, cap(s.slots), state)
 }
 
 // crash ends the target's process; it comes back a little later.
@@ -136,8 +138,9 @@
 	if s.target.turnsAway(w, r) {
 		return
 	}
-	s.note(r)
-	s.slots <- struct{}{}
+	if !s.takeSlot(w, r) {
+		return
+	}
 	defer func() { <-s.slots }()
 	s.running.Add(1)
 	defer s.running.Add(-1)
@@ -151,15 +154,66 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case <-time.After(memWork):
+	case <-time.After(s.target.runTime(r.URL.Path)):
 	case <-r.Context().Done():
 		return
 	}
 	s.answer(w, r)
 }
 
+// takeSlot waits for a slot. It answers as not run if the queue is full.
+func (s *memStart) takeSlot(w http.ResponseWriter, r *http.Request) bool {
+	select {
+	case s.slots <- struct{}{}:
+		s.note(r)
+		return true
+	default:
+	}
+	defer s.waiting.Add(-1)
+	if n, most := s.waiting.Add(1), s.target.fleet.options.queue; most > 0 && n > int64(most) {
+		s.tellLoad(w, 0, 1)
+		w.Header().Set("Masticturn-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	s.note(r)
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// tellLoad reports the load without the request that the response is about. Targets with a bounded queue
+// also report the waiting requests and the work percent.
+func (s *memStart) tellLoad(w http.ResponseWriter, running, waiting int64) {
+	load := fmt.Sprintf("%d,0,%d", max(s.running.Load()-running, 0), cap(s.slots))
+	if s.target.fleet.options.queue > 0 {
+		load = fmt.Sprintf("%d,%d,%d,100", max(s.running.Load()-running, 0), max(s.waiting.Load()-waiting, 0), cap(s.slots))
+	}
+	w.Header().Set("Masticturn-Server-Load", load)
+}
+
+// setSlower changes the target's run times; the work percent that it reports stays.
+func (g *memTarget) setSlower(factor float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slower = factor
+}
+
+func (g *memTarget) runTime(path string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	work := g.fleet.options.work(path)
+	if g.slower > 0 {
+		work = time.Duration(g.slower * float64(work))
+	}
+	return work
+}
+
 func (s *memStart) answer(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Masticturn-Server-Load", fmt.Sprintf("%d,0,%d", max(s.running.Load()-1, 0), memSlots))
+	s.tellLoad(w, 1, 0)
 	w.Header().Set("Masticturn-Server-Signature", s.id)
 	if s.target.tells(r) {
 		w.Header().Set("Server-Leaving", "1")
