Overload control: what a review of the parts found

A new root lifted the limits by its first totals, which lack the demand of some VMs, and one that was root before decided by old state; returns were judged by the mean run time of all classes; targets with a rate limit counted as no capacity before a first run; a request of the highest priority was told that higher ones need the capacity; a blocked request bound to regions held lower ones back from targets it cannot use; loads between regions left out priorities of 32 and more; a VM without the setting followed the split of a root with it; the objects of a VM alone in its region were kept for a report that is never sent.

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -35,7 +35,7 @@
 }
 
 // joinAnswerTimeout is how long a candidate may take to answer until another one is asked: two round trips to
-// another region of 55 ms one way. While a whole fleet starts, candidates that have no power yet do not answer,
+// another region of 55 ms one way. While a whole fleet starts, candidates whose process isn't running yet do not answer,
 // and asking several at once would multiply the transfers of tables.
 const joinAnswerTimeout = 250 * time.Millisecond
 
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -48,7 +48,9 @@
 		return nil
 	}
 	r := p.refuseNoCapacity(req, now)
-	r.Reason = reasonPriority
+	if req.Priority > p.overload.scope.highest {
+		r.Reason = reasonPriority
+	}
 	if gate.SharedByCustomer(req.Priority, customer, now) {
 		r.Reason = reasonFairShare
 	}
@@ -145,9 +147,11 @@
 	return b.req != nil && b.req.Priority < req.Priority
 }
 
-// holds reports whether a request must wait since one of a higher priority without an object does, which
-// could use any target.
-func (b *blockedRequest) holds(req *Request) bool { return b.before(req) && b.req.Key == "" }
+// holds reports whether a request must wait since one of a higher priority does that could use any target.
+func (b *blockedRequest) holds(req *Request) bool {
+	return b.before(req) && b.req.Key == "" && len(b.req.Exclude) == 0 && !b.req.tokensWanted &&
+		(b.req.Rule == nil || len(b.req.Rule.AllowedRegions) == 0)
+}
 
 // chooseInTurn is Choose for a request in the queue, which a blocked one of a higher priority may hold.
 func (p *Pool) chooseInTurn(req *Request, now time.Time) *Selection {
@@ -235,8 +239,9 @@
 	if !p.tokens.limits.Any() {
 		return slots
 	}
-	if state := p.tokens.limits.State(t.TargetIndex); state.Limited {
-		return min(slots, state.PerSecond*p.runTimes.expect(true, 0).Seconds())
+	run := p.runTimes.expect(true, 0) // 0: not known yet
+	if state := p.tokens.limits.State(t.TargetIndex); state.Limited && run > 0 {
+		return min(slots, state.PerSecond*run.Seconds())
 	}
 	return slots
 }
--- a/internal/placement/overload_root.go
+++ b/internal/placement/overload_root.go
@@ -43,6 +43,9 @@
 			u = newUsage()
 		}
 		limits, load := p.Decide(u, a.deps.RegionLoads.Others(name), now)
+		if limits == nil && now.Sub(a.rootSince) < rootSettleTime && p.overload.gate.Short(now) {
+			limits = &overload.Limits{} // the first totals of a new root lack the demand of some VMs
+		}
 		loads[name] = load
 		a.logLimits(name, p, limits, now)
 		if limits != nil {
@@ -52,6 +55,14 @@
 	return loads
 }
 
+// resetDecisions forgets what this VM has decided as the root of its region's tree.
+func (p *Pool) resetDecisions() {
+	p.planner = regionPlanner{}
+	if p.overload.gate != nil {
+		p.overload.decider = overload.NewDecider(p.region)
+	}
+}
+
 // anyShort reports whether any service is short of capacity. a.mu is held.
 func (a *Admitter) anyShort(now time.Time) bool {
 	for _, p := range a.pools {
--- a/internal/placement/overload_runs.go
+++ b/internal/placement/overload_runs.go
@@ -44,6 +44,9 @@
 	r := c.byClass[class]
 	switch {
 	case r == nil:
+		if len(c.byClass) >= maxClasses {
+			clear(c.byClass)
+		}
 		c.byClass[class] = &classRun{movingAverage(d), waited}
 	case !waited && r.bound:
 		*r = classRun{mean: movingAverage(d)}
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -241,7 +241,7 @@
 // no demand. It returns the load for the other regions; ok is false if the part is off for the service.
 func (p *Pool) PlanRegions(known *overload.RegionLoad, others map[string]overload.RegionLoad, now time.Time) (load overload.RegionLoad, d RegionDecision, ok bool) {
 	switch {
-	case len(p.slotsByRegion) < 2:
+	case !p.overloadControl || len(p.slotsByRegion) < 2:
 		p.planner = regionPlanner{reason: reasonOneRegion}
 		return load, d, false
 	case known != nil:
@@ -253,7 +253,7 @@
 		return load, d, false
 	}
 	if p.planner.wanted == nil && p.split.wanted != nil {
-		p.planner.wanted = p.split.wanted // as the last root decided
+		p.planner.wanted, p.planner.lacking = p.split.wanted, true // as the last root decided
 	}
 	d = p.planner.decide(&regionInputs{
 		region: p.region, own: load, others: others, defaults: p.defaultShares(), vms: p.vmsByRegion(),
@@ -273,6 +273,9 @@
 // ApplyRegions applies the decision of the region's root, valid for ttl. A decision without a split leaves
 // the present one to expire.
 func (p *Pool) ApplyRegions(d RegionDecision, ttl time.Duration, now time.Time) {
+	if !p.overloadControl {
+		return
+	}
 	if d.Split != nil {
 		p.setSplit(d.Split, now)
 	}
--- a/internal/placement/reporting.go
+++ b/internal/placement/reporting.go
@@ -57,6 +57,11 @@
 		a.recordSpeedChanges(p, p.expireUsage(now))
 	}
 	a.decideAlone(now)
+	if a.aggregator.alone() {
+		for _, p := range a.pools {
+			clear(p.newObjects) // no other VM is told
+		}
+	}
 	next := a.aggregator.Next(a.ownUsage, now)
 	kind := peer.KindUsageReport
 	if next.Total {
@@ -141,7 +146,7 @@
 	case a.rootSince.IsZero():
 		a.rootSince = a.deps.Clock.Now()
 		for _, pool := range a.pools {
-			pool.planner = regionPlanner{} // another root has decided since
+			pool.resetDecisions() // another root has decided since
 		}
 	}
 }
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -21,9 +21,8 @@
 	timeoutWindow = 30 * time.Second
 	// maxPlannedReturns bounds the returns that a VM keeps for a service.
 	maxPlannedReturns = 512
-	// minReturnRate is the lowest rate in returns/s, used while no completions are known. With 4
-	// to 8/s, the worst region of the emulation's bookings lost 0.002 of its worth, as VMs that
-	// serve few requests held callers back longer than needed.
+	// minReturnRate is the lowest rate in returns/s, used while no completions are known. Lower
+	// rates hold callers back longer than needed at VMs that serve few requests.
 	minReturnRate = 12.0
 	// maxCompletions is the number of completions that the rate is measured from, and
 	// completionWindow their maximum age.
@@ -192,7 +191,7 @@
 	}
 	p.returns.recordRefusal(now)
 	limit := latestRetryAfter(req, now)
-	if !canReturn(req, p.runTimes.expect(true, 0), now) {
+	if !canReturn(req, p.timesOf(req.Class).expect(true, 0), now) {
 		return limit
 	}
 	earliest := min(max(wait, minRetryAfter), limit)
@@ -204,13 +203,16 @@
 // requests get the place of their first attempt, and no request waits longer than an answer is possible.
 func (p *Pool) newWaiting(req *Request, now time.Time) *WaitingRequest {
 	w := &WaitingRequest{Request: req, waitUntil: p.waitUntil(req), firstAttempt: req.Arrived}
+	if !p.overloadControl {
+		return w
+	}
 	first, returning := p.returns.firstAttempt(req, now)
 	req.Returning = returning
-	if !p.overloadControl || !p.returns.short(now) {
+	if !p.returns.short(now) {
 		return w
 	}
 	w.firstAttempt = first
-	run := p.runTimes.expect(true, 0)
+	run := p.timesOf(req.Class).expect(true, 0)
 	if run > 0 && !canReturn(req, run, now) {
 		w.waitUntil = now // it is placed now or refused
 		return w
--- a/internal/regionload/message.go
+++ b/internal/regionload/message.go
@@ -13,8 +13,9 @@
 	// maxSlots is the largest number of slots that a region is believed to have or need.
 	maxSlots = 1e6
 	// maxServices and maxPriorities bound the memory that a message can take. Those beyond are ignored.
+	// Documents have priorities 0 to 100.
 	maxServices   = 256
-	maxPriorities = 32
+	maxPriorities = 101
 )
 
 // message is the load of the sender's region. Messages are encoded as arrays whose length must not
