--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -168,11 +168,11 @@
 		RateLimits:  w.targetLimits,
 		RegionLoads: w.regionLoads,
 
-		OverloadControl: d.settings.Overload.Enabled,
-		Bounds:          d.settings.Bounds,
-		Metrics:         d.opts.Metrics,
-		Clock:           d.opts.Clock,
-		Logger:          d.opts.Logger,
+		Overload: d.settings.Overload,
+		Bounds:   d.settings.Bounds,
+		Metrics:  d.opts.Metrics,
+		Clock:    d.opts.Clock,
+		Logger:   d.opts.Logger,
 	})
 	w.tunnels.SetNotices(a)
 	return a, nil
--- a/internal/e2e/loadgen_test.go
+++ b/internal/e2e/loadgen_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"masticturn/internal/placement"
+	"masticturn/internal/settings"
 )
 
 // Sizes of the fleets under load, and the load that lets the VMs measure run times before the load that counts.
@@ -103,7 +104,7 @@
 	}
 	f := startMemFleet(t, memOptions{
 		vms: c.vms, zones: loadZones, targets: c.targets, between: loadBetween, document: c.document(),
-		slots: loadSlots, queue: loadQueue, work: c.work, overload: true,
+		slots: loadSlots, queue: loadQueue, work: c.work, overload: settings.Overload{Admission: true, Speeds: true, Regions: true, Returns: true},
 	})
 	defer f.stop()
 	l := &loadRun{loadCase: c, fleet: f, clients: make(map[string]*http.Client), removed: make(map[*memVM]bool)}
--- a/internal/e2e/memfleet_test.go
+++ b/internal/e2e/memfleet_test.go
@@ -61,7 +61,7 @@
 	slots    int                             // of each target
 	queue    int                             // requests that may wait at a target; more are refused as not run; 0: no bound
 	work     func(path string) time.Duration // run time at a target of usual speed
-	overload bool                            // overload control is enabled in the settings
+	overload settings.Overload
 }
 
 // memFleet is a fleet of daemons on the platform within one process, in fake time,
@@ -189,7 +189,7 @@
 		},
 		Peers:        settings.Peers{Seeds: []string{"10.0.0.1:7620", "10.0.0.2:7620", "10.0.0.3:7620"}},
 		RegionByZone: memPlaces,
-		Overload:     settings.Overload{Enabled: f.options.overload},
+		Overload:     f.options.overload,
 		Bounds: settings.Bounds{
 			StopGrace: 6 * time.Second, TargetDrain: memDrain, ConfigInForce: 2500 * time.Millisecond,
 			ZoneEvacuation: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -48,8 +48,8 @@
 	ShareNotice func(target string, leaving bool, backoff time.Duration)
 	// RateLimits grants requests under the rate limits that targets name; nil: there are none.
 	RateLimits RateLimiter
-	// OverloadControl enables what VMs and regions decide together while a service is short of capacity.
-	OverloadControl bool
+	// Overload enables what VMs and regions decide together while a service is short of capacity.
+	Overload settings.Overload
 	// RegionLoads exchanges loads with other regions; nil: nothing is known of them.
 	RegionLoads RegionLoads
 	Clock       kernel.Clock
@@ -100,7 +100,7 @@
 	if d.RateLimits == nil {
 		d.RateLimits = noRateLimits{}
 	}
-	if d.RegionLoads == nil || !d.OverloadControl {
+	if d.RegionLoads == nil || !d.Overload.Regions {
 		d.RegionLoads = noRegionLoads{}
 	}
 	a := &Admitter{
@@ -180,7 +180,7 @@
 					Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 					Limits: a.deps.RateLimits,
 
-					OverloadControl: a.deps.OverloadControl,
+					Overload: a.deps.Overload,
 				}),
 				name:    svc.Name,
 				waiters: make(map[*WaitingRequest]chan struct{}),
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -32,7 +32,7 @@
 }
 
 // metersDemand reports whether the pool's demand is measured: other regions may have capacity for it.
-func (p *Pool) metersDemand() bool { return p.overloadControl && len(p.slotsByRegion) > 1 }
+func (p *Pool) metersDemand() bool { return p.enabled.Regions && len(p.slotsByRegion) > 1 }
 
 // observeArrival records the arrival of a request. One that another target has not run has arrived before.
 func (p *Pool) observeArrival(req *Request, now time.Time) {
--- a/internal/placement/emulation/run.go
+++ b/internal/placement/emulation/run.go
@@ -10,6 +10,7 @@
 	"masticturn/internal/discovery"
 	"masticturn/internal/placement"
 	"masticturn/internal/quarantine"
+	"masticturn/internal/settings"
 	"masticturn/internal/targetconn"
 )
 
@@ -148,7 +149,7 @@
 		fleet.VMs = append(fleet.VMs, placement.VM{Name: v.name, Region: v.region})
 	}
 	for _, v := range s.vms {
-		v.pool = placement.NewPool(placement.Options{Region: v.region, Policy: s.policy, Rand: s.rng, OverloadControl: s.workload.RegionLoads})
+		v.pool = placement.NewPool(placement.Options{Region: v.region, Policy: s.policy, Rand: s.rng, Overload: settings.Overload{Regions: s.workload.RegionLoads, Speeds: s.workload.SlowHalf.Factor > 0}})
 		fleet.Self = v.name
 		v.pool.SetFleet(fleet)
 		v.aggregator = placement.NewAggregator()
--- a/internal/placement/overload_root.go
+++ b/internal/placement/overload_root.go
@@ -11,7 +11,7 @@
 
 // applyScopes switches admission by priority and customer on or off for each service. a.mu is held.
 func (a *Admitter) applyScopes(s *config.Snapshot) {
-	if !a.deps.OverloadControl {
+	if !a.deps.Overload.Admission {
 		return
 	}
 	scopes := a.scopes.of(s)
--- a/internal/placement/overload_rules_test.go
+++ b/internal/placement/overload_rules_test.go
@@ -258,7 +258,7 @@
 		set := metrics.NewSet()
 		a := NewAdmitter(Deps{
 			Views: fixedViews{view}, Members: fixedMembers{members}, Network: network, Settled: func() bool { return true },
-			VM: settings.VM{Name: m.Name, Region: m.Region}, Clock: kernel.SystemClock{}, RegionLoads: &f.loads, OverloadControl: true,
+			VM: settings.VM{Name: m.Name, Region: m.Region}, Clock: kernel.SystemClock{}, RegionLoads: &f.loads, Overload: allOverloadControl,
 			Logger: telemetry.NewLogger(&f.log, telemetry.FormatText, logrus.InfoLevel, m.Name), Metrics: set,
 		})
 		if err := a.Start(t.Context()); err != nil {
--- a/internal/placement/overloadsim_test.go
+++ b/internal/placement/overloadsim_test.go
@@ -143,7 +143,7 @@
 func (s *overloadSim) run() {
 	scope := overloadScopes(s.view.Snapshot)["svc"]
 	for _, vm := range s.vms {
-		vm.pool = NewPool(Options{Region: vm.region, Rand: s.rand, OverloadControl: true})
+		vm.pool = NewPool(Options{Region: vm.region, Rand: s.rand, Overload: allOverloadControl})
 		vm.pool.SetTargets(s.view.Snapshot.Service("svc"), s.view)
 		if !vm.old {
 			vm.pool.setOverloadScope(scope)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -14,6 +14,7 @@
 	"masticturn/internal/config"
 	"masticturn/internal/discovery"
 	"masticturn/internal/rendezvous"
+	"masticturn/internal/settings"
 )
 
 const (
@@ -65,8 +66,8 @@
 	Policy Policy     // empty: PolicyCompletion
 	Rand   *rand.Rand // for requests without an object and for random policies
 	Limits RateLimits // nil: no target has a rate limit
-	// OverloadControl enables what VMs and regions decide together while a service is short of capacity.
-	OverloadControl bool
+	// Overload enables what VMs and regions decide together while a service is short of capacity.
+	Overload settings.Overload
 }
 
 // Pool holds the targets of one service and the queue of its waiting requests. It is not safe
@@ -106,8 +107,7 @@
 	overload      overloadState
 	returns       returns
 
-	// overloadControl enables demand metering, planned returns and, by the document, admission.
-	overloadControl bool
+	enabled settings.Overload // parts of overload control
 
 	notices      notices
 	speeds       poolSpeeds
@@ -127,18 +127,18 @@
 	return &Pool{
 		region: o.Region,
 
-		overloadControl: o.OverloadControl,
-		chooseTarget:    chooseFuncs[o.Policy],
-		rand:            o.Rand,
-		targets:         make(map[string]*targetState),
-		byID:            make(map[uint32]*targetState),
-		inUse:           make(map[*targetState]bool),
-		inPeerUse:       make(map[*targetState]bool),
-		classTimes:      make(classTimes),
-		roundTrips:      make(map[string]movingAverage),
-		tokens:          tokenUse{limits: o.Limits, refusedAt: make(map[int]time.Time)},
-		notices:         make(notices),
-		newObjects:      make(map[uint32][]string),
+		enabled:      o.Overload,
+		chooseTarget: chooseFuncs[o.Policy],
+		rand:         o.Rand,
+		targets:      make(map[string]*targetState),
+		byID:         make(map[uint32]*targetState),
+		inUse:        make(map[*targetState]bool),
+		inPeerUse:    make(map[*targetState]bool),
+		classTimes:   make(classTimes),
+		roundTrips:   make(map[string]movingAverage),
+		tokens:       tokenUse{limits: o.Limits, refusedAt: make(map[int]time.Time)},
+		notices:      make(notices),
+		newObjects:   make(map[uint32][]string),
 	}
 }
 
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -9,6 +9,7 @@
 	"masticturn/internal/config"
 	"masticturn/internal/discovery"
 	"masticturn/internal/edge"
+	"masticturn/internal/settings"
 )
 
 // targetLayout describes the targets of a service for a test.
@@ -37,8 +38,11 @@
 	return v, v.Snapshot.Service("svc")
 }
 
+// allOverloadControl enables all parts of overload control.
+var allOverloadControl = settings.Overload{Admission: true, Speeds: true, Regions: true, Returns: true}
+
 func testOptions(region string) Options {
-	return Options{Region: region, Policy: PolicyCompletion, Rand: rand.New(rand.NewPCG(1, 1)), OverloadControl: true}
+	return Options{Region: region, Policy: PolicyCompletion, Rand: rand.New(rand.NewPCG(1, 1)), Overload: allOverloadControl}
 }
 
 func newTestPool(t *testing.T, region string, s targetLayout) (*Pool, *discovery.View) {
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -241,7 +241,7 @@
 // no demand. It returns the load for the other regions; ok is false if the part is off for the service.
 func (p *Pool) PlanRegions(known *overload.RegionLoad, others map[string]overload.RegionLoad, now time.Time) (load overload.RegionLoad, d RegionDecision, ok bool) {
 	switch {
-	case !p.overloadControl || len(p.slotsByRegion) < 2:
+	case !p.enabled.Regions || len(p.slotsByRegion) < 2:
 		p.planner = regionPlanner{reason: reasonOneRegion}
 		return load, d, false
 	case known != nil:
@@ -273,7 +273,7 @@
 // ApplyRegions applies the decision of the region's root, valid for ttl. A decision without a split leaves
 // the present one to expire.
 func (p *Pool) ApplyRegions(d RegionDecision, ttl time.Duration, now time.Time) {
-	if !p.overloadControl {
+	if !p.enabled.Regions {
 		return
 	}
 	if d.Split != nil {
--- a/internal/placement/regions_root_test.go
+++ b/internal/placement/regions_root_test.go
@@ -93,7 +93,7 @@
 		vm.Admitter = NewAdmitter(Deps{
 			Views: fixedViews{view}, Members: vm.members, Network: network, Settled: func() bool { return true },
 			VM: settings.VM{Name: name, Region: "a"}, Policy: PolicyCompletion, Clock: kernel.SystemClock{},
-			Logger: telemetry.Discard(), Metrics: vm.metrics, RegionLoads: vm.loads, OverloadControl: true,
+			Logger: telemetry.Discard(), Metrics: vm.metrics, RegionLoads: vm.loads, Overload: allOverloadControl,
 		})
 		if err := vm.Start(t.Context()); err != nil {
 			t.Fatal(err)
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -186,7 +186,7 @@
 // planRetryAfter returns the Retry-After of a request refused for lack of capacity, of which the
 // present queue takes a time. Callers that can't be served after a return are not planned for.
 func (p *Pool) planRetryAfter(req *Request, wait time.Duration, now time.Time) time.Duration {
-	if !p.overloadControl {
+	if !p.enabled.Returns {
 		return wait
 	}
 	p.returns.recordRefusal(now)
@@ -203,7 +203,7 @@
 // requests get the place of their first attempt, and no request waits longer than an answer is possible.
 func (p *Pool) newWaiting(req *Request, now time.Time) *WaitingRequest {
 	w := &WaitingRequest{Request: req, waitUntil: p.waitUntil(req), firstAttempt: req.Arrived}
-	if !p.overloadControl {
+	if !p.enabled.Returns {
 		return w
 	}
 	first, returning := p.returns.firstAttempt(req, now)
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -122,7 +122,7 @@
 // than believed, and no faster, as a busy target must not be taken for a slow one.
 func (p *Pool) recordSpeed(sel *Selection, runTime time.Duration, load *edge.Load, now time.Time) {
 	t := sel.target
-	if p.regionVMs < 2 || !sel.known || t.Region != p.region && p.roundTrips[t.Region] == 0 {
+	if !p.enabled.Speeds || p.regionVMs < 2 || !sel.known || t.Region != p.region && p.roundTrips[t.Region] == 0 {
 		return
 	}
 	s := &p.speeds
@@ -206,6 +206,9 @@
 // applySpeeds applies the samples in the region's total; there may be none. It returns the targets whose
 // slowness is rounded to another power of two than before.
 func (p *Pool) applySpeeds(samples map[uint32]SpeedSample, now time.Time) []SpeedChange {
+	if !p.enabled.Speeds {
+		return nil
+	}
 	updated := false
 	for id, sample := range samples {
 		if t := p.byID[id]; t != nil && sample.Runs > 0 {
--- a/internal/placement/usage_test.go
+++ b/internal/placement/usage_test.go
@@ -137,7 +137,7 @@
 		}
 		a := NewAdmitter(Deps{
 			Views: fixedViews{view}, Members: fixedMembers{members}, Network: network, Settled: func() bool { return true },
-			VM: settings.VM{Name: m.Name, Region: m.Region}, Policy: PolicyCompletion, Clock: kernel.SystemClock{},
+			VM: settings.VM{Name: m.Name, Region: m.Region}, Policy: PolicyCompletion, Clock: kernel.SystemClock{}, Overload: allOverloadControl,
 			Logger: telemetry.Discard(), Metrics: metrics.NewSet(),
 		})
 		if err := a.Start(t.Context()); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,11 +36,17 @@
 	Overload     Overload          `json:"overload,omitzero"`
 }
 
-// Overload configures what VMs and regions decide together while a service is short of capacity.
+// Overload enables what VMs and regions decide together while a service is short of capacity.
 type Overload struct {
-	// Enabled turns on admission by priority and customer, the use of other regions' capacity, and planned
-	// returns of refused callers. Whether a service has priorities or customers follows from the document.
-	Enabled bool `json:"enabled,omitempty"`
+	// Admission admits requests by priority and by fair shares of customers over the VMs of a region. Which
+	// services have several priorities or customers follows from the document.
+	Admission bool `json:"admission,omitempty"`
+	// Speeds lets VMs share how slow targets are, and moves objects away from those that stay slow.
+	Speeds bool `json:"speeds,omitempty"`
+	// Regions lets regions that are short of capacity use that of others.
+	Regions bool `json:"regions,omitempty"`
+	// Returns spreads the returns of refused callers, and serves returning callers first.
+	Returns bool `json:"returns,omitempty"`
 }
 
 // Bounds are the guarantees and requirements that the environment sets for the
