Overload control: one function each for total demand, requests by target and first targets

The sum of a region's demand, this VM's requests by target and the ranking with its cache stood twice each; the count for a VM alone in its region lacked the check for targets that were dropped. The type of the loads that other regions have sent is receivedLoads.

--- a/internal/overload/load.go
+++ b/internal/overload/load.go
@@ -23,6 +23,9 @@
 	Busy     float64         `msgpack:"b"` // slots in use
 }
 
+// TotalDemand returns the demand of all priorities, in slots.
+func (l *RegionLoad) TotalDemand() float64 { return sum(l.Demand) }
+
 // RegionPlan is what a region may do with a service's requests.
 type RegionPlan struct {
 	Admit map[int]float64    // fraction of the requests of a priority to admit, 0 to 1
--- a/internal/placement/emulation/regionloads_test.go
+++ b/internal/placement/emulation/regionloads_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// Guards against a sudden move of requests when the roots no longer hear of each other, or hear again, and against
-// refusing callers of regions that hear of each other again after some seconds.
+// Guards against a sudden move of requests when the roots no longer receive each other's loads, or receive them again, and against
+// refusing callers of regions whose roots are connected again after some seconds.
 func TestSplitWhileRegionsDoNotHearOfEachOther(t *testing.T) {
 	for _, tt := range []struct {
 		cut  time.Duration
--- a/internal/placement/intime.go
+++ b/internal/placement/intime.go
@@ -6,12 +6,7 @@
 // object: the first one that is expected to answer within the objective; nil if there is none. It is
 // used where the speeds of targets differ, as both candidates may be slow ones.
 func (p *Pool) chooseInTime(req *Request, now time.Time) *Selection {
-	key := p.hashKey(req)
-	ranked := p.ranking.get(key)
-	if ranked == nil {
-		ranked = p.rank(key, maxCachedTargets)
-	}
-	for rank, t := range ranked {
+	for rank, t := range p.firstTargets(req, p.hashKey(req)) {
 		if t.Region != p.region || !p.canServe(t, req, now) || t.cold(now) || p.isLimited(t) {
 			continue
 		}
--- a/internal/placement/overload_scope.go
+++ b/internal/placement/overload_scope.go
@@ -13,7 +13,7 @@
 // part is off unless requests of several priorities use the service or the document has customers.
 type overloadScope struct {
 	priorities []int             // of the service's requests, ascending
-	customers  map[uint32]string // names by short id; nil: the document has none
+	customers  map[uint32]string // names by short id; empty: the document has none
 	highest    int               // the first of the priorities
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -380,6 +380,16 @@
 // request.
 func (p *Pool) candidates(req *Request, now time.Time) []*targetState {
 	key := p.hashKey(req)
+	ranked := p.firstTargets(req, key)
+	out, complete := p.firstReplicas(req, ranked, now)
+	if !complete && len(ranked) < len(p.sortedTargets) {
+		out, _ = p.firstReplicas(req, p.rank(key, len(p.sortedTargets)), now)
+	}
+	return out
+}
+
+// firstTargets returns the highest-ranked targets for a request's hash key.
+func (p *Pool) firstTargets(req *Request, key string) []*targetState {
 	ranked := p.ranking.get(key)
 	if ranked == nil {
 		ranked = p.rank(key, maxCachedTargets)
@@ -387,11 +397,7 @@
 			p.ranking.add(key, ranked)
 		}
 	}
-	out, complete := p.firstReplicas(req, ranked, now)
-	if !complete && len(ranked) < len(p.sortedTargets) {
-		out, _ = p.firstReplicas(req, p.rank(key, len(p.sortedTargets)), now)
-	}
-	return out
+	return ranked
 }
 
 // rank returns the n targets with the highest rendezvous scores for an object, in the order of their
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -117,7 +117,7 @@
 }
 
 func (r *regionPlanner) updateLacking(own *overload.RegionLoad, now time.Time) {
-	demand := demandOf(own)
+	demand := own.TotalDemand()
 	switch {
 	case demand >= lackUntil*own.Capacity:
 		r.fitsSince = time.Time{}
@@ -205,13 +205,13 @@
 		return nil
 	}
 	for region, load := range in.others {
-		if demandOf(&load) > lackFrom*load.Capacity {
+		if load.TotalDemand() > lackFrom*load.Capacity {
 			vms += in.vms[region]
 		}
 	}
 	spare := make(map[string]float64)
 	for region, load := range in.others {
-		if free := load.Capacity - max(load.Busy, demandOf(&load)); free > 0 {
+		if free := load.Capacity - max(load.Busy, load.TotalDemand()); free > 0 {
 			spare[region] = free / float64(vms)
 		}
 	}
@@ -221,22 +221,13 @@
 // anyDemand reports whether any region has demand.
 func anyDemand(loads map[string]overload.RegionLoad) bool {
 	for _, load := range loads {
-		if demandOf(&load) > 0 {
+		if load.TotalDemand() > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// demandOf returns the demand of all priorities, in slots.
-func demandOf(l *overload.RegionLoad) float64 {
-	total := 0.0
-	for _, slots := range l.Demand {
-		total += slots
-	}
-	return total
-}
-
 // PlanRegions decides on the split at the root of the region's tree. known is the region's load; nil: it has
 // no demand. It returns the load for the other regions; ok is false if the part is off for the service.
 func (p *Pool) PlanRegions(known *overload.RegionLoad, others map[string]overload.RegionLoad, now time.Time) (load overload.RegionLoad, d RegionDecision, ok bool) {
--- a/internal/placement/regions_root.go
+++ b/internal/placement/regions_root.go
@@ -68,9 +68,7 @@
 	total := &LoadReport{Services: make(map[string]*Usage)}
 	for name, p := range a.pools {
 		u := total.usage(name)
-		for t := range p.inUse {
-			u.Running[t.id] = t.ownRequests
-		}
+		u.Running = p.runningByTarget()
 		u.Demand = p.Demand(now)
 	}
 	a.decide(total, now)
--- a/internal/placement/regions_root_test.go
+++ b/internal/placement/regions_root_test.go
@@ -135,7 +135,7 @@
 	synctest.Wait()
 }
 
-// wanted returns the split that a VM has heard, and its spare slots in b.
+// wanted returns the split that a VM has received, and its spare slots in b.
 func (vm *regionVM) wanted() (map[string]float64, float64) {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
@@ -233,7 +233,7 @@
 		f.run(15*time.Second, 20)
 		for name, vm := range f.vms {
 			if wanted, _ := vm.wanted(); math.Abs(wanted["a"]-0.85*24/40) > 2*minPlanChange {
-				t.Errorf("%s has heard %v, want the split for half of the region's demand", name, wanted)
+				t.Errorf("%s has received %v, want the split for half of the region's demand", name, wanted)
 			}
 		}
 	})
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -119,7 +119,7 @@
 //
 // The run may have waited in the target's queue, for about as long as the requests that were ahead or
 // wait now take at the largest work factor of late. Such a run can only show that the target is slower
-// than believed, and no faster, as a busy target must not be taken for a slow one.
+// than estimated, and no faster, as a busy target must not be taken for a slow one.
 func (p *Pool) recordSpeed(sel *Selection, runTime time.Duration, load *edge.Load, now time.Time) {
 	t := sel.target
 	if !p.enabled.Speeds || p.regionVMs < 2 || !sel.known || t.Region != p.region && p.roundTrips[t.Region] == 0 {
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -85,15 +85,21 @@
 
 // ReportUsage returns this VM's usage, with the objects and runs that are new since the last report.
 func (p *Pool) ReportUsage() *Usage {
-	u := &Usage{Running: make(map[uint32]int), Objects: p.newObjects, Speeds: p.speeds.takeNew()}
+	u := &Usage{Running: p.runningByTarget(), Objects: p.newObjects, Speeds: p.speeds.takeNew()}
 	p.newObjects = make(map[uint32][]string)
+	p.lastReported = maps.Clone(u.Running) // the aggregator modifies the report
+	return u
+}
+
+// runningByTarget returns the numbers of this VM's requests, by shortID of the target.
+func (p *Pool) runningByTarget() map[uint32]int {
+	running := make(map[uint32]int)
 	for t := range p.inUse {
 		if p.targets[t.Name] == t {
-			u.Running[t.id] = t.ownRequests
+			running[t.id] = t.ownRequests
 		}
 	}
-	p.lastReported = maps.Clone(u.Running) // the aggregator modifies the report
-	return u
+	return running
 }
 
 // ApplyUsage applies the region's total, valid for ttl. The total includes this VM's last
--- a/internal/regionload/message.go
+++ b/internal/regionload/message.go
@@ -10,7 +10,7 @@
 const (
 	// milliSlots is the unit of slots in messages.
 	milliSlots = 1000
-	// maxSlots is the largest number of slots that a region is believed to have or need.
+	// maxSlots is the largest number of slots that a region may report to have or need.
 	maxSlots = 1e6
 	// maxServices and maxPriorities bound the memory that a message can take. Those beyond are ignored.
 	// Documents have priorities 0 to 100.
--- a/internal/regionload/heard.go
+++ b/internal/regionload/received.go
@@ -28,15 +28,15 @@
 	offset time.Duration
 }
 
-// heard holds the loads that other VMs have sent. It is not safe for concurrent use.
-type heard struct {
+// receivedLoads holds the loads that other VMs have sent. It is not safe for concurrent use.
+type receivedLoads struct {
 	bySender map[string]*sender // by name of the VM
 }
 
-func newHeard() *heard { return &heard{bySender: make(map[string]*sender)} }
+func newReceivedLoads() *receivedLoads { return &receivedLoads{bySender: make(map[string]*sender)} }
 
 // record stores a message. It returns false if a later one of the sender is known.
-func (h *heard) record(from string, m *message, now time.Duration) bool {
+func (h *receivedLoads) record(from string, m *message, now time.Duration) bool {
 	s := h.bySender[from]
 	sentAt := time.Duration(m.SentMS) * time.Millisecond
 	if s == nil || sentAt < s.sentAt-maxReordering {
@@ -59,7 +59,7 @@
 }
 
 // prune forgets the senders for which keep returns false.
-func (h *heard) prune(keep func(vm string) bool) {
+func (h *receivedLoads) prune(keep func(vm string) bool) {
 	for vm := range h.bySender {
 		if !keep(vm) {
 			delete(h.bySender, vm)
@@ -70,7 +70,7 @@
 // others returns the loads of a service by region, without those older than loadTTL and those for which
 // inRegion returns false. If several VMs report on a region, as during a change of its root or a
 // partition, the largest demand counts, since each of them may miss a part of it.
-func (h *heard) others(service string, inRegion func(vm, region string) bool, now time.Duration) map[string]overload.RegionLoad {
+func (h *receivedLoads) others(service string, inRegion func(vm, region string) bool, now time.Duration) map[string]overload.RegionLoad {
 	out := make(map[string]overload.RegionLoad)
 	reporters := make(map[string]string)
 	for vm, s := range h.bySender {
@@ -91,14 +91,6 @@
 // replaces reports whether a load counts instead of another one of the same region. first decides
 // between equal demands.
 func replaces(load, other overload.RegionLoad, first bool) bool {
-	a, b := totalDemand(load), totalDemand(other)
+	a, b := load.TotalDemand(), other.TotalDemand()
 	return a > b || a == b && first
 }
-
-func totalDemand(l overload.RegionLoad) float64 {
-	total := 0.0
-	for _, slots := range l.Demand {
-		total += slots
-	}
-	return total
-}
--- a/internal/regionload/heard_test.go
+++ b/internal/regionload/received_test.go
@@ -35,7 +35,7 @@
 		{"waited on its way and too old", time.Second, 600 * time.Millisecond, false},
 		{"waited for long", 10 * time.Second, 0, false},
 	} {
-		h := newHeard()
+		h := newReceivedLoads()
 		// The sender's clock is an hour behind.
 		h.record("x", messageOf("b", 0, 1000), time.Hour+trip)
 		received := time.Hour + 20*time.Second + trip
@@ -49,7 +49,7 @@
 
 // Guards against clocks of two machines that run apart, which must not make all loads appear old.
 func TestDriftOfClocks(t *testing.T) {
-	h := newHeard()
+	h := newReceivedLoads()
 	for i := range 100_000 {
 		sent := time.Duration(i) * 250 * time.Millisecond
 		now := sent + time.Duration(float64(sent)*0.0005)
@@ -63,7 +63,7 @@
 // Guards against a message that replaces a later one, and against ignoring a sender whose machine has started
 // anew.
 func TestOrderOfMessages(t *testing.T) {
-	h := newHeard()
+	h := newReceivedLoads()
 	now := 2 * time.Hour
 	h.record("x", messageOf("b", time.Hour, 5000), now)
 	for _, tt := range []struct {
@@ -80,7 +80,7 @@
 
 // Guards against two roots of a region of which the one that misses most of the demand counts.
 func TestTwoRootsOfARegion(t *testing.T) {
-	h := newHeard()
+	h := newReceivedLoads()
 	h.record("x", messageOf("b", time.Second, 2000), time.Second)
 	h.record("y", messageOf("b", time.Second, 7000), time.Second)
 	h.record("z", messageOf("c", time.Second, 1000), time.Second)
@@ -111,14 +111,14 @@
 	for i := range 3 * maxServices {
 		m.Services[string(rune('a'+i))] = wireLoad{}
 	}
-	h := newHeard()
+	h := newReceivedLoads()
 	h.record("x", &m, 0)
 	if n := len(h.bySender["x"].loads); n > maxServices {
 		t.Errorf("%d services are kept", n)
 	}
 }
 
-// FuzzMessage guards against payloads that make a VM fail, or believe values out of range.
+// FuzzMessage guards against payloads that make a VM fail, or use values out of range.
 func FuzzMessage(f *testing.F) {
 	payload, err := peer.Encode(messageOf("b", time.Second, 5))
 	if err != nil {
@@ -130,7 +130,7 @@
 		if peer.Decode(payload, &m) != nil {
 			return
 		}
-		h := newHeard()
+		h := newReceivedLoads()
 		h.record("x", &m, time.Second)
 		for service := range m.Services {
 			for _, l := range h.others(service, anywhere, time.Second) {
--- a/internal/regionload/service.go
+++ b/internal/regionload/service.go
@@ -63,7 +63,7 @@
 	mu          sync.Mutex
 	view        *membership.View
 	roots       []string // of the other regions
-	heard       *heard
+	received    *receivedLoads
 	published   map[string]overload.RegionLoad
 	publishedAt time.Duration
 	unknownFrom map[string]bool // VMs whose messages were rejected, for the log
@@ -73,7 +73,7 @@
 
 // NewService returns a Service and registers its message handler.
 func NewService(d Deps) *Service {
-	s := &Service{deps: d, meter: newMeter(d.Metrics), heard: newHeard(), view: &membership.View{}, unknownFrom: make(map[string]bool)}
+	s := &Service{deps: d, meter: newMeter(d.Metrics), received: newReceivedLoads(), view: &membership.View{}, unknownFrom: make(map[string]bool)}
 	d.Network.Handle(peer.KindRegionLoad, s.handle)
 	return s
 }
@@ -114,7 +114,7 @@
 func (s *Service) Others(service string) map[string]overload.RegionLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heard.others(service, s.inRegion, s.deps.Boot.SinceBoot())
+	return s.received.others(service, s.inRegion, s.deps.Boot.SinceBoot())
 }
 
 // setView replaces the member list.
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view, s.roots = v, roots
-	s.heard.prune(func(vm string) bool { _, ok := v.Member(vm); return ok })
+	s.received.prune(func(vm string) bool { _, ok := v.Member(vm); return ok })
 	clear(s.unknownFrom)
 }
 
@@ -200,7 +200,7 @@
 		s.reject(from, m.Region)
 		return nil, trace.AccessDenied("VM %s is not in region %s by the member list", from, m.Region)
 	}
-	if !s.heard.record(from, &m, s.deps.Boot.SinceBoot()) {
+	if !s.received.record(from, &m, s.deps.Boot.SinceBoot()) {
 		s.meter.countDropped(dropOvertaken)
 	}
 	return nil, nil
