Requests by caller's region and with new connections; why requests open connections

The three hypotheses of the shift that was reported again could not all be told apart: event 5007 had the regions of what is placed and sent, but not whether callers moved to other VMs, nor how many requests waited for a connection and why none was reused. Placement and connections behave as before. go test ./internal/targetconn ./internal/forward: ok.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -188,6 +188,9 @@
 	}
 	a.conn = conn
 	a.connectTime = conn.ConnectTime()
+	if !conn.Reused() {
+		a.x.h.regions.recordConnected(a.target.Region)
+	}
 	a.carrier, a.tunnelID = conn.Carrier()
 	if a.number > 1 {
 		a.x.h.deps.Logger.Log(eventRequestRetried, telemetry.Value("request_id", a.x.id), telemetry.Peer(a.target.Name),
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -55,8 +55,8 @@
 		Number:  telemetry.RangeForward + 7,
 		Level:   logrus.InfoLevel,
 		Name:    "requests by region",
-		Meaning: "Numbers of requests of this VM in the two seconds that end now, by the region of their target: placed counts a request when its target is chosen, sent when it is written to a connection.",
-		Action:  "None. If a region's requests seem to have moved, add up the lines of its VMs: placed shows whether other targets were chosen.",
+		Meaning: "Numbers of requests of this VM in the two seconds that end now: received by the region of their caller; by the region of their target, placed when it is chosen, connected when a connection to it had to be opened first, sent when they are written to a connection.",
+		Action:  "None. If a region's requests seem to have moved, add up the lines of its VMs: received shows whether callers moved to other VMs, placed whether other targets were chosen. If only sent changes, connected tells how many requests waited for their connection.",
 	})
 	eventRunBroken = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 9,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -160,6 +160,7 @@
 	x.match = m
 	x.repeatable = m.Repeatable && headerValue(x.r.Header, x.h.deps.Dialect.NoRetry) != "1"
 	x.region = x.h.callerPlace(x.r).Region
+	x.h.regions.recordReceived(x.region)
 	x.deadline = x.receivedAt.Add(x.timeout())
 	if x.r.ContentLength > x.maxBody() {
 		return notRunError(outcome.StepRoute, http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
--- a/internal/forward/regions.go
+++ b/internal/forward/regions.go
@@ -43,33 +43,43 @@
 	return counts
 }
 
-// regionCounter counts placed and sent requests by the target's region, for metrics and one log line
-// per interval. Requests to other regions are sent later, by the time to connect, so only the placed
-// counts show a change of placement.
+// regionCounter counts requests by region, for metrics and one log line per interval. Requests to other
+// regions are sent later, by the time to connect, so only the placed counts show a change of placement.
 type regionCounter struct {
 	logger *telemetry.Logger
 	set    *metrics.Set
 	clock  kernel.Clock
 
 	mu           sync.Mutex
-	placed       *regionCounts
-	sent         *regionCounts
-	logScheduled bool // a log line is scheduled for the end of the interval
+	received     *regionCounts // by the caller's region
+	placed       *regionCounts // by the target's region
+	connected    *regionCounts // by the target's region
+	sent         *regionCounts // by the target's region
+	logScheduled bool          // a log line is scheduled for the end of the interval
 }
 
 func newRegionCounter(logger *telemetry.Logger, set *metrics.Set, clock kernel.Clock) *regionCounter {
 	return &regionCounter{
-		logger: logger,
-		set:    set,
-		clock:  clock,
-		placed: newRegionCounts("placed"),
-		sent:   newRegionCounts("sent"),
+		logger:    logger,
+		set:       set,
+		clock:     clock,
+		received:  newRegionCounts("received"),
+		placed:    newRegionCounts("placed"),
+		connected: newRegionCounts("connected"),
+		sent:      newRegionCounts("sent"),
 	}
 }
 
+// recordReceived counts a request by its caller's region, so that a shift of callers is told from one of
+// targets.
+func (c *regionCounter) recordReceived(region string) { c.record(c.received, region) }
+
 // recordPlaced counts a request whose target was picked.
 func (c *regionCounter) recordPlaced(region string) { c.record(c.placed, region) }
 
+// recordConnected counts a request for which a connection to its target had to be opened.
+func (c *regionCounter) recordConnected(region string) { c.record(c.connected, region) }
+
 // recordSent counts a request written to its target's connection.
 func (c *regionCounter) recordSent(region string) { c.record(c.sent, region) }
 
@@ -88,10 +98,13 @@
 // log writes the line of an elapsed interval. Intervals without requests have none.
 func (c *regionCounter) log() {
 	c.mu.Lock()
-	placed, sent := c.placed.reset(), c.sent.reset()
+	received, placed := c.received.reset(), c.placed.reset()
+	connected, sent := c.connected.reset(), c.sent.reset()
 	c.logScheduled = false
 	c.mu.Unlock()
 	c.logger.Log(eventRequestsByRegion,
+		telemetry.Value("received", received),
 		telemetry.Value("placed", placed),
+		telemetry.Value("connected", connected),
 		telemetry.Value("sent", sent))
 }
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -21,17 +21,21 @@
 		counter := newRegionCounter(newTestLogger(&out), set, kernel.SystemClock{})
 		time.Sleep(regionLogInterval - 100*time.Millisecond)
 
+		for range 2 {
+			counter.recordReceived("near")
+		}
 		counter.recordPlaced("near")
 		counter.recordSent("near")
 		counter.recordPlaced("far")
 		time.Sleep(150 * time.Millisecond) // the connection is opened after the end of the interval
+		counter.recordConnected("far")
 		counter.recordSent("far")
 		time.Sleep(2 * regionLogInterval)
 
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 		want := []string{
-			`"event":5007,"placed":{"far":1,"near":1},"sent":{"near":1}`,
-			`"event":5007,"placed":{},"sent":{"far":1}`,
+			`"connected":{},"event":5007,"placed":{"far":1,"near":1},"received":{"near":2},"sent":{"near":1}`,
+			`"connected":{"far":1},"event":5007,"placed":{},"received":{},"sent":{"far":1}`,
 		}
 		if len(lines) != len(want) {
 			t.Fatalf("lines %q, want one per interval with requests", lines)
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -19,6 +19,9 @@
 	connectTime time.Duration
 }
 
+// Reused reports whether the connection was open before this exchange.
+func (c *Conn) Reused() bool { return c.reused }
+
 // ConnectTime returns the time it took to open the connection, or 0 if this exchange reuses it.
 func (c *Conn) ConnectTime() time.Duration {
 	if c.reused {
--- a/internal/targetconn/idle.go
+++ b/internal/targetconn/idle.go
@@ -43,6 +43,21 @@
 	return nil
 }
 
+// openReasonFor returns why a request would have to open a connection, if it gets no idle one.
+func (p *pool) openReasonFor(use Use, now time.Time) openReason {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case use == UseNew || use == UseRecent && now.Before(p.reuseRestrictedUntil):
+		return reasonNewNeeded
+	case len(p.idle) > 0:
+		return reasonIdleLong
+	case len(p.open) > 0:
+		return reasonInUse
+	}
+	return reasonNoneOpen
+}
+
 // isReuseRestricted reports whether UseRecent requires a new connection.
 func (p *pool) isReuseRestricted(now time.Time) bool {
 	p.mu.Lock()
--- a/internal/targetconn/metrics.go
+++ b/internal/targetconn/metrics.go
@@ -50,3 +50,25 @@
 	}
 	return c
 }
+
+// openReason classifies why a request opened a connection instead of reusing one.
+type openReason string
+
+// Reasons to open a connection.
+const (
+	reasonNoneOpen  openReason = "none_open"
+	reasonInUse     openReason = "in_use"     // every open connection carries an exchange
+	reasonIdleLong  openReason = "idle_long"  // those that are idle have been so for too long
+	reasonNewNeeded openReason = "new_needed" // the request may not reuse any
+)
+
+// openCounters counts the connections that requests opened, by reason.
+type openCounters map[openReason]*metrics.Counter
+
+func newOpenCounters(set *metrics.Set) openCounters {
+	c := make(openCounters)
+	for _, r := range []openReason{reasonNoneOpen, reasonInUse, reasonIdleLong, reasonNewNeeded} {
+		c[r] = set.GetOrCreateCounter(fmt.Sprintf("masticturn_target_connections_needed_total{reason=%q}", string(r)))
+	}
+	return c
+}
--- a/internal/targetconn/metrics_test.go
+++ b/internal/targetconn/metrics_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 )
 
 func TestConnectResults(t *testing.T) {
@@ -25,3 +26,25 @@
 		}
 	}
 }
+
+func TestReasonsToOpenConnections(t *testing.T) {
+	now := time.Now()
+	idle := &Conn{idleSince: now.Add(-time.Minute)}
+	tests := map[openReason]struct {
+		pool *pool
+		use  Use
+	}{
+		reasonNoneOpen:  {&pool{}, UseAny},
+		reasonInUse:     {&pool{open: map[*Conn]struct{}{{}: {}}}, UseAny},
+		reasonIdleLong:  {&pool{open: map[*Conn]struct{}{idle: {}}, idle: []*Conn{idle}}, UseRecent},
+		reasonNewNeeded: {&pool{reuseRestrictedUntil: now.Add(time.Second)}, UseRecent},
+	}
+	for want, test := range tests {
+		if got := test.pool.openReasonFor(test.use, now); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+	if got := (&pool{idle: []*Conn{idle}}).openReasonFor(UseNew, now); got != reasonNewNeeded {
+		t.Errorf("a request that may reuse none: got %s, want %s", got, reasonNewNeeded)
+	}
+}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -64,6 +64,7 @@
 	ahead     *metrics.Counter
 	dropped   *metrics.Counter
 	connects  connectCounters
+	needed    openCounters
 	staleness staleness
 
 	mu    sync.RWMutex
@@ -87,6 +88,7 @@
 		deps:     d,
 		pools:    make(map[poolKey]*pool),
 		connects: newConnectCounters(d.Metrics),
+		needed:   newOpenCounters(d.Metrics),
 		opened:   d.Metrics.GetOrCreateCounter("masticturn_target_connections_opened_total"),
 		ahead:    d.Metrics.GetOrCreateCounter("masticturn_target_connections_ahead_total"),
 		reused:   d.Metrics.GetOrCreateCounter("masticturn_target_connections_reused_total"),
@@ -130,10 +132,13 @@
 // connections; Get returns ErrLimit if all of them are in use. If Get fails, no byte was sent.
 func (p *Pools) Get(ctx context.Context, t *config.TargetIndex, limit int, use Use, reach Reach) (*Conn, error) {
 	pl := p.pool(poolKey{t.Name, t.Address})
-	if c := pl.acquireIdleFor(use, request{t.Region, reach}, p.deps.Clock.Now()); c != nil {
+	now := p.deps.Clock.Now()
+	reason := pl.openReasonFor(use, now) // before acquireIdleFor, which closes unusable connections
+	if c := pl.acquireIdleFor(use, request{t.Region, reach}, now); c != nil {
 		p.reused.Inc()
 		return c, nil
 	}
+	p.needed[reason].Inc()
 	if !pl.reserve(limit) {
 		return nil, trace.Wrap(ErrLimit, "target %s, limit %d", t.Name, limit)
 	}
