Requests to other regions pass through ready tunnels and need no round trip to connect

Why it works: a stream to a VM of the target's region is open before the request comes; the request follows the target's name at once, and that VM connects within its region. It tells whether it did; if not, no byte came to the target, and the request is sent directly.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -286,21 +286,22 @@
 
 func (d *Daemon) newHostedForward(w *wiring) (kernel.Service, error) {
 	handler := forward.NewHandler(forward.Deps{
-		Config:    w.discovery,
-		Admission: w.admitter,
-		Expected:  expectedTargets(w.admitter),
-		Locator:   fixedLocator{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
-		Measure:   discardObserver{},
-		Screen:    w.quarantine,
-		KeyGuard:  w.keyGuard,
-		Limiter:   w.limiter,
-		Dial:      d.opts.Dial,
-		Targets:   w.tunnels,
-		Logger:    d.opts.Logger,
-		Metrics:   d.opts.Metrics,
-		Dialect:   d.opts.Hosted.Dialect,
-		VM:        d.settings.VM,
-		Clock:     d.opts.Clock,
+		Config:     w.discovery,
+		Admission:  w.admitter,
+		Expected:   expectedTargets(w.admitter),
+		Locator:    fixedLocator{Region: d.settings.VM.Region, Zone: d.settings.VM.Zone},
+		Measure:    discardObserver{},
+		Screen:     w.quarantine,
+		KeyGuard:   w.keyGuard,
+		Limiter:    w.limiter,
+		Dial:       d.opts.Dial,
+		Targets:    w.tunnels,
+		ShareLimit: w.tunnels.ShareLimit,
+		Logger:     d.opts.Logger,
+		Metrics:    d.opts.Metrics,
+		Dialect:    d.opts.Hosted.Dialect,
+		VM:         d.settings.VM,
+		Clock:      d.opts.Clock,
 	})
 	w.tunnels.OnSilence(handler.AbandonUnanswered)
 	return forward.NewService(forward.ServiceDeps{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,6 +30,7 @@
 	exclude     []string // names of targets already tried
 	hedged      bool     // this is the second attempt of a hedge
 	newConnOnly bool     // don't use an idle connection, as one was stale
+	undelivered bool     // another VM could not connect to the target for this attempt
 	hedge       *hedge   // nil if there is none
 	permit      admission.Permit
 	target      *config.TargetIndex
@@ -177,7 +178,7 @@
 	defer cancel()
 	policy := connectionPolicyOf(a.x.snap, a.target)
 	a.keepConn = policy.keep
-	conn, err := a.x.h.conns.Get(ctx, a.target, policy.limit, use, a.x.reach())
+	conn, err := a.x.h.conns.Get(ctx, a.target, policy.limit, use, a.reach())
 	if err != nil {
 		return attemptResult{
 			Step:       outcome.StepConnect,
@@ -188,7 +189,7 @@
 	}
 	a.conn = conn
 	a.connectTime = conn.ConnectTime()
-	if !conn.Reused() {
+	if !conn.Reused() && !conn.Relayed() {
 		a.x.h.regions.recordConnected(a.target.Region)
 	}
 	a.carrier, a.tunnelID = conn.Carrier()
@@ -201,12 +202,21 @@
 	return attemptResult{}
 }
 
-// reach returns the regions whose VMs may carry the request.
-func (x *exchange) reach() targetconn.Reach {
-	if x.match.Rule == nil {
-		return targetconn.Reach{}
+// maxRelayedBodyBytes is the size of the largest body of a request that is sent before the VM that carries it has
+// connected to the target. Larger ones take several round trips, beside which one more matters little.
+const maxRelayedBodyBytes = 16 << 10
+
+// reach returns through which VMs the attempt's request may be sent.
+func (a *attempt) reach() targetconn.Reach {
+	x := a.x
+	r := targetconn.Reach{
+		Relay:      x.stream == nil && len(x.body) <= maxRelayedBodyBytes && !a.undelivered, // a streamed body can't be sent again
+		Repeatable: x.repeatable,
+	}
+	if x.match.Rule != nil {
+		r.Regions = x.match.Rule.AllowedRegions
 	}
-	return targetconn.Reach{Regions: x.match.Rule.AllowedRegions}
+	return r
 }
 
 // send sends the request and waits for the head of the response.
@@ -221,6 +231,9 @@
 	a.armHedge()
 	defer a.x.h.unanswered.add(a)()
 	resp, err := a.conn.RoundTrip(req)
+	if err != nil && !a.undelivered && a.conn.Undelivered() {
+		return a.resendDirectly()
+	}
 	if err != nil {
 		return a.sendFailure(err)
 	}
@@ -230,6 +243,18 @@
 	return attemptResult{}
 }
 
+// resendDirectly sends a request that did not reach the target through another VM on a connection of this VM.
+func (a *attempt) resendDirectly() attemptResult {
+	a.undelivered = true
+	a.conn.Drop()
+	a.watchdog.stop()
+	a.watchdog = a.newWatchdog()
+	if result := a.connect(); result.Fault != FaultNone {
+		return result
+	}
+	return a.send()
+}
+
 func (a *attempt) sendFailure(err error) attemptResult {
 	step := outcome.StepWait
 	if watchPhase(a.watchdog.phase.Load()) == watchSend {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -57,11 +57,14 @@
 	Expected func() []*config.TargetIndex
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Targets  targetconn.Dialer // used for targets instead of Dial if not nil
-	Logger   *telemetry.Logger
-	Metrics  *metrics.Set
-	Dialect  *edge.Dialect // nil: edge.Native()
-	VM       settings.VM
-	Clock    kernel.Clock
+	// ShareLimit tells a VM that carries connections which rate limit, in requests/s, a target has named on one;
+	// nil: no VM carries any.
+	ShareLimit func(carrier, target string, perSecond float64)
+	Logger     *telemetry.Logger
+	Metrics    *metrics.Set
+	Dialect    *edge.Dialect // nil: edge.Native()
+	VM         settings.VM
+	Clock      kernel.Clock
 }
 
 // Handler forwards callers' requests. It is safe for concurrent use.
--- /dev/null
+++ b/internal/forward/relayed_test.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"masticturn/internal/config"
+	"masticturn/internal/kernel"
+	"masticturn/internal/targetconn"
+	"masticturn/internal/telemetry"
+)
+
+// relayingDialer connects through another VM where that is allowed.
+type relayingDialer struct {
+	delivers bool // the other VM connects to the target
+
+	mu              sync.Mutex
+	relayed, direct int
+}
+
+// DialTarget implements targetconn.Dialer.
+func (d *relayingDialer) DialTarget(ctx context.Context, t *config.TargetIndex, r targetconn.Reach) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !r.Relay {
+		d.direct++
+		return (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
+	}
+	d.relayed++
+	c := &relayedConn{written: make(chan struct{}, 1), delivers: d.delivers}
+	if !d.delivers {
+		c.Conn, _ = net.Pipe()
+		return c, nil
+	}
+	var err error
+	c.Conn, err = (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
+	return c, err
+}
+
+// relayedConn is a connection that another VM carries.
+type relayedConn struct {
+	net.Conn
+	written  chan struct{}
+	delivers bool
+}
+
+func (c *relayedConn) Write(p []byte) (int, error) {
+	select {
+	case c.written <- struct{}{}:
+	default:
+	}
+	if !c.delivers {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *relayedConn) Read(p []byte) (int, error) {
+	if c.delivers {
+		return c.Conn.Read(p)
+	}
+	<-c.written
+	return 0, errors.New("not connected")
+}
+
+func (c *relayedConn) Undelivered() bool                    { return !c.delivers }
+func (c *relayedConn) Relayed() bool                        { return true }
+func (c *relayedConn) Usable() bool                         { return false }
+func (c *relayedConn) Carrier() (vm, region, tunnel string) { return "vm2", "r2", "tunnel" }
+
+// Guards against requests that fail, or run twice, when another VM can't connect to their target.
+func TestRequestThatAnotherVMDidNotDeliverIsSentDirectly(t *testing.T) {
+	for name, tt := range map[string]struct {
+		body            string
+		chunked         bool
+		delivers        bool
+		relayed, direct int
+	}{
+		"delivered":                     {"body", false, true, 1, 0},
+		"not delivered":                 {"body", false, false, 1, 1},
+		"not delivered, without a body": {"", false, false, 1, 1},
+		"a body that is not kept":       {"body", true, false, 0, 1},
+		"a large body":                  {strings.Repeat("x", maxRelayedBodyBytes+1), false, false, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			var bodies []string
+			target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				raw, _ := io.ReadAll(r.Body)
+				mu.Lock()
+				defer mu.Unlock()
+				bodies = append(bodies, string(raw))
+			})
+			d := &relayingDialer{delivers: tt.delivers}
+			h, _ := newTestHandler(t, testDocument(target), Deps{Targets: d, Logger: telemetry.Discard(), VM: testVM, Clock: kernel.SystemClock{}})
+			server := httptest.NewServer(h)
+			defer h.Close()
+			defer server.Close()
+			var body io.Reader = strings.NewReader(tt.body)
+			if tt.chunked {
+				body = io.MultiReader(body)
+			}
+			resp, err := http.Post(server.URL+"/svc/a", "text/plain", body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK || len(bodies) != 1 || bodies[0] != tt.body {
+				t.Errorf("status %d, the target got %q", resp.StatusCode, bodies)
+			}
+			if d.relayed != tt.relayed || d.direct != tt.direct {
+				t.Errorf("%d relayed and %d direct connections, want %d and %d", d.relayed, d.direct, tt.relayed, tt.direct)
+			}
+		})
+	}
+}
+
+func TestLimitNamedThroughAnotherVMIsSharedWithIt(t *testing.T) {
+	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Their-Id", r.Header.Get("Their-Id"))
+		w.Header().Set("Their-Limit", "3")
+	})
+	d := foreignDialect()
+	d.TargetRateLimit = "Their-Limit"
+	d.ParseRateLimit = func([]string) (float64, bool) { return 3, true }
+	var shared []string
+	h, a := newTestHandler(t, testDocument(target), Deps{
+		Targets: &relayingDialer{delivers: true}, Dialect: d, Logger: telemetry.Discard(), VM: testVM, Clock: kernel.SystemClock{},
+		ShareLimit: func(carrier, target string, perSecond float64) {
+			shared = append(shared, fmt.Sprint(carrier, " ", target, " ", perSecond))
+		},
+	})
+	h.deps.Admission = &limitRecorder{Admitter: a}
+	server := httptest.NewServer(h)
+	defer h.Close()
+	defer server.Close()
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/svc/a", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Their-Id", "id-1")
+	req.Header.Set("Their-Deadline-Ms", "1500")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if want := []string{"vm2 targeta 3"}; !slices.Equal(shared, want) {
+		t.Errorf("shared %q, want %q", shared, want)
+	}
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -147,6 +147,9 @@
 		return
 	}
 	receiver.NotifyRateLimit(admission.RateLimit{Named: true, PerSecond: perSecond}, a.sentAt)
+	if a.carrier != "" && a.x.h.deps.ShareLimit != nil {
+		a.x.h.deps.ShareLimit(a.carrier, a.target.Name, perSecond)
+	}
 }
 
 // logNotice logs and counts the target's notices.
--- a/internal/placement/admitter.go
+++ b/internal/placement/admitter.go
@@ -379,6 +379,19 @@
 	p.admitter.deps.RateLimits.Observe(p.target, targetlimit.Limit(l), sentAt)
 }
 
+// RecordLimit records the rate limit that a target has named to another VM, in requests/s.
+func (a *Admitter) RecordLimit(target string, perSecond float64) {
+	a.mu.Lock()
+	var t *config.TargetIndex
+	if p := a.poolOf(target); p != nil {
+		t = p.targets[target].TargetIndex
+	}
+	a.mu.Unlock()
+	if t != nil {
+		a.deps.RateLimits.Observe(t, targetlimit.Limit{Named: true, PerSecond: perSecond}, a.deps.Clock.Now())
+	}
+}
+
 // Notice returns what a target has announced to this VM, or to one that has told this VM.
 func (a *Admitter) Notice(target string) (leaving bool, backoff time.Duration) {
 	a.mu.Lock()
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -19,6 +19,12 @@
 	connectTime time.Duration
 }
 
+// Relayed reports whether the request need not wait until the connection to the target is open.
+func (c *Conn) Relayed() bool {
+	r, ok := c.wire.Conn.(interface{ Relayed() bool })
+	return ok && r.Relayed()
+}
+
 // Reused reports whether the connection was open before this exchange.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -46,6 +52,10 @@
 	if c.reused && c.idleFor >= minStaleIdle {
 		c.pool.staleness.recordUsable()
 	}
+	if !c.wire.usable() {
+		c.Drop()
+		return
+	}
 	c.wire.endExchange()
 }
 
--- a/internal/targetconn/reach.go
+++ b/internal/targetconn/reach.go
@@ -11,6 +11,11 @@
 // Reach states through which other VMs a request may be sent to its target.
 type Reach struct {
 	Regions []string // besides the target's region; empty: all
+	// Relay allows a VM that has not connected to the target yet. If Undelivered reports that it could not, the
+	// request has not reached the target.
+	Relay bool
+	// Repeatable reports that the request may be sent again if its connection breaks.
+	Repeatable bool
 }
 
 // Allows reports whether a VM of a region may be used for a target of a region.
@@ -58,6 +63,13 @@
 	return r.reach.Allows(region, r.targetRegion)
 }
 
+// Undelivered reports whether the VM that carries the connection could not connect to the target, so that no
+// byte of the request reached it.
+func (c *Conn) Undelivered() bool {
+	u, ok := c.wire.Conn.(interface{ Undelivered() bool })
+	return ok && u.Undelivered()
+}
+
 // isDirect reports whether no other VM carries a connection.
 func isDirect(c *Conn) bool { return c.wire.tunnel() == nil }
 
--- a/internal/tunnel/check.go
+++ b/internal/tunnel/check.go
@@ -30,6 +30,7 @@
 			return
 		case <-ticker.C:
 			s.closeOrphans()
+			s.maintainReady(ctx)
 		case <-s.checkRequested:
 		}
 		s.check(ctx)
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -33,6 +33,10 @@
 	onClose  func()
 	once     sync.Once
 
+	ready         *readyTunnel // nil: the carrier had connected before the first byte was sent
+	receiveNotice func(*Notice)
+	answered      bool // the carrier's response on a ready tunnel was seen
+
 	reader *bufio.Reader
 	left   int   // unread bytes of the current chunk
 	end    error // io.EOF after the end of the target's stream
@@ -43,6 +47,9 @@
 	if len(p) == 0 || c.end != nil {
 		return 0, c.end
 	}
+	if err := c.awaitCarrier(); err != nil {
+		return 0, err
+	}
 	if c.left == 0 {
 		if err := c.nextChunk(); err != nil {
 			return 0, err
@@ -53,6 +60,35 @@
 	return n, c.brokenBy(err)
 }
 
+// errUndelivered is the error of a connection whose carrier did not connect to the target.
+var errUndelivered = errors.New("the carrying VM did not connect to the target")
+
+// awaitCarrier waits until the carrier has connected to the target.
+func (c *Conn) awaitCarrier() error {
+	if c.ready == nil || c.answered {
+		return nil
+	}
+	<-c.ready.responded
+	if c.ready.err != nil {
+		return c.brokenBy(io.EOF)
+	}
+	c.receiveNotice(&c.ready.response.Notice)
+	if c.ready.response.Result != ResultOpened {
+		return errUndelivered
+	}
+	c.answered = true
+	return nil
+}
+
+// Relayed reports whether bytes were accepted before the carrier had connected to the target.
+func (c *Conn) Relayed() bool { return c.ready != nil }
+
+// Undelivered reports whether the carrier has told that it did not connect to the target, so that no byte
+// reached it.
+func (c *Conn) Undelivered() bool {
+	return c.ready != nil && c.ready.ended() && c.ready.err == nil && c.ready.response.Result != ResultOpened
+}
+
 // nextChunk reads the head of a chunk; at the end of the target's stream it returns io.EOF.
 func (c *Conn) nextChunk() error {
 	head, err := c.reader.Peek(chunkHeadBytes)
@@ -82,7 +118,7 @@
 }
 
 // Usable reports whether a request may be sent on the idle connection.
-func (c *Conn) Usable() bool { return c.detoured() && c.carries() }
+func (c *Conn) Usable() bool { return c.ready == nil && c.detoured() && c.carries() }
 
 // Carrier implements targetconn.Tunnel.
 func (c *Conn) Carrier() (vm, region, id string) { return c.carrier, c.region, c.id }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -51,6 +51,11 @@
 	if s.health.Detour(t.Name, s.deps.Clock.Now()) {
 		return s.dialDetour(ctx, t, r)
 	}
+	if r.Relay && t.Region != s.deps.Region {
+		if conn := s.relay(t, r.Repeatable); conn != nil {
+			return conn, nil
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	directly := s.start(func() dialResult { return s.dialDirect(ctx, t) })
@@ -88,10 +93,12 @@
 
 // dialDirect connects to a target from this VM.
 func (s *Service) dialDirect(ctx context.Context, t *config.TargetIndex) dialResult {
+	started := s.deps.Clock.Now()
 	conn, err := s.deps.Dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return dialResult{err: err}
 	}
+	s.ready.recordConnect(t.Region, s.deps.Clock.Now().Sub(started))
 	s.apply(s.health.Connected(t.Name, s.deps.Clock.Now()), t.Name, "")
 	return dialResult{conn: newDirect(conn, t.Name, s.health, s.deps.Clock.Now)}
 }
@@ -221,7 +228,7 @@
 func (s *Service) open(ctx context.Context, m membership.Member, t *config.TargetIndex) (*Conn, Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
 	defer cancel()
-	request := OpenRequest{Target: t.Name, Address: t.Address, ID: fmt.Sprintf("%s-%d", s.deps.Self, s.lastID.Add(1))}
+	request := OpenRequest{Target: t.Name, Address: t.Address, ID: s.newID()}
 	var response OpenResponse
 	stream, err := s.deps.Streams.OpenStream(ctx, m.Name, &request, &response)
 	if err != nil {
@@ -233,14 +240,22 @@
 	}
 	s.receiveNotice(&response.Notice)
 	s.opened.Inc()
+	return s.newConn(stream, m, &request), ResultOpened, nil
+}
+
+// newID returns an ID for a tunnel of this VM.
+func (s *Service) newID() string { return fmt.Sprintf("%s-%d", s.deps.Self, s.lastID.Add(1)) }
+
+// newConn returns a connection that a VM carries.
+func (s *Service) newConn(stream net.Conn, m membership.Member, request *OpenRequest) *Conn {
 	s.carriersInUse.add(m.Name)
 	return &Conn{
 		Conn: stream, carrier: m.Name, region: m.Region, id: request.ID,
-		detoured: func() bool { return s.health.Detoured(t.Name) },
+		detoured: func() bool { return s.health.Detoured(request.Target) },
 		carries:  func() bool { return s.stillCarries(m.Name) },
 		onClose:  func() { s.carriersInUse.remove(m.Name) },
 		reader:   bufio.NewReaderSize(stream, maxChunkBytes),
-	}, ResultOpened, nil
+	}
 }
 
 // stillCarries reports whether a VM may still be used for further requests.
--- a/internal/tunnel/events.go
+++ b/internal/tunnel/events.go
@@ -44,6 +44,13 @@
 		Meaning: "A request of another VM to carry a connection could not be decoded.",
 		Action:  "Check the builds of both VMs.",
 	})
+	eventCarrierSilent = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 507,
+		Level:   logrus.WarnLevel,
+		Name:    "carrying VM silent",
+		Meaning: "The named VM did not tell in time whether it connected to the target of a ready tunnel. It is asked last for a while, and the ready tunnels to its region are closed.",
+		Action:  "See whether the named VM is gone or frozen, or the way between the regions lost.",
+	})
 	eventNoticeNotSent = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 506,
 		Level:   logrus.WarnLevel,
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -37,10 +37,22 @@
 	vms     []*testVM
 	targets []network.Host
 
+	remote string // VM in another region than the rest; empty: none
+
 	mu   sync.Mutex
 	view *membership.View
 }
 
+// testBetween is the time one way to and from the VM in another region.
+const testBetween = 40 * time.Millisecond
+
+func (f *testFleet) delay(a, b network.Host) time.Duration {
+	if a.Name != b.Name && (a.Name == f.remote || b.Name == f.remote) {
+		return testBetween
+	}
+	return time.Millisecond
+}
+
 // change replaces the members by what a function makes of a copy.
 func (f *testFleet) change(do func(members []membership.Member) []membership.Member) {
 	f.mu.Lock()
@@ -60,6 +72,7 @@
 	recorded map[string]time.Duration // by target: Retry-After that was recorded
 	leaving  map[string]bool          // by target
 	forgiven int
+	limits   map[string]float64 // by target: named to other VMs
 }
 
 func (v *testVM) View() *membership.View {
@@ -93,6 +106,12 @@
 	v.leaving[target], v.recorded[target] = leaving, backoff
 }
 
+func (v *testVM) RecordLimit(target string, perSecond float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.limits[target] = perSecond
+}
+
 func (v *testVM) ForgetFailures(time.Time) { v.forgiven++ }
 
 type fixedConfig struct{ snap *config.Snapshot }
@@ -104,7 +123,14 @@
 // the bubble of synctest.
 func newTestFleet(t *testing.T, vms, targets int, serve func(net.Conn)) (f *testFleet, stop func()) {
 	t.Helper()
-	f = &testFleet{t: t, net: network.NewMemory(func(a, b network.Host) time.Duration { return time.Millisecond }), view: &membership.View{}}
+	return startTestFleet(t, vms, targets, "", serve)
+}
+
+// startTestFleet is newTestFleet with one VM in region b; the rest is in region a.
+func startTestFleet(t *testing.T, vms, targets int, remote string, serve func(net.Conn)) (f *testFleet, stop func()) {
+	t.Helper()
+	f = &testFleet{t: t, view: &membership.View{}, remote: remote}
+	f.net = network.NewMemory(f.delay)
 	doc := &config.Document{
 		Regions:  []config.Region{{Name: "a", Zones: []string{"a1", "a2"}}},
 		Services: []config.Service{{Name: "s"}},
@@ -156,7 +182,7 @@
 func (f *testFleet) addVM(number int) {
 	v := &testVM{
 		fleet: f, host: network.Host{Name: fmt.Sprintf("vm-%d", number), IP: fmt.Sprintf("10.0.0.%d", number+1)},
-		recorded: make(map[string]time.Duration), leaving: make(map[string]bool),
+		recorded: make(map[string]time.Duration), leaving: make(map[string]bool), limits: make(map[string]float64),
 	}
 	f.net.Add(v.host)
 	l, err := f.net.Listen(v.host.IP + ":7000")
@@ -170,14 +196,18 @@
 	if v.peers, err = peer.NewTCP(peer.Options{VM: v.host.Name, Incarnation: 1, Listener: l, DialContext: peer.DialFunc(f.net.Dialer(v.host))}); err != nil {
 		f.t.Fatal(err)
 	}
+	region := "a"
+	if v.host.Name == f.remote {
+		region = "b"
+	}
 	v.Service = NewService(Deps{
-		Self: v.host.Name, Region: "a", Members: v, Config: fixedConfig{f.snap}, Streams: v.peers, Network: v.peers,
+		Self: v.host.Name, Region: region, Members: v, Config: fixedConfig{f.snap}, Streams: v.peers, Network: v.peers,
 		MemoryBytes: testTunnels * carryMemoryFraction * 2 * maxChunkBytes,
 		Dial:        dial, Clock: kernel.SystemClock{}, Logger: telemetry.Discard(), Metrics: metrics.NewSet(),
 	})
 	v.SetNotices(v)
 	f.vms = append(f.vms, v)
-	f.view.Members = append(f.view.Members, vm(v.host.Name, "a"))
+	f.view.Members = append(f.view.Members, vm(v.host.Name, region))
 }
 
 func (f *testFleet) listen(h network.Host, serve func(net.Conn)) {
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -7,6 +7,7 @@
 	Target  string // name of the target
 	Address string // its address, as the asking VM knows it
 	ID      string // identifies the tunnel in the logs of both VMs
+	Ready   bool   // the target follows in a further OpenRequest on the stream, and its response there
 }
 
 // Result is a VM's answer to an OpenRequest.
@@ -14,12 +15,13 @@
 
 // Results of an OpenRequest.
 const (
-	ResultOpened      Result = iota + 1
-	ResultRefused            // nothing listens at the target's address
-	ResultUnreachable        // the target can't be reached from the carrying VM either
-	ResultPartitioned        // the carrying VM is partitioned itself
-	ResultBusy               // the carrying VM carries as many connections as it may
-	ResultUnknown            // the carrying VM knows no such target
+	ResultOpened       Result = iota + 1
+	ResultRefused             // nothing listens at the target's address
+	ResultUnreachable         // the target can't be reached from the carrying VM either
+	ResultPartitioned         // the carrying VM is partitioned itself
+	ResultBusy                // the carrying VM carries as many connections as it may
+	ResultUnknown             // the carrying VM knows no such target
+	ResultNotAccepting        // the target has announced to the carrying VM that it takes no requests
 )
 
 // String returns the text used in errors and metrics.
@@ -37,6 +39,8 @@
 		return "busy"
 	case ResultUnknown:
 		return "unknown target"
+	case ResultNotAccepting:
+		return "not accepting"
 	}
 	return "invalid"
 }
@@ -53,10 +57,13 @@
 	Target    string
 	Leaving   bool
 	BackoffMS uint32 // what is left of the target's Retry-After
+
+	Limited        bool
+	LimitPerSecond float64 // rate limit that the target has named, if Limited
 }
 
 // backoff returns what is left of the target's Retry-After.
 func (n *Notice) backoff() time.Duration { return time.Duration(n.BackoffMS) * time.Millisecond }
 
 // isZero reports whether the target has announced nothing that still holds.
-func (n *Notice) isZero() bool { return !n.Leaving && n.BackoffMS == 0 }
+func (n *Notice) isZero() bool { return !n.Leaving && n.BackoffMS == 0 && !n.Limited }
--- a/internal/tunnel/notices.go
+++ b/internal/tunnel/notices.go
@@ -18,6 +18,12 @@
 	}
 }
 
+// ShareLimit tells a VM that carries a connection which rate limit the target has named on it, in requests/s. The
+// target holds the carrying VM to it.
+func (s *Service) ShareLimit(carrier, target string, perSecond float64) {
+	s.send(carrier, &Notice{Target: target, Limited: true, LimitPerSecond: perSecond})
+}
+
 func (s *Service) send(vm string, n *Notice) {
 	if err := s.deps.Network.Send(vm, peer.KindTargetNotice, n); err != nil {
 		s.deps.Logger.Log(eventNoticeNotSent, telemetry.Peer(vm), telemetry.Value("target", n.Target), telemetry.Err(err))
@@ -59,7 +65,13 @@
 }
 
 func (s *Service) receiveNotice(n *Notice) {
-	if source := s.noticeSource(); source != nil && !n.isZero() {
-		source.RecordNotice(n.Target, n.Leaving, n.backoff())
+	source := s.noticeSource()
+	if source == nil || n.isZero() {
+		return
+	}
+	if n.Limited {
+		source.RecordLimit(n.Target, n.LimitPerSecond)
+		return
 	}
+	source.RecordNotice(n.Target, n.Leaving, n.backoff())
 }
--- a/internal/tunnel/service.go
+++ b/internal/tunnel/service.go
@@ -35,6 +35,8 @@
 	Notice(target string) (leaving bool, backoff time.Duration)
 	// RecordNotice records what a target has announced to another VM.
 	RecordNotice(target string, leaving bool, backoff time.Duration)
+	// RecordLimit records the rate limit that a target has named to another VM, in requests/s.
+	RecordLimit(target string, perSecond float64)
 	// ForgetFailures forgets the failures of targets since a time, as they were this VM's.
 	ForgetFailures(since time.Time)
 }
@@ -65,13 +67,17 @@
 	opened        *metrics.Counter
 	carried       *metrics.Counter
 	carriedBytes  *metrics.Counter
+	relayed       *metrics.Counter
 
 	mu         sync.Mutex
 	notices    Notices // nil: not set yet
 	onSilence  []func()
 	avoidUntil map[string]time.Time
 	tunnels    map[*carriedTunnel]struct{} // that this VM carries
+	waiting    map[net.Conn]struct{}       // ready tunnels of other VMs
+	ctx        context.Context             // from Start to Stop
 
+	ready          readyTunnels
 	cancel         context.CancelFunc
 	checks         sync.WaitGroup
 	checkRequested chan struct{} // capacity 1
@@ -89,9 +95,13 @@
 		opened:        d.Metrics.GetOrCreateCounter(`masticturn_tunnels_total{role="origin"}`),
 		carried:       d.Metrics.GetOrCreateCounter(`masticturn_tunnels_total{role="carrier"}`),
 		carriedBytes:  d.Metrics.GetOrCreateCounter("masticturn_tunnel_carried_bytes_total"),
+		relayed:       d.Metrics.GetOrCreateCounter("masticturn_ready_tunnels_used_total"),
 		avoidUntil:    make(map[string]time.Time),
 		tunnels:       make(map[*carriedTunnel]struct{}),
+		waiting:       make(map[net.Conn]struct{}),
 
+		ready:          readyTunnels{byRegion: make(map[string]*readyRegion)},
+		ctx:            context.Background(),
 		checkRequested: make(chan struct{}, 1),
 	}
 	s.buffers.New = func() any { return new([chunkHeadBytes + maxChunkBytes]byte) }
@@ -104,6 +114,7 @@
 	d.Metrics.GetOrCreateGauge("masticturn_detoured_targets", func() float64 { return float64(s.health.DetourCount()) })
 	d.Metrics.GetOrCreateGauge(`masticturn_tunnels_open{role="origin"}`, func() float64 { return float64(s.carriersInUse.total()) })
 	d.Metrics.GetOrCreateGauge(`masticturn_tunnels_open{role="carrier"}`, func() float64 { return float64(s.originsInUse.total()) })
+	d.Metrics.GetOrCreateGauge("masticturn_ready_tunnels", func() float64 { return float64(s.ready.count()) })
 	d.Streams.HandleStreams(s.acceptStream)
 	d.Network.Handle(peer.KindTargetNotice, s.handleNotice)
 	return s
@@ -145,10 +156,20 @@
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
 	s.checks.Go(func() { s.runChecks(ctx) })
 	return nil
 }
 
+// lifetime returns a context that ends with Stop.
+func (s *Service) lifetime() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ctx
+}
+
 // drainPollInterval is how often Drain checks whether tunnels are still open.
 const drainPollInterval = 50 * time.Millisecond
 
@@ -168,6 +189,8 @@
 		s.cancel()
 		s.checks.Wait()
 	}
+	s.ready.close()
+	s.closeWaiting()
 	s.closeTunnels(func(*carriedTunnel) bool { return true })
 	return nil
 }
