Test of requests to other regions under random faults of VMs, ways and targets

Ready tunnels add a VM to the way of a request. Writes must not run twice, nor be told as not run when they ran, while VMs are killed and drained, ways between them fall silent or are reset, targets crash and leave, VMs lose their ways to targets.

--- a/internal/e2e/remote_test.go
+++ b/internal/e2e/remote_test.go
@@ -1,8 +1,12 @@
 package e2e
 
 import (
+	"flag"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -93,6 +97,76 @@
 	}
 }
 
+var (
+	remoteSeeds     = flag.Int("remote.seeds", 4, "number of seeds of TestRequestsToOtherRegionsUnderFaults")
+	remoteFirstSeed = flag.Uint64("remote.first", 1, "first seed of TestRequestsToOtherRegionsUnderFaults")
+)
+
+// remoteFaults are faults of VMs, of ways between VMs and of targets, some of which overlap.
+var remoteFaults = map[string]func(f *memFleet, random *rand.Rand){
+	"a VM is killed": func(f *memFleet, random *rand.Rand) { f.killAndStart(f.vms[random.IntN(len(f.vms))]) },
+	"a VM is drained": func(f *memFleet, random *rand.Rand) {
+		f.drainAndStart(f.vms[random.IntN(len(f.vms))])
+	},
+	"ways between VMs fall silent": func(f *memFleet, random *rand.Rand) {
+		a, b := f.vms[random.IntN(len(f.vms))], f.vms[random.IntN(len(f.vms))]
+		f.net.Hold(a.host, b.host)
+		time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
+		f.net.Release(a.host, b.host)
+	},
+	"connections between VMs are reset": func(f *memFleet, random *rand.Rand) {
+		for _, a := range f.vms {
+			f.net.Reset(a.host, f.vms[random.IntN(len(f.vms))].host)
+		}
+	},
+	"a target crashes": func(f *memFleet, random *rand.Rand) { f.targets[random.IntN(len(f.targets))].crash() },
+	"a target leaves": func(f *memFleet, random *rand.Rand) {
+		g := f.targets[random.IntN(len(f.targets))]
+		g.leave()
+		time.Sleep(time.Second)
+		g.crash()
+	},
+	"a VM loses its ways to targets": func(f *memFleet, random *rand.Rand) {
+		heal := f.cut(partitionResets, f.vms[random.IntN(len(f.vms)):][:1], f.targets)
+		time.Sleep(time.Duration(500+random.IntN(2000)) * time.Millisecond)
+		heal()
+	},
+}
+
+// Guards against writes that run twice, or ran and are reported as not run, under faults of VMs, ways and targets.
+func TestRequestsToOtherRegionsUnderFaults(t *testing.T) {
+	names := slices.Sorted(maps.Keys(remoteFaults))
+	for seed := *remoteFirstSeed; seed < *remoteFirstSeed+uint64(*remoteSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRemoteFleet(t)
+				defer f.stop()
+				stop := f.followers(ownRequest)
+				time.Sleep(remoteWarmUp)
+				random := rand.New(rand.NewPCG(seed, 1))
+				for range 10 {
+					name := names[random.IntN(len(names))]
+					t.Logf("%v: %s", time.Now().Format("05.000"), name)
+					remoteFaults[name](f, random)
+					time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+				}
+				time.Sleep(memStable)
+				attempts := stop()
+				f.checkWritesOnce(attempts)
+				var s served
+				for _, a := range attempts {
+					s.note(a.status == http.StatusOK)
+				}
+				through := f.runsThroughOthers(attempts)
+				t.Logf("%.3f of %d served; %d writes reached region b through a VM there", s.share(), s.asked, through)
+				if through == 0 {
+					t.Error("no write passed through another VM")
+				}
+			})
+		})
+	}
+}
+
 // runsThroughOthers returns the number of writes in region b of callers at VMs of region a that came from a VM of
 // region b.
 func (f *memFleet) runsThroughOthers(attempts []firstAttempt) int {
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -86,7 +86,7 @@
 // Undelivered reports whether the carrier has told that it did not connect to the target, so that no byte
 // reached it.
 func (c *Conn) Undelivered() bool {
-	return c.ready != nil && c.ready.ended() && c.ready.err == nil && c.ready.response.Result != ResultOpened
+	return c.ready != nil && c.ready.settled() && c.ready.err == nil && c.ready.response.Result != ResultOpened
 }
 
 // nextChunk reads the head of a chunk; at the end of the target's stream it returns io.EOF.
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -55,8 +55,8 @@
 	r.err = readMessage(r.stream, &r.response)
 }
 
-// ended reports whether the tunnel has ended or was used.
-func (r *readyTunnel) ended() bool {
+// settled reports whether the carrying VM has responded or the tunnel has ended.
+func (r *readyTunnel) settled() bool {
 	select {
 	case <-r.responded:
 		return true
@@ -227,7 +227,7 @@
 
 // usableReady reports whether a ready tunnel may be used.
 func (s *Service) usableReady(r *readyTunnel) bool {
-	return !r.ended() && s.deps.Clock.Now().Sub(r.openedAt) <= readyLifetime && !s.avoids(r.carrier.Name) && s.stillCarries(r.carrier.Name)
+	return !r.settled() && s.deps.Clock.Now().Sub(r.openedAt) <= readyLifetime && !s.avoids(r.carrier.Name) && s.stillCarries(r.carrier.Name)
 }
 
 // maintainReady closes ready tunnels that may not be used and opens others.
@@ -296,7 +296,7 @@
 
 // checkResponse gives up a carrying VM that has not told in time that it has connected.
 func (s *Service) checkResponse(r *readyTunnel, conn *Conn, repeatable bool) {
-	if r.ended() {
+	if r.settled() {
 		return
 	}
 	s.deps.Logger.Log(eventCarrierSilent, telemetry.Peer(r.carrier.Name), telemetry.Value("tunnel", conn.id))
