A request that neither VM can deliver ends as not run; hedges are armed once

Found in the reading of the change, before landing: a request that another VM did not deliver and whose direct connect failed too panicked in its handler, so that the caller's connection was closed without an answer; a hedged one armed a second hedge, whose slot was kept, and wrote headers while the first hedge read them.

--- a/internal/e2e/remote_test.go
+++ b/internal/e2e/remote_test.go
@@ -82,15 +82,9 @@
 					time.Sleep(1200 * time.Millisecond)
 				}
 				attempts := stop()
-				f.checkWritesOnce(attempts)
-				var s served
-				for _, a := range attempts {
-					s.note(a.status == http.StatusOK)
-				}
-				through := f.runsThroughOthers(attempts)
-				t.Logf("%.3f of %d served; %d writes reached region b through a VM there", s.share(), s.asked, through)
-				if s.share() < remoteServedShare || through < 50 {
-					t.Errorf("%.3f served, want %.2f; %d writes through other VMs, want 50", s.share(), remoteServedShare, through)
+				share, through := f.checkRemote(attempts)
+				if share < remoteServedShare || through < 50 {
+					t.Errorf("%.3f served, want %.2f; %d writes through other VMs, want 50", share, remoteServedShare, through)
 				}
 			})
 		})
@@ -152,14 +146,7 @@
 				}
 				time.Sleep(memStable)
 				attempts := stop()
-				f.checkWritesOnce(attempts)
-				var s served
-				for _, a := range attempts {
-					s.note(a.status == http.StatusOK)
-				}
-				through := f.runsThroughOthers(attempts)
-				t.Logf("%.3f of %d served; %d writes reached region b through a VM there", s.share(), s.asked, through)
-				if through == 0 {
+				if _, through := f.checkRemote(attempts); through == 0 {
 					t.Error("no write passed through another VM")
 				}
 			})
@@ -167,6 +154,20 @@
 	}
 }
 
+// checkRemote checks that writes ran once. It returns the share of attempts that were served, and the number of writes
+// that reached region b through a VM there.
+func (f *memFleet) checkRemote(attempts []firstAttempt) (share float64, through int) {
+	f.t.Helper()
+	f.checkWritesOnce(attempts)
+	var s served
+	for _, a := range attempts {
+		s.note(a.status == http.StatusOK)
+	}
+	share, through = s.share(), f.runsThroughOthers(attempts)
+	f.t.Logf("%.3f of %d served; %d writes reached region b through a VM there", share, s.asked, through)
+	return share, through
+}
+
 // runsThroughOthers returns the number of writes in region b of callers at VMs of region a that came from a VM of
 // region b.
 func (f *memFleet) runsThroughOthers(attempts []firstAttempt) int {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -248,10 +248,10 @@
 	a.undelivered = true
 	a.conn.Drop()
 	a.watchdog.stop()
-	a.watchdog = a.newWatchdog()
 	if result := a.connect(); result.Fault != FaultNone {
 		return result
 	}
+	a.watchdog = a.newWatchdog()
 	return a.send()
 }
 
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -28,7 +28,7 @@
 func (a *attempt) armHedge() {
 	x := a.x
 	after := x.snap.Document.Retry.HedgeAfterMS.Duration()
-	if after <= 0 || a.hedged || !x.repeatable || x.stream != nil || x.dispatch.attempts >= x.dispatch.policy.maxAttempts {
+	if after <= 0 || a.hedge != nil || a.hedged || !x.repeatable || x.stream != nil || x.dispatch.attempts >= x.dispatch.policy.maxAttempts {
 		return
 	}
 	h := &hedge{first: a, number: x.dispatch.attempts + 1, resolved: make(chan struct{})}
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -39,7 +39,7 @@
 func (a *attempt) newRequest() *http.Request {
 	x := a.x
 	header := x.r.Header
-	if a.number > 1 {
+	if a.number > 1 || a.undelivered { // a hedge may read the header
 		header = header.Clone()
 	}
 	left := x.deadline.Sub(x.h.deps.Clock.Now()).Milliseconds()
--- a/internal/forward/relayed_test.go
+++ b/internal/forward/relayed_test.go
@@ -11,7 +11,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"masticturn/internal/config"
 	"masticturn/internal/kernel"
@@ -21,7 +23,9 @@
 
 // relayingDialer connects through another VM where that is allowed.
 type relayingDialer struct {
-	delivers bool // the other VM connects to the target
+	delivers bool          // the other VM connects to the target
+	respond  time.Duration // time until it tells that it does not
+	refuses  bool          // the target refuses direct connections
 
 	mu              sync.Mutex
 	relayed, direct int
@@ -33,10 +37,13 @@
 	defer d.mu.Unlock()
 	if !r.Relay {
 		d.direct++
+		if d.refuses {
+			return nil, syscall.ECONNREFUSED
+		}
 		return (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
 	}
 	d.relayed++
-	c := &relayedConn{written: make(chan struct{}, 1), delivers: d.delivers}
+	c := &relayedConn{written: make(chan struct{}, 1), delivers: d.delivers, respond: d.respond}
 	if !d.delivers {
 		c.Conn, _ = net.Pipe()
 		return c, nil
@@ -51,6 +58,7 @@
 	net.Conn
 	written  chan struct{}
 	delivers bool
+	respond  time.Duration
 }
 
 func (c *relayedConn) Write(p []byte) (int, error) {
@@ -69,6 +77,7 @@
 		return c.Conn.Read(p)
 	}
 	<-c.written
+	time.Sleep(c.respond)
 	return 0, errors.New("not connected")
 }
 
@@ -124,6 +133,56 @@
 	}
 }
 
+// Guards against a crash when neither way reaches the target.
+func TestRequestThatReachesItsTargetNeitherWay(t *testing.T) {
+	h, a := newTestHandler(t, testDocument("127.0.0.1:1"), Deps{
+		Targets: &relayingDialer{refuses: true}, Logger: telemetry.Discard(), VM: testVM, Clock: kernel.SystemClock{},
+	})
+	server := httptest.NewServer(h)
+	defer h.Close()
+	defer server.Close()
+	resp, err := http.Post(server.URL+"/svc/a", "text/plain", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Masticturn-Outcome") != "not-run" {
+		t.Errorf("status %d, %v, want 503 and not run", resp.StatusCode, resp.Header)
+	}
+	if n := (&testProxy{handler: h, admission: a}).heldPermits(); n > 0 {
+		t.Errorf("%d slots are still held", n)
+	}
+}
+
+// Guards against a second hedge of a request that is sent once more, which would keep its slot.
+func TestHedgedRequestThatAnotherVMDidNotDeliver(t *testing.T) {
+	answer := func(w http.ResponseWriter, r *http.Request) { time.Sleep(30 * time.Millisecond) }
+	doc := testDocument(newTarget(t, answer), newTarget(t, answer))
+	doc.Retry.HedgeAfterMS, doc.Retry.BudgetFraction = 5, 1
+	h, a := newTestHandler(t, doc, Deps{
+		Targets: &relayingDialer{respond: 20 * time.Millisecond}, Logger: telemetry.Discard(), VM: testVM, Clock: kernel.SystemClock{},
+	})
+	server := httptest.NewServer(h)
+	defer h.Close()
+	defer server.Close()
+	for range 10 {
+		resp, err := http.Get(server.URL + "/svc/a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	p := &testProxy{handler: h, admission: a}
+	for deadline := time.Now().Add(time.Second); p.heldPermits() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d slots are still held", p.heldPermits())
+		}
+	}
+}
+
 func TestLimitNamedThroughAnotherVMIsSharedWithIt(t *testing.T) {
 	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Their-Id", r.Header.Get("Their-Id"))
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -1,6 +1,12 @@
 package tunnel
 
-import "time"
+import (
+	"encoding/binary"
+	"io"
+	"time"
+
+	"masticturn/internal/peer"
+)
 
 // OpenRequest asks a VM to carry a connection to a target.
 type OpenRequest struct {
@@ -67,3 +73,29 @@
 
 // isZero reports whether the target has announced nothing that still holds.
 func (n *Notice) isZero() bool { return !n.Leaving && n.BackoffMS == 0 && !n.Limited }
+
+// messageHeadBytes is the length of a message's size, big-endian, before a message on an open stream.
+const messageHeadBytes = 2
+
+// writeMessage writes a message to an open stream.
+func writeMessage(w io.Writer, message any) error {
+	payload, err := peer.Encode(message)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(payload))), payload...))
+	return err
+}
+
+// readMessage reads a message of an open stream, and no byte that follows it.
+func readMessage(r io.Reader, message any) error {
+	var head [messageHeadBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	payload := make([]byte, binary.BigEndian.Uint16(head[:]))
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return err
+	}
+	return peer.Decode(payload, message)
+}
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"io"
 	"math"
 	"net"
 	"sync"
@@ -11,7 +9,6 @@
 
 	"masticturn/internal/config"
 	"masticturn/internal/membership"
-	"masticturn/internal/peer"
 	"masticturn/internal/telemetry"
 )
 
@@ -306,29 +303,3 @@
 		_ = conn.Close()
 	}
 }
-
-// messageHeadBytes is the length of a message's size, big-endian, before a message on an open stream.
-const messageHeadBytes = 2
-
-// writeMessage writes a message to an open stream.
-func writeMessage(w io.Writer, message any) error {
-	payload, err := peer.Encode(message)
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(payload))), payload...))
-	return err
-}
-
-// readMessage reads a message of an open stream, and no byte that follows it.
-func readMessage(r io.Reader, message any) error {
-	var head [messageHeadBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
-	}
-	payload := make([]byte, binary.BigEndian.Uint16(head[:]))
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return err
-	}
-	return peer.Decode(payload, message)
-}
