--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -213,7 +213,7 @@
 			continue
 		}
 		s.avoid(m.Name)
-		s.deps.Logger.Log(eventNotCarried, telemetry.Peer(m.Name), telemetry.Value("target", t.Name), telemetry.Err(err))
+		s.logNotCarried(m.Name, t.Name, err)
 	}
 	switch {
 	case asked == 0:
@@ -224,6 +224,11 @@
 	return nil, trace.Wrap(failure)
 }
 
+// logNotCarried logs that a VM did not open a tunnel. The target is empty for a ready tunnel.
+func (s *Service) logNotCarried(vm, target string, err error) {
+	s.deps.Logger.Log(eventNotCarried, telemetry.Peer(vm), telemetry.Value("target", target), telemetry.Err(err))
+}
+
 // open asks one VM to connect to a target.
 func (s *Service) open(ctx context.Context, m membership.Member, t *config.TargetIndex) (*Conn, Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
--- a/internal/tunnel/events.go
+++ b/internal/tunnel/events.go
@@ -26,7 +26,7 @@
 		Number:  telemetry.RangeForward + 503,
 		Level:   logrus.InfoLevel,
 		Name:    "connection not carried",
-		Meaning: "The named VM did not open a connection to the target for this VM. Another VM is asked.",
+		Meaning: "The named VM did not open a connection to the target for this VM, or, without a target, no ready tunnel. Another VM is asked.",
 		Action:  "None by itself; if there are many, see whether the named VM is partitioned or busy.",
 	})
 	eventCarried = telemetry.Register(telemetry.Event{
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"masticturn/internal/config"
 	"masticturn/internal/membership"
 	"masticturn/internal/telemetry"
@@ -216,10 +218,10 @@
 
 // close closes all ready tunnels and opens no more.
 func (t *readyTunnels) close() {
-	t.sweep(func(*readyTunnel) bool { return false })
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.closed = true
+	t.mu.Unlock()
+	t.sweep(func(*readyTunnel) bool { return false })
 }
 
 // usableReady reports whether a ready tunnel may be used.
@@ -262,7 +264,9 @@
 		}
 		if err == nil {
 			_ = stream.Close()
+			err = trace.ConnectionProblem(nil, "VM %s: %s", m.Name, response.Result)
 		}
+		s.logNotCarried(m.Name, "", err)
 		s.avoid(m.Name)
 	}
 	return nil
@@ -279,6 +283,7 @@
 	}
 	request := OpenRequest{Target: t.Name, Address: t.Address, ID: s.newID()}
 	if err := writeMessage(r.stream, &request); err != nil {
+		s.logNotCarried(r.carrier.Name, t.Name, err)
 		_ = r.stream.Close()
 		return nil
 	}
--- a/internal/tunnel/readycarry.go
+++ b/internal/tunnel/readycarry.go
@@ -13,6 +13,7 @@
 	return len(s.waiting) < s.maxTunnels() && s.ctx.Err() == nil
 }
 
+// closeWaiting closes the ready tunnels of other VMs.
 func (s *Service) closeWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,7 +29,7 @@
 	s.mu.Unlock()
 	var request OpenRequest
 	_ = stream.SetReadDeadline(s.deps.Clock.Now().Add(readyIdleTimeout))
-	err := readMessage(stream, &request)
+	err := readMessage(stream, &request) // fails when the origin has closed the tunnel unused
 	s.mu.Lock()
 	delete(s.waiting, stream)
 	s.mu.Unlock()
