Documents in force, silent connections and answers to polls say what was under way

Nothing told a busy link from a dead peer, nor how a document came to a VM. Event 8201 has hops, age, size and the time to decode; event 3 the frame that was being received and the bytes that were not written; counters for silent connections and abandoned calls while a large frame arrives, and for the bytes of answers to polls. Nothing decides differently.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -33,7 +33,7 @@
 		Number:  telemetry.RangeDiscovery + 201,
 		Level:   logrus.InfoLevel,
 		Name:    "document in force",
-		Meaning: "A newer document is in force on this VM.",
+		Meaning: "A newer document is in force on this VM. It came over the given number of VMs, whose state had the given age, in an answer of the given size; it took the given time to decode.",
 		Action:  "None.",
 	})
 	eventDocumentInvalid = telemetry.Register(telemetry.Event{
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -184,12 +184,24 @@
 	return &a, trace.Wrap(err, "poll %s from %s", kind, s.vm)
 }
 
+// contentBytes returns the size of the objects in the answer as they are sent.
+func (a *pollAnswer) contentBytes() int {
+	if a.Packed != nil {
+		return len(a.Packed)
+	}
+	n := 0
+	for i := range a.Changed {
+		n += len(a.Changed[i].Value) + len(a.Changed[i].Status)
+	}
+	return n
+}
+
 // toChange converts a peer's answer to a poll that was sent at the given time on this VM's boot clock.
 // The peer received the poll later, so the resulting confirmation is a lower bound.
 func (a *pollAnswer) toChange(kind platform.Kind, vm string, sent time.Duration) change {
 	c := change{kind: kind, complete: a.Complete, asOf: a.AsOf, age: a.Age, path: append(slices.Clone(a.Path), vm)}
 	c.confirmed = confirmation{known: a.Confirmed, at: sent}.add(a.ConfirmedAt)
-	c.withheld = a.Withheld
+	c.withheld, c.bytes = a.Withheld, a.contentBytes()
 	if a.Complete {
 		c.objects = a.Changed
 		return c
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -61,7 +61,7 @@
 	Clock   kernel.Clock
 	Boot    kernel.BootClock // nil: assume that the machine is never suspended
 	Logger  *telemetry.Logger
-	Metrics *metrics.Set
+	Metrics *metrics.Set // may be nil
 }
 
 // Service mirrors the store and publishes views.
@@ -108,6 +108,9 @@
 	if d.Boot == nil {
 		d.Boot = kernel.NewMonotonicBootClock()
 	}
+	if d.Metrics == nil {
+		d.Metrics = metrics.NewSet()
+	}
 	s := &Service{
 		deps:          d,
 		timings:       Timings(d.Decoder.Kinds(), d.Bounds),
@@ -242,7 +245,7 @@
 		}
 	}
 	if s.updateMirror(c) || s.isFirstList(c) {
-		if onlyNew := s.applyMirror(c.kind, s.mirrors[c.kind], now); onlyNew && s.view.Load() != nil {
+		if onlyNew := s.applyMirror(&c, s.mirrors[c.kind], now); onlyNew && s.view.Load() != nil {
 			s.publishSoon(now)
 		} else {
 			s.publish()
@@ -268,7 +271,7 @@
 		return
 	}
 	if m.MergeEarlier(c.objects, c.asOf) {
-		s.applyMirror(c.kind, m, s.deps.Clock.Now())
+		s.applyMirror(&c, m, s.deps.Clock.Now())
 		s.publish()
 	}
 }
@@ -301,9 +304,10 @@
 	s.contactSignal[kind] = make(chan struct{})
 }
 
-// applyMirror updates the catalog from a changed mirror and logs what changed. onlyNew means that nothing has
-// changed but for targets that were added.
-func (s *Service) applyMirror(kind platform.Kind, m *Mirror, now time.Time) (onlyNew bool) {
+// applyMirror updates the catalog from the mirror that a change was applied to and logs what changed. onlyNew means
+// that nothing has changed but for targets that were added.
+func (s *Service) applyMirror(c *change, m *Mirror, now time.Time) (onlyNew bool) {
+	kind := c.kind
 	version := telemetry.Value("version", m.AsOf().String())
 	defer func() { s.catalog.listed[kind] = true }()
 	switch kinds := s.deps.Decoder.Kinds(); kind {
@@ -314,7 +318,9 @@
 			s.deps.Logger.Log(eventDocumentInvalid, version, telemetry.Err(err))
 		}
 		if adopted {
-			s.deps.Logger.Log(eventDocumentInForce, version, telemetry.GenerationOf(uint64(s.catalog.gen)))
+			s.deps.Logger.Log(eventDocumentInForce, version, telemetry.GenerationOf(uint64(s.catalog.gen)),
+				telemetry.Value("hops", len(c.path)), telemetry.Value("age_ms", c.age.Milliseconds()),
+				telemetry.Value("bytes", c.bytes), telemetry.Value("took_ms", s.deps.Clock.Now().Sub(now).Milliseconds()))
 		}
 	case kinds.Evacuations:
 		for _, zone := range s.catalog.setZones(m, now) {
--- a/internal/discovery/serving.go
+++ b/internal/discovery/serving.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 
 	"masticturn/internal/peer"
@@ -68,6 +70,7 @@
 		var err error
 		a.Removed, a.Withheld = removed, m.Withheld(r.Since)
 		a.Changed, a.Packed, err = s.packChanges(r, a.AsOf, changed)
+		s.answerBytes(r.Kind, "changes").Add(a.contentBytes())
 		return a, err
 	}
 	a.Complete, a.Withheld = true, m.Withheld(0)
@@ -76,6 +79,7 @@
 		return nil, err
 	}
 	a.Packed = list.bytes
+	s.answerBytes(r.Kind, "list").Add(len(list.bytes))
 	if list.asOf != a.AsOf {
 		// The peer fetches the changes since then with its next poll, and is not up to date before.
 		a.AsOf, a.Confirmed = list.asOf, false
@@ -83,6 +87,11 @@
 	return a, nil
 }
 
+// answerBytes returns the counter of the content sent in answers of a form.
+func (s *Service) answerBytes(kind platform.Kind, form string) *metrics.Counter {
+	return s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_mirror_answer_bytes_total{kind=%q,form=%q}", string(kind), form))
+}
+
 // minPackedChanges is the number of changed objects from which on they are compressed.
 const minPackedChanges = 16
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -36,6 +36,7 @@
 	asOf       platform.Version
 	age        time.Duration // age of the content
 	path       []string      // VMs between the store and this VM; see pollAnswer.Path
+	bytes      int           // size of the answer's content as it was sent; 0 if the store was read
 	endsOutage bool          // the first success after an outage in which entries may have expired
 	// confirmed is a time at which the content was at least as recent as the store's.
 	confirmed confirmation
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -37,6 +37,7 @@
 	inbox           chan frame
 	unhandledLogged [kindCount]bool // kinds whose handling failure has been logged; used by handleSends only
 
+	receipt        receipt
 	received       atomic.Uint32 // frames received, except pongs; sent to the peer as the ack
 	acked          atomic.Uint32 // latest ack from the peer
 	lastProgress   atomic.Int64  // time of the latest ack, or of queuing the first unacknowledged frame, in ns after since; 0 if neither happened since the last check
@@ -45,7 +46,7 @@
 	// Guarded by link.mu.
 	out          []byte // frames queued for writing
 	spare        []byte // empty buffer to reuse as out
-	writing      bool
+	writingBytes int    // size of the batch that is being written
 	sent         uint32 // frames queued, except pongs
 	unackedSince time.Time
 	pingSent     bool // a ping was sent since unackedSince
@@ -107,8 +108,8 @@
 	event := eventClosed
 	switch {
 	case errors.Is(err, ErrSilent):
-		event = eventConnectionSilent
-		t.counters.silent.Inc()
+		c.reportSilent(err)
+		return
 	case errors.Is(err, ErrMalformed):
 		event = eventMalformedFrame
 		t.counters.malformed.Inc()
@@ -116,6 +117,23 @@
 	t.opts.Logger.Log(event, telemetry.Peer(c.remote), telemetry.Err(err))
 }
 
+// reportSilent logs and counts a silent connection with what was under way on it: a link that carries large frames
+// slowly delays acks, too.
+func (c *conn) reportSilent(err error) {
+	t := c.link.net
+	t.counters.silent.Inc()
+	fields := []telemetry.Field{telemetry.Peer(c.remote), telemetry.Err(err)}
+	if p := c.receipt.current(); p != nil {
+		t.counters.silentReceiving.Inc()
+		fields = append(fields, telemetry.Value("receiving", p.kind.String()),
+			telemetry.Value("received_bytes", p.received), telemetry.Value("frame_bytes", p.size))
+	}
+	c.link.mu.Lock()
+	unwritten := len(c.out) + c.writingBytes
+	c.link.mu.Unlock()
+	t.opts.Logger.Log(eventConnectionSilent, append(fields, telemetry.Value("unwritten_bytes", unwritten))...)
+}
+
 // enqueue appends a frame to the write queue. The caller must hold link.mu.
 func (c *conn) enqueue(typ frameType, kind Kind, id uint32, payload []byte) error {
 	if c.closed {
@@ -199,7 +217,7 @@
 	defer c.link.mu.Unlock()
 	batch := c.out
 	c.out, c.spare = c.spare[:0], nil
-	c.writing = len(batch) > 0
+	c.writingBytes = len(batch)
 	return batch
 }
 
@@ -222,7 +240,7 @@
 	t := c.link.net
 	limiter := rate.NewLimiter(rate.Limit(t.opts.FramesPerSecond), t.opts.FramesPerSecond+rateLimitBatch)
 	for n := 1; ; n++ {
-		f, err := readFrame(c.session.reader, t.opts.MaxFrameBytes)
+		f, err := readFrame(c.session.reader, t.opts.MaxFrameBytes, &c.receipt)
 		if err != nil {
 			return closeCause(err)
 		}
@@ -411,7 +429,7 @@
 // closes the connection if the dialing end has not done so for three times the
 // idle timeout.
 func (c *conn) checkIdle(now time.Time) error {
-	inUse := c.pendingCalls > 0 || c.runningCalls() > 0 || len(c.out) > 0 || c.writing
+	inUse := c.pendingCalls > 0 || c.runningCalls() > 0 || len(c.out) > 0 || c.writingBytes > 0
 	if inUse {
 		return nil
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -62,9 +62,10 @@
 	return append(b, payload...)
 }
 
-// readFrame reads and validates a frame. Its length field may be at most maxBytes.
+// readFrame reads and validates a frame. Its length field may be at most maxBytes. While it reads a payload of more
+// than receiveChunkBytes, it reports the progress to receiving, which may be nil.
 // The error wraps ErrMalformed if the peer violated the protocol.
-func readFrame(r *bufio.Reader, maxBytes int) (frame, error) {
+func readFrame(r *bufio.Reader, maxBytes int, receiving *receipt) (frame, error) {
 	head, err := r.Peek(frameOverheadBytes)
 	if err != nil {
 		return frame{}, err
@@ -85,15 +86,15 @@
 	if _, err := r.Discard(frameOverheadBytes); err != nil {
 		return frame{}, err
 	}
-	return f, f.readPayload(r, int(length)-headerBytes)
+	return f, f.readPayload(r, int(length)-headerBytes, receiving)
 }
 
-func (f *frame) readPayload(r *bufio.Reader, n int) error {
+func (f *frame) readPayload(r *bufio.Reader, n int, receiving *receipt) error {
 	if n == 0 {
 		return nil
 	}
 	f.payload = getBuffer(n)
-	if _, err := io.ReadFull(r, f.payload.b); err != nil {
+	if err := f.readChunks(r, receiving); err != nil {
 		f.payload.release()
 		return err
 	}
@@ -104,6 +105,27 @@
 	return nil
 }
 
+// receiveChunkBytes is the number of payload bytes that are read at once.
+const receiveChunkBytes = 16 << 10
+
+func (f *frame) readChunks(r *bufio.Reader, receiving *receipt) error {
+	b := f.payload.b
+	if len(b) <= receiveChunkBytes || receiving == nil {
+		_, err := io.ReadFull(r, b)
+		return err
+	}
+	defer receiving.end()
+	for at := 0; at < len(b); {
+		receiving.report(f, at)
+		end := min(at+receiveChunkBytes, len(b))
+		if _, err := io.ReadFull(r, b[at:end]); err != nil {
+			return err
+		}
+		at = end
+	}
+	return nil
+}
+
 // bytes returns the payload, or nil if it is empty.
 func (f *frame) bytes() []byte {
 	if f.payload == nil {
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -40,7 +40,7 @@
 
 func TestReadFrameLengths(t *testing.T) {
 	whole := appendFrame(nil, frameCall, KindPermit, 7, 9, []byte{0xc0})
-	f, err := readFrame(bufio.NewReader(bytes.NewReader(whole)), 100)
+	f, err := readFrame(bufio.NewReader(bytes.NewReader(whole)), 100, nil)
 	if err != nil || f.typ != frameCall || f.kind != KindPermit || f.id != 7 || f.ack != 9 || len(f.bytes()) != 1 {
 		t.Fatalf("got %+v, %v", f, err)
 	}
@@ -51,7 +51,7 @@
 		"bad payload":  appendFrame(nil, frameCall, KindPermit, 7, 9, []byte{0x92, 0xc0}),
 		"zero type":    appendFrame(nil, 0, KindPermit, 7, 9, nil),
 	} {
-		if _, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), 100); !errors.Is(err, ErrMalformed) {
+		if _, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), 100, nil); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%s: got %v", name, err)
 		}
 	}
@@ -66,7 +66,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		r := bufio.NewReader(bytes.NewReader(raw))
 		for {
-			received, err := readFrame(r, 1<<16)
+			received, err := readFrame(r, 1<<16, nil)
 			if err != nil {
 				return
 			}
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -103,7 +103,7 @@
 }
 
 func (s *session) readHello() error {
-	f, err := readFrame(s.reader, maxHelloBytes)
+	f, err := readFrame(s.reader, maxHelloBytes, nil)
 	if err != nil {
 		return trace.Wrap(err, "read hello")
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -166,6 +166,9 @@
 		return false
 	}
 	if c.conn != nil {
+		if c.conn.receipt.isResponse(id) {
+			l.net.counters.abandonedReceiving.Inc()
+		}
 		_ = c.conn.enqueue(frameCancel, kind, id, nil)
 	}
 	return true
@@ -331,7 +334,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if len(c.out) > 0 || c.writing {
+		if len(c.out) > 0 || c.writingBytes > 0 {
 			return true
 		}
 	}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -51,22 +51,27 @@
 	bytesIn, bytesOut [kindCount]*metrics.Counter // by kind
 	dropped           *metrics.Counter            // messages dropped because a queue was full
 	silent            *metrics.Counter            // connections closed because the peer stopped acknowledging
+	silentReceiving   *metrics.Counter            // ... while a large frame was being received
 	malformed         *metrics.Counter            // malformed frames
 	unhandled         *metrics.Counter            // one-way messages without a handler or whose handler failed
 	refused           *metrics.Counter            // handshakes that failed with ErrRefused
 	dials             *metrics.Counter
-	accepted          *metrics.Counter
+	// abandonedReceiving counts calls that were given up while their response was being received.
+	abandonedReceiving *metrics.Counter
+	accepted           *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
 	m := &counters{
-		dropped:   set.GetOrCreateCounter("masticturn_peer_dropped_messages_total"),
-		silent:    set.GetOrCreateCounter("masticturn_peer_silent_connections_total"),
-		malformed: set.GetOrCreateCounter("masticturn_peer_malformed_frames_total"),
-		unhandled: set.GetOrCreateCounter("masticturn_peer_unread_messages_total"),
-		refused:   set.GetOrCreateCounter("masticturn_peer_refused_total"),
-		dials:     set.GetOrCreateCounter("masticturn_peer_dials_total"),
-		accepted:  set.GetOrCreateCounter("masticturn_peer_accepted_total"),
+		dropped:            set.GetOrCreateCounter("masticturn_peer_dropped_messages_total"),
+		silent:             set.GetOrCreateCounter("masticturn_peer_silent_connections_total"),
+		silentReceiving:    set.GetOrCreateCounter("masticturn_peer_silent_connections_receiving_total"),
+		malformed:          set.GetOrCreateCounter("masticturn_peer_malformed_frames_total"),
+		unhandled:          set.GetOrCreateCounter("masticturn_peer_unread_messages_total"),
+		refused:            set.GetOrCreateCounter("masticturn_peer_refused_total"),
+		abandonedReceiving: set.GetOrCreateCounter("masticturn_peer_calls_abandoned_receiving_total"),
+		dials:              set.GetOrCreateCounter("masticturn_peer_dials_total"),
+		accepted:           set.GetOrCreateCounter("masticturn_peer_accepted_total"),
 	}
 	for i := range kindCount {
 		name := Kind(i).String()
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -272,7 +272,7 @@
 		a.SetAddress("b", "b")
 		go func() {
 			conn, _ := l.Accept()
-			_, _ = readFrame(bufio.NewReaderSize(conn, frameOverheadBytes), maxHelloBytes)
+			_, _ = readFrame(bufio.NewReaderSize(conn, frameOverheadBytes), maxHelloBytes, nil)
 			payload, _ := Encode(&hello{Version: protocolVersion, VM: "b"})
 			_, _ = conn.Write(appendFrame(nil, frameHello, 0, 0, 0, payload))
 		}()
@@ -385,7 +385,7 @@
 		}
 		payload, _ := Encode(&hello{Version: protocolVersion, VM: "x"})
 		_, _ = raw.Write(appendFrame(nil, frameHello, 0, 0, 0, payload))
-		_, _ = readFrame(bufio.NewReader(raw), maxHelloBytes)
+		_, _ = readFrame(bufio.NewReader(raw), maxHelloBytes, nil)
 		_, _ = raw.Write(appendFrame(nil, frameSend, KindPermit, 0, 0, []byte{0xdd, 0xff, 0xff, 0xff, 0xff}))
 		synctest.Wait()
 		if b.counters.malformed.Get() != 1 {
