Tests of large documents and messages over slow links, and of splits at VMs with few requests, failing and listed

The in-memory network of tests can limit a VM's link, which all VMs to which it sends share. On the code as found:

- peer: a response or message that takes longer than a second on its link closes the connection as silent, and a response that is arriving is given up at the call's deadline.
- forward: with one request at each of 985 VMs the first part of a split gets all of them.

--- a/internal/discovery/catalog_test.go
+++ b/internal/discovery/catalog_test.go
@@ -15,6 +15,7 @@
 type testDocument struct {
 	Generation config.Generation
 	ColdMS     config.Millis
+	Routes     []testRoute
 }
 
 func (jsonDecoder) Kinds() Kinds {
--- a/internal/forward/dialect_test.go
+++ b/internal/forward/dialect_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -302,6 +303,32 @@
 	}
 }
 
+// Each VM of a large fleet gets few requests of a rule, and a change of weights starts anew.
+func TestSplitSharesHoldOverVMsWithFewRequests(t *testing.T) {
+	const (
+		vms       = 985
+		tolerance = 0.1 // of all requests
+	)
+	doc := &config.Document{Services: []config.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	snap := config.NewLiveSnapshot(1, doc)
+	rule := &config.Rule{Name: "r", Parts: []config.Part{{Service: "a", Weight: 50}, {Service: "b", Weight: 30}, {Service: "c", Weight: 20}}}
+	for _, requests := range []int{1, 2, 3} {
+		counts := map[string]int{}
+		for range vms {
+			s := newSplitter()
+			for range requests {
+				counts[s.service(snap, rule).Name]++
+			}
+		}
+		for _, p := range rule.Parts {
+			share := float64(counts[p.Service]) / float64(vms*requests)
+			if off := share - float64(p.Weight)/100; math.Abs(off) > tolerance {
+				t.Errorf("%d requests at each VM: %s gets %.2f, weight %d", requests, p.Service, share, p.Weight)
+			}
+		}
+	}
+}
+
 func TestSplitFollowsANewDocument(t *testing.T) {
 	doc := &config.Document{Services: []config.Service{{Name: "a"}, {Name: "b"}}}
 	snap := config.NewLiveSnapshot(1, doc)
--- a/internal/peer/peertest/hub.go
+++ b/internal/peer/peertest/hub.go
@@ -37,6 +37,7 @@
 	faults      map[direction]Fault
 	queues      map[direction]*queue
 	paused      map[string]bool
+	links       map[string]*link // by VM, if its rate is limited
 	stats       Stats
 }
 
@@ -57,6 +58,7 @@
 		faults:      make(map[direction]Fault),
 		queues:      make(map[direction]*queue),
 		paused:      make(map[string]bool),
+		links:       make(map[string]*link),
 	}
 }
 
@@ -142,15 +144,18 @@
 		h.stats.Lost++
 		return
 	}
-	due := time.Now().Add(f.Delay)
+	delay := f.Delay
 	if f.Jitter > 0 {
-		due = due.Add(time.Duration(h.rng.Int64N(int64(f.Jitter))))
+		delay += time.Duration(h.rng.Int64N(int64(f.Jitter)))
 	}
-	dir := direction{from, to}
-	h.enqueue(dir, delivery{due, deliver})
-	if h.rng.Float64() < f.Duplicate {
+	duplicate := h.rng.Float64() < f.Duplicate
+	h.transmit(from, to, size, func() {
+		dir, due := direction{from, to}, time.Now().Add(delay)
 		h.enqueue(dir, delivery{due, deliver})
-	}
+		if duplicate {
+			h.enqueue(dir, delivery{due, deliver})
+		}
+	})
 }
 
 type delivery struct {
