Changes of large documents are sent as their differences, and large answers compressed

Cause: the document is one object, sent whole and plain to each of up to 16 VMs that poll a VM; 300 KB x 16 at 10 Mbit/s take 3.8 s for one hop of three, and the polls time out after 1.55 s, after which the next parent is asked for all of it.

Now an answer holds the differences from the version that the poller has. The first VM that reads the document works them out, and the others pass them on. The digests of base and result are checked; where the base is another one, the whole object is requested, compressed like any answer of 4 KB and more.

--- a/internal/discovery/catalog_test.go
+++ b/internal/discovery/catalog_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
 	"testing"
 	"time"
@@ -15,7 +16,6 @@
 type testDocument struct {
 	Generation config.Generation
 	ColdMS     config.Millis
-	Routes     []testRoute
 }
 
 func (jsonDecoder) Kinds() Kinds {
@@ -24,7 +24,8 @@
 
 func (jsonDecoder) Document(o platform.Object) (*DecodedDocument, error) {
 	var d testDocument
-	if err := json.Unmarshal(o.Value, &d); err != nil {
+	text, _, _ := bytes.Cut(o.Value, []byte("\n")) // more lines only make it larger
+	if err := json.Unmarshal(text, &d); err != nil {
 		return nil, err
 	}
 	doc := &config.Document{Services: []config.Service{{Name: "svc", ColdMS: d.ColdMS}}}
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -29,6 +29,13 @@
 		Meaning: "The given peer, from which this VM receives the store's state, did not answer in time or its state is stale. Another peer or the store is used instead.",
 		Action:  "Inspect the VM if it recurs.",
 	})
+	eventDeltaRefused = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 110,
+		Level:   logrus.InfoLevel,
+		Name:    "delta refused",
+		Meaning: "The given peer described a changed object by its differences from a version that this VM does not have. The whole object is requested.",
+		Action:  "None, unless it recurs with the same peer.",
+	})
 	eventDocumentInForce = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 201,
 		Level:   logrus.InfoLevel,
--- a/internal/discovery/largedocument_test.go
+++ b/internal/discovery/largedocument_test.go
@@ -12,7 +12,7 @@
 	"masticturn/internal/peer/peertest"
 )
 
-// testRoute has the fields and the size of a route of a stored document. The decoder ignores it.
+// testRoute has the fields and the size of a route of a stored document.
 type testRoute struct {
 	Name, Kind, PathPrefix, Service, Timeout, Latency string
 	Priority, MaxAttempts, Weight                     int
@@ -55,7 +55,7 @@
 // write writes a document of the next generation with the fleet's routes.
 func (f *slowLinkFleet) write() {
 	f.gen++
-	f.store.Put("doc", "main", encode(f.t, testDocument{Generation: f.gen, Routes: f.routes}))
+	f.store.Put("doc", "main", slices.Concat(encode(f.t, testDocument{Generation: f.gen}), []byte("\n"), encode(f.t, f.routes)))
 }
 
 // changeWeight changes the weight of one route.
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -23,6 +23,7 @@
 	historyStart platform.Version       // version from which tombstones is complete
 	history      *changelog.Log[string] // changes and deletions by name
 	changed      map[string]struct{}    // names of the objects changed since TakeChanged
+	earlier      earlierVersions
 
 	withheld map[string]withheldObject // objects of a copy that count as deleted, by name
 	absent   map[string]time.Time      // objects that a copy lacks, with the time at which they are dropped
@@ -46,6 +47,7 @@
 		objects:    make(map[string]platform.Object),
 		tombstones: make(map[string]tombstone),
 		changed:    make(map[string]struct{}),
+		earlier:    make(earlierVersions),
 		withheld:   make(map[string]withheldObject),
 		absent:     make(map[string]time.Time),
 	}
@@ -187,6 +189,9 @@
 	}
 	m.unprotect(o.Name)
 	delete(m.tombstones, o.Name)
+	if known, ok := m.objects[o.Name]; ok {
+		m.earlier.add(known)
+	}
 	m.objects[o.Name] = m.limitSize(o)
 	m.record(o.Name, o.Version)
 	return true
@@ -212,6 +217,7 @@
 func (m *Mirror) remove(name string, at platform.Version) {
 	last := m.objects[name].Version
 	delete(m.objects, name)
+	delete(m.earlier, name)
 	if len(m.tombstones) >= maxTombstones {
 		clear(m.tombstones)
 		m.historyStart = at
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -44,6 +44,8 @@
 	Since platform.Version // 0: request the complete list
 	Now   bool             // answer at once, even without changes
 	Eras  bool             // the peer knows that versions have eras; earlier builds don't
+	// Deltas is set if the peer has the state as of Since and takes deltas from it.
+	Deltas bool
 }
 
 // pollAnswer holds the changes since the requested version, or the complete list.
@@ -64,6 +66,8 @@
 	// Path names the VMs between the store and the peer, the one nearest to the store first. It is empty if the
 	// peer reads the store itself.
 	Path []string
+	// Deltas are changed objects that are not in Changed or Packed.
+	Deltas []objectDelta
 }
 
 // sources lists the peers from which a VM receives the store's state.
@@ -186,10 +190,13 @@
 
 // contentBytes returns the size of the objects in the answer as they are sent.
 func (a *pollAnswer) contentBytes() int {
+	n := len(a.Packed)
+	for i := range a.Deltas {
+		n += len(a.Deltas[i].Value)
+	}
 	if a.Packed != nil {
-		return len(a.Packed)
+		return n
 	}
-	n := 0
 	for i := range a.Changed {
 		n += len(a.Changed[i].Value) + len(a.Changed[i].Status)
 	}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -84,6 +84,7 @@
 	contactSignal map[platform.Kind]chan struct{} // closed and replaced on contact with the store
 	packed        map[platform.Kind]packedList    // cached compressed lists
 	packedChanges map[platform.Kind]packedChanges // latest compressed changes
+	deltas        deltaCache
 	subs          map[int]func(*View)
 	nextSub       int
 
@@ -121,6 +122,7 @@
 		contactSignal: make(map[platform.Kind]chan struct{}),
 		packed:        make(map[platform.Kind]packedList),
 		packedChanges: make(map[platform.Kind]packedChanges),
+		deltas:        make(deltaCache),
 		subs:          make(map[int]func(*View)),
 		stopped:       make(chan struct{}),
 		missingSignal: make(chan struct{}, 1),
@@ -160,6 +162,7 @@
 			publish: s.apply,
 			confirm: s.confirmed[kind].record,
 			prime:   s.prime,
+			resolve: s.applyDeltas,
 
 			firstStart: s.deps.FirstStart,
 			skipUntil:  make(map[string]time.Time),
--- a/internal/discovery/serving.go
+++ b/internal/discovery/serving.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"masticturn/internal/peer"
@@ -69,7 +71,10 @@
 	if ok {
 		var err error
 		a.Removed, a.Withheld = removed, m.Withheld(r.Since)
-		a.Changed, a.Packed, err = s.packChanges(r, a.AsOf, changed)
+		if r.Deltas {
+			a.Deltas, changed = s.deltasSince(r.Kind, r.Since, changed)
+		}
+		a.Changed, a.Packed, err = s.packChanges(r.Kind, changed)
 		s.answerBytes(r.Kind, "changes").Add(a.contentBytes())
 		return a, err
 	}
@@ -92,29 +97,49 @@
 	return s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_mirror_answer_bytes_total{kind=%q,form=%q}", string(kind), form))
 }
 
-// minPackedChanges is the number of changed objects from which on they are compressed.
-const minPackedChanges = 16
+// Changed objects are compressed if there are many or if their content is large.
+const (
+	minPackedChanges = 16
+	minPackedBytes   = 4 << 10
+)
 
-// packedChanges are the compressed changes of one kind between two versions.
+// packedChanges are compressed changes of one kind.
 type packedChanges struct {
-	since, asOf platform.Version
-	bytes       []byte
+	digest uint64 // of the objects' names and versions
+	bytes  []byte
 }
 
-// packChanges compresses the changed objects if there are many. The result is cached, as all peers that poll this
+// packChanges compresses the changed objects if that is worth it. The result is cached, as all peers that poll this
 // VM mostly request the same changes. s.mu is held.
-func (s *Service) packChanges(r *pollRequest, asOf platform.Version, changed []platform.Object) (plain []platform.Object, packed []byte, err error) {
-	if len(changed) < minPackedChanges {
+func (s *Service) packChanges(kind platform.Kind, changed []platform.Object) (plain []platform.Object, packed []byte, err error) {
+	size := 0
+	for i := range changed {
+		size += len(changed[i].Value) + len(changed[i].Status)
+	}
+	if len(changed) < minPackedChanges && size < minPackedBytes {
 		return changed, nil, nil
 	}
-	if p := s.packedChanges[r.Kind]; p.bytes != nil && p.since == r.Since && p.asOf == asOf {
+	digest := digestOfVersions(changed)
+	if p := s.packedChanges[kind]; p.bytes != nil && p.digest == digest {
 		return nil, p.bytes, nil
 	}
 	packed, err = packObjects(changed)
-	s.packedChanges[r.Kind] = packedChanges{r.Since, asOf, packed}
+	s.packedChanges[kind] = packedChanges{digest, packed}
 	return nil, packed, err
 }
 
+// digestOfVersions identifies a list of objects, each by its name and version.
+func digestOfVersions(objects []platform.Object) uint64 {
+	d := xxhash.New()
+	var version [8]byte
+	for i := range objects {
+		_, _ = d.WriteString(objects[i].Name)
+		binary.BigEndian.PutUint64(version[:], uint64(objects[i].Version))
+		_, _ = d.Write(version[:])
+	}
+	return d.Sum64()
+}
+
 // packedList is a compressed complete list as of a version.
 type packedList struct {
 	asOf     platform.Version
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -58,6 +58,8 @@
 	publish    func(change change)
 	confirm    func(c confirmation) // records a confirmation of the current state
 	prime      func(change change)  // records a peer's state, against which a copy of the store does not hold
+	// resolve returns the objects of a peer's deltas. It fails if the current state is not their base.
+	resolve func(kind platform.Kind, deltas []objectDelta) ([]platform.Object, error)
 
 	firstStart    bool                 // see Deps.FirstStart
 	asOf          platform.Version     // version of the current state; 0: a complete list is needed
@@ -176,7 +178,7 @@
 // changes.
 func (w *watcher) poll(ctx context.Context, vm string, immediate bool) error {
 	sent := w.boot.SinceBoot()
-	a, err := w.sourceOf(vm).poll(ctx, &pollRequest{Kind: w.kind, Since: w.asOf, Now: immediate, Eras: true})
+	a, err := w.requestChanges(ctx, vm, immediate)
 	if err != nil {
 		return err
 	}
@@ -199,6 +201,25 @@
 	return nil
 }
 
+// requestChanges polls a peer. Large objects come as deltas; if one does not fit the current state, the peer is asked
+// again for whole objects.
+func (w *watcher) requestChanges(ctx context.Context, vm string, immediate bool) (*pollAnswer, error) {
+	source := w.sourceOf(vm)
+	request := pollRequest{Kind: w.kind, Since: w.asOf, Now: immediate, Eras: true, Deltas: true}
+	a, err := source.poll(ctx, &request)
+	if err != nil || len(a.Deltas) == 0 {
+		return a, err
+	}
+	objects, err := w.resolve(w.kind, a.Deltas)
+	if err == nil {
+		a.Changed = append(a.Changed, objects...)
+		return a, nil
+	}
+	w.logger.Log(eventDeltaRefused, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
+	request.Deltas = false
+	return source.poll(ctx, &request)
+}
+
 // applyNewer applies an answer whose state is stale, but not older than this VM's state. A VM without
 // state does not use it; but if the store then turns out to have come back from a copy, the answer is newer.
 func (w *watcher) applyNewer(c change) {
