VMs with the most cores relay the store's state to the others of their region

Members tell their cores, not their links; on all deployments so far those with more cores have the faster links.

TestLargeVMsRelay failed before: with 30 of 330 VMs large, nearly all sources were small VMs. Equal VMs are ranked as before.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -87,6 +87,11 @@
 
 // newBoundFleet is like newFleet, with the given bound.
 func newBoundFleet(t *testing.T, size int, bound time.Duration) *fleet {
+	return newFleetWithCores(t, size, bound, func(int) float64 { return 0 })
+}
+
+// newFleetWithCores is like newBoundFleet, with the number of cores of each VM.
+func newFleetWithCores(t *testing.T, size int, bound time.Duration, cores func(i int) float64) *fleet {
 	f := &fleet{
 		bound: bound, firstStart: true,
 		t: t, hub: peertest.NewHub(1), store: platformtest.NewStore(),
@@ -96,6 +101,7 @@
 	for i := range size {
 		f.view.Members = append(f.view.Members, membership.Member{
 			Name: fmt.Sprintf("vm-%03d", i), Region: fmt.Sprintf("r%d", i%3), State: membership.Alive, Generation: 1,
+			Cores: cores(i),
 		})
 	}
 	f.writeDocument()
@@ -407,6 +413,31 @@
 	}
 }
 
+// VMs with more cores relay to the others, where a region has enough of them.
+func TestLargeVMsRelay(t *testing.T) {
+	cores := make(map[string]float64)
+	view := &membership.View{}
+	for i := range 330 {
+		m := membership.Member{Name: fmt.Sprintf("vm-%04d", i), Region: "r", State: membership.Alive, Cores: 0.16}
+		if i%11 == 0 {
+			m.Cores = 1.6
+		}
+		cores[m.Name] = m.Cores
+		view.Members = append(view.Members, m)
+	}
+	for _, m := range view.Members {
+		own := *view
+		own.Self = m.Name
+		s := sourcesFor(&own)
+		if len(s.preferred) > 0 && cores[s.preferred[0]] < 1 {
+			t.Errorf("%s polls %s, which has %.2f cores", m.Name, s.preferred[0], cores[s.preferred[0]])
+		}
+		if s.isReader && m.Cores < 1 {
+			t.Errorf("%s reads the store and has %.2f cores", m.Name, m.Cores)
+		}
+	}
+}
+
 // The bytes per second that polls of an idle VM take must not grow with the fleet.
 func TestPollBytesDoNotGrowWithTheFleet(t *testing.T) {
 	const minute = time.Minute
--- a/internal/discovery/largedocument_test.go
+++ b/internal/discovery/largedocument_test.go
@@ -41,6 +41,18 @@
 	routes []testRoute
 }
 
+// newMixedFleet returns a fleet without a document of routes, in which every nth VM has ten times the cores of the
+// others; 0: none.
+func newMixedFleet(t *testing.T, size, everyNthIsLarge int, bound time.Duration) *slowLinkFleet {
+	cores := func(i int) float64 {
+		if everyNthIsLarge > 0 && i%everyNthIsLarge == 0 {
+			return 1.6
+		}
+		return 0.16
+	}
+	return &slowLinkFleet{fleet: newFleetWithCores(t, size, bound, cores), rng: rand.New(rand.NewPCG(1, 1))}
+}
+
 func newSlowLinkFleet(t *testing.T, size, routeCount, linkMbps int, bound time.Duration) *slowLinkFleet {
 	f := &slowLinkFleet{fleet: newBoundFleet(t, size, bound), rng: rand.New(rand.NewPCG(1, 1))}
 	f.routes = routes(f.rng, routeCount)
@@ -142,3 +154,55 @@
 		}
 	}
 }
+
+// untilEverywhere returns the time until all VMs have the latest document in force; limit if some still lack it.
+func (f *slowLinkFleet) untilEverywhere(limit time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < limit {
+		time.Sleep(20 * time.Millisecond)
+		missing := slices.ContainsFunc(slices.Collect(maps.Values(f.vms)), func(s *Service) bool {
+			return s.View().Snapshot.Generation != f.gen
+		})
+		if !missing {
+			return time.Since(start)
+		}
+	}
+	return limit
+}
+
+// The time until a document of which every route is new is in force everywhere, by its size. The store takes
+// values of up to 1 MB, some 5,000 routes.
+func TestTimeUntilANewDocumentIsInForceEverywhere(t *testing.T) {
+	const (
+		vms       = 330
+		linkMbps  = 20
+		largeMbps = 1000
+		bound     = 5 * time.Second
+	)
+	for _, everyNthIsLarge := range []int{0, 11} {
+		for _, routeCount := range []int{250, 1078, 2156, 5000} {
+			t.Run(fmt.Sprintf("every %d VM is large/%d routes", everyNthIsLarge, routeCount), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newMixedFleet(t, vms, everyNthIsLarge, bound)
+					f.routes = routes(f.rng, routeCount)
+					f.write()
+					f.wantDocumentEverywhere("before the links are slow")
+					for i, m := range f.view.Members {
+						rate := linkMbps
+						if everyNthIsLarge > 0 && i%everyNthIsLarge == 0 {
+							rate = largeMbps
+						}
+						f.hub.SetLinkRate(m.Name, rate*1_000_000/8)
+					}
+					f.routes = routes(f.rng, routeCount)
+					f.write()
+					took := f.untilEverywhere(4 * bound)
+					t.Logf("in force everywhere after %v; the busiest link sent %d KB", took, f.busiestLink()>>10)
+					if took > bound {
+						t.Errorf("in force everywhere after %v, want at most %v", took, bound)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -141,10 +142,31 @@
 	return regions
 }
 
-// topOfRegion returns the first n members of a region in an order that is the same on all VMs. The first one is
-// the region's leader.
+// topOfRegion returns the first n members of a region in an order that is the same on all VMs: those with the most
+// cores first, as they have the fastest links, too, and send to many others. The first one is the region's leader.
 func topOfRegion(region string, members []*membership.Member, n int) []*membership.Member {
-	return rendezvous.Top("leader of "+region, members, n, memberName)
+	n = min(n, len(members))
+	key := "leader of " + region
+	top := make([]*membership.Member, 0, n)
+	for len(top) < n {
+		class, rest := strongest(members)
+		top = append(top, rendezvous.Top(key, class, n-len(top), memberName)...)
+		members = rest
+	}
+	return top
+}
+
+// strongest splits members into those with the most cores and the others.
+func strongest(members []*membership.Member) (most, others []*membership.Member) {
+	cores := slices.MaxFunc(members, func(a, b *membership.Member) int { return cmp.Compare(a.Cores, b.Cores) }).Cores
+	for _, m := range members {
+		if cmp.Compare(m.Cores, cores) == 0 {
+			most = append(most, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return most, others
 }
 
 // rankedLeaders returns the leaders of the regions, each the first of its region's members. The first
