A connection that carries a large frame slowly is not silent

Callers saw requests handled by an old document (CONFIG): a frame that took longer than a second on its link had its connection closed as silent, at both ends, and the answer was requested again from another VM over the same links.

Cause: progress was measured by acks of whole frames alone. Now chunks that the peer has taken count, and a frame that is arriving does, if it began before acks were overdue.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -203,7 +203,7 @@
 			if len(batch) == 0 {
 				break
 			}
-			if _, err := c.session.conn.Write(batch); err != nil {
+			if err := c.writeBatch(batch); err != nil {
 				c.close(err)
 				return
 			}
@@ -212,6 +212,31 @@
 	}
 }
 
+const (
+	// writeChunkBytes is the number of bytes that are written at once.
+	writeChunkBytes = 16 << 10
+	// blockedWrite is the duration from which on a write has waited for the peer to take earlier bytes. A shorter
+	// one has only filled a buffer of this VM.
+	blockedWrite = 5 * time.Millisecond
+)
+
+// writeBatch writes a batch in chunks. On a slow link a large batch takes longer than a peer may be silent, and the
+// peer acknowledges a frame only when it has all of it, so that chunks that the peer takes count as progress.
+func (c *conn) writeBatch(batch []byte) error {
+	for len(batch) > 0 {
+		chunk := batch[:min(len(batch), writeChunkBytes)]
+		begun := time.Now()
+		if _, err := c.session.conn.Write(chunk); err != nil {
+			return err
+		}
+		if time.Since(begun) >= blockedWrite {
+			c.recordProgress()
+		}
+		batch = batch[len(chunk):]
+	}
+	return nil
+}
+
 func (c *conn) takeBatch() []byte {
 	c.link.mu.Lock()
 	defer c.link.mu.Unlock()
@@ -257,7 +282,12 @@
 			c.acked.Store(f.ack)
 			c.recordProgress()
 		}
-		if err := c.dispatch(f); err != nil {
+		large := len(f.bytes()) > receiveChunkBytes
+		err = c.dispatch(f)
+		if large {
+			c.receipt.end() // not before the call of a response has completed
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -395,7 +425,9 @@
 	if paused > fastSweepInterval {
 		c.unackedSince = c.unackedSince.Add(paused)
 	}
-	if c.sent != c.acked.Load() {
+	o := &c.link.net.opts
+	receiving := c.receipt.delaysAcks(c.unackedSince.Add(o.DeadAfter), now.Add(-o.DetachAfter))
+	if c.sent != c.acked.Load() && !receiving {
 		if err := c.checkSilence(now.Sub(c.unackedSince)); err != nil {
 			return err
 		}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -114,7 +114,6 @@
 		_, err := io.ReadFull(r, b)
 		return err
 	}
-	defer receiving.end()
 	for at := 0; at < len(b); {
 		receiving.report(f, at)
 		end := min(at+receiveChunkBytes, len(b))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -166,7 +166,7 @@
 		return false
 	}
 	if c.conn != nil {
-		if c.conn.receipt.isResponse(id) {
+		if c.conn.receipt.isResponse(id, time.Time{}) {
 			l.net.counters.abandonedReceiving.Inc()
 		}
 		_ = c.conn.enqueue(frameCancel, kind, id, nil)
--- a/internal/peer/receipt.go
+++ b/internal/peer/receipt.go
@@ -1,6 +1,9 @@
 package peer
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // receipt is the progress of a connection in receiving a large frame. It is safe for concurrent use.
 type receipt struct {
@@ -15,13 +18,20 @@
 	id       uint32
 	size     int // of the payload, in bytes
 	received int
+	begun    time.Time // receipt of the header
+	progress time.Time // receipt of the latest chunk
 }
 
 // report records that the given number of bytes of a frame's payload has been received.
 func (r *receipt) report(f *frame, received int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.partial = &partialFrame{f.typ, f.kind, f.id, len(f.payload.b), received}
+	now := time.Now()
+	begun := now
+	if r.partial != nil {
+		begun = r.partial.begun
+	}
+	r.partial = &partialFrame{f.typ, f.kind, f.id, len(f.payload.b), received, begun, now}
 }
 
 // end records that no frame is being received.
@@ -38,8 +48,15 @@
 	return r.partial
 }
 
-// isResponse reports whether the response to a call is being received.
-func (r *receipt) isResponse(id uint32) bool {
+// isResponse reports whether the response to a call is being received and has made progress since a time.
+func (r *receipt) isResponse(id uint32, since time.Time) bool {
 	p := r.current()
-	return p != nil && p.typ == frameResponse && p.id == id
+	return p != nil && p.typ == frameResponse && p.id == id && p.progress.After(since)
+}
+
+// delaysAcks reports whether a frame that began before a time is being received and has made progress since another
+// one. The peer can't send an ack before its end.
+func (r *receipt) delaysAcks(begunBefore, since time.Time) bool {
+	p := r.current()
+	return p != nil && p.begun.Before(begunBefore) && p.progress.After(since)
 }
