A response that is arriving is not given up at the deadline of its call

Now the call waits for the rest, up to 3 s, while bytes arrive. Calls that are canceled end as before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -120,7 +120,8 @@
 	return nil
 }
 
-// call sends a call and waits for its result or the end of ctx.
+// call sends a call and waits for its result or the end of ctx. If the response is being received when the deadline
+// of ctx passes, call waits for the rest of it.
 func (l *link) call(ctx context.Context, kind Kind, payload []byte) result {
 	c := l.net.calls.Get().(*call)
 	id, err := l.startCall(c, kind, payload)
@@ -134,10 +135,38 @@
 		return res
 	case <-ctx.Done():
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		l.awaitArriving(c, id)
+	}
 	if l.abandon(id, kind) {
 		l.net.calls.Put(c)
+		return result{err: l.wrapError(StepAnswer, ctx.Err())}
+	}
+	// The call has completed meanwhile.
+	res := <-c.done
+	l.net.calls.Put(c)
+	return res
+}
+
+// Limits of waiting for the rest of a response after the deadline of its call.
+const (
+	maxArrival           = 3 * time.Second
+	arrivalCheckInterval = 50 * time.Millisecond
+)
+
+// awaitArriving waits while a response is being received. Without it, the caller would have to request all of the
+// response again, over a link that is busy with it.
+func (l *link) awaitArriving(c *call, id uint32) {
+	for end := time.Now().Add(maxArrival); time.Now().Before(end) && l.isArriving(c, id); {
+		time.Sleep(arrivalCheckInterval)
 	}
-	return result{err: l.wrapError(StepAnswer, ctx.Err())}
+}
+
+// isArriving reports whether the response to a call is being received and makes progress.
+func (l *link) isArriving(c *call, id uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.conn != nil && l.calls[id] == c && c.conn.receipt.isResponse(id, time.Now().Add(-l.net.opts.DetachAfter))
 }
 
 func (l *link) startCall(c *call, kind Kind, payload []byte) (id uint32, err error) {
