--- a/internal/peer/events.go
+++ b/internal/peer/events.go
@@ -20,7 +20,7 @@
 	})
 	eventConnectionSilent = telemetry.Register(telemetry.Event{
 		Number: telemetry.RangePeer + 3, Level: logrus.WarnLevel, Name: "peer connection is silent",
-		Meaning: "The peer stopped acknowledging frames, but the connection was not closed. It is replaced by a new one.",
+		Meaning: "The peer stopped acknowledging frames, but the connection was not closed. It is replaced by a new one. The fields name the large frame that was being received, if any, and the bytes that were not written yet.",
 		Action:  "If it recurs, check firewalls and address translation between the two VMs.",
 	})
 	eventMalformedFrame = telemetry.Register(telemetry.Event{
