Deltas of objects that have a status

The platform's store gives each object a status, and deltasSince left out objects with one; tests' objects had none.

The status is now sent beside the delta. TestDeltasOfObjectsWithAStatus failed before.

--- a/internal/discovery/deltas.go
+++ b/internal/discovery/deltas.go
@@ -21,6 +21,7 @@
 	Version platform.Version
 	Base    platform.Version
 	Value   []byte // encoded by the package delta
+	Status  []byte // whole
 }
 
 // earlierVersions holds the versions of large objects before the current ones, by name, the latest last.
@@ -72,7 +73,7 @@
 func (s *Service) deltasSince(kind platform.Kind, since platform.Version, changed []platform.Object) (deltas []objectDelta, others []platform.Object) {
 	for _, o := range changed {
 		base, known := s.mirrors[kind].earlier.asOf(o.Name, since)
-		if !known || len(o.Value) < minDeltaBytes || len(o.Status) > 0 {
+		if !known || len(o.Value) < minDeltaBytes {
 			others = append(others, o)
 			continue
 		}
@@ -86,7 +87,7 @@
 			}
 			s.deltas.put(key, encoded)
 		}
-		deltas = append(deltas, objectDelta{o.Name, o.Version, base.Version, encoded})
+		deltas = append(deltas, objectDelta{o.Name, o.Version, base.Version, encoded, o.Status})
 	}
 	return deltas, others
 }
@@ -107,7 +108,7 @@
 			return nil, trace.Wrap(err, "delta of %s from version %v", d.Name, d.Base)
 		}
 		s.deltas.put(deltaKey{kind, d.Name, d.Base, d.Version}, d.Value)
-		objects = append(objects, platform.Object{Kind: kind, Name: d.Name, Version: d.Version, Value: value})
+		objects = append(objects, platform.Object{Kind: kind, Name: d.Name, Version: d.Version, Value: value, Status: d.Status})
 	}
 	return objects, nil
 }
--- a/internal/discovery/deltas_test.go
+++ b/internal/discovery/deltas_test.go
@@ -7,8 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"masticturn/internal/kernel"
 	"masticturn/internal/peer/peertest"
 	"masticturn/internal/platform"
+	"masticturn/internal/telemetry"
 )
 
 func largeObject(version platform.Version, size int) platform.Object {
@@ -109,3 +111,38 @@
 		})
 	}
 }
+
+// The platform's store gives objects a status, also those of which nobody reports one.
+func TestDeltasOfObjectsWithAStatus(t *testing.T) {
+	from, to := newDeltaFixture(), newDeltaFixture()
+	first, second := largeObject(10, minDeltaBytes), largeObject(20, minDeltaBytes)
+	first.Status, second.Status = []byte(`{}`), []byte(`{"seen":true}`)
+	second.Value = append(bytes.Clone(first.Value), "more"...)
+	from.put(first)
+	to.put(first)
+	from.put(second)
+	deltas, others := from.service.deltasSince("doc", 15, []platform.Object{second})
+	if len(deltas) != 1 || len(others) != 0 {
+		t.Fatalf("%d deltas and %d whole objects, want 1 and 0", len(deltas), len(others))
+	}
+	objects, err := to.service.applyDeltas("doc", deltas)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := objects[0]; !bytes.Equal(got.Value, second.Value) || !bytes.Equal(got.Status, second.Status) || got.Version != second.Version {
+		t.Errorf("got %+v, want %+v", got, second)
+	}
+}
+
+// deltaFixture is a service without a fleet.
+type deltaFixture struct{ service *Service }
+
+func newDeltaFixture() *deltaFixture {
+	return &deltaFixture{NewService(Deps{
+		Decoder: jsonDecoder{}, Network: peertest.NewHub(1).Network("a"), Clock: kernel.SystemClock{}, Logger: telemetry.Discard(),
+	})}
+}
+
+func (f *deltaFixture) put(o platform.Object) {
+	f.service.mirrors["doc"].Apply([]platform.Event{{Object: o}}, o.Version)
+}
--- a/internal/discovery/relay.go
+++ b/internal/discovery/relay.go
@@ -69,6 +69,8 @@
 	Path []string
 	// Deltas are changed objects that are not in Changed or Packed.
 	Deltas []objectDelta
+
+	resolved []platform.Object // the objects of Deltas; not sent
 }
 
 // sources lists the peers from which a VM receives the store's state.
@@ -214,7 +216,7 @@
 func (a *pollAnswer) contentBytes() int {
 	n := len(a.Packed)
 	for i := range a.Deltas {
-		n += len(a.Deltas[i].Value)
+		n += len(a.Deltas[i].Value) + len(a.Deltas[i].Status)
 	}
 	if a.Packed != nil {
 		return n
@@ -235,7 +237,7 @@
 		c.objects = a.Changed
 		return c
 	}
-	for _, o := range a.Changed {
+	for _, o := range slices.Concat(a.Changed, a.resolved) {
 		c.events = append(c.events, platform.Event{Object: o})
 	}
 	for _, name := range a.Removed {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -210,9 +210,7 @@
 	if err != nil || len(a.Deltas) == 0 {
 		return a, err
 	}
-	objects, err := w.resolve(w.kind, a.Deltas)
-	if err == nil {
-		a.Changed = append(a.Changed, objects...)
+	if a.resolved, err = w.resolve(w.kind, a.Deltas); err == nil {
 		return a, nil
 	}
 	w.logger.Log(eventDeltaRefused, telemetry.Peer(vm), telemetry.Value("kind", string(w.kind)), telemetry.Err(err))
