Deltas of the largest documents are accepted

The limit of the unpacked delta was that of the document, so that a new document of 1 MB was refused and requested again as a whole. Found in the reading of the diff; TestDeltaOfTheMaximumSize failed before.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -102,11 +102,11 @@
 	return n
 }
 
-// Apply returns the target of an encoded delta. The delta is untrusted: Apply fails if the target or the unpacked
-// delta would exceed maxBytes. The error is ErrOtherBase if the base is not that of the delta.
+// Apply returns the target of an encoded delta. The delta is untrusted: Apply fails if the target would exceed
+// maxBytes, or the unpacked delta twice as much, as its pieces take space, too. The error is ErrOtherBase if the base is not that of the delta.
 func Apply(base, encoded []byte, maxBytes int) ([]byte, error) {
 	var d delta
-	if err := pack.Unpack(encoded, int64(maxBytes), &d); err != nil {
+	if err := pack.Unpack(encoded, 2*int64(maxBytes), &d); err != nil {
 		return nil, trace.Wrap(err, "decode delta")
 	}
 	if xxhash.Sum64(base) != d.BaseDigest {
--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// A target of the maximum size that shares nothing with the base is restored.
+func TestDeltaOfTheMaximumSize(t *testing.T) {
+	target := make([]byte, maxTestBytes)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range target {
+		target[i] = byte(rng.Uint32())
+	}
+	checkRoundTrip(t, document(10, 0, 1), target)
+}
+
 // Any edits of any text are restored.
 func TestDeltaRestoresAnyText(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
