--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,8 +10,8 @@
 )
 
 // Encode encodes v as msgpack. Structs are encoded as arrays of their fields in
-// declaration order, without field names: append new fields at the end and
-// never remove one.
+// declaration order, without field names, and decoded only from as many: a message
+// that changes needs an encoding of its own to pass between builds.
 func Encode(v any) ([]byte, error) {
 	e := getEncoder()
 	defer e.release()
