--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -27,9 +27,9 @@
 		if i == changed {
 			w = weight
 		}
-		fmt.Fprintf(&b, `{"name":"r-%07x","kind":"safe","targetLatency":"600ms","priority":2,"sessionAffinity":true,`+
-			`"match":{"pathPrefix":"/%07x/"},"action":{"trafficSplit":[{"service":"svc-1","weight":%d},{"service":"svc-2","weight":%d}],`+
-			`"timeout":"4000ms","maxAttempts":2,"allowedRegions":[]}},`, rng.Uint32()>>4, rng.Uint32()>>4, w, 100-w)
+		fmt.Fprintf(&b, `{"name":"r-%07x","repeat":"allowed","objective_ms":600,"class":"interactive","affinity":true,`+
+			`"path_prefix":"/%07x/","parts":[{"service":"svc-1","weight":%d},{"service":"svc-2","weight":%d}],`+
+			`"timeout_ms":4000,"max_attempts":2,"allowed_regions":[],"require_key":false,"max_body_bytes":1048576},`, rng.Uint32()>>4, rng.Uint32()>>4, w, 100-w)
 	}
 	return b.Bytes()
 }
@@ -51,6 +51,7 @@
 	for _, n := range []int{100, 200, 1000, 2000} {
 		base := document(n, 0, 1)
 		d := checkRoundTrip(t, base, document(n, n/2, 101))
+		t.Logf("%d routes, %d bytes: the delta of one weight has %d bytes", n, len(base), len(d))
 		if most := 1 << 10; len(d) > most {
 			t.Errorf("%d routes, %d bytes: the delta of one weight has %d bytes, want at most %d", n, len(base), len(d), most)
 		}
