--- a/review/_standin/evac.go
+++ b/review/_standin/evac.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["2"] = playEvacuation }
+func init() { cases["3"] = playEvacuation }
 
 // Moments of the case, from the start of traffic.
 const (
--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-func init() { cases["3"] = playPoison }
+func init() { cases["poison"] = playPoison }
 
 // Traffic and disruption of the case.
 const (
--- a/review/_standin/upstream.go
+++ b/review/_standin/upstream.go
@@ -30,7 +30,9 @@
 	// respond writes the answer instead of the usual one if it is not nil.
 	respond func(c *upstreamConn, r *http.Request, body []byte) bool
 	runs    *runLog
+	ways    *partition // nil: no daemon is ever partitioned
 	crashes atomic.Int64
+	mute    atomic.Bool // it can't write to the store
 	// coldUntil is when the upstream is warm again, in Unix milliseconds.
 	coldUntil atomic.Int64
 
@@ -118,7 +120,9 @@
 		}
 		u.listen(l)
 		u.beat.Store(0)
-		u.register("ready")
+		if !u.mute.Load() {
+			u.register("ready")
+		}
 		u.w.log("upstream %s is back", u.id)
 	})
 }
@@ -176,6 +180,12 @@
 
 func (u *upstream) serve(c *upstreamConn) {
 	defer c.Close()
+	if u.ways != nil {
+		if !u.ways.accept(c.Conn) {
+			return
+		}
+		defer u.ways.closed(c.Conn)
+	}
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 		r, err := http.ReadRequest(c.in)
@@ -183,6 +193,9 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
+		if u.ways != nil && !u.ways.pass(c.Conn) {
+			return
+		}
 		if !u.handle(c, r) {
 			return
 		}
