--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -85,6 +85,13 @@
 		Meaning: "The listed availability zones receive no requests. An empty list means that all zones are in use.",
 		Action:  "None.",
 	})
+	eventObjectWithheld = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeDiscovery + 111,
+		Level:   logrus.InfoLevel,
+		Name:    "object withheld",
+		Meaning: "The store has come back from a copy, and this VM takes an object of it for one that had been deleted: it counts as deleted until it is written again, or for a limited time. last is the version that this VM knew before the deletion, 0 if it knew none; deleted is that of the deletion. The object came over the given number of VMs, in a complete list or as a change.",
+		Action:  "If an operator has written the object since the store's return, write it again.",
+	})
 	eventRegisterFailed = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeDiscovery + 106,
 		Level:   logrus.WarnLevel,
--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -25,8 +25,9 @@
 	changed      map[string]struct{}    // names of the objects changed since TakeChanged
 	earlier      earlierVersions
 
-	withheld map[string]withheldObject // objects of a copy that count as deleted, by name
-	absent   map[string]time.Time      // objects that a copy lacks, with the time at which they are dropped
+	withheld      map[string]withheldObject // objects of a copy that count as deleted, by name
+	newlyWithheld []withholding             // decisions since takeWithheld
+	absent        map[string]time.Time      // objects that a copy lacks, with the time at which they are dropped
 }
 
 // tombstone is a deleted object.
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -247,7 +247,9 @@
 			s.catalog.outageEnd, s.catalog.copyRead = now, now
 		}
 	}
-	if s.updateMirror(c) || s.isFirstList(c) {
+	changed := s.updateMirror(c)
+	s.logWithheld(&c)
+	if changed || s.isFirstList(c) {
 		if onlyNew := s.applyMirror(&c, s.mirrors[c.kind], now); onlyNew && s.view.Load() != nil {
 			s.publishSoon(now)
 		} else {
@@ -273,7 +275,9 @@
 		s.updateMirror(c)
 		return
 	}
-	if m.MergeEarlier(c.objects, c.asOf) {
+	changed := m.MergeEarlier(c.objects, c.asOf)
+	s.logWithheld(&c)
+	if changed {
 		s.applyMirror(&c, m, s.deps.Clock.Now())
 		s.publish()
 	}
@@ -291,6 +295,16 @@
 	}
 }
 
+// logWithheld logs and counts the objects that count as deleted since a change.
+func (s *Service) logWithheld(c *change) {
+	for _, w := range s.mirrors[c.kind].takeWithheld() {
+		s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_withheld_total{kind=%q}", string(c.kind))).Inc()
+		s.deps.Logger.Log(eventObjectWithheld, telemetry.Value("kind", string(c.kind)), telemetry.Value("name", w.name),
+			telemetry.Value("version", w.version.String()), telemetry.Value("last", w.deleted.last.String()),
+			telemetry.Value("deleted", w.deleted.at.String()), telemetry.Value("complete", c.complete), telemetry.Value("hops", len(c.path)))
+	}
+}
+
 // isFirstList reports whether the change is the first complete list of its kind. Views depend on
 // it even if it is empty.
 func (s *Service) isFirstList(c change) bool { return c.complete && !s.catalog.listed[c.kind] }
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -162,10 +162,27 @@
 	if !ok {
 		w.until = m.now().Add(m.policy.deletedFor)
 	}
+	if w.object.Version != o.Version {
+		m.newlyWithheld = append(m.newlyWithheld, withholding{o.Name, o.Version, m.tombstones[o.Name]})
+	}
 	w.object = *o
 	m.withheld[o.Name] = w
 }
 
+// withholding is the decision that an object counts as deleted, with what was known of its deletion.
+type withholding struct {
+	name    string
+	version platform.Version
+	deleted tombstone // zero if this VM doesn't know of one
+}
+
+// takeWithheld returns the decisions since the last call.
+func (m *Mirror) takeWithheld() []withholding {
+	taken := m.newlyWithheld
+	m.newlyWithheld = nil
+	return taken
+}
+
 // mayBeDeleted reports whether an object that is not known may have been deleted in an earlier era after
 // its revision. It was if its tombstone has that revision or a later one. A deletion without a
 // tombstone was before historyStart.
