Discovery: an evacuation after the store's return from a copy is in force

Cause: a VM took each object of a later era for one of the copy if its revision was not above the last one that the deleted object had. Revisions are given out again, so that this held for most of what was written soon after the return. It then counted as deleted for a minute.

Fix: a copy has a name only at a revision that the name had. Evacuations are written once, so one is withheld only at the very revision of one that was known, by this VM or by the peer that withholds it. What is newer than a known state of the same era is never withheld. As the very revision can be given out again, too, it is withheld for half of the bound on evacuations: wrongly withheld work is lost with the zone, a wrongly honoured evacuation costs room. For the same reason a starting VM no longer takes an evacuation for deleted because a peer's earlier state lacks it.

--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -24,6 +24,7 @@
 	history      *changelog.Log[string] // changes and deletions by name
 	changed      map[string]struct{}    // names of the objects changed since TakeChanged
 	earlier      earlierVersions
+	written      writeHistory // of a kind whose objects are written once
 
 	withheld      map[string]withheldObject // objects of a copy that count as deleted, by name
 	newlyWithheld []withholding             // decisions since takeWithheld
@@ -49,6 +50,7 @@
 		tombstones: make(map[string]tombstone),
 		changed:    make(map[string]struct{}),
 		earlier:    make(earlierVersions),
+		written:    make(writeHistory),
 		withheld:   make(map[string]withheldObject),
 		absent:     make(map[string]time.Time),
 	}
@@ -121,8 +123,9 @@
 	if m.historyStart.Era() < asOf.Era() || m.historyStart == 0 {
 		m.historyStart = asOf
 	}
+	before := m.asOf
 	m.asOf = asOf
-	return m.applyWithheld(withheld) || changed
+	return m.applyWithheld(withheld, before) || changed
 }
 
 // KnowsChangesSince reports whether ChangesSince can tell the changes since a version. It can't for an
@@ -159,8 +162,9 @@
 // ApplyRelayed is like Apply, but for differences from the state of another VM, which may come from a
 // copy of the store, and of which the VM withholds some.
 func (m *Mirror) ApplyRelayed(events []platform.Event, withheld []platform.Object, asOf platform.Version) bool {
+	before := m.asOf
 	changed := m.apply(events, asOf, false)
-	return m.applyWithheld(withheld) || changed
+	return m.applyWithheld(withheld, before) || changed
 }
 
 func (m *Mirror) apply(events []platform.Event, asOf platform.Version, written bool) bool {
@@ -182,7 +186,7 @@
 	if gone, ok := m.tombstones[o.Name]; ok && o.Version <= gone.at {
 		return false
 	}
-	if !written && m.withholds(&o) {
+	if !written && !isWrittenAfter(&o, m.asOf) && m.withholds(&o) {
 		return false
 	}
 	if known, ok := m.objects[o.Name]; ok && (known.Version >= o.Version || m.keeps(&known, &o)) {
@@ -193,9 +197,22 @@
 	if known, ok := m.objects[o.Name]; ok {
 		m.earlier.add(known)
 	}
+	m.set(o)
+	return true
+}
+
+// set adds or replaces an object.
+func (m *Mirror) set(o platform.Object) {
 	m.objects[o.Name] = m.limitSize(o)
+	m.recordWrite(&o)
 	m.record(o.Name, o.Version)
-	return true
+}
+
+// recordWrite keeps the version of an object that is written once.
+func (m *Mirror) recordWrite(o *platform.Object) {
+	if m.policy.writtenOnce {
+		m.written.add(o)
+	}
 }
 
 func (m *Mirror) limitSize(o platform.Object) platform.Object {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -128,7 +128,7 @@
 		missingSignal: make(chan struct{}, 1),
 		confirmed:     make(map[platform.Kind]*confirmationTracker),
 	}
-	policies := copyPolicies(d.Decoder)
+	policies := copyPolicies(d.Decoder, d.Bounds.ZoneEvacuation)
 	for kind, limit := range maxObjectBytes(d.Decoder.Kinds()) {
 		s.mirrors[kind] = NewMirror(limit)
 		s.mirrors[kind].setCopyPolicy(policies[kind], d.Clock.Now)
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -11,8 +11,8 @@
 // The store may come back from a copy that is some seconds old. What was acknowledged since holds
 // until it is written again, although the copy has earlier objects, lacks some, or has deleted ones.
 const (
-	// zoneProtection is how long an evacuation, or its end, holds against a copy. Operators write
-	// at moments of their own.
+	// zoneProtection is how long an evacuation holds against a copy that lacks it. Operators write at
+	// moments of their own.
 	zoneProtection = time.Minute
 	// targetProtection is how long a deleted target stays so against a copy. The store drops entries
 	// of targets that don't write within a few seconds.
@@ -24,6 +24,9 @@
 	// keeps reports whether a known object holds against an object of a later era with the same name;
 	// nil: none does.
 	keeps func(known, next platform.Object) bool
+	// writtenOnce is set if objects of the kind don't change between their creation and their deletion. An object
+	// of a copy then has exactly the revision at which it was known.
+	writtenOnce bool
 	// deletedFor is how long a deleted object stays so although a copy has it.
 	deletedFor time.Duration
 	// absentFor is how long an object stays although a copy lacks it; forGood: until it is deleted.
@@ -39,12 +42,17 @@
 	until  time.Time
 }
 
-// copyPolicies returns the policies by kind.
-func copyPolicies(d Decoder) map[platform.Kind]copyPolicy {
+// copyPolicies returns the policies by kind. zoneBound is the time in which an evacuation has to be in force; 0: none.
+func copyPolicies(d Decoder, zoneBound time.Duration) map[platform.Kind]copyPolicy {
 	kinds := d.Kinds()
+	if zoneBound == 0 {
+		zoneBound = zonesBound
+	}
 	return map[platform.Kind]copyPolicy{
-		kinds.Document:    {keeps: newerDocument(d), absentFor: forGood},
-		kinds.Evacuations: {deletedFor: zoneProtection, absentFor: zoneProtection},
+		kinds.Document: {keeps: newerDocument(d), absentFor: forGood},
+		// An evacuation that was written since can have the very revision of an earlier one. It is withheld for no
+		// longer than lets it be in force within the bound.
+		kinds.Evacuations: {writtenOnce: true, deletedFor: zoneBound / 2, absentFor: zoneProtection},
 		// The catalog keeps targets without an entry for rejoinGrace.
 		kinds.Targets: {keeps: leavingTarget(d), deletedFor: targetProtection},
 	}
@@ -83,6 +91,9 @@
 
 // MergeEarlier merges the state of a VM that knew the store's state before it came back from a copy, into
 // state that this VM has read from the store since. It reports whether anything changed.
+//
+// An object that the other VM's state of an earlier era lacks may have been deleted or written since. Objects that
+// are written once count as written, as withholding those is worse.
 func (m *Mirror) MergeEarlier(list []platform.Object, asOf platform.Version) bool {
 	listed := make(map[string]bool, len(list))
 	changed := false
@@ -91,7 +102,8 @@
 		changed = m.putEarlier(o, m.asOf) || m.addEarlier(o) || changed
 	}
 	for name, o := range m.objects {
-		deletedThere := o.Version <= asOf || o.Version.Era() > asOf.Era() && o.Version.Revision() < asOf.Revision()
+		deletedThere := o.Version <= asOf ||
+			o.Version.Era() > asOf.Era() && o.Version.Revision() < asOf.Revision() && !m.policy.writtenOnce
 		if !listed[name] && deletedThere && m.policy.deletedFor != 0 {
 			m.withhold(&o)
 			m.remove(name, m.asOf)
@@ -107,8 +119,7 @@
 	if !ok || o.Version.Era() >= asOf.Era() || !m.keeps(&o, &known) {
 		return false
 	}
-	m.objects[o.Name] = m.limitSize(o)
-	m.record(o.Name, o.Version)
+	m.set(o)
 	return true
 }
 
@@ -119,8 +130,7 @@
 	if known || deleted || m.policy.absentFor == 0 || o.Version.Era() >= m.asOf.Era() {
 		return false
 	}
-	m.objects[o.Name] = m.limitSize(o)
-	m.record(o.Name, o.Version)
+	m.set(o)
 	m.limitAbsence(&o, m.asOf)
 	return true
 }
@@ -167,6 +177,7 @@
 	}
 	w.object = *o
 	m.withheld[o.Name] = w
+	m.recordWrite(o)
 }
 
 // withholding is the decision that an object counts as deleted, with what was known of its deletion.
@@ -185,13 +196,55 @@
 
 // mayBeDeleted reports whether an object that is not known may have been deleted in an earlier era after
 // its revision. It was if its tombstone has that revision or a later one. A deletion without a
-// tombstone was before historyStart.
+// tombstone was before historyStart. An object that is written once is the deleted one only if that had this revision.
 func (m *Mirror) mayBeDeleted(o *platform.Object) bool {
-	if gone, ok := m.tombstones[o.Name]; ok {
-		return gone.at.Era() < o.Version.Era() && o.Version.Revision() <= gone.last.Revision()
-	}
+	gone, deleted := m.tombstones[o.Name]
 	_, known := m.objects[o.Name]
-	return !known && m.historyStart != 0 && m.historyStart.Era() < o.Version.Era() && o.Version.Revision() < m.historyStart.Revision()
+	switch {
+	case deleted && gone.at.Era() >= o.Version.Era():
+		return false
+	case m.policy.writtenOnce:
+		return !known && m.written.hasEarlier(o)
+	case deleted:
+		return o.Version.Revision() <= gone.last.Revision()
+	default:
+		return !known && m.historyStart != 0 && m.historyStart.Era() < o.Version.Era() && o.Version.Revision() < m.historyStart.Revision()
+	}
+}
+
+// isWrittenAfter reports whether an object was written after a state of the same era, and so after the store returned
+// from a copy.
+func isWrittenAfter(o *platform.Object, state platform.Version) bool {
+	return o.Version.Era() == state.Era() && o.Version > state
+}
+
+// maxWrites is the number of versions that are kept of each name that is written once at a time, and maxWrittenNames
+// the number of names at which all of them are discarded.
+const (
+	maxWrites       = 16
+	maxWrittenNames = 4096
+)
+
+// writeHistory holds the versions at which objects were written, by name, the latest last. They outlive the objects.
+type writeHistory map[string][]platform.Version
+
+// add adds the version of an object.
+func (h writeHistory) add(o *platform.Object) {
+	versions := h[o.Name]
+	if n := len(versions); n > 0 && versions[n-1] == o.Version {
+		return
+	}
+	if len(versions) == 0 && len(h) >= maxWrittenNames {
+		clear(h)
+	}
+	h[o.Name] = append(slices.Clone(versions[max(0, len(versions)-maxWrites+1):]), o.Version)
+}
+
+// hasEarlier reports whether an object of the same name had the revision in an earlier era.
+func (h writeHistory) hasEarlier(o *platform.Object) bool {
+	return slices.ContainsFunc(h[o.Name], func(v platform.Version) bool {
+		return v.Era() < o.Version.Era() && v.Revision() == o.Version.Revision()
+	})
 }
 
 // keepsAbsent reports whether an object stays although a list of a later era lacks it.
@@ -226,13 +279,15 @@
 }
 
 // applyWithheld applies the objects that a peer withholds. A VM that has known the store before decides by
-// what it knows itself; another one withholds them too. It reports whether anything changed.
-func (m *Mirror) applyWithheld(objects []platform.Object) bool {
+// what it knows itself; another one withholds them too, and so does each VM with objects that are written once, as the
+// peer has known them. known is the state's version before the peer's was applied. It reports whether anything changed.
+func (m *Mirror) applyWithheld(objects []platform.Object, known platform.Version) bool {
 	changed := false
 	for _, o := range objects {
-		_, known := m.objects[o.Name]
-		if known || m.firstEra < o.Version.Era() {
-			changed = m.put(o, known) || changed
+		_, present := m.objects[o.Name]
+		since := present || isWrittenAfter(&o, known)
+		if since || m.firstEra < o.Version.Era() && !m.policy.writtenOnce {
+			changed = m.put(o, since) || changed
 			m.limitAbsence(&o, m.asOf)
 		} else if o.Version > m.tombstones[o.Name].at {
 			m.withhold(&o)
--- a/internal/discovery/storecopy_test.go
+++ b/internal/discovery/storecopy_test.go
@@ -60,18 +60,34 @@
 	}
 }
 
+func written(name string, era, revision uint64) platform.Event {
+	return platform.Event{Object: objectAt(name, era, revision, "")}
+}
+
+func removed(name string, era, revision uint64) platform.Event {
+	return platform.Event{Object: objectAt(name, era, revision, ""), Deleted: true}
+}
+
+// zoneWithheldInTest is how long an evacuation that was taken back is withheld, under zones.
+const zoneWithheldInTest = 2500 * time.Millisecond
+
+// zones is the policy of evacuations.
+var zones = copyPolicy{writtenOnce: true, deletedFor: zoneWithheldInTest, absentFor: time.Minute}
+
 // What each kind remembers against a copy, until when, and what ends it.
 func TestWhatHoldsAgainstACopy(t *testing.T) {
 	keepLonger := copyPolicy{keeps: func(known, next platform.Object) bool { return len(known.Value) > len(next.Value) }}
 	tests := map[string]struct {
-		policy copyPolicy
-		before []platform.Object // as of 1/67
-		gone   string            // deleted at 1/67
-		copied []platform.Object // as of 2/62
-		want   string
-		after  time.Duration
-		events []platform.Event // of the later era
-		then   string
+		policy  copyPolicy
+		before  []platform.Object // as of 1/30
+		past    []platform.Event  // until 1/67
+		gone    string            // deleted at 1/67
+		copied  []platform.Object // as of 2/62
+		want    string
+		after   time.Duration
+		relayed []platform.Event // of the later era, by another VM
+		events  []platform.Event // of the later era
+		then    string
 	}{
 		"an older object": {
 			policy: keepLonger, before: []platform.Object{objectAt("doc", 1, 66, "v20")}, copied: []platform.Object{objectAt("doc", 2, 50, "v9")},
@@ -132,6 +148,33 @@
 		"written since, unknown before": {
 			policy: copyPolicy{deletedFor: time.Minute}, copied: []platform.Object{objectAt("new", 2, 60, "")}, want: "new=", then: "new=",
 		},
+		"evacuated again, at a revision of that time": {
+			policy: zones, before: []platform.Object{objectAt("z", 1, 25, "")}, gone: "z",
+			copied: []platform.Object{objectAt("z", 2, 24, "")}, want: "z=", then: "z=",
+		},
+		"evacuated again, between two earlier times": {
+			policy: zones, past: []platform.Event{written("z", 1, 40), removed("z", 1, 45), written("z", 1, 60)}, gone: "z",
+			copied: []platform.Object{objectAt("z", 2, 50, "")}, want: "z=", then: "z=",
+		},
+		"evacuated again, at the very revision": {
+			policy: zones, past: []platform.Event{written("z", 1, 60)}, gone: "z",
+			copied: []platform.Object{objectAt("z", 2, 60, "")}, want: "", after: zoneWithheldInTest, then: "z=",
+		},
+		"evacuated again, when the state of the era is known": {
+			policy: zones, past: []platform.Event{written("z", 1, 64)}, gone: "z",
+			want: "", relayed: []platform.Event{written("z", 2, 64)}, then: "z=",
+		},
+		"evacuation taken back, listed by the copy": {
+			policy: zones, past: []platform.Event{written("z", 1, 60)}, gone: "z",
+			copied: []platform.Object{objectAt("z", 2, 60, "")}, want: "", after: zoneWithheldInTest - 1, then: "",
+		},
+		"evacuation taken back before another one, listed by the copy": {
+			policy: zones, past: []platform.Event{written("z", 1, 40), removed("z", 1, 45), written("z", 1, 60)}, gone: "z",
+			copied: []platform.Object{objectAt("z", 2, 40, "")}, want: "", after: zoneWithheldInTest - 1, then: "",
+		},
+		"evacuation older than the first list": {
+			policy: zones, copied: []platform.Object{objectAt("z", 2, 20, "")}, want: "z=", then: "z=",
+		},
 		"older than the first list": {
 			policy: copyPolicy{deletedFor: time.Minute}, copied: []platform.Object{objectAt("ghost", 2, 20, "")}, want: "", after: time.Minute, then: "ghost=",
 		},
@@ -140,6 +183,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := newCopyMirror(tt.policy)
 			m.Replace(tt.before, platform.NewVersion(1, 30))
+			m.Apply(tt.past, platform.NewVersion(1, 66))
 			if tt.gone != "" {
 				m.Apply([]platform.Event{{Object: objectAt(tt.gone, 1, 67, ""), Deleted: true}}, platform.NewVersion(1, 67))
 			}
@@ -148,6 +192,7 @@
 			if got := m.content(); got != tt.want {
 				t.Errorf("after the copy: got %q, want %q", got, tt.want)
 			}
+			m.ApplyRelayed(tt.relayed, nil, platform.NewVersion(2, 64))
 			m.Apply(tt.events, platform.NewVersion(2, 65))
 			m.at = m.at.Add(tt.after)
 			m.Apply(nil, platform.NewVersion(2, 66))
@@ -192,6 +237,23 @@
 	}
 }
 
+// What a starting VM that has read an evacuation makes of a peer's state that lacks it: before the store came back, the
+// evacuation was not written yet; since, the peer knows that it was taken back.
+func TestStartingVMKeepsEvacuationsThatPeersHaveNotSeen(t *testing.T) {
+	m := newCopyMirror(zones)
+	m.Replace([]platform.Object{objectAt("z", 2, 60, "")}, platform.NewVersion(2, 62))
+	if m.MergeEarlier(nil, platform.NewVersion(1, 67)); m.content() != "z=" {
+		t.Errorf("after a state of the earlier era: got %q", m.content())
+	}
+	if m.MergeEarlier(nil, platform.NewVersion(2, 63)); m.content() != "" {
+		t.Errorf("after a state of the present era: got %q", m.content())
+	}
+	m.at = m.at.Add(zoneWithheldInTest)
+	if m.Apply(nil, platform.NewVersion(2, 64)); m.content() != "z=" {
+		t.Errorf("after the protection: got %q", m.content())
+	}
+}
+
 // Guards against a VM that, after a peer has told it what to withhold, takes the same objects from the
 // store's list at its start.
 func TestStoreListKeepsWhatAPeerWithholds(t *testing.T) {
@@ -214,6 +276,40 @@
 	}
 }
 
+// What a VM makes of an evacuation that its peer withholds.
+func TestWithheldEvacuationsOfPeers(t *testing.T) {
+	for name, tt := range map[string]struct {
+		state []platform.Object // as of 2/62
+		want  string            // after the peer's answer as of 2/66
+	}{
+		"written since this VM's state": {nil, "z="},
+		"known here":                    {[]platform.Object{objectAt("z", 2, 64, "")}, "z="},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newCopyMirror(zones)
+			m.Replace(nil, platform.NewVersion(1, 67))
+			m.Replace(tt.state, platform.NewVersion(2, 62))
+			m.ApplyRelayed(nil, []platform.Object{objectAt("z", 2, 64, "")}, platform.NewVersion(2, 66))
+			if got := m.content(); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+	t.Run("unknown here", func(t *testing.T) {
+		m := newCopyMirror(zones)
+		m.Replace(nil, platform.NewVersion(1, 67))
+		m.ReplaceRelayed(nil, []platform.Object{objectAt("z", 2, 60, "")}, platform.NewVersion(2, 66))
+		if got := m.content(); got != "" {
+			t.Errorf("got %q of a zone whose evacuation a peer knows as taken back", got)
+		}
+		m.at = m.at.Add(zoneWithheldInTest)
+		m.Apply(nil, platform.NewVersion(2, 67))
+		if got := m.content(); got != "z=" {
+			t.Errorf("after the protection: got %q", got)
+		}
+	})
+}
+
 // copyFleet is a store with a mirror that reads it and others that poll the mirror, as VMs do.
 type copyFleet struct {
 	t       *testing.T
@@ -224,6 +320,17 @@
 	mirrors []*Mirror // the first one reads the store
 }
 
+// newCopyFleet returns a fleet of two mirrors under a policy.
+func newCopyFleet(t *testing.T, seed uint64, p copyPolicy) *copyFleet {
+	f := &copyFleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), objects: platformtest.NewStore(), at: time.Unix(1000, 0), policy: p,
+	}
+	f.objects.WatchTimeout = 0
+	f.addMirror()
+	f.addMirror()
+	return f
+}
+
 func (f *copyFleet) addMirror() *Mirror {
 	m := NewMirror(maxEntryBytes)
 	m.setCopyPolicy(f.policy, func() time.Time { return f.at })
@@ -264,6 +371,14 @@
 	}
 }
 
+// contactAll lets the first mirror read the store and the others poll it.
+func (f *copyFleet) contactAll() {
+	f.read(f.mirrors[0])
+	for _, m := range f.mirrors[1:] {
+		f.poll(m, f.mirrors[0])
+	}
+}
+
 // step does something at random: to the store, to time, or to a mirror.
 func (f *copyFleet) step(copies []platformtest.Copy) []platformtest.Copy {
 	name := fmt.Sprint("z", f.random.IntN(5))
@@ -294,14 +409,9 @@
 	for seed := range uint64(300) {
 		seeds = append(seeds, seed)
 	}
-	for _, seed := range seeds {
-		f := &copyFleet{
-			t: t, random: rand.New(rand.NewPCG(seed, 1)), objects: platformtest.NewStore(), at: time.Unix(1000, 0),
-			policy: copyPolicy{deletedFor: time.Minute, absentFor: time.Minute},
-		}
-		f.objects.WatchTimeout = 0
-		f.addMirror()
-		f.addMirror()
+	for i := range 2 * len(seeds) {
+		seed := seeds[i/2]
+		f := newCopyFleet(t, seed, []copyPolicy{{deletedFor: time.Minute, absentFor: time.Minute}, zones}[i%2])
 		var copies []platformtest.Copy
 		for range 150 {
 			before := make(map[*Mirror]platform.Version)
@@ -316,10 +426,7 @@
 			}
 		}
 		for range 3 { // contacts go on while protection ends
-			f.read(f.mirrors[0])
-			for _, m := range f.mirrors[1:] {
-				f.poll(m, f.mirrors[0])
-			}
+			f.contactAll()
 			f.at = f.at.Add(2 * time.Minute)
 		}
 		list, _, _ := f.objects.List(t.Context(), "z")
@@ -331,6 +438,43 @@
 	}
 }
 
+// Guards against an evacuation that is taken for an earlier one of its zone: only at the very revision of one may it be
+// withheld, and no longer than its protection.
+func TestEvacuationsHoldWhateverTheStoreDidBefore(t *testing.T) {
+	for seed := range uint64(600) {
+		f := newCopyFleet(t, seed, zones)
+		var copies []platformtest.Copy
+		revisions := make(map[uint64]bool) // at which the zone was evacuated
+		for range 60 {
+			copies = f.step(copies)
+			if o, err := f.objects.Peek("z", "z0"); err == nil {
+				revisions[o.Version.Revision()] = true
+			}
+		}
+		f.objects.Put("z", "z0", nil)
+		o, err := f.objects.Peek("z", "z0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.contactAll()
+		if !revisions[o.Version.Revision()] {
+			f.checkAllHave("z0", seed, "at once")
+		}
+		f.at = f.at.Add(zoneWithheldInTest)
+		f.contactAll()
+		f.checkAllHave("z0", seed, "after its protection")
+	}
+}
+
+// checkAllHave checks that all mirrors have an object.
+func (f *copyFleet) checkAllHave(name string, seed uint64, when string) {
+	for i, m := range f.mirrors {
+		if _, ok := m.Get(name); !ok {
+			f.t.Errorf("seed %d: mirror %d lacks %s %s", seed, i, name, when)
+		}
+	}
+}
+
 func values(list []platform.Object) string {
 	var out []string
 	for _, o := range list {
