Discovery: a target that is written again after the store's return is used

Fix: the deleted entry is kept, and its start and report are compared: a later start, or a later report of a start that was not leaving, is not from the copy. An earlier report stays withheld, also one of several before the deletion, for which there was no test: with a comparison that is exact for the last revision alone, TestDeletedTargetsAgainstACopy fails there.

Before: TestDeletedTargetsAgainstACopy fails for 'a later report' and 'a later start'. Now it passes.

--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -34,7 +34,7 @@
 // tombstone is a deleted object.
 type tombstone struct {
 	at   platform.Version // version of the deletion
-	last platform.Version // version of the object before, if it was known; else 0
+	last platform.Object  // the object before; its version is 0 if it was not known
 }
 
 // maxTombstones is the number of tombstones at which all of them are discarded.
@@ -233,7 +233,7 @@
 }
 
 func (m *Mirror) remove(name string, at platform.Version) {
-	last := m.objects[name].Version
+	last := m.objects[name]
 	delete(m.objects, name)
 	delete(m.earlier, name)
 	if len(m.tombstones) >= maxTombstones {
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -300,7 +300,7 @@
 	for _, w := range s.mirrors[c.kind].takeWithheld() {
 		s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_withheld_total{kind=%q}", string(c.kind))).Inc()
 		s.deps.Logger.Log(eventObjectWithheld, telemetry.Value("kind", string(c.kind)), telemetry.Value("name", w.name),
-			telemetry.Value("version", w.version.String()), telemetry.Value("last", w.deleted.last.String()),
+			telemetry.Value("version", w.version.String()), telemetry.Value("last", w.deleted.last.Version.String()),
 			telemetry.Value("deleted", w.deleted.at.String()), telemetry.Value("complete", c.complete), telemetry.Value("hops", len(c.path)))
 	}
 }
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -27,6 +27,9 @@
 	// writtenOnce is set if objects of the kind don't change between their creation and their deletion. An object
 	// of a copy then has exactly the revision at which it was known.
 	writtenOnce bool
+	// mayPrecede reports whether an object of a later era may be an earlier state of an object that was deleted; nil:
+	// by their revisions alone.
+	mayPrecede func(next, deleted platform.Object) bool
 	// deletedFor is how long a deleted object stays so although a copy has it.
 	deletedFor time.Duration
 	// absentFor is how long an object stays although a copy lacks it; forGood: until it is deleted.
@@ -54,7 +57,7 @@
 		// longer than lets it be in force within the bound.
 		kinds.Evacuations: {writtenOnce: true, deletedFor: zoneBound / 2, absentFor: zoneProtection},
 		// The catalog keeps targets without an entry for rejoinGrace.
-		kinds.Targets: {keeps: leavingTarget(d), deletedFor: targetProtection},
+		kinds.Targets: {keeps: leavingTarget(d), mayPrecede: earlierReport(d), deletedFor: targetProtection},
 	}
 }
 
@@ -86,6 +89,25 @@
 	}
 }
 
+// earlierReport reports false for a later start of a target than the deleted one, and for a later report of the same
+// start, unless that was leaving.
+func earlierReport(d Decoder) func(next, deleted platform.Object) bool {
+	return func(next, deleted platform.Object) bool {
+		after, err := d.Target(next)
+		if err != nil {
+			return true
+		}
+		before, err := d.Target(deleted)
+		if err != nil {
+			return true
+		}
+		if after.StartMS != before.StartMS {
+			return after.StartMS < before.StartMS
+		}
+		return before.Leaving || after.Sequence <= before.Sequence
+	}
+}
+
 // setCopyPolicy sets the policy of the mirror's kind.
 func (m *Mirror) setCopyPolicy(p copyPolicy, now func() time.Time) { m.policy, m.now = p, now }
 
@@ -206,7 +228,8 @@
 	case m.policy.writtenOnce:
 		return !known && m.written.hasEarlier(o)
 	case deleted:
-		return o.Version.Revision() <= gone.last.Revision()
+		return o.Version.Revision() <= gone.last.Version.Revision() &&
+			(m.policy.mayPrecede == nil || m.policy.mayPrecede(*o, gone.last))
 	default:
 		return !known && m.historyStart != 0 && m.historyStart.Era() < o.Version.Era() && o.Version.Revision() < m.historyStart.Revision()
 	}
--- a/internal/discovery/storecopy_test.go
+++ b/internal/discovery/storecopy_test.go
@@ -203,6 +203,50 @@
 	}
 }
 
+// Guards against a deleted target that stays so although it has written its entry again since the store came back from a
+// copy, and against one that the copy brings back.
+func TestDeletedTargetsAgainstACopy(t *testing.T) {
+	entry := func(era, revision uint64, e Target) platform.Object {
+		e.Service, e.Zone, e.Slots, e.Address = "svc", "z1", 1, "10.0.0.1:80"
+		return platform.Object{Name: "i", Version: platform.NewVersion(era, revision), Value: encode(t, e)}
+	}
+	reports := []Target{{StartMS: 1000, Sequence: 1}, {StartMS: 1000, Sequence: 2}, {StartMS: 1000, Sequence: 3}}
+	for name, tt := range map[string]struct {
+		reports []Target // at revisions 40, 50 and 60 of the first era; then the entry is deleted
+		listed  platform.Object
+		want    bool // the target is used
+	}{
+		"the first of several reports": {reports, entry(2, 40, reports[0]), false},
+		"the last report":              {reports, entry(2, 60, reports[2]), false},
+		"a later report":               {reports, entry(2, 55, Target{StartMS: 1000, Sequence: 4}), true},
+		"a later start":                {reports, entry(2, 55, Target{StartMS: 2000, Sequence: 1}), true},
+		"an earlier start":             {reports, entry(2, 55, Target{StartMS: 900, Sequence: 9}), false},
+		"a later report after it was leaving": {
+			append(reports[:2:2], Target{StartMS: 1000, Sequence: 3, Leaving: true}), entry(2, 55, Target{StartMS: 1000, Sequence: 4}), false,
+		},
+		"an unreadable entry": {reports, objectAt("i", 2, 55, "{"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newCopyMirror(copyPolicies(jsonDecoder{}, 0)["targets"])
+			m.Replace(nil, platform.NewVersion(1, 30))
+			for i, r := range tt.reports {
+				o := entry(1, uint64(40+10*i), r)
+				m.Apply([]platform.Event{{Object: o}}, o.Version)
+			}
+			m.Apply([]platform.Event{removed("i", 1, 67)}, platform.NewVersion(1, 67))
+			m.Replace([]platform.Object{tt.listed}, platform.NewVersion(2, 62))
+			if _, got := m.Get("i"); got != tt.want {
+				t.Errorf("used: %t, want %t", got, tt.want)
+			}
+			m.at = m.at.Add(targetProtection)
+			m.Apply(nil, platform.NewVersion(2, 63))
+			if _, got := m.Get("i"); !got {
+				t.Error("not used after the protection, though the store has it")
+			}
+		})
+	}
+}
+
 // A VM that has read the copy first takes over what a peer knows from before.
 func TestPeersKnowBetterThanACopy(t *testing.T) {
 	p := copyPolicy{
