Discovery: an evacuation is withheld no longer than meant, also without news of the store

Cause: the end of a protection was noticed only with the next change or answer of the store or of a peer, which come up to 2.8 s apart while nothing changes. Evidence: 8111 at 42.5 s of the wall clock, the protection of 2.5 s ended at 45.0, 8105 came at 46.6 to 48.1 s.

Fix: a timer ends it. Only for evacuations: what is withheld of targets waits for the next contact, which may tell that the entry has been deleted again; to use one of those without contact would be worse.

--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -88,6 +88,8 @@
 	subs          map[int]func(*View)
 	nextSub       int
 
+	withholdingTimers map[platform.Kind]*withholdingTimer
+
 	view          atomic.Pointer[View]
 	confirmed     map[platform.Kind]*confirmationTracker
 	cachedSources atomic.Pointer[viewSources]
@@ -127,6 +129,8 @@
 		stopped:       make(chan struct{}),
 		missingSignal: make(chan struct{}, 1),
 		confirmed:     make(map[platform.Kind]*confirmationTracker),
+
+		withholdingTimers: make(map[platform.Kind]*withholdingTimer),
 	}
 	policies := copyPolicies(d.Decoder, d.Bounds.ZoneEvacuation)
 	for kind, limit := range maxObjectBytes(d.Decoder.Kinds()) {
@@ -248,7 +252,7 @@
 		}
 	}
 	changed := s.updateMirror(c)
-	s.logWithheld(&c)
+	s.recordWithheld(&c)
 	if changed || s.isFirstList(c) {
 		if onlyNew := s.applyMirror(&c, s.mirrors[c.kind], now); onlyNew && s.view.Load() != nil {
 			s.publishSoon(now)
@@ -276,7 +280,7 @@
 		return
 	}
 	changed := m.MergeEarlier(c.objects, c.asOf)
-	s.logWithheld(&c)
+	s.recordWithheld(&c)
 	if changed {
 		s.applyMirror(&c, m, s.deps.Clock.Now())
 		s.publish()
@@ -295,16 +299,6 @@
 	}
 }
 
-// logWithheld logs and counts the objects that count as deleted since a change.
-func (s *Service) logWithheld(c *change) {
-	for _, w := range s.mirrors[c.kind].takeWithheld() {
-		s.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("masticturn_objects_withheld_total{kind=%q}", string(c.kind))).Inc()
-		s.deps.Logger.Log(eventObjectWithheld, telemetry.Value("kind", string(c.kind)), telemetry.Value("name", w.name),
-			telemetry.Value("version", w.version.String()), telemetry.Value("last", w.deleted.last.Version.String()),
-			telemetry.Value("deleted", w.deleted.at.String()), telemetry.Value("complete", c.complete), telemetry.Value("hops", len(c.path)))
-	}
-}
-
 // isFirstList reports whether the change is the first complete list of its kind. Views depend on
 // it even if it is empty.
 func (s *Service) isFirstList(c change) bool { return c.complete && !s.catalog.listed[c.kind] }
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -32,6 +32,9 @@
 	mayPrecede func(next, deleted platform.Object) bool
 	// deletedFor is how long a deleted object stays so although a copy has it.
 	deletedFor time.Duration
+	// endsOnTime is set if deletedFor ends even if nothing is heard of the store meanwhile. Otherwise it ends with the
+	// next change or confirmation of the state, which may tell that the object has been deleted again.
+	endsOnTime bool
 	// absentFor is how long an object stays although a copy lacks it; forGood: until it is deleted.
 	absentFor time.Duration
 }
@@ -55,7 +58,7 @@
 		kinds.Document: {keeps: newerDocument(d), absentFor: forGood},
 		// An evacuation that was written since can have the very revision of an earlier one. It is withheld for no
 		// longer than lets it be in force within the bound.
-		kinds.Evacuations: {writtenOnce: true, deletedFor: zoneBound / 2, absentFor: zoneProtection},
+		kinds.Evacuations: {writtenOnce: true, deletedFor: zoneBound / 2, endsOnTime: true, absentFor: zoneProtection},
 		// The catalog keeps targets without an entry for rejoinGrace.
 		kinds.Targets: {keeps: leavingTarget(d), mayPrecede: earlierReport(d), deletedFor: targetProtection},
 	}
@@ -325,10 +328,37 @@
 	delete(m.absent, name)
 }
 
+// nextWithheldEnd returns when the first object that counts as deleted ceases to; ok is false if there is none.
+func (m *Mirror) nextWithheldEnd() (next time.Time, ok bool) {
+	for _, w := range m.withheld {
+		if !ok || w.until.Before(next) {
+			next, ok = w.until, true
+		}
+	}
+	return next, ok
+}
+
 // endProtection lets the store's state hold for objects whose protection has ended. It reports whether
 // anything changed.
 func (m *Mirror) endProtection() bool {
-	if len(m.withheld) == 0 && len(m.absent) == 0 {
+	changed := m.endWithholding()
+	if len(m.absent) == 0 {
+		return changed
+	}
+	now := m.now()
+	for name, until := range m.absent {
+		if !now.Before(until) {
+			delete(m.absent, name)
+			m.remove(name, m.asOf)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// endWithholding lets objects exist that no longer count as deleted. It reports whether anything changed.
+func (m *Mirror) endWithholding() bool {
+	if len(m.withheld) == 0 {
 		return false
 	}
 	now, changed := m.now(), false
@@ -340,12 +370,5 @@
 			m.limitAbsence(&w.object, m.asOf)
 		}
 	}
-	for name, until := range m.absent {
-		if !now.Before(until) {
-			delete(m.absent, name)
-			m.remove(name, m.asOf)
-			changed = true
-		}
-	}
 	return changed
 }
