Discovery: names and one function for what has been stopped

No change of behaviour: the history of writes and the state before a peer's answer have names of their own, and the check of a stopped service stands once.

--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -24,7 +24,7 @@
 	history      *changelog.Log[string] // changes and deletions by name
 	changed      map[string]struct{}    // names of the objects changed since TakeChanged
 	earlier      earlierVersions
-	written      writeHistory // of a kind whose objects are written once
+	writes       writeHistory // of a kind whose objects are written once
 
 	withheld      map[string]withheldObject // objects of a copy that count as deleted, by name
 	newlyWithheld []withholding             // decisions since takeWithheld
@@ -50,7 +50,7 @@
 		tombstones: make(map[string]tombstone),
 		changed:    make(map[string]struct{}),
 		earlier:    make(earlierVersions),
-		written:    make(writeHistory),
+		writes:     make(writeHistory),
 		withheld:   make(map[string]withheldObject),
 		absent:     make(map[string]time.Time),
 	}
@@ -211,7 +211,7 @@
 // recordWrite keeps the version of an object that is written once.
 func (m *Mirror) recordWrite(o *platform.Object) {
 	if m.policy.writtenOnce {
-		m.written.add(o)
+		m.writes.add(o)
 	}
 }
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -390,13 +390,18 @@
 func (s *Service) publishDelayed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.delayed && !s.isStopped() {
+		s.publish()
+	}
+}
+
+// isStopped reports whether Stop was called.
+func (s *Service) isStopped() bool {
 	select {
 	case <-s.stopped:
-		return
+		return true
 	default:
-	}
-	if s.delayed {
-		s.publish()
+		return false
 	}
 }
 
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -229,7 +229,7 @@
 	case deleted && gone.at.Era() >= o.Version.Era():
 		return false
 	case m.policy.writtenOnce:
-		return !known && m.written.hasEarlier(o)
+		return !known && m.writes.hasEarlier(o)
 	case deleted:
 		return o.Version.Revision() <= gone.last.Version.Revision() &&
 			(m.policy.mayPrecede == nil || m.policy.mayPrecede(*o, gone.last))
@@ -304,16 +304,17 @@
 	return out
 }
 
-// applyWithheld applies the objects that a peer withholds. A VM that has known the store before decides by
-// what it knows itself; another one withholds them too, and so does each VM with objects that are written once, as the
-// peer has known them. known is the state's version before the peer's was applied. It reports whether anything changed.
-func (m *Mirror) applyWithheld(objects []platform.Object, known platform.Version) bool {
+// applyWithheld applies the objects that a peer withholds. Those written after before, this VM's state until now, exist.
+// Of others, a VM that has known the store's earlier eras decides by what it knows itself, and another one withholds them
+// too. Objects that are written once are withheld by both, as the peer has known them at that revision. It reports
+// whether anything changed.
+func (m *Mirror) applyWithheld(objects []platform.Object, before platform.Version) bool {
 	changed := false
 	for _, o := range objects {
 		_, present := m.objects[o.Name]
-		since := present || isWrittenAfter(&o, known)
-		if since || m.firstEra < o.Version.Era() && !m.policy.writtenOnce {
-			changed = m.put(o, since) || changed
+		exists := present || isWrittenAfter(&o, before)
+		if exists || m.firstEra < o.Version.Era() && !m.policy.writtenOnce {
+			changed = m.put(o, exists) || changed
 			m.limitAbsence(&o, m.asOf)
 		} else if o.Version > m.tombstones[o.Name].at {
 			m.withhold(&o)
--- a/internal/discovery/withholding.go
+++ b/internal/discovery/withholding.go
@@ -49,10 +49,8 @@
 func (s *Service) endWithholding(kind platform.Kind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	select {
-	case <-s.stopped:
+	if s.isStopped() {
 		return
-	default:
 	}
 	delete(s.withholdingTimers, kind)
 	m := s.mirrors[kind]
--- a/internal/e2e/evacuation_copy_test.go
+++ b/internal/e2e/evacuation_copy_test.go
@@ -24,29 +24,29 @@
 
 // Orders of the second evacuation's revision to the first one's, as returned by cmp.Compare.
 const (
-	earlier = -1
-	same    = 0
-	later   = 1
+	lowerRevision  = -1
+	sameRevision   = 0
+	higherRevision = 1
 )
 
 var reevacuations = map[string]reevacuation{
-	"at once":                            {order: earlier, between: 20},
-	"after 10 ms":                        {order: earlier, between: 20, after: 10 * time.Millisecond},
-	"after 300 ms":                       {order: earlier, between: 20, after: 300 * time.Millisecond},
-	"after 1 s":                          {order: earlier, between: 20, after: time.Second},
-	"after 2 s":                          {order: earlier, between: 20, after: 2 * time.Second},
-	"two copies":                         {order: earlier, copies: 2, between: 20, after: 200 * time.Millisecond},
-	"evacuated before":                   {order: earlier, previous: 2, between: 20, after: 10 * time.Millisecond},
-	"the same revision, at once":         {order: same, between: 20},
-	"the same revision, after 1 s":       {order: same, between: 20, after: time.Second},
-	"a later revision":                   {order: later, between: 5},
-	"a VM starts before the store fails": {order: earlier, between: 20, after: 10 * time.Millisecond, before: func(f *memFleet) { f.killAndStart(f.vms[1]) }},
-	"a VM starts after the return":       {order: earlier, between: 20, after: 10 * time.Millisecond, during: func(f *memFleet) { f.killAndStart(f.vms[1]) }},
-	"all VMs start before the store fails": {order: earlier, between: 20, after: 10 * time.Millisecond, before: func(f *memFleet) {
+	"at once":                            {order: lowerRevision, between: 20},
+	"after 10 ms":                        {order: lowerRevision, between: 20, after: 10 * time.Millisecond},
+	"after 300 ms":                       {order: lowerRevision, between: 20, after: 300 * time.Millisecond},
+	"after 1 s":                          {order: lowerRevision, between: 20, after: time.Second},
+	"after 2 s":                          {order: lowerRevision, between: 20, after: 2 * time.Second},
+	"two copies":                         {order: lowerRevision, copies: 2, between: 20, after: 200 * time.Millisecond},
+	"evacuated before":                   {order: lowerRevision, previous: 2, between: 20, after: 10 * time.Millisecond},
+	"the same revision, at once":         {order: sameRevision, between: 20},
+	"the same revision, after 1 s":       {order: sameRevision, between: 20, after: time.Second},
+	"a later revision":                   {order: higherRevision, between: 5},
+	"a VM starts before the store fails": {order: lowerRevision, between: 20, after: 10 * time.Millisecond, before: func(f *memFleet) { f.killAndStart(f.vms[1]) }},
+	"a VM starts after the return":       {order: lowerRevision, between: 20, after: 10 * time.Millisecond, during: func(f *memFleet) { f.killAndStart(f.vms[1]) }},
+	"all VMs start before the store fails": {order: lowerRevision, between: 20, after: 10 * time.Millisecond, before: func(f *memFleet) {
 		f.killAll(200 * time.Millisecond)
 		time.Sleep(2 * time.Second)
 	}},
-	"VMs are cut": {order: earlier, between: 20, after: time.Second, during: func(f *memFleet) {
+	"VMs are cut": {order: lowerRevision, between: 20, after: time.Second, during: func(f *memFleet) {
 		f.hold(f.vms[:2], f.vms[2:])
 		time.Sleep(time.Second)
 		f.release(f.vms[:2], f.vms[2:])
@@ -91,7 +91,7 @@
 		go r.during(f)
 	}
 	time.Sleep(r.after)
-	for r.order != earlier && f.nextRevision() < first+uint64(r.order) {
+	for r.order != lowerRevision && f.nextRevision() < first+uint64(r.order) {
 	}
 	f.objects.Put("evacuations", zone, []byte(`{}`))
 	if second := f.evacuationRevision(zone); cmp.Compare(second, first) != r.order {
