Tunnels: when a carrying VM responds, and how long its connects take

Added: 5508 (a late response, with the time since the request was sent), 5509 (a slow connect at the carrying VM, which also tells when the request came), histograms of both, and IDs of tunnels that name the process.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -229,6 +229,7 @@
 	}
 	return tunnel.NewService(tunnel.Deps{
 		Self:        d.settings.VM.Name,
+		Incarnation: d.incarnation,
 		Region:      d.settings.VM.Region,
 		MemoryBytes: d.settings.VM.MemoryBytes,
 		Members:     w.members,
--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -104,7 +104,9 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	started := s.deps.Clock.Now()
 	conn, err := s.deps.Dial(dialCtx, "tcp", t.Address)
+	s.connectTime.Update(s.deps.Clock.Now().Sub(started).Seconds())
 	switch {
 	case err == nil:
 		s.apply(s.health.Connected(t.Name, s.deps.Clock.Now()), t.Name, "")
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -249,7 +249,9 @@
 }
 
 // newID returns an ID for a tunnel of this VM.
-func (s *Service) newID() string { return fmt.Sprintf("%s-%d", s.deps.Self, s.lastID.Add(1)) }
+func (s *Service) newID() string {
+	return fmt.Sprintf("%s-%x-%d", s.deps.Self, s.deps.Incarnation, s.lastID.Add(1))
+}
 
 // newConn returns a connection that a VM carries.
 func (s *Service) newConn(stream net.Conn, m membership.Member, request *OpenRequest) *Conn {
--- a/internal/tunnel/events.go
+++ b/internal/tunnel/events.go
@@ -51,6 +51,20 @@
 		Meaning: "The named VM did not tell in time whether it connected to the target of a ready tunnel. It is asked last for a while, and the ready tunnels to its region are closed.",
 		Action:  "See whether the named VM is gone or frozen, or the way between the regions lost.",
 	})
+	eventCarrierLate = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 508,
+		Level:   logrus.InfoLevel,
+		Name:    "carrying VM responded late",
+		Meaning: "The named VM told whether it connected to the target of a ready tunnel after it had been reported as silent (5507). after_ms is the time since the request was sent to it; the carrying VM's 5509 line of the same tunnel tells when it arrived there and how long the connect took.",
+		Action:  "See whether the links of either VM are full, or the named VM is short of processor time.",
+	})
+	eventSlowConnect = telemetry.Register(telemetry.Event{
+		Number:  telemetry.RangeForward + 509,
+		Level:   logrus.InfoLevel,
+		Name:    "connect for another VM was slow",
+		Meaning: "This VM took long to connect to the target of a ready tunnel of the named VM, or could not. connect_ms is counted from the arrival of the request.",
+		Action:  "None by itself; if there are many, see whether this VM's link is full.",
+	})
 	eventNoticeNotSent = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 506,
 		Level:   logrus.WarnLevel,
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -292,10 +292,25 @@
 	conn := s.newConn(r.stream, r.carrier, &request)
 	conn.ready = r
 	conn.receiveNotice = s.receiveNotice
+	go s.recordResponse(r, conn.id, s.deps.Clock.Now(), roundTrip+carrierResponseTime)
 	time.AfterFunc(roundTrip+carrierResponseTime, func() { s.checkResponse(r, conn, repeatable) })
 	return conn
 }
 
+// recordResponse records when the carrying VM responded.
+func (s *Service) recordResponse(r *readyTunnel, id string, sentAt time.Time, limit time.Duration) {
+	<-r.responded
+	if r.err != nil {
+		return
+	}
+	took := s.deps.Clock.Now().Sub(sentAt)
+	s.responseTime.Update(took.Seconds())
+	if took > limit {
+		s.deps.Logger.Log(eventCarrierLate, telemetry.Peer(r.carrier.Name), telemetry.Value("tunnel", id),
+			telemetry.Value("after_ms", took.Milliseconds()), telemetry.Value("result", r.response.Result.String()))
+	}
+}
+
 // checkResponse gives up a carrying VM that has not told in time that it has connected.
 func (s *Service) checkResponse(r *readyTunnel, conn *Conn, repeatable bool) {
 	if r.settled() {
--- a/internal/tunnel/readycarry.go
+++ b/internal/tunnel/readycarry.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"time"
+
+	"masticturn/internal/telemetry"
 )
 
 // addWaiting reports whether one more ready tunnel of another VM is accepted.
@@ -22,6 +24,20 @@
 	}
 }
 
+// slowConnectTime is the time from which on a connect for another VM is logged.
+const slowConnectTime = 50 * time.Millisecond
+
+// connectReady connects to the target of a ready tunnel.
+func (s *Service) connectReady(origin string, r *OpenRequest) (net.Conn, Result) {
+	started := s.deps.Clock.Now()
+	conn, result := s.connectFor(s.lifetime(), r)
+	if took := s.deps.Clock.Now().Sub(started); took >= slowConnectTime {
+		s.deps.Logger.Log(eventSlowConnect, telemetry.Peer(origin), telemetry.Value("tunnel", r.ID), telemetry.Value("target", r.Target),
+			telemetry.Value("connect_ms", took.Milliseconds()), telemetry.Value("result", result.String()))
+	}
+	return conn, result
+}
+
 // serveReady waits for the target of a ready tunnel, connects to it and carries the connection.
 func (s *Service) serveReady(origin string, stream net.Conn) {
 	s.mu.Lock()
@@ -41,7 +57,7 @@
 	response := OpenResponse{Result: ResultNotAccepting, Notice: s.notice(request.Target)}
 	var conn net.Conn
 	if response.Notice.isZero() {
-		conn, response.Result = s.connectFor(s.lifetime(), &request)
+		conn, response.Result = s.connectReady(origin, &request)
 	}
 	err = writeMessage(stream, &response)
 	if response.Result != ResultOpened {
--- a/internal/tunnel/service.go
+++ b/internal/tunnel/service.go
@@ -44,6 +44,7 @@
 // Deps are the dependencies of a Service.
 type Deps struct {
 	Self        string // name of this VM
+	Incarnation uint64 // of this VM's process; tells its tunnels from those of earlier processes in logs
 	Region      string // of this VM
 	MemoryBytes int64  // of this VM; 0: unknown
 	Members     Announcer
@@ -68,6 +69,8 @@
 	carried       *metrics.Counter
 	carriedBytes  *metrics.Counter
 	relayed       *metrics.Counter
+	responseTime  *metrics.Histogram // until the carrying VM tells whether it connected, in s
+	connectTime   *metrics.Histogram // of connects for other VMs, in s
 
 	mu         sync.Mutex
 	notices    Notices // nil: not set yet
@@ -96,6 +99,8 @@
 		carried:       d.Metrics.GetOrCreateCounter(`masticturn_tunnels_total{role="carrier"}`),
 		carriedBytes:  d.Metrics.GetOrCreateCounter("masticturn_tunnel_carried_bytes_total"),
 		relayed:       d.Metrics.GetOrCreateCounter("masticturn_ready_tunnels_used_total"),
+		responseTime:  d.Metrics.GetOrCreateHistogram("masticturn_ready_tunnel_response_seconds"),
+		connectTime:   d.Metrics.GetOrCreateHistogram("masticturn_tunnel_connect_seconds"),
 		avoidUntil:    make(map[string]time.Time),
 		tunnels:       make(map[*carriedTunnel]struct{}),
 		waiting:       make(map[net.Conn]struct{}),
