Tunnels: requests of a VM that has just started are not ended with its earlier process

Callers got 502 for requests at which a target was at work, when their VM had just been started again: its tunnel was closed by the VM that carried it.

Cause: closeOrphans compared the VM's name only. The news that the VM's earlier process is gone reaches some carriers after its new process has opened tunnels; a VM that is not known yet counted as gone, too.

A stream now names the process at its other end, so that it is compared with what the members tell of that process, not of the VM.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -8,10 +8,31 @@
 	"github.com/gravitational/trace"
 )
 
+// StreamPeer is the process at the other end of a stream.
+type StreamPeer struct {
+	VM          string
+	Incarnation uint64
+}
+
+// Stream is a byte stream to another VM.
+type Stream struct {
+	net.Conn
+	Peer    StreamPeer
+	session *session // whose reader may hold bytes that followed the handshake
+}
+
+// Read implements net.Conn.
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.session.reader.Buffered() > 0 {
+		return s.session.reader.Read(p)
+	}
+	return s.Conn.Read(p)
+}
+
 // StreamHandler accepts a stream that another VM opens. It returns the response to the request and a
 // function that uses and closes the connection; without that function, the connection is closed soon after the
 // response. The context ends with the timeout of opening a connection.
-type StreamHandler func(ctx context.Context, from string, request []byte) (response any, serve func(net.Conn))
+type StreamHandler func(ctx context.Context, from StreamPeer, request []byte) (response any, serve func(net.Conn))
 
 // Streams opens byte streams to other VMs. Each stream is a connection of its own, with the handshake of
 // message connections. Builds without streams take its first message for that of a message connection, so
@@ -20,7 +41,7 @@
 	// HandleStreams sets the handler of streams. It must be called before the network is started.
 	HandleStreams(h StreamHandler)
 	// OpenStream opens a stream to a VM and decodes the response. The caller closes the connection.
-	OpenStream(ctx context.Context, to string, request, response any) (net.Conn, error)
+	OpenStream(ctx context.Context, to string, request, response any) (*Stream, error)
 }
 
 var _ Streams = (*TCP)(nil)
@@ -29,7 +50,7 @@
 func (t *TCP) HandleStreams(h StreamHandler) { t.streams = h }
 
 // OpenStream implements Streams.
-func (t *TCP) OpenStream(ctx context.Context, to string, request, response any) (net.Conn, error) {
+func (t *TCP) OpenStream(ctx context.Context, to string, request, response any) (*Stream, error) {
 	conn, err := t.openStream(ctx, to, request, response)
 	if err != nil {
 		return nil, &Error{Peer: to, Step: StepConnect, Err: err}
@@ -37,7 +58,7 @@
 	return conn, nil
 }
 
-func (t *TCP) openStream(ctx context.Context, to string, request, response any) (net.Conn, error) {
+func (t *TCP) openStream(ctx context.Context, to string, request, response any) (*Stream, error) {
 	t.mu.Lock()
 	address := t.addresses[to]
 	t.mu.Unlock()
@@ -74,7 +95,7 @@
 	if t.streams == nil {
 		return nil, trace.BadParameter("this VM accepts no streams")
 	}
-	response, serve := t.streams(ctx, s.remote.VM, s.remote.StreamRequest)
+	response, serve := t.streams(ctx, s.peer(), s.remote.StreamRequest)
 	s.serveStream = serve
 	payload, err := Encode(response)
 	if err != nil {
@@ -104,19 +125,10 @@
 	}
 }
 
-// stream returns the session's connection for use as a byte stream.
-func (s *session) stream() net.Conn { return &streamConn{Conn: s.conn, session: s} }
-
-// streamConn is a connection after the handshake, whose reader may hold bytes that followed it.
-type streamConn struct {
-	net.Conn
-	session *session
+// peer returns the process at the other end.
+func (s *session) peer() StreamPeer {
+	return StreamPeer{VM: s.remote.VM, Incarnation: s.remote.Incarnation}
 }
 
-// Read implements net.Conn.
-func (c *streamConn) Read(p []byte) (int, error) {
-	if c.session.reader.Buffered() > 0 {
-		return c.session.reader.Read(p)
-	}
-	return c.Conn.Read(p)
-}
+// stream returns the session's connection for use as a byte stream.
+func (s *session) stream() *Stream { return &Stream{Conn: s.conn, Peer: s.peer(), session: s} }
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -15,12 +15,12 @@
 
 // echoStreams accepts streams that say "hello" and echoes their bytes.
 func echoStreams(ended chan<- struct{}) StreamHandler {
-	return func(_ context.Context, from string, request []byte) (any, func(net.Conn)) {
+	return func(_ context.Context, from StreamPeer, request []byte) (any, func(net.Conn)) {
 		var g streamGreeting
 		if err := Decode(request, &g); err != nil || g.Text != "hello" {
 			return &streamGreeting{"no"}, nil
 		}
-		return &streamGreeting{"hello " + from}, func(conn net.Conn) {
+		return &streamGreeting{"hello " + from.VM}, func(conn net.Conn) {
 			defer close(ended)
 			defer conn.Close()
 			_, _ = io.Copy(conn, conn)
@@ -85,7 +85,7 @@
 		a, b := p.startNetwork(t, "a", nil), p.startNetwork(t, "b", nil)
 		defer stopAll(a, b)
 		a.SetAddress("b", "b")
-		b.HandleStreams(func(ctx context.Context, _ string, _ []byte) (any, func(net.Conn)) {
+		b.HandleStreams(func(ctx context.Context, _ StreamPeer, _ []byte) (any, func(net.Conn)) {
 			<-ctx.Done()
 			return &streamGreeting{}, nil
 		})
--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"masticturn/internal/membership"
 	"masticturn/internal/peer"
 	"masticturn/internal/telemetry"
 )
@@ -27,7 +26,7 @@
 
 // carriedTunnel is a connection to a target that this VM carries for another VM.
 type carriedTunnel struct {
-	origin string // VM that opened it
+	origin process // that opened it
 	id     string
 	target string
 	conn   net.Conn // to the target
@@ -59,10 +58,10 @@
 }
 
 // acceptStream implements peer.StreamHandler.
-func (s *Service) acceptStream(ctx context.Context, from string, payload []byte) (any, func(net.Conn)) {
+func (s *Service) acceptStream(ctx context.Context, from peer.StreamPeer, payload []byte) (any, func(net.Conn)) {
 	var request OpenRequest
 	if err := peer.Decode(payload, &request); err != nil {
-		s.deps.Logger.Log(eventRequestInvalid, telemetry.Peer(from), telemetry.Err(err))
+		s.deps.Logger.Log(eventRequestInvalid, telemetry.Peer(from.VM), telemetry.Err(err))
 		return &OpenResponse{Result: ResultUnknown}, nil
 	}
 	if request.Ready {
@@ -77,7 +76,7 @@
 		return response, nil
 	}
 	response.Notice = s.notice(request.Target)
-	c := &carriedTunnel{origin: from, id: request.ID, target: request.Target, conn: conn}
+	c := &carriedTunnel{origin: process{StreamPeer: from}, id: request.ID, target: request.Target, conn: conn}
 	s.addTunnel(c)
 	return response, func(stream net.Conn) { s.carry(c, stream) }
 }
@@ -120,7 +119,8 @@
 }
 
 func (s *Service) addTunnel(c *carriedTunnel) {
-	s.originsInUse.add(c.origin)
+	c.origin.hasEnded(s.deps.Members.View()) // records whether it is known
+	s.originsInUse.add(c.origin.VM)
 	s.carried.Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,7 +131,7 @@
 	s.mu.Lock()
 	delete(s.tunnels, c)
 	s.mu.Unlock()
-	s.originsInUse.remove(c.origin)
+	s.originsInUse.remove(c.origin.VM)
 }
 
 // closeTunnels closes the carried connections for which match returns true.
@@ -145,16 +145,13 @@
 	}
 }
 
-// closeOrphans closes the connections of VMs that are gone.
+// closeOrphans closes the connections of processes that have ended.
 func (s *Service) closeOrphans() {
 	if s.originsInUse.total() == 0 {
 		return
 	}
 	view := s.deps.Members.View()
-	s.closeTunnels(func(c *carriedTunnel) bool {
-		m, ok := view.Member(c.origin)
-		return !ok || m.State == membership.Gone
-	})
+	s.closeTunnels(func(c *carriedTunnel) bool { return c.origin.hasEnded(view) })
 }
 
 // carry copies bytes between the other VM and the target until either ends.
@@ -180,7 +177,7 @@
 	_ = stream.Close()
 	s.removeTunnel(c)
 	s.carriedBytes.Add(int(sent + received))
-	s.deps.Logger.Log(eventCarried, telemetry.Peer(c.origin), telemetry.Value("tunnel", c.id), telemetry.Value("target", c.target),
+	s.deps.Logger.Log(eventCarried, telemetry.Peer(c.origin.VM), telemetry.Value("tunnel", c.id), telemetry.Value("target", c.target),
 		telemetry.Value("sent_bytes", sent), telemetry.Value("received_bytes", received),
 		telemetry.Value("open_ms", s.deps.Clock.Now().Sub(started).Milliseconds()))
 }
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -207,7 +207,7 @@
 	})
 	v.SetNotices(v)
 	f.vms = append(f.vms, v)
-	f.view.Members = append(f.view.Members, vm(v.host.Name, region))
+	f.view.Members = append(f.view.Members, vm(v.host.Name, region, func(m *membership.Member) { m.Incarnation = 1 }))
 }
 
 func (f *testFleet) listen(h network.Host, serve func(net.Conn)) {
@@ -544,6 +544,56 @@
 	})
 }
 
+// Guards against requests of a VM that has just started and that end with what is told of its earlier process.
+func TestTunnelsOfAProcessSurviveTheEndOfAnEarlierOne(t *testing.T) {
+	for name, tt := range map[string]struct {
+		members func(members []membership.Member) []membership.Member
+		kept    bool
+	}{
+		"the earlier one is gone": {func(members []membership.Member) []membership.Member {
+			members[0].State, members[0].Incarnation = membership.Gone, 0
+			return members
+		}, true},
+		"it is gone": {func(members []membership.Member) []membership.Member {
+			members[0].State = membership.Gone
+			return members
+		}, false},
+		"there is a later one": {func(members []membership.Member) []membership.Member {
+			members[0].Incarnation++
+			return members
+		}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f, stop := newTestFleet(t, 2, 2, echo)
+			defer stop()
+			f.refuse(f.vms[0])
+			c := f.mustDialTunnel(f.vms[0], 0)
+			defer c.Close()
+			f.change(tt.members)
+			time.Sleep(time.Second)
+			if n := f.vms[1].originsInUse.total(); (n == 1) != tt.kept {
+				t.Errorf("%s: %d tunnels are carried, kept should be %v", name, n, tt.kept)
+			}
+		})
+	}
+}
+
+// Guards against requests of a VM that its carrier does not know yet.
+func TestTunnelsOfAVMThatIsNotKnownYetAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := newTestFleet(t, 2, 2, echo)
+		defer stop()
+		f.refuse(f.vms[0])
+		f.change(func(members []membership.Member) []membership.Member { return members[1:] })
+		c := f.mustDialTunnel(f.vms[0], 0)
+		defer c.Close()
+		time.Sleep(time.Second)
+		if n := f.vms[1].originsInUse.total(); n != 1 {
+			t.Errorf("%d tunnels are carried, want 1", n)
+		}
+	})
+}
+
 // Guards against checks that cost a VM with traffic anything, and one without more than a connection a second.
 func TestChecksCostLittleWhileNothingIsWrong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/tunnel/ready_test.go
+++ b/internal/tunnel/ready_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"masticturn/internal/peer"
 	"masticturn/internal/targetconn"
 )
 
@@ -214,7 +215,7 @@
 		f, stop := startTestFleet(t, 2, 2, "vm-0", echo)
 		defer stop()
 		var asked atomic.Int64
-		f.vms[1].peers.HandleStreams(func(context.Context, string, []byte) (any, func(net.Conn)) {
+		f.vms[1].peers.HandleStreams(func(context.Context, peer.StreamPeer, []byte) (any, func(net.Conn)) {
 			asked.Add(1)
 			return &OpenResponse{Result: ResultUnknown}, nil
 		})
--- a/internal/tunnel/readycarry.go
+++ b/internal/tunnel/readycarry.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"masticturn/internal/peer"
 	"masticturn/internal/telemetry"
 )
 
@@ -28,18 +29,18 @@
 const slowConnectTime = 50 * time.Millisecond
 
 // connectReady connects to the target of a ready tunnel.
-func (s *Service) connectReady(origin string, r *OpenRequest) (net.Conn, Result) {
+func (s *Service) connectReady(origin peer.StreamPeer, r *OpenRequest) (net.Conn, Result) {
 	started := s.deps.Clock.Now()
 	conn, result := s.connectFor(s.lifetime(), r)
 	if took := s.deps.Clock.Now().Sub(started); took >= slowConnectTime {
-		s.deps.Logger.Log(eventSlowConnect, telemetry.Peer(origin), telemetry.Value("tunnel", r.ID), telemetry.Value("target", r.Target),
+		s.deps.Logger.Log(eventSlowConnect, telemetry.Peer(origin.VM), telemetry.Value("tunnel", r.ID), telemetry.Value("target", r.Target),
 			telemetry.Value("connect_ms", took.Milliseconds()), telemetry.Value("result", result.String()))
 	}
 	return conn, result
 }
 
 // serveReady waits for the target of a ready tunnel, connects to it and carries the connection.
-func (s *Service) serveReady(origin string, stream net.Conn) {
+func (s *Service) serveReady(origin peer.StreamPeer, stream net.Conn) {
 	s.mu.Lock()
 	s.waiting[stream] = struct{}{}
 	s.mu.Unlock()
@@ -67,7 +68,7 @@
 		_ = stream.Close()
 		return
 	}
-	c := &carriedTunnel{origin: origin, id: request.ID, target: request.Target, conn: conn}
+	c := &carriedTunnel{origin: process{StreamPeer: origin}, id: request.ID, target: request.Target, conn: conn}
 	s.addTunnel(c)
 	if err != nil {
 		_ = stream.Close()
