Tunnels: a VM that refutes its end keeps its tunnels

What callers would have seen: 502 for requests that pass through other VMs, once their VM had been frozen or cut off and taken a new incarnation.

Cause: a stream names the incarnation with which the process has started; the members' incarnation of a live process grows when it refutes its end, so that each of its tunnels looked like one of an earlier process. Compared is now Member.Process, which changes only with a restart.

The new case of TestTunnelsOfAProcessSurviveTheEndOfAnEarlierOne fails without it.

--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -76,7 +76,7 @@
 		return response, nil
 	}
 	response.Notice = s.notice(request.Target)
-	c := &carriedTunnel{origin: process{StreamPeer: from}, id: request.ID, target: request.Target, conn: conn}
+	c := &carriedTunnel{origin: newProcess(from, s.deps.Members.View()), id: request.ID, target: request.Target, conn: conn}
 	s.addTunnel(c)
 	return response, func(stream net.Conn) { s.carry(c, stream) }
 }
@@ -119,7 +119,6 @@
 }
 
 func (s *Service) addTunnel(c *carriedTunnel) {
-	c.origin.hasEnded(s.deps.Members.View()) // records whether it is known
 	s.originsInUse.add(c.origin.VM)
 	s.carried.Inc()
 	s.mu.Lock()
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -207,7 +207,7 @@
 	})
 	v.SetNotices(v)
 	f.vms = append(f.vms, v)
-	f.view.Members = append(f.view.Members, vm(v.host.Name, region, func(m *membership.Member) { m.Incarnation = 1 }))
+	f.view.Members = append(f.view.Members, vm(v.host.Name, region, func(m *membership.Member) { m.Incarnation, m.Process = 1, 1 }))
 }
 
 func (f *testFleet) listen(h network.Host, serve func(net.Conn)) {
@@ -551,7 +551,7 @@
 		kept    bool
 	}{
 		"the earlier one is gone": {func(members []membership.Member) []membership.Member {
-			members[0].State, members[0].Incarnation = membership.Gone, 0
+			members[0].State, members[0].Process = membership.Gone, 0
 			return members
 		}, true},
 		"it is gone": {func(members []membership.Member) []membership.Member {
@@ -559,9 +559,13 @@
 			return members
 		}, false},
 		"there is a later one": {func(members []membership.Member) []membership.Member {
-			members[0].Incarnation++
+			members[0].Incarnation, members[0].Process = 2, 2
 			return members
 		}, false},
+		"it refutes that it is gone": {func(members []membership.Member) []membership.Member {
+			members[0].Incarnation = 2
+			return members
+		}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			f, stop := newTestFleet(t, 2, 2, echo)
--- a/internal/tunnel/readycarry.go
+++ b/internal/tunnel/readycarry.go
@@ -68,7 +68,7 @@
 		_ = stream.Close()
 		return
 	}
-	c := &carriedTunnel{origin: process{StreamPeer: origin}, id: request.ID, target: request.Target, conn: conn}
+	c := &carriedTunnel{origin: newProcess(origin, s.deps.Members.View()), id: request.ID, target: request.Target, conn: conn}
 	s.addTunnel(c)
 	if err != nil {
 		_ = stream.Close()
