Tunnels: a request under way stays with a carrier that is only late

Cause: a carrier that had not responded within a round trip and 0.2 s counted as lost, and the request under way was given up before a second way was to be had (8402, no room, in the same millisecond). It was alive: 168 of 216 such carriers connected 41 to 572 ms after the request was sent. Their links of 10 Mbit/s were full with what callers and targets send (94 of 100 bytes at 900 KB/s and more; heartbeats 3); requests, connects and responses waited there.

Now the request stays. Beside a repeatable one a second attempt starts, within the retry budget, and where it gets no room the first one goes on. It is given up when the carrier's process is known to have ended.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -8,32 +8,56 @@
 
 var errHedged = errors.New("another attempt was faster")
 
-// hedge starts a second attempt at another target if the response to the first one is late. The first
-// good response head wins, and the other attempt is canceled. Only repeatable requests without a
-// streamed body are hedged, within the retry budget.
+// hedge starts a second attempt at another target if the response to the first one is late, or the VM that carries
+// the first one is. The first good response head wins, and the other attempt is canceled. Only repeatable requests
+// without a streamed body are hedged, within the retry budget.
 type hedge struct {
 	first    *attempt
-	number   int // attempt number of the second attempt
-	timer    *time.Timer
+	number   int           // attempt number of the second attempt
+	disarmed chan struct{} // closed when the second attempt must no longer start
 	resolved chan struct{} // closed when secondResult is set
 
 	mu           sync.Mutex
+	started      bool          // the second attempt has started, or was not allowed
+	ended        bool          // the first attempt ended before that
 	second       *attempt      // nil until it starts
 	secondResult attemptResult // of the second attempt, up to the response head
 	firstWon     bool          // the first attempt has won
 	secondEnded  bool          // the second attempt has ended, or was not started
 }
 
-// armHedge starts the timer of a hedge. It is called on sending, when the headers are final.
+// armHedge prepares a hedge. It is called on sending, when the headers are final.
 func (a *attempt) armHedge() {
 	x := a.x
-	after := x.snap.Document.Retry.HedgeAfterMS.Duration()
-	if after <= 0 || a.hedge != nil || a.hedged || !x.repeatable || x.stream != nil || x.dispatch.attempts >= x.dispatch.policy.maxAttempts {
+	after, overdue := x.snap.Document.Retry.HedgeAfterMS.Duration(), a.conn.Overdue()
+	if after <= 0 && overdue == nil {
 		return
 	}
-	h := &hedge{first: a, number: x.dispatch.attempts + 1, resolved: make(chan struct{})}
-	a.hedge = h
-	h.timer = time.AfterFunc(after, h.run)
+	if a.hedge != nil || a.hedged || !x.repeatable || x.stream != nil || x.dispatch.attempts >= x.dispatch.policy.maxAttempts {
+		return
+	}
+	a.hedge = &hedge{
+		first: a, number: x.dispatch.attempts + 1,
+		disarmed: make(chan struct{}), resolved: make(chan struct{}),
+	}
+	go a.hedge.await(after, overdue)
+}
+
+// await makes the second attempt after a time, unless it is 0, or when the carrier of the first one is overdue.
+func (h *hedge) await(after time.Duration, overdue <-chan struct{}) {
+	var late <-chan time.Time
+	if after > 0 {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-late:
+	case <-overdue:
+	case <-h.disarmed:
+		return
+	}
+	h.run()
 }
 
 // run makes the second attempt, up to the head of its response.
@@ -59,8 +83,12 @@
 func (h *hedge) start() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	h.started = true
 	x := h.first.x
-	if h.firstWon || !x.withdrawRetry(h.first.target.Name) {
+	if !x.withdrawRetry(h.first.target.Name) {
 		h.secondEnded = true
 		close(h.resolved)
 		return false
@@ -75,13 +103,29 @@
 // resolve is called when the first attempt has its response head or has failed. It returns the second
 // attempt if that one replaces the first, else nil.
 func (h *hedge) resolve(firstFault Fault) (*attempt, attemptResult) {
-	if h.timer.Stop() || firstFault == FaultNone && h.cancelSecond() {
+	if h.disarm() || firstFault == FaultNone && h.cancelSecond() {
 		return nil, attemptResult{}
 	}
 	<-h.resolved
+	if h.second != nil && h.second.target == nil { // it got no room
+		h.second.discard(&h.secondResult)
+		return nil, attemptResult{}
+	}
 	return h.second, h.secondResult
 }
 
+// disarm prevents the second attempt; false if it is too late for that.
+func (h *hedge) disarm() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.started {
+		return false
+	}
+	h.ended = true
+	close(h.disarmed)
+	return true
+}
+
 // cancelSecond cancels the second attempt because the first has won; false if the second had already
 // won.
 func (h *hedge) cancelSecond() bool {
--- a/internal/forward/relayed_test.go
+++ b/internal/forward/relayed_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	delivers bool          // the other VM connects to the target
 	respond  time.Duration // time until it tells that it does not
 	refuses  bool          // the target refuses direct connections
+	overdue  time.Duration // time until the other VM is overdue; 0: it never is
+	late     time.Duration // time by which the other VM delivers late
 
 	mu              sync.Mutex
 	relayed, direct int
@@ -48,6 +51,11 @@
 		c.Conn, _ = net.Pipe()
 		return c, nil
 	}
+	if d.overdue > 0 {
+		c.overdue = make(chan struct{})
+		time.AfterFunc(d.overdue, func() { close(c.overdue) })
+	}
+	c.late = d.late
 	var err error
 	c.Conn, err = (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
 	return c, err
@@ -59,6 +67,8 @@
 	written  chan struct{}
 	delivers bool
 	respond  time.Duration
+	overdue  chan struct{} // nil: the other VM never is
+	late     time.Duration
 }
 
 func (c *relayedConn) Write(p []byte) (int, error) {
@@ -69,7 +79,12 @@
 	if !c.delivers {
 		return len(p), nil
 	}
-	return c.Conn.Write(p)
+	if c.late == 0 {
+		return c.Conn.Write(p)
+	}
+	copied := slices.Clone(p)
+	time.AfterFunc(c.late, func() { _, _ = c.Conn.Write(copied) })
+	return len(p), nil
 }
 
 func (c *relayedConn) Read(p []byte) (int, error) {
@@ -82,6 +97,7 @@
 }
 
 func (c *relayedConn) Undelivered() bool                    { return !c.delivers }
+func (c *relayedConn) Overdue() <-chan struct{}             { return c.overdue }
 func (c *relayedConn) Relayed() bool                        { return true }
 func (c *relayedConn) Usable() bool                         { return false }
 func (c *relayedConn) Carrier() (vm, region, tunnel string) { return "vm2", "r2", "tunnel" }
@@ -183,6 +199,76 @@
 	}
 }
 
+// Guards against requests that fail, or wait, because the VM that carries them is late or lost.
+func TestRequestIsSentOnceMoreBesideAnOverdueCarrier(t *testing.T) {
+	const overdue, lost = 50 * time.Millisecond, time.Hour
+	for name, tt := range map[string]struct {
+		method  string
+		late    time.Duration // of the first attempt
+		others  int           // further targets
+		status  int
+		runs    int // of the request
+		atLeast time.Duration
+		atMost  time.Duration
+	}{
+		"late, no other target has room":  {"GET", 4 * overdue, 0, http.StatusOK, 1, 4 * overdue, time.Second},
+		"late, another target answers":    {"GET", 20 * overdue, 1, http.StatusOK, 1, overdue, 20 * overdue},
+		"lost, another target answers":    {"GET", lost, 1, http.StatusOK, 1, overdue, time.Second},
+		"late, must not be repeated":      {"POST", 4 * overdue, 1, http.StatusOK, 1, 4 * overdue, time.Second},
+		"in time":                         {"GET", overdue / 5, 1, http.StatusOK, 1, 0, time.Second},
+		"lost, no other target, deadline": {"GET", lost, 0, http.StatusGatewayTimeout, 0, overdue, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			serve := func(w http.ResponseWriter, _ *http.Request) { runs.Add(1) }
+			var targets []string
+			for range 1 + tt.others {
+				targets = append(targets, newTarget(t, serve))
+			}
+			doc := testDocument(targets...)
+			doc.Classes[0].TimeoutMS, doc.Retry.Patient, doc.Retry.BudgetFraction = 1500, true, 1
+			d := &firstOverdue{relayingDialer{delivers: true, overdue: overdue, late: tt.late}}
+			h, a := newTestHandler(t, doc, Deps{Targets: d, Logger: telemetry.Discard(), VM: testVM, Clock: kernel.SystemClock{}})
+			server := httptest.NewServer(h)
+			defer h.Close()
+			defer server.Close()
+			req, err := http.NewRequest(tt.method, server.URL+"/svc/a", http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			started := time.Now()
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			took := time.Since(started)
+			if resp.StatusCode != tt.status || took < tt.atLeast || took > tt.atMost || runs.Load() != int64(tt.runs) {
+				t.Errorf("status %d after %v, %d runs; want %d after %v to %v, %d runs",
+					resp.StatusCode, took, runs.Load(), tt.status, tt.atLeast, tt.atMost, tt.runs)
+			}
+			p := &testProxy{handler: h, admission: a}
+			for deadline := time.Now().Add(time.Second); p.heldPermits() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("%d slots are still held", p.heldPermits())
+				}
+			}
+		})
+	}
+}
+
+// firstOverdue is a relayingDialer whose connections after the first one are direct.
+type firstOverdue struct{ relayingDialer }
+
+// DialTarget implements targetconn.Dialer.
+func (d *firstOverdue) DialTarget(ctx context.Context, t *config.TargetIndex, r targetconn.Reach) (net.Conn, error) {
+	d.mu.Lock()
+	r.Relay = r.Relay && d.relayed == 0
+	d.mu.Unlock()
+	return d.relayingDialer.DialTarget(ctx, t, r)
+}
+
 func TestLimitNamedThroughAnotherVMIsSharedWithIt(t *testing.T) {
 	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Their-Id", r.Header.Get("Their-Id"))
--- a/internal/targetconn/reach.go
+++ b/internal/targetconn/reach.go
@@ -70,6 +70,15 @@
 	return ok && u.Undelivered()
 }
 
+// Overdue returns a channel that is closed if the VM that carries the connection does not tell in time whether it
+// has connected to the target; nil if there is nothing to wait for.
+func (c *Conn) Overdue() <-chan struct{} {
+	if o, ok := c.wire.Conn.(interface{ Overdue() <-chan struct{} }); ok {
+		return o.Overdue()
+	}
+	return nil
+}
+
 // isDirect reports whether no other VM carries a connection.
 func isDirect(c *Conn) bool { return c.wire.tunnel() == nil }
 
--- a/internal/tunnel/check.go
+++ b/internal/tunnel/check.go
@@ -30,6 +30,7 @@
 			return
 		case <-ticker.C:
 			s.closeOrphans()
+			s.closeLost()
 			s.maintainReady(ctx)
 		case <-s.checkRequested:
 		}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -33,7 +33,8 @@
 	onClose  func()
 	once     sync.Once
 
-	ready         *readyTunnel // nil: the carrier had connected before the first byte was sent
+	ready         *readyTunnel  // nil: the carrier had connected before the first byte was sent
+	overdue       chan struct{} // closed when the carrier has not responded in time; nil if ready is nil
 	receiveNotice func(*Notice)
 	answered      bool // the carrier's response on a ready tunnel was seen
 
@@ -83,6 +84,10 @@
 // Relayed reports whether bytes were accepted before the carrier had connected to the target.
 func (c *Conn) Relayed() bool { return c.ready != nil }
 
+// Overdue returns a channel that is closed if the carrier does not respond in time. It may be slow or lost. The
+// channel is nil if the carrier had connected before the first byte was sent.
+func (c *Conn) Overdue() <-chan struct{} { return c.overdue }
+
 // Undelivered reports whether the carrier has told that it did not connect to the target, so that no byte
 // reached it.
 func (c *Conn) Undelivered() bool {
--- a/internal/tunnel/events.go
+++ b/internal/tunnel/events.go
@@ -48,8 +48,8 @@
 		Number:  telemetry.RangeForward + 507,
 		Level:   logrus.WarnLevel,
 		Name:    "carrying VM silent",
-		Meaning: "The named VM did not tell in time whether it connected to the target of a ready tunnel. It is asked last for a while, and the ready tunnels to its region are closed.",
-		Action:  "See whether the named VM is gone or frozen, or the way between the regions lost.",
+		Meaning: "The named VM did not tell in time whether it connected to the target of a ready tunnel. It is asked last for a while, and the ready tunnels to its region are closed. The request under way stays; 5508 reports a late response.",
+		Action:  "See whether the named VM is gone or frozen, its link or this VM's is full, or the way between the regions is lost.",
 	})
 	eventCarrierLate = telemetry.Register(telemetry.Event{
 		Number:  telemetry.RangeForward + 508,
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -41,6 +41,7 @@
 type readyTunnel struct {
 	stream   net.Conn
 	carrier  membership.Member
+	process  process // of the carrier
 	openedAt time.Time
 
 	responded chan struct{} // closed when response or err is set
@@ -99,6 +100,7 @@
 type readyTunnels struct {
 	mu       sync.Mutex
 	byRegion map[string]*readyRegion
+	overdue  map[*Conn]struct{} // of repeatable requests; their carriers may be lost
 	closed   bool
 }
 
@@ -185,6 +187,27 @@
 	r.idle = nil
 }
 
+// addOverdue adds a connection whose carrier has not responded in time.
+func (t *readyTunnels) addOverdue(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.overdue[c] = struct{}{}
+}
+
+// unsettled returns the overdue connections whose carrier still has not responded, and forgets the others.
+func (t *readyTunnels) unsettled() (conns []*Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.overdue {
+		if c.ready.settled() {
+			delete(t.overdue, c)
+			continue
+		}
+		conns = append(conns, c)
+	}
+	return conns
+}
+
 // count returns the number of ready tunnels.
 func (t *readyTunnels) count() int {
 	t.mu.Lock()
@@ -249,7 +272,8 @@
 
 // openReady opens a tunnel to a VM of a region; nil if it can't.
 func (s *Service) openReady(ctx context.Context, region string) *readyTunnel {
-	for _, m := range carriers(s.deps.Members.View(), carrierQuery{self: s.deps.Self, targetRegion: region, avoid: s.avoids, random: random}) {
+	view := s.deps.Members.View()
+	for _, m := range carriers(view, carrierQuery{self: s.deps.Self, targetRegion: region, avoid: s.avoids, random: random}) {
 		if m.Region != region || s.avoids(m.Name) {
 			return nil
 		}
@@ -258,7 +282,10 @@
 		stream, err := s.deps.Streams.OpenStream(ctx, m.Name, &OpenRequest{Ready: true}, &response)
 		cancel()
 		if err == nil && response.Result == ResultOpened {
-			r := &readyTunnel{stream: stream, carrier: m, openedAt: s.deps.Clock.Now(), responded: make(chan struct{})}
+			r := &readyTunnel{
+				stream: stream, carrier: m, process: newProcess(stream.Peer, view),
+				openedAt: s.deps.Clock.Now(), responded: make(chan struct{}),
+			}
 			go r.awaitResponse()
 			return r
 		}
@@ -273,8 +300,7 @@
 }
 
 // relay returns a connection to a target of another region through a ready tunnel; nil if none is ready. The
-// connection accepts bytes at once, before the carrying VM has connected to the target. It is closed if the
-// carrying VM does not tell in time that it has connected, unless the request must not be repeated.
+// connection accepts bytes at once, before the carrying VM has connected to the target.
 func (s *Service) relay(t *config.TargetIndex, repeatable bool) net.Conn {
 	r, roundTrip := s.ready.take(t.Region, s.usableReady, s.deps.Clock.Now())
 	s.fillReady(s.lifetime(), t.Region)
@@ -290,10 +316,10 @@
 	s.opened.Inc()
 	s.relayed.Inc()
 	conn := s.newConn(r.stream, r.carrier, &request)
-	conn.ready = r
+	conn.ready, conn.overdue = r, make(chan struct{})
 	conn.receiveNotice = s.receiveNotice
 	go s.recordResponse(r, conn.id, s.deps.Clock.Now(), roundTrip+carrierResponseTime)
-	time.AfterFunc(roundTrip+carrierResponseTime, func() { s.checkResponse(r, conn, repeatable) })
+	time.AfterFunc(roundTrip+carrierResponseTime, func() { s.checkResponse(conn, repeatable) })
 	return conn
 }
 
@@ -311,15 +337,32 @@
 	}
 }
 
-// checkResponse gives up a carrying VM that has not told in time that it has connected.
-func (s *Service) checkResponse(r *readyTunnel, conn *Conn, repeatable bool) {
+// checkResponse stops using a carrying VM that has not told in time whether it has connected. The request under way
+// stays: its carrier may be as slow as a full link, and is known to be lost only once it is gone.
+func (s *Service) checkResponse(conn *Conn, repeatable bool) {
+	r := conn.ready
 	if r.settled() {
 		return
 	}
 	s.deps.Logger.Log(eventCarrierSilent, telemetry.Peer(r.carrier.Name), telemetry.Value("tunnel", conn.id))
 	s.avoid(r.carrier.Name)
 	s.ready.drop(r.carrier.Region)
+	close(conn.overdue)
 	if repeatable {
-		_ = conn.Close()
+		s.ready.addOverdue(conn)
+	}
+}
+
+// closeLost closes the overdue connections of repeatable requests whose carrier is gone.
+func (s *Service) closeLost() {
+	overdue := s.ready.unsettled()
+	if len(overdue) == 0 {
+		return
+	}
+	view := s.deps.Members.View()
+	for _, conn := range overdue {
+		if conn.ready.process.hasEnded(view) {
+			_ = conn.Close()
+		}
 	}
 }
--- a/internal/tunnel/service.go
+++ b/internal/tunnel/service.go
@@ -105,7 +105,7 @@
 		tunnels:       make(map[*carriedTunnel]struct{}),
 		waiting:       make(map[net.Conn]struct{}),
 
-		ready:          readyTunnels{byRegion: make(map[string]*readyRegion)},
+		ready:          readyTunnels{byRegion: make(map[string]*readyRegion), overdue: make(map[*Conn]struct{})},
 		ctx:            context.Background(),
 		checkRequested: make(chan struct{}, 1),
 	}
