--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -11,7 +11,7 @@
 // StreamPeer is the process at the other end of a stream.
 type StreamPeer struct {
 	VM          string
-	Incarnation uint64
+	Incarnation uint64 // at the start of the process, as in membership.Member.Process
 }
 
 // Stream is a byte stream to another VM.
--- a/internal/tunnel/ready.go
+++ b/internal/tunnel/ready.go
@@ -353,7 +353,7 @@
 	}
 }
 
-// closeLost closes the overdue connections of repeatable requests whose carrier is gone.
+// closeLost closes the overdue connections of repeatable requests whose carrier's process has ended.
 func (s *Service) closeLost() {
 	overdue := s.ready.unsettled()
 	if len(overdue) == 0 {
