--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -19,7 +19,6 @@
 
 	mu           sync.Mutex
 	started      bool          // the second attempt has started, or was not allowed
-	ended        bool          // the first attempt ended before that
 	second       *attempt      // nil until it starts
 	secondResult attemptResult // of the second attempt, up to the response head
 	firstWon     bool          // the first attempt has won
@@ -83,8 +82,10 @@
 func (h *hedge) start() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended {
+	select {
+	case <-h.disarmed:
 		return false
+	default:
 	}
 	h.started = true
 	x := h.first.x
@@ -121,7 +122,6 @@
 	if h.started {
 		return false
 	}
-	h.ended = true
 	close(h.disarmed)
 	return true
 }
