Discovery: tombstones keep values only of objects that are compared

Each deleted object was kept whole, a document of up to 1 MB among them, though only targets are compared with what was deleted. No change of behaviour. Comments: the usual words for an outage of the store.

--- a/internal/discovery/mirror.go
+++ b/internal/discovery/mirror.go
@@ -34,7 +34,7 @@
 // tombstone is a deleted object.
 type tombstone struct {
 	at   platform.Version // version of the deletion
-	last platform.Object  // the object before; its version is 0 if it was not known
+	last platform.Object  // the object before, with its value only for mayPrecede; its version is 0 if it was not known
 }
 
 // maxTombstones is the number of tombstones at which all of them are discarded.
@@ -234,6 +234,9 @@
 
 func (m *Mirror) remove(name string, at platform.Version) {
 	last := m.objects[name]
+	if m.policy.mayPrecede == nil {
+		last = platform.Object{Version: last.Version}
+	}
 	delete(m.objects, name)
 	delete(m.earlier, name)
 	if len(m.tombstones) >= maxTombstones {
--- a/internal/discovery/storecopy.go
+++ b/internal/discovery/storecopy.go
@@ -32,7 +32,7 @@
 	mayPrecede func(next, deleted platform.Object) bool
 	// deletedFor is how long a deleted object stays so although a copy has it.
 	deletedFor time.Duration
-	// endsOnTime is set if deletedFor ends even if nothing is heard of the store meanwhile. Otherwise it ends with the
+	// endsOnTime is set if deletedFor ends even without contact with the store meanwhile. Otherwise it ends with the
 	// next change or confirmation of the state, which may tell that the object has been deleted again.
 	endsOnTime bool
 	// absentFor is how long an object stays although a copy lacks it; forGood: until it is deleted.
--- a/internal/discovery/withholding_test.go
+++ b/internal/discovery/withholding_test.go
@@ -15,7 +15,7 @@
 }
 
 // Guards against an evacuation, withheld as it has the very revision of an earlier one, that is in force too late because
-// nothing is heard of the store meanwhile.
+// there is no contact with the store meanwhile.
 func TestWithheldEvacuationIsInForceInTimeWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
