--- a/internal/e2e/slowcarrier_test.go
+++ b/internal/e2e/slowcarrier_test.go
@@ -30,7 +30,7 @@
 var slowCarrierVMs = flag.String("slowcarrier.vms", "9", "sizes of the fleets of TestRequestsThroughSlowCarriersAreNotGivenUp, joined by commas")
 
 // Guards against requests that are given up while the VM that carries them to another region delivers them late, or
-// has only heard of the end of an earlier process of their VM.
+// knows only that an earlier process of their VM has ended.
 func TestRequestsThroughSlowCarriersAreNotGivenUp(t *testing.T) {
 	for size := range strings.SplitSeq(*slowCarrierVMs, ",") {
 		vms, err := strconv.Atoi(size)
