--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -117,7 +117,15 @@
 		}
 		s.conns[conn] = true
 		s.mu.Unlock()
-		go s.serve(conn, id)
+		go func() {
+			if p := s.w.partition; p != nil {
+				if !p.admit(conn, s.w.ownerOf(conn)) {
+					return
+				}
+				defer p.closed(conn)
+			}
+			s.serve(conn, id)
+		}()
 	}
 }
 
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -36,6 +36,8 @@
 	servers []*server
 	trouble bool
 	began   time.Time
+	// partition cuts machines off from the upstreams; nil: none.
+	partition *partition
 
 	mu       sync.Mutex
 	file     *os.File
