--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -15,8 +15,12 @@
 
 // The installation: three regions of two zones, with one machine and one upstream of each service in each zone.
 var zones = []struct{ zone, region string }{
-	{"ros-a", "rosario"}, {"bb-a", "bahia-blanca"}, {"bsas-a", "buenos-aires"},
-	{"ros-b", "rosario"}, {"bb-b", "bahia-blanca"}, {"bsas-b", "buenos-aires"},
+	{"ros-a", "rosario"},
+	{"bb-a", "bahia-blanca"},
+	{"bsas-a", "buenos-aires"},
+	{"ros-b", "rosario"},
+	{"bb-b", "bahia-blanca"},
+	{"bsas-b", "buenos-aires"},
 }
 
 const (
@@ -133,8 +137,10 @@
 // addServers adds upstreams of a service, by turns in all zones.
 func (w *world) addServers(service string, count, slots int, work time.Duration, change func(*server)) error {
 	for i := range count {
-		s := &server{w: w, service: service, zone: zones[i%len(zones)].zone, slots: slots, work: work, downFor: 3 * time.Second,
-			name: fmt.Sprintf("i-%s-%d", service, i+1), listen: fmt.Sprintf("127.0.%d.%d:0", w.network, 100+len(w.servers))}
+		s := &server{
+			w: w, service: service, zone: zones[i%len(zones)].zone, slots: slots, work: work, downFor: 3 * time.Second,
+			name: fmt.Sprintf("i-%s-%d", service, i+1), listen: fmt.Sprintf("127.0.%d.%d:0", w.network, 100+len(w.servers)),
+		}
 		if change != nil {
 			change(s)
 		}
@@ -161,8 +167,10 @@
 	}
 	for i, z := range zones {
 		ip := fmt.Sprintf("127.0.%d.%d", w.network, i+1)
-		n := &node{name: "front-" + z.zone + "-1", ip: ip, zone: z.zone, region: z.region,
-			front: fmt.Sprintf("%s:%d", ip, port), ready: fmt.Sprintf("%s:%d", ip, port+1), directory: fmt.Sprintf("%s:%d", ip, port+2)}
+		n := &node{
+			name: "front-" + z.zone + "-1", ip: ip, zone: z.zone, region: z.region,
+			front: fmt.Sprintf("%s:%d", ip, port), ready: fmt.Sprintf("%s:%d", ip, port+1), directory: fmt.Sprintf("%s:%d", ip, port+2),
+		}
 		lines := append([]string{
 			"nodeName=" + n.name, "role=daemon", "machineClass=front", "serves=front,control,directory", "ip=" + ip,
 			"zone=" + z.zone, "region=" + z.region,
