Review: the stand-ins are test files; case 4 with eight requests

TestNamesStayInThisFolder wants the platform's names in tests only, so that the stand-ins are built by go test -c. Case 4 plays eight requests in place of four, over twelve upstreams.

--- a/review/_standin2/deadlyconfirm.go
+++ b/review/_standin2/deadlyconfirm_test.go
@@ -12,12 +12,12 @@
 
 func init() { cases["deadly-confirm"] = deadlyConfirm }
 
-// deadlyConfirm sends four requests that must not repeat, each again every eight seconds. They crash each upstream as
+// deadlyConfirm sends eight requests that must not repeat, each again every eight seconds. They crash each upstream as
 // soon as it begins to run them. Other requests to the same service keep connections to the upstreams in use.
 func deadlyConfirm(w *world) error {
-	const prefix, deadly = "/puka111/deadly-", 4
+	const prefix, deadly = "/puka111/deadly-", 8
 	w.putManifest(7, []rule{{"/puka111/", "unsafe", "wuno96b", "2500ms", 2, true}}, []string{"wuno96b"})
-	if err := w.addServers("wuno96b", 6, 3, 60*time.Millisecond, func(s *server) {
+	if err := w.addServers("wuno96b", 12, 3, 60*time.Millisecond, func(s *server) {
 		s.crashOn = func(r *http.Request) bool { return w.trouble && strings.HasPrefix(r.URL.Path, prefix) }
 	}); err != nil {
 		return err
@@ -25,7 +25,7 @@
 	if err := w.startNodes(); err != nil {
 		return err
 	}
-	stop := w.confirmations(48)
+	stop := w.confirmations(96)
 	time.Sleep(5 * time.Second)
 	for i, end := 0, time.Now().Add(90*time.Second); time.Now().Before(end); i++ {
 		z := zones[rand.IntN(len(zones))]
@@ -34,7 +34,7 @@
 			body := "hold of " + path
 			w.send(nodes[rand.IntN(len(nodes))], http.MethodPost, path, strings.NewReader(body), int64(len(body)), hash([]byte(body)), 2500*time.Millisecond)
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Second)
 	}
 	stop()
 	for i := range deadly {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main_test.go
@@ -1,4 +1,4 @@
-// Command standin2 plays the cases of the second review that are scripts: a store, upstreams and clients as the users'
+// Package main plays the cases of the second review that are scripts: a store, upstreams and clients as the users'
 // pages describe them, around the project's own daemon in processes of its own, on loopback addresses.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
@@ -7,15 +7,17 @@
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 var cases = map[string]func(w *world) error{
 	"deadly-upload": deadlyUpload,
 }
 
-func main() {
+// TestMain plays the case that the arguments name. The stand-ins are test code, built by review/build-2.sh.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: standin2 CASE RECORD")
+		fmt.Println("usage: review2 CASE RECORD")
 		os.Exit(2)
 	}
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
