--- a/review/_standin2/lostanswers_test.go
+++ b/review/_standin2/lostanswers_test.go
@@ -27,7 +27,7 @@
 	if err := w.startNodes(); err != nil {
 		return err
 	}
-	stop := w.reads(180)
+	stop := w.reads(180, 200)
 	for range 8 {
 		time.Sleep(6 * time.Second)
 		losing.Store(w.trouble)
@@ -39,8 +39,8 @@
 	return nil
 }
 
-// reads sends safe requests, perSecond of them over all machines, until stop is called.
-func (w *world) reads(perSecond int) (stop func()) {
+// reads sends safe requests about some objects, perSecond of them over all machines, until stop is called.
+func (w *world) reads(perSecond, objects int) (stop func()) {
 	done := make(chan struct{})
 	var running sync.WaitGroup
 	for i := range w.nodes {
@@ -52,7 +52,7 @@
 				case <-time.After(time.Duration(rand.Float64() * 2 * float64(len(w.nodes)) / float64(perSecond) * float64(time.Second))):
 				}
 				running.Go(func() {
-					w.send(w.nodes[i], http.MethodGet, fmt.Sprintf("/leny950/sheet-%d", rand.IntN(200)), nil, 0, 0, 2*time.Second)
+					w.send(w.nodes[i], http.MethodGet, fmt.Sprintf("/leny950/sheet-%d", rand.IntN(objects)), nil, 0, 0, 2*time.Second)
 				})
 			}
 		})
