--- a/review/_standin2/bystanders_test.go
+++ b/review/_standin2/bystanders_test.go
@@ -28,7 +28,7 @@
 	stop := w.reads(40, 40)
 	time.Sleep(3 * time.Second)
 	var running sync.WaitGroup
-	for k := range 40 {
+	for k := range 50 {
 		running.Go(func() {
 			for range 9 {
 				w.send(w.nodes[rand.IntN(len(w.nodes))], http.MethodGet, fmt.Sprintf("%s%d", prefix, k), nil, 0, 0, 2*time.Second)
