Forward: an answer that is reset under an upload is not whole

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The part came as a whole answer (outcome answered), and for an idempotency key it was recorded and replayed.

Cause: the kernel reports a reset to one call only. The write of the upload took it (ECONNRESET), so that the read returned a plain EOF, which is how a close-delimited body ends. Ruled out: an error of the read that is lost on the way (on the socket itself, TestResetThatAWriteHasMetIsNoEnd, the read after the failed write returns EOF).

Fix: connections to targets are resetconn.Conn. At an EOF it waits for a write in progress and returns the error of a write that has met a reset. EPIPE is no such error: the kernel gives it if the target had ended its stream before. This holds wherever the bytes are read, for hedges and small bodies too. Besides, a clean end while the upload is still being written: a target that ends its stream may have crashed with nothing left unread, and the reset comes only with the next bytes of the upload. An answer below 400 that ends with its connection is now whole once its request is written; until then its end is withheld. An answer from 400 on needs no more of its request and ends at once.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -15,6 +15,7 @@
 	"masticturn/internal/idempotency"
 	"masticturn/internal/outcome"
 	"masticturn/internal/relaybuf"
+	"masticturn/internal/targetconn"
 )
 
 // relay sends the response to the caller. A short one is read completely first, so that the slot is
@@ -25,7 +26,7 @@
 	if n := a.resp.ContentLength; n >= 0 && n <= relayBufferBytes || a.resp.Body == http.NoBody {
 		return a.relayWhole(buf[:])
 	}
-	if a.undelimited() {
+	if targetconn.IsCloseDelimited(a.resp) {
 		return a.relayUndelimited(buf[:])
 	}
 	if n := a.resp.ContentLength; n > 0 {
@@ -202,9 +203,13 @@
 }
 
 func (a *attempt) receiveFailure(err error) attemptResult {
+	fault := FaultTruncated
+	if a.stream != nil && a.stream.err() != nil {
+		fault = FaultCallerGone // the response needs a request that the caller did not complete
+	}
 	return attemptResult{
 		Step:    outcome.StepReceive,
-		Fault:   a.contextFault(FaultTruncated),
+		Fault:   a.contextFault(fault),
 		Sent:    true,
 		Relayed: a.x.headWritten,
 		Err:     err,
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -9,6 +9,7 @@
 	"masticturn/internal/admission"
 	"masticturn/internal/measure"
 	"masticturn/internal/outcome"
+	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
 )
 
@@ -39,7 +40,7 @@
 		result.Err = errors.New("the target switched protocols unasked")
 		return result
 	}
-	if a.undelimited() && !a.x.h.deps.Dialect.CloseDelimitedResponses {
+	if targetconn.IsCloseDelimited(a.resp) && !a.x.h.deps.Dialect.CloseDelimitedResponses {
 		result.Fault = FaultTruncated
 		result.Err = errors.New("the answer has neither a length nor chunks, so that its end can't be told from a cut")
 		return result
@@ -63,11 +64,6 @@
 	return headerValue(a.resp.Header, a.x.h.deps.Dialect.TargetNotRun) != ""
 }
 
-// undelimited reports whether the end of the response is marked only by the end of its connection.
-func (a *attempt) undelimited() bool {
-	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Body != http.NoBody
-}
-
 // serverError handles a 5xx response of the target. It is relayed unless another attempt is possible.
 // A 504 is always relayed, as no time would be left for another attempt.
 func (a *attempt) serverError(result attemptResult) attemptResult {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// bodyProgress records that a part of the request's body was sent.
+// bodyProgress records that a part of the request's body was sent. The rest of the response may wait for it.
 func (w *watchdog) bodyProgress() {
-	if w.phase.Load() == uint32(watchSend) {
+	switch watchPhase(w.phase.Load()) {
+	case watchSend, watchReceive:
 		w.timer.Reset(w.idleTimeout)
 	}
 }
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -36,9 +37,16 @@
 	return c.connectTime
 }
 
-// RoundTrip sends the request once and returns the head of the response.
+// RoundTrip sends the request once and returns the head of the response. Reading the body of a response that ends with
+// its connection fails if the connection was reset, or if the request could not be written completely.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
-	return c.client.RoundTrip(req)
+	request := c.wire.request
+	hooks := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { request.finish(info.Err) }}
+	resp, err := c.client.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
+	if err == nil && needsRequest(resp) {
+		c.wire.awaitRequestAtEnd()
+	}
+	return resp, err
 }
 
 // Seal forbids further writes and reports whether no byte of the request was written to the
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -17,6 +17,7 @@
 
 	"masticturn/internal/config"
 	"masticturn/internal/kernel"
+	"masticturn/internal/resetconn"
 )
 
 // Limits of idle time and age. They are well below the usual idle timeouts of servers, because a request
@@ -113,9 +114,9 @@
 }
 
 // dial opens a connection and returns it wrapped in the wire that the context carries.
-func (p *Pools) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (p *Pools) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	d := ctx.Value(wireKey{}).(*dialing)
-	conn, err := p.dialTarget(ctx, d, network, address)
+	conn, err := p.dialTarget(ctx, d, address)
 	if err != nil {
 		return nil, err
 	}
@@ -123,11 +124,11 @@
 	return d.wire, nil
 }
 
-func (p *Pools) dialTarget(ctx context.Context, d *dialing, network, address string) (net.Conn, error) {
+func (p *Pools) dialTarget(ctx context.Context, d *dialing, address string) (net.Conn, error) {
 	if p.deps.Targets != nil {
 		return p.deps.Targets.DialTarget(ctx, d.target, d.reach)
 	}
-	return p.deps.Dial(ctx, network, address)
+	return resetconn.Dial(ctx, p.deps.Dial, address)
 }
 
 // Get returns a connection to the target that suits the use and the reach. The limit is this VM's share of the target's
@@ -169,7 +170,7 @@
 // connect opens a connection for which the caller has a reservation.
 func (p *Pools) connect(ctx context.Context, pl *pool, t *config.TargetIndex, reach Reach) (*Conn, error) {
 	now := p.deps.Clock.Now()
-	w := &wire{}
+	w := &wire{closed: make(chan struct{})}
 	c := &Conn{pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter)}
 	w.onIdle = func() { pl.putIdle(c, p.deps.Clock.Now()) }
 	w.onClose = func() { pl.remove(c) }
--- a/internal/targetconn/wire.go
+++ b/internal/targetconn/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -31,11 +32,15 @@
 	onIdle  func() // called when an exchange has ended and no data followed the response
 	onClose func() // called by Close, whichever side ended the connection
 
+	closed    chan struct{} // closed by Close
+	closeOnce sync.Once
+
 	mu      sync.Mutex
 	phase   phase
 	reading bool
 	wrote   bool
 	broken  bool
+	request *requestWrite // of the present exchange
 	// received is the number of bytes read from the connection.
 	received uint64
 }
@@ -50,6 +55,7 @@
 	}
 	w.phase = phaseExchange
 	w.wrote = false
+	w.request = newRequestWrite()
 	return true
 }
 
@@ -84,6 +90,9 @@
 func (w *wire) Read(p []byte) (int, error) {
 	w.beginRead()
 	n, err := w.Conn.Read(p)
+	if err == io.EOF {
+		err = w.awaitRequest()
+	}
 	return w.endRead(n, err)
 }
 
@@ -133,6 +142,7 @@
 // Close implements net.Conn.
 func (w *wire) Close() error {
 	err := w.Conn.Close()
+	w.closeOnce.Do(func() { close(w.closed) })
 	w.onClose()
 	return err
 }
--- a/internal/targetconn/wire_test.go
+++ b/internal/targetconn/wire_test.go
@@ -13,7 +13,7 @@
 	t.Helper()
 	near, far := net.Pipe()
 	idleCalls = new(int)
-	w = &wire{Conn: near, onIdle: func() { *idleCalls++ }, onClose: func() {}}
+	w = &wire{Conn: near, closed: make(chan struct{}), onIdle: func() { *idleCalls++ }, onClose: func() {}}
 	if !w.beginExchange() {
 		t.Fatal("a new wire can't begin an exchange")
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -16,6 +16,7 @@
 
 	"masticturn/internal/config"
 	"masticturn/internal/membership"
+	"masticturn/internal/resetconn"
 	"masticturn/internal/targetconn"
 	"masticturn/internal/telemetry"
 )
@@ -94,7 +95,7 @@
 // dialDirect connects to a target from this VM.
 func (s *Service) dialDirect(ctx context.Context, t *config.TargetIndex) dialResult {
 	started := s.deps.Clock.Now()
-	conn, err := s.deps.Dial(ctx, "tcp", t.Address)
+	conn, err := resetconn.Dial(ctx, s.deps.Dial, t.Address)
 	if err != nil {
 		return dialResult{err: err}
 	}
