Tunnels: a carrier does not pass a reset on as a clean end

What callers would have seen: the same part for a whole answer, where another VM carries the connection to the target. Read first in the code, then shown by a test: the carrier's write of the upload took the error of the reset and told nobody, and its read of the answer passed an EOF on as the target's end.

Fix: the carrier's connection to the target is a resetconn.Conn too, so that its read fails and the tunnel breaks. A carrier waited 5 s at most for the rest of a request after the end of the answer; now for 5 s without any byte, as the origin writes the rest.

--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"masticturn/internal/peer"
+	"masticturn/internal/resetconn"
 	"masticturn/internal/telemetry"
 )
 
@@ -21,7 +23,7 @@
 	// carryMemoryFraction is the part of this VM's memory for the buffers of carried connections.
 	carryMemoryFraction = 16
 	defaultMaxTunnels   = 512
-	lingerTimeout       = 5 * time.Second // for the other VM to close after the target's end
+	lingerTimeout       = 5 * time.Second // for the other VM to close, or to send more, after the target's end
 )
 
 // carriedTunnel is a connection to a target that this VM carries for another VM.
@@ -29,8 +31,9 @@
 	origin process // that opened it
 	id     string
 	target string
-	conn   net.Conn // to the target
-	stream net.Conn // to the VM that opened it; nil until it is used
+	conn   net.Conn    // to the target
+	stream net.Conn    // to the VM that opened it; nil until it is used
+	ended  atomic.Bool // the target has ended its stream
 }
 
 // close closes both ends. The target's is reset, as the other VM may not have sent all.
@@ -43,8 +46,8 @@
 
 // reset closes a connection in a way that is not mistaken for a clean end.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0)
 	}
 	_ = conn.Close()
 }
@@ -104,7 +107,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := s.deps.Clock.Now()
-	conn, err := s.deps.Dial(dialCtx, "tcp", t.Address)
+	conn, err := resetconn.Dial(dialCtx, s.deps.Dial, t.Address)
 	s.connectTime.Update(s.deps.Clock.Now().Sub(started).Seconds())
 	switch {
 	case err == nil:
@@ -161,13 +164,14 @@
 	s.mu.Unlock()
 	up := make(chan int64, 1)
 	go func() {
-		n := s.copyRequests(c.conn, stream)
+		n := s.copyRequests(c, stream)
 		_ = c.conn.Close() // what the other VM has closed must end at the target too
 		up <- n
 	}()
 	received, err := s.copyResponses(stream, c.conn)
 	if err == nil {
-		_ = stream.SetReadDeadline(s.deps.Clock.Now().Add(lingerTimeout))
+		c.ended.Store(true)
+		s.limitLinger(stream)
 	} else {
 		_ = stream.Close()
 	}
@@ -181,14 +185,20 @@
 		telemetry.Value("open_ms", s.deps.Clock.Now().Sub(started).Milliseconds()))
 }
 
-// copyRequests copies to the target what the other VM sends, and returns the number of bytes.
-func (s *Service) copyRequests(to io.Writer, from io.Reader) (total int64) {
+// limitLinger makes a read from the other VM fail if that sends nothing for lingerTimeout.
+func (s *Service) limitLinger(stream net.Conn) {
+	_ = stream.SetReadDeadline(s.deps.Clock.Now().Add(lingerTimeout))
+}
+
+// copyRequests copies to the target what the other VM sends, and returns the number of bytes. A target that has ended
+// its stream may still read the rest of a request.
+func (s *Service) copyRequests(c *carriedTunnel, stream net.Conn) (total int64) {
 	buf := s.buffers.Get().(*[chunkHeadBytes + maxChunkBytes]byte)
 	defer s.buffers.Put(buf)
 	for {
-		n, err := from.Read(buf[:])
+		n, err := stream.Read(buf[:])
 		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			if _, werr := c.conn.Write(buf[:n]); werr != nil {
 				return total
 			}
 			total += int64(n)
@@ -196,6 +206,9 @@
 		if err != nil {
 			return total
 		}
+		if c.ended.Load() {
+			s.limitLinger(stream)
+		}
 	}
 }
 
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -67,7 +67,8 @@
 	peers *peer.TCP
 	*Service
 
-	dials    atomic.Int64 // connects to targets
+	dials    atomic.Int64           // connects to targets
+	loopback atomic.Pointer[string] // address to which it connects instead of the targets'; nil: none
 	mu       sync.Mutex
 	recorded map[string]time.Duration // by target: Retry-After that was recorded
 	leaving  map[string]bool          // by target
@@ -191,6 +192,9 @@
 	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		v.dials.Add(1)
+		if address := v.loopback.Load(); address != nil {
+			return new(net.Dialer).DialContext(ctx, "tcp", *address)
+		}
 		return f.net.Dialer(v.host)(ctx, network, address)
 	}
 	if v.peers, err = peer.NewTCP(peer.Options{VM: v.host.Name, Incarnation: 1, Listener: l, DialContext: peer.DialFunc(f.net.Dialer(v.host))}); err != nil {
@@ -257,6 +261,11 @@
 	return c
 }
 
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 func echo(c net.Conn) { _, _ = io.Copy(c, c) }
 
 func TestTunnelCarriesBytesBothWays(t *testing.T) {
@@ -312,6 +321,78 @@
 	}
 }
 
+// Guards against a carrier that passes a reset on as the target's clean end, as its write of a request has met it.
+func TestTunnelOfAResetUnderAnUploadHasNoCleanEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, c, 32<<10)
+			_, _ = io.WriteString(c, "answer")
+			time.Sleep(50 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	f, _ := newTestFleet(t, 2, 2, echo) // in real time, as resets are the kernel's
+	t.Cleanup(func() {
+		for _, v := range f.vms {
+			_ = v.Stop(context.Background())
+			_ = v.peers.Stop(context.Background())
+		}
+	})
+	f.refuse(f.vms[0])
+	address := l.Addr().String()
+	f.vms[1].loopback.Store(&address)
+	for range 20 {
+		c := f.mustDialTunnel(f.vms[0], 0)
+		go func() { _, _ = io.Copy(c, io.LimitReader(zeros{}, 8<<20)) }()
+		if got, err := io.ReadAll(c); err == nil {
+			t.Errorf("%q looks like all that the target has sent", got)
+		}
+		_ = c.Close()
+	}
+}
+
+// Guards against uploads that are cut because their target has ended its answer, but still reads.
+func TestTunnelCarriesARequestAfterTheEndOfItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := newTestFleet(t, 1, 1, echo)
+		defer stop()
+		origin, stream := net.Pipe()
+		conn, target := net.Pipe()
+		c := &carriedTunnel{conn: conn}
+		c.ended.Store(true)
+		f.vms[0].limitLinger(stream)
+		go func() {
+			f.vms[0].copyRequests(c, stream)
+			_ = conn.Close()
+		}()
+		const parts = 4
+		go func() {
+			for range parts {
+				time.Sleep(lingerTimeout - time.Second)
+				_, _ = io.WriteString(origin, "part")
+			}
+		}()
+		started := time.Now()
+		raw, _ := io.ReadAll(target)
+		if len(raw) != parts*len("part") {
+			t.Errorf("the target got %q", raw)
+		}
+		if took, want := time.Since(started), parts*(lingerTimeout-time.Second)+lingerTimeout; took != want {
+			t.Errorf("the connection was closed after %v, want %v", took, want)
+		}
+	})
+}
+
 func TestClosedTunnelClosesTheTargetsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		closed := make(chan time.Time, 10)
