Forward: an answer whose status is not valid is a failure of its target

What callers saw: a target answered with status 000 (the same with -00, +00, +20, 042, 099). The caller's connection ended without an answer, the request was not asked for elsewhere, and the target was not blamed. The claim of an idempotency key stayed: the next request with the key waited and got "an earlier request under the key is still running". 600 and 999 were passed on as answers.

Cause: net/http's client takes any three characters that parse as a non-negative number, its server panics on a status below 100. The panic passed by everything that ends an attempt. Decided by RFC 9110, section 15: 100 to 599 are defined, and a recipient treats others as a failure of the server.

Fix: the connection to the target checks the head before anybody reads from it (targetconn.CheckHead). Such an answer is the new fault "malformed answer": its connection is closed, its load, leaving and Retry-After are not read, a repeatable request goes elsewhere within its budget, the target counts as failing, permit and claim are given back; else the caller gets 502, outcome unknown. Health probes use the same check.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -234,6 +234,9 @@
 	if err != nil && !a.undelivered && a.conn.Undelivered() {
 		return a.resendDirectly()
 	}
+	if isMalformed(err) {
+		return attemptResult{Step: outcome.StepReceive, Fault: FaultMalformed, Sent: true, Err: err}
+	}
 	if err != nil {
 		return a.sendFailure(err)
 	}
@@ -255,6 +258,12 @@
 	return a.send()
 }
 
+// isMalformed reports whether the target's response is not valid.
+func isMalformed(err error) bool {
+	var malformed *targetconn.MalformedError
+	return errors.As(err, &malformed)
+}
+
 func (a *attempt) sendFailure(err error) attemptResult {
 	step := outcome.StepWait
 	if watchPhase(a.watchdog.phase.Load()) == watchSend {
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -25,6 +25,7 @@
 	FaultCallerSlow             // the caller's body stopped for too long, or is too large
 	FaultDeadline               // the request's deadline has passed
 	FaultQuarantined            // the request is suspect or in quarantine
+	FaultMalformed              // the response is not valid
 	faultCount
 )
 
@@ -33,7 +34,7 @@
 	return [...]string{
 		"none", "refused", "connection broken", "target silent", "answer cut short",
 		"answer of another request", "shed by the target", "target unavailable",
-		"caller left", "caller too slow", "deadline passed", "held back",
+		"caller left", "caller too slow", "deadline passed", "held back", "malformed answer",
 	}[f]
 }
 
--- a/internal/forward/faultlog.go
+++ b/internal/forward/faultlog.go
@@ -14,7 +14,9 @@
 
 // logDropped logs an attempt whose response was dropped as invalid.
 func (f *faultLog) logDropped(x *exchange, result *attemptResult) {
-	if result.Fault != FaultMismatched && result.Fault != FaultTruncated {
+	switch result.Fault {
+	case FaultMismatched, FaultTruncated, FaultMalformed:
+	default:
 		return
 	}
 	f.logger.Log(eventAnswerDropped,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -204,7 +204,10 @@
 
 func (a *attempt) receiveFailure(err error) attemptResult {
 	fault := FaultTruncated
-	if a.stream != nil && a.stream.err() != nil {
+	switch {
+	case isMalformed(err):
+		fault = FaultMalformed
+	case a.stream != nil && a.stream.err() != nil:
 		fault = FaultCallerGone // the response needs a request that the caller did not complete
 	}
 	return attemptResult{
--- a/internal/measure/prober.go
+++ b/internal/measure/prober.go
@@ -12,6 +12,7 @@
 
 	"masticturn/internal/config"
 	"masticturn/internal/edge"
+	"masticturn/internal/targetconn"
 )
 
 // DialFunc opens a connection; the bench puts delays and faults here.
@@ -26,16 +27,22 @@
 	maxProbeBodyBytes = 64 << 10
 )
 
-// limitBodies is a RoundTripper whose responses end with an error after maxProbeBodyBytes.
-type limitBodies struct{ http.RoundTripper }
+// checkedResponses is a RoundTripper that fails if a response is malformed. Bodies end with an error after
+// maxProbeBodyBytes.
+type checkedResponses struct{ http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
-func (l limitBodies) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := l.RoundTripper.RoundTrip(req)
-	if err == nil {
-		resp.Body = http.MaxBytesReader(nil, resp.Body, maxProbeBodyBytes)
+func (c checkedResponses) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTripper.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := targetconn.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, trace.Wrap(err)
 	}
-	return resp, err
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxProbeBodyBytes)
+	return resp, nil
 }
 
 // prober asks targets for their health and load. Each probe opens a new
@@ -48,7 +55,7 @@
 
 func newProber(dial DialFunc, vm string, now func() time.Time) *prober {
 	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeadBytes}
-	return &prober{client: &http.Client{Transport: limitBodies{transport}}, vm: vm, now: now}
+	return &prober{client: &http.Client{Transport: checkedResponses{transport}}, vm: vm, now: now}
 }
 
 // probeAll probes the targets at the same time and returns the results in
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -37,16 +37,24 @@
 	return c.connectTime
 }
 
-// RoundTrip sends the request once and returns the head of the response. Reading the body of a response that ends with
-// its connection fails if the connection was reset, or if the request could not be written completely.
+// RoundTrip sends the request once and returns the head of the response, or a *MalformedError. Reading the body of a
+// response that ends with its connection fails if the connection was reset, or if the request could not be written
+// completely.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
 	request := c.wire.request
 	hooks := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { request.finish(info.Err) }}
 	resp, err := c.client.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
-	if err == nil && needsRequest(resp) {
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	if needsRequest(resp) {
 		c.wire.awaitRequestAtEnd()
 	}
-	return resp, err
+	return resp, nil
 }
 
 // Seal forbids further writes and reports whether no byte of the request was written to the
