Forward: an answer with an invalid field name is a failure of its target

What callers saw: heads with "Content-Length : 2", "Transfer-Encoding : chunked" or "X Odd: a" were passed on as 200 without that line; with "Transfer-Encoding :" the body was the chunks' raw bytes. The same for a blank in the name of a trailer's field or of a 103's.

Cause: net/http accepts blanks in names and keeps such a field under its odd name, so that it does not frame the body by it; its server drops the line. Ruled out for control bytes, DEL, NUL, a bare CR, a tab and an empty name: net/http refuses these heads, the caller gets 502 unknown (tests kept).

Fix: CheckHead wants names that are tokens (RFC 9110, section 5.6.2), in the head and among the announced trailers; a hook checks the heads of interim answers, and limits their size, which net/http no longer does with a hook; trailers are checked at the end of the body. A bad trailer comes after the body, so that the caller's connection is cut.

Before: the new cases of TestMalformedAnswersAreNotPassedOn and of TestMalformedAnswerIsAskedForElsewhere and TestMalformedTrailerCutsTheAnswer failed (200 "ok", or 504 where the target keeps its connection open). Now they pass; TestUnusualAnswersArePassedOn holds what resembles them and is sound.

--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -21,6 +21,24 @@
 	for _, status := range []string{"000", "-00", "+00", "+20", "042", "099", "600", "999"} {
 		answers["status "+status] = "HTTP/1.1 " + status + " X\r\n" + claims + "Content-Length: 2\r\n\r\nok"
 	}
+	const ok, short = "HTTP/1.1 200 OK\r\n" + claims, "Content-Length: 2\r\n"
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	for name, answer := range map[string]string{
+		"blank before the colon":         ok + "Content-Length : 2\r\n\r\nok",
+		"blank before the colon, chunks": ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank in a name":                ok + "X Odd: a\r\n" + short + "\r\nok",
+		"tab in a name":                  ok + "X\tOdd: a\r\n" + short + "\r\nok",
+		"control byte in a name":         ok + "X\x01Odd: a\r\n" + short + "\r\nok",
+		"DEL in a name":                  ok + "X\x7fOdd: a\r\n" + short + "\r\nok",
+		"NUL in a name":                  ok + "X\x00Odd: a\r\n" + short + "\r\nok",
+		"CR in a name":                   ok + "X\rOdd: a\r\n" + short + "\r\nok",
+		"empty name":                     ok + ": a\r\n" + short + "\r\nok",
+		"blank in a name of an interim":  "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n" + ok + short + "\r\nok",
+		"blank in an announced trailer":  ok + "Trailer: X Odd\r\n" + chunks,
+		"version of another protocol":    "HTTP/2.0 200 OK\r\n" + claims + short + "\r\nok",
+	} {
+		answers[name] = answer
+	}
 	return answers
 }
 
@@ -84,6 +102,20 @@
 	}
 }
 
+// A trailer comes after the answer, so that the caller can only be told by the end of its connection.
+func TestMalformedTrailerCutsTheAnswer(t *testing.T) {
+	target := newScripted(t)
+	target.set(fullAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Odd: a\r\n\r\n"))
+	b := newMalformedProxy(t, singleAttemptDocument(target.address))
+	resp, body, err := b.call(t, "GET", "/svc/a", nil)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("got %q as a whole answer, trailers %v", body, resp.Trailer)
+	}
+	if n := b.heldPermits(); n != 0 {
+		t.Errorf("%d permits are still held", n)
+	}
+}
+
 // Guards against the claim of a key that stays with a run whose answer was malformed.
 func TestMalformedAnswerEndsTheClaim(t *testing.T) {
 	target := newScripted(t)
@@ -101,3 +133,34 @@
 		t.Errorf("the target got the request %d times", begun)
 	}
 }
+
+// Sound answers that resemble malformed ones.
+func TestUnusualAnswersArePassedOn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answer, body string
+		status       int
+	}{
+		"HTTP/1.0 until its end":            {"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n\r\nok", "ok", 200},
+		"HTTP/1.0, a body like a head":      {"HTTP/1.0 200 OK\r\nContent-Length: 30\r\n\r\nTransfer-Encoding: chunked\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", 200},
+		"highest status":                    {"HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok", "ok", 599},
+		"status without a meaning":          {"HTTP/1.1 299 X\r\nContent-Length: 2\r\n\r\nok", "ok", 299},
+		"no reason":                         {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"every character allowed in a name": {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: a\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"interim answers":                   {strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 50) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"a blank in a value":                {"HTTP/1.1 200 OK\r\nX: a b\r\n Y: c\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newScripted(t)
+			sc := fullAnswer(tt.answer)
+			if strings.HasPrefix(tt.answer, "HTTP/1.0") {
+				sc.writeBytes = len(tt.answer)
+			}
+			target.set(sc)
+			b := newMalformedProxy(t, singleAttemptDocument(target.address))
+			resp, body, err := b.call(t, "GET", "/svc/a", nil)
+			if err != nil || resp.StatusCode != tt.status || body != tt.body {
+				t.Errorf("got %v %q, %v", resp, body, err)
+			}
+		})
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -105,13 +105,16 @@
 	return result
 }
 
-// receive reads a part of the response. At its end it releases the slot and the connection, also if the
-// caller has not read it yet.
+// receive reads a part of the response. At its end it checks the trailers and releases the slot and the connection, also
+// if the caller has not read it yet.
 func (a *attempt) receive(p []byte) (int, error) {
 	a.watchdog.resume()
 	n, err := a.resp.Body.Read(p)
 	if err == io.EOF {
 		a.watchdog.pause()
+		if err := targetconn.CheckNames(a.resp.Trailer); err != nil {
+			return n, err
+		}
 		a.finishReceive()
 		return n, err
 	}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -9,15 +9,17 @@
 // Conn is a connection to a target, reserved for one exchange at a time. It never resends a request.
 // Every Conn returned by Get must be released by exactly one call of Keep or Drop.
 type Conn struct {
-	pool        *pool
-	client      *http.ClientConn
-	wire        *wire
-	openedAt    time.Time
-	maxAge      time.Duration
-	idleSince   time.Time
-	reused      bool
-	idleFor     time.Duration // before this exchange, if the connection is reused
-	connectTime time.Duration
+	pool     *pool
+	client   *http.ClientConn
+	wire     *wire
+	openedAt time.Time
+	maxAge   time.Duration
+	// maxHeadBytes is the maximum size of all interim responses to a request.
+	maxHeadBytes int64
+	idleSince    time.Time
+	reused       bool
+	idleFor      time.Duration // before this exchange, if the connection is reused
+	connectTime  time.Duration
 }
 
 // Relayed reports whether the request need not wait until the connection to the target is open.
@@ -42,7 +44,11 @@
 // completely.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
 	request := c.wire.request
-	hooks := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { request.finish(info.Err) }}
+	interims := &interimCheck{bytesLeft: c.maxHeadBytes}
+	hooks := &httptrace.ClientTrace{
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { request.finish(info.Err) },
+		Got1xxResponse: interims.check,
+	}
 	resp, err := c.client.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
 	if err != nil {
 		return nil, err
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -4,6 +4,7 @@
 package targetconn
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -171,7 +172,10 @@
 func (p *Pools) connect(ctx context.Context, pl *pool, t *config.TargetIndex, reach Reach) (*Conn, error) {
 	now := p.deps.Clock.Now()
 	w := &wire{closed: make(chan struct{})}
-	c := &Conn{pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter)}
+	c := &Conn{
+		pool: pl, wire: w, openedAt: now, maxAge: maxAge + rand.N(maxAgeJitter),
+		maxHeadBytes: cmp.Or(p.deps.MaxHeadBytes, http.DefaultMaxHeaderBytes),
+	}
 	w.onIdle = func() { pl.putIdle(c, p.deps.Clock.Now()) }
 	w.onClose = func() { pl.remove(c) }
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &dialing{w, t, reach}), "http", t.Address)
