Forward: chunks in an HTTP/1.0 answer are a failure of its target

What callers saw: a target answered with HTTP/1.0 and Transfer-Encoding: chunked, and the caller got the chunks' raw bytes as the body ("2\r\nok\r\n0\r\n\r\n"), or as many of them as a Content-Length beside it named.

Cause: net/http ignores the field in HTTP/1.0 and removes it from the head, so that nothing after it can tell. RFC 9112, section 6.1: the framing of such a message is faulty.

Fix: the connection to the target looks for the field while the head of an HTTP/1.0 response arrives (framingCheck); any other response costs the comparison of its first eight bytes. Sound HTTP/1.0 answers, with a length or until the end, are passed on as before.

Before: the three cases "chunks in HTTP/1.0" of the tests of malformed answers failed (200 "2\r", or 504 while the target kept its connection open).

--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -24,18 +24,21 @@
 	const ok, short = "HTTP/1.1 200 OK\r\n" + claims, "Content-Length: 2\r\n"
 	const chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 	for name, answer := range map[string]string{
-		"blank before the colon":         ok + "Content-Length : 2\r\n\r\nok",
-		"blank before the colon, chunks": ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"blank in a name":                ok + "X Odd: a\r\n" + short + "\r\nok",
-		"tab in a name":                  ok + "X\tOdd: a\r\n" + short + "\r\nok",
-		"control byte in a name":         ok + "X\x01Odd: a\r\n" + short + "\r\nok",
-		"DEL in a name":                  ok + "X\x7fOdd: a\r\n" + short + "\r\nok",
-		"NUL in a name":                  ok + "X\x00Odd: a\r\n" + short + "\r\nok",
-		"CR in a name":                   ok + "X\rOdd: a\r\n" + short + "\r\nok",
-		"empty name":                     ok + ": a\r\n" + short + "\r\nok",
-		"blank in a name of an interim":  "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n" + ok + short + "\r\nok",
-		"blank in an announced trailer":  ok + "Trailer: X Odd\r\n" + chunks,
-		"version of another protocol":    "HTTP/2.0 200 OK\r\n" + claims + short + "\r\nok",
+		"blank before the colon":           ok + "Content-Length : 2\r\n\r\nok",
+		"blank before the colon, chunks":   ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank in a name":                  ok + "X Odd: a\r\n" + short + "\r\nok",
+		"tab in a name":                    ok + "X\tOdd: a\r\n" + short + "\r\nok",
+		"control byte in a name":           ok + "X\x01Odd: a\r\n" + short + "\r\nok",
+		"DEL in a name":                    ok + "X\x7fOdd: a\r\n" + short + "\r\nok",
+		"NUL in a name":                    ok + "X\x00Odd: a\r\n" + short + "\r\nok",
+		"CR in a name":                     ok + "X\rOdd: a\r\n" + short + "\r\nok",
+		"empty name":                       ok + ": a\r\n" + short + "\r\nok",
+		"blank in a name of an interim":    "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n" + ok + short + "\r\nok",
+		"blank in an announced trailer":    ok + "Trailer: X Odd\r\n" + chunks,
+		"chunks in HTTP/1.0":               "HTTP/1.0 200 OK\r\n" + claims + chunks,
+		"chunks in HTTP/1.0, other case":   "HTTP/1.0 200 OK\r\n" + claims + "X: " + strings.Repeat("a", 5000) + "\r\ntransfer-ENCODING:" + "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0, and a length": "HTTP/1.0 200 OK\r\n" + claims + short + chunks,
+		"version of another protocol":      "HTTP/2.0 200 OK\r\n" + claims + short + "\r\nok",
 	} {
 		answers[name] = answer
 	}
--- a/internal/targetconn/wire.go
+++ b/internal/targetconn/wire.go
@@ -41,6 +41,7 @@
 	wrote   bool
 	broken  bool
 	request *requestWrite // of the present exchange
+	framing framingCheck  // of its response
 	// received is the number of bytes read from the connection.
 	received uint64
 }
@@ -56,6 +57,7 @@
 	w.phase = phaseExchange
 	w.wrote = false
 	w.request = newRequestWrite()
+	w.framing = framingCheck{}
 	return true
 }
 
@@ -93,7 +95,7 @@
 	if err == io.EOF {
 		err = w.awaitRequest()
 	}
-	return w.endRead(n, err)
+	return w.endRead(p[:n], err)
 }
 
 // beginRead marks a read as pending, which completes the end of an exchange.
@@ -110,9 +112,10 @@
 	}
 }
 
-// endRead checks the result of a read: data that arrives before a request is written breaks the
-// connection.
-func (w *wire) endRead(n int, err error) (int, error) {
+// endRead checks the result of a read: data that arrives before a request is written, or in a faulty framing, breaks
+// the connection.
+func (w *wire) endRead(p []byte, err error) (int, error) {
+	n := len(p)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reading = false
@@ -124,6 +127,10 @@
 		w.broken = true
 		return 0, errUnsolicited
 	}
+	if faulty := w.framing.add(p); faulty != nil {
+		w.broken = true
+		return 0, faulty
+	}
 	return n, err
 }
 
