Drain: late in a bounded stop, no request is passed on any more

What other operators saw: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end. Here new requests are refused as not run from 0.48 of the grace on, also on open connections and pipelined (handled, TestRefuseBeforeTheEnd). But one that came before was passed on at any later time: after it had waited for room, when the rest of its small body came, on a connection that was opened meanwhile, or as a second attempt; the end of the grace then cut it, also if it must not be repeated.

Cause: whether the VM is about to stop was asked once, when a request is read.

Fix: at two thirds of the grace the handler stops sending. What was not sent to a target yet is refused as not run, those that wait for room at once; a failed attempt is not followed by another. What was sent goes on, and has the last third for its response. Not covered: a request sent before that whose response takes longer than what is left; a small body that is still being read is refused when it ends.

--- a/internal/drain/bounded_test.go
+++ b/internal/drain/bounded_test.go
@@ -53,6 +53,7 @@
 func (*idleCallers) InFlight() int     { return 0 }
 func (*idleCallers) CloseConnections() {}
 func (c *idleCallers) Refuse()         { c.refused = true }
+func (*idleCallers) StopSending()      {}
 
 // noDocument is a config.Source without a document.
 type noDocument struct{}
@@ -82,3 +83,35 @@
 		}
 	})
 }
+
+// busyCallers is a listener with a request that never ends. It records when it was told to refuse.
+type busyCallers struct {
+	idleCallers
+	refusedAt, stoppedAt time.Time
+}
+
+func (*busyCallers) InFlight() int  { return 1 }
+func (c *busyCallers) Refuse()      { c.refusedAt = time.Now() }
+func (c *busyCallers) StopSending() { c.stoppedAt = time.Now() }
+
+// Guards against requests that wait until the end of a bounded stop and are then passed on.
+func TestBoundedStopLeavesTimeToRequestsThatWereSent(t *testing.T) {
+	const grace = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		callers := &busyCallers{}
+		s := NewService(Deps{
+			Membership: silentMembers{}, Callers: callers, Config: noDocument{}, StopGrace: grace,
+			Clock: kernel.SystemClock{}, Logger: telemetry.Discard(),
+		})
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), grace)
+		defer cancel()
+		if err := s.Drain(ctx); err == nil {
+			t.Error("the stop ended by itself")
+		}
+		refused, stopped := callers.refusedAt.Sub(began), callers.stoppedAt.Sub(began)
+		if refused > grace/2 || stopped < refused || stopped > grace*2/3+tickInterval {
+			t.Errorf("further requests were refused after %v, those not sent after %v", refused, stopped)
+		}
+	})
+}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -35,7 +35,8 @@
 func (v *vm) InFlight() int     { return int(v.inFlight.Load()) }
 func (v *vm) CloseConnections() { v.closing.Store(true) }
 
-func (v *vm) Refuse() {}
+func (v *vm) Refuse()      {}
+func (v *vm) StopSending() {}
 func (v *vm) Leave(ctx context.Context) error {
 	v.left.Store(true)
 	if v.unacknowledged {
--- a/internal/drain/machine.go
+++ b/internal/drain/machine.go
@@ -48,6 +48,7 @@
 	actionLogInFlight                        // log the number of requests in flight
 	actionEnd                                // end the stop
 	actionRefuse                             // refuse further requests
+	actionStopSending                        // refuse requests that were not sent to a target yet
 )
 
 // stopParams are the parameters of a stop.
@@ -55,6 +56,7 @@
 	lookupMaxAge   time.Duration // how long callers may cache a look-up
 	propagation    time.Duration // from the neighbors' acknowledgment until no VM names this one in look-ups; if bounded, the linger time
 	bounded        bool          // the stop is limited in time: requests are refused after the linger time
+	sendTime       time.Duration // if bounded, how long requests may be sent to targets; 0: no limit
 	reportInterval time.Duration // interval of logging the requests in flight
 }
 
@@ -65,6 +67,7 @@
 	step        Step
 	began       time.Time
 	lingerUntil time.Time // time until which look-ups may name this VM
+	sendUntil   time.Time // time until which requests may be sent to targets; zero: no limit, or it is over
 	nextReport  time.Time
 	lastTick    time.Time // time of the last tick
 	settleUntil time.Time // time until which requests that waited during a pause of the process may start
@@ -129,6 +132,9 @@
 	if m.step == StepLingering && !now.Before(m.lingerUntil) {
 		m.step = StepFinishing
 		if m.params.bounded {
+			if m.params.sendTime > 0 {
+				m.sendUntil = m.began.Add(m.params.sendTime)
+			}
 			return []action{actionRefuse}
 		}
 	}
@@ -136,6 +142,10 @@
 		m.step = StepEnded
 		return []action{actionEnd}
 	}
+	if m.step == StepFinishing && !m.sendUntil.IsZero() && !now.Before(m.sendUntil) {
+		m.sendUntil = time.Time{}
+		return []action{actionStopSending}
+	}
 	if m.step != StepServing && e.inFlight > 0 && now.After(m.nextReport) {
 		m.nextReport = now.Add(m.params.reportInterval)
 		return []action{actionLogInFlight}
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -25,6 +25,9 @@
 	// lingerFraction is the fraction of a bounded stop in which requests are accepted. The
 	// rest is left for requests in flight.
 	lingerFraction = 0.48
+	// sendFraction is the fraction of a bounded stop in which requests are sent to targets. The rest is left for their
+	// responses.
+	sendFraction = 2.0 / 3
 	// leaveFraction is the fraction of a bounded stop that the wait for acknowledgments may
 	// take.
 	leaveFraction = 0.1
@@ -42,6 +45,8 @@
 	CloseConnections()
 	// Refuse makes the listener refuse further requests and report them as not run.
 	Refuse()
+	// StopSending makes the listener do so with requests that were not sent to a target yet.
+	StopSending()
 }
 
 // Deps holds the dependencies of a Service.
@@ -101,6 +106,7 @@
 	if s.deps.StopGrace > 0 {
 		p.propagation = time.Duration(lingerFraction * float64(s.deps.StopGrace))
 		p.lookupMaxAge = 0
+		p.sendTime = time.Duration(sendFraction * float64(s.deps.StopGrace))
 		p.bounded = true
 	}
 	return p
@@ -117,6 +123,8 @@
 			s.deps.Callers.CloseConnections()
 		case actionRefuse:
 			s.deps.Callers.Refuse()
+		case actionStopSending:
+			s.deps.Callers.StopSending()
 		case actionLogInFlight:
 			s.deps.Logger.Log(eventInFlight,
 				telemetry.Step(string(m.step)), telemetry.Value("requests", e.inFlight))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -113,6 +113,9 @@
 		if result := a.recheckQuarantine(); result.Fault != FaultNone {
 			return result
 		}
+		if result := a.checkStopping(); result.Fault != FaultNone {
+			return result
+		}
 		checked, ok := a.permit.(admission.Checked)
 		if !ok || checked.Valid() {
 			return attemptResult{}
@@ -140,7 +143,9 @@
 
 func (a *attempt) admit() attemptResult {
 	x := a.x
-	permit, err := x.h.deps.Admission.Acquire(a.ctx, &admission.Request{
+	ctx, release := x.h.whileSending(a.ctx)
+	defer release()
+	permit, err := x.h.deps.Admission.Acquire(ctx, &admission.Request{
 		ID:           x.id,
 		Service:      x.match.Service,
 		Class:        x.match.Class,
@@ -155,6 +160,9 @@
 		Exclude:      a.exclude,
 		Retry:        a.number > 1,
 	})
+	if err != nil && x.h.sending.Err() != nil {
+		err = stoppingError(outcome.StepAdmit)
+	}
 	if err != nil {
 		return attemptResult{Step: outcome.StepAdmit, Fault: a.contextFault(FaultRefused), Err: err}
 	}
@@ -254,6 +262,9 @@
 	if result := a.connect(); result.Fault != FaultNone {
 		return result
 	}
+	if result := a.checkStopping(); result.Fault != FaultNone {
+		return result
+	}
 	a.watchdog = a.newWatchdog()
 	return a.send()
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -124,9 +124,7 @@
 		return notRunError(outcome.StepParse, http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
 	}
 	if x.h.refusing.Load() {
-		err := notRunError(outcome.StepParse, http.StatusServiceUnavailable, "this VM is about to stop")
-		err.RetryAfter = leavingRetryAfter
-		return err
+		return stoppingError(outcome.StepParse)
 	}
 	x.keysCurrent = x.h.keysAreCurrent()
 	x.snap = x.h.deps.Config.Current()
@@ -141,6 +139,13 @@
 // leavingRetryAfter is the Retry-After while this VM leaves, jittered to spread the callers.
 const leavingRetryAfter = 50 * time.Millisecond
 
+// stoppingError returns the error of a request that this VM does not run because it is about to stop.
+func stoppingError(step outcome.Step) *outcome.Error {
+	err := notRunError(step, http.StatusServiceUnavailable, "this VM is about to stop")
+	err.RetryAfter = leavingRetryAfter
+	return err
+}
+
 func newRequestID() string {
 	var raw [16]byte
 	for i := range 2 {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -108,6 +108,9 @@
 // Address returns the address of the listener.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
+// StopSending makes the handler reject requests that were not sent to a target yet.
+func (s *Service) StopSending() { s.deps.Handler.StopSending() }
+
 // runEvery calls f at the interval until the service stops.
 func (s *Service) runEvery(ctx context.Context, interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
