--- a/internal/resetconn/conn.go
+++ b/internal/resetconn/conn.go
@@ -79,5 +79,8 @@
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.socket.SyscallConn() }
 
+// CloseWrite ends the outgoing direction, as net.TCPConn.CloseWrite.
+func (c *Conn) CloseWrite() error { return c.socket.CloseWrite() }
+
 // SetLinger sets what Close does with unsent data, as net.TCPConn.SetLinger.
 func (c *Conn) SetLinger(seconds int) error { return c.socket.SetLinger(seconds) }
