Soak: broken answers reach the daemons as the kernel reports them; the stand-in's network tells resets

- The stand-in's network had the very fault: its writer took the error of a reset and its reader passed an EOF on.

--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"masticturn/internal/resetconn"
 )
 
 // readBuffer is the size of reads from the real connection.
@@ -32,7 +34,7 @@
 func newConn(n *Network, raw net.Conn, w way, delay time.Duration) *conn {
 	return &conn{
 		network: n,
-		raw:     raw,
+		raw:     resetconn.Wrap(raw), // as its reads and writes are apart
 		way:     w,
 		out:     newQueue(delay),
 		in:      newQueue(delay),
@@ -100,8 +102,8 @@
 
 // reset ends the connection at once, either way.
 func (c *conn) reset() {
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		tcp.SetLinger(0)
+	if socket, ok := c.raw.(*resetconn.Conn); ok {
+		_ = socket.SetLinger(0)
 	}
 	c.out.abort(syscall.ECONNRESET)
 	c.in.abort(syscall.ECONNRESET)
