--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -19,7 +19,7 @@
 		Number:  telemetry.RangeForward + 2,
 		Level:   logrus.ErrorLevel,
 		Name:    "answer dropped",
-		Meaning: "A target sent a response that was truncated, had no recognizable end, or belongs to another request. It was not passed to the caller as a complete response.",
+		Meaning: "A target sent a response that was malformed, truncated, had no recognizable end, or belongs to another request. It was not passed to the caller as a complete response.",
 		Action:  "Check the target and any proxy in front of it: responses are mixed up or truncated.",
 	})
 	eventRequestAnswered = telemetry.Register(telemetry.Event{
