Forward: attempts that wait for a slot are canceled through a set, as abandoned ones are

No change of behaviour: the set of attempts that may be abandoned serves both, in place of a context for each wait; a request's context is attached once.

--- a/internal/forward/abandon.go
+++ b/internal/forward/abandon.go
@@ -2,35 +2,45 @@
 
 import "sync"
 
-// unanswered holds the attempts of repeatable requests that wait for a response on a direct connection.
-type unanswered struct {
+// attemptSet holds attempts that may have to be canceled together. The zero value is ready to use.
+type attemptSet struct {
 	mu       sync.Mutex
 	attempts map[*attempt]struct{}
 }
 
-func newUnanswered() *unanswered { return &unanswered{attempts: make(map[*attempt]struct{})} }
+// add adds an attempt; the caller must call the returned function at its end.
+func (s *attemptSet) add(a *attempt) (remove func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts == nil {
+		s.attempts = make(map[*attempt]struct{})
+	}
+	s.attempts[a] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.attempts, a)
+	}
+}
 
-// add adds an attempt, if it may be abandoned; the caller must call the returned function at its end.
-func (u *unanswered) add(a *attempt) (remove func()) {
+// cancel cancels the attempts.
+func (s *attemptSet) cancel(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.attempts {
+		a.cancel(cause)
+	}
+}
+
+// awaitResponse adds an attempt to those that wait for a response and may be abandoned: those of repeatable requests on
+// a direct connection. The caller must call the returned function at its end.
+func (a *attempt) awaitResponse() (done func()) {
 	if !a.x.repeatable || a.carrier != "" {
 		return func() {}
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.attempts[a] = struct{}{}
-	return func() {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		delete(u.attempts, a)
-	}
+	return a.x.h.unanswered.add(a)
 }
 
 // AbandonUnanswered ends the attempts of repeatable requests that wait for a response on a direct connection.
 // They are retried if their limits allow it. It is called when this VM has lost its ways to targets.
-func (h *Handler) AbandonUnanswered() {
-	h.unanswered.mu.Lock()
-	defer h.unanswered.mu.Unlock()
-	for a := range h.unanswered.attempts {
-		a.cancel(errTargetTimeout)
-	}
-}
+func (h *Handler) AbandonUnanswered() { h.unanswered.cancel(errTargetTimeout) }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -107,6 +107,9 @@
 		if result := a.admit(); result.Fault != FaultNone {
 			return result
 		}
+		if result := a.checkStopping(); result.Fault != FaultNone {
+			return result // without a connect, as the attempt may be canceled already
+		}
 		if result := a.connect(); result.Fault != FaultNone {
 			return result
 		}
@@ -143,9 +146,11 @@
 
 func (a *attempt) admit() attemptResult {
 	x := a.x
-	ctx, release := x.h.whileSending(a.ctx)
-	defer release()
-	permit, err := x.h.deps.Admission.Acquire(ctx, &admission.Request{
+	defer x.h.unadmitted.add(a)()
+	if x.h.sendingStopped.Load() {
+		return stoppedResult()
+	}
+	permit, err := x.h.deps.Admission.Acquire(a.ctx, &admission.Request{
 		ID:           x.id,
 		Service:      x.match.Service,
 		Class:        x.match.Class,
@@ -160,8 +165,8 @@
 		Exclude:      a.exclude,
 		Retry:        a.number > 1,
 	})
-	if err != nil && x.h.sending.Err() != nil {
-		err = stoppingError(outcome.StepAdmit)
+	if err != nil && context.Cause(a.ctx) == errStopping {
+		return stoppedResult()
 	}
 	if err != nil {
 		return attemptResult{Step: outcome.StepAdmit, Fault: a.contextFault(FaultRefused), Err: err}
@@ -237,8 +242,8 @@
 	}
 	a.watchdog.start(a.stream != nil)
 	a.armHedge()
-	defer a.x.h.unanswered.add(a)()
-	resp, err := a.conn.RoundTrip(req)
+	defer a.awaitResponse()()
+	resp, err := a.conn.RoundTrip(a.ctx, req)
 	if err != nil && !a.undelivered && a.conn.Undelivered() {
 		return a.resendDirectly()
 	}
--- a/internal/forward/dialect_test.go
+++ b/internal/forward/dialect_test.go
@@ -96,21 +96,7 @@
 // target's response, cleanly or by a reset.
 func newClosingRelay(t *testing.T, target string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			client, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go relayOnce(client.(*net.TCPConn), target, reset)
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, func(client *net.TCPConn) { relayOnce(client, target, reset) })
 }
 
 const relayReadTimeout = 50 * time.Millisecond // without data for this long, the response is complete
--- a/internal/forward/earlyanswer_test.go
+++ b/internal/forward/earlyanswer_test.go
@@ -31,25 +31,6 @@
 	whole  atomic.Int64 // uploads that were read to their end
 }
 
-func (e *earlyTarget) start(t *testing.T) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (e *earlyTarget) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	br := bufio.NewReader(conn)
@@ -94,7 +75,7 @@
 // callEarly sends uploads to a target and returns how many callers got a whole answer with the status.
 func callEarly(t *testing.T, target *earlyTarget, status int, body func() io.Reader) (whole int) {
 	t.Helper()
-	b := newTestProxy(t, singleAttemptDocument(target.start(t)), nil, telemetry.Discard())
+	b := newTestProxy(t, singleAttemptDocument(serveConns(t, target.serve)), nil, telemetry.Discard())
 	b.handler.deps.Dialect.CloseDelimitedResponses = true
 	var group sync.WaitGroup
 	var count atomic.Int64
@@ -199,7 +180,7 @@
 func TestCutAnswerIsNotRecorded(t *testing.T) {
 	target := &earlyTarget{answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + earlyBody}
 	target.end = target.resetAfter(100 * time.Millisecond)
-	doc := singleAttemptDocument(target.start(t))
+	doc := singleAttemptDocument(serveConns(t, target.serve))
 	keys, _, ticket := newKeys(t, doc)
 	b := newTestProxy(t, doc, keys, telemetry.Discard())
 	b.handler.deps.Dialect.CloseDelimitedResponses = true
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -27,22 +27,11 @@
 
 func newEndlessTarget(t *testing.T, first, repeated string) *endlessTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	target := &endlessTarget{address: l.Addr().String()}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			target.open.Add(1)
-			go target.serve(conn, first, repeated)
-		}
-	}()
+	target := &endlessTarget{}
+	target.address = serveConns(t, func(conn *net.TCPConn) {
+		target.open.Add(1)
+		target.serve(conn, first, repeated)
+	})
 	return target
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -85,13 +85,13 @@
 	responseSizes    relaybuf.Sizes
 	aheadBudget      targetconn.AheadBudget
 	repeatableShares *repeatableShares
-	unanswered       *unanswered
+	unanswered       attemptSet // attempts that may be abandoned; see awaitResponse
 	buffers          sync.Pool
 	inFlight         atomic.Int64
 	closing          atomic.Bool
 	refusing         atomic.Bool
-	sending          context.Context // ends with StopSending
-	stopSending      context.CancelFunc
+	sendingStopped   atomic.Bool
+	unadmitted       attemptSet // attempts that wait for a slot
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -113,11 +113,9 @@
 		splitter:         newSplitter(),
 		regions:          newRegionCounter(d.Logger, d.Metrics, d.Clock),
 		repeatableShares: newRepeatableShares(),
-		unanswered:       newUnanswered(),
 		crashProber:      newCrashProber(d),
 		relayMemory:      relaybuf.NewMemory(relayMemoryLimit(d.VM.MemoryBytes)),
 	}
-	h.sending, h.stopSending = context.WithCancel(context.Background())
 	h.buffers.New = func() any { return new([relayBufferBytes]byte) }
 	return h
 }
@@ -170,10 +168,6 @@
 // Refuse makes the handler reject further requests as not run because this process is about to exit.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
-// StopSending makes the handler reject requests that were not sent to a target yet as not run, because the time until
-// this process exits does not suffice for their responses. Requests that were sent are not affected.
-func (h *Handler) StopSending() { h.stopSending() }
-
 // Adopt drops the state of targets, rules and services that are not in the snapshot.
 func (h *Handler) Adopt(s *config.Snapshot) {
 	h.conns.Adopt(s)
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -81,7 +81,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(x.body))
 		req.ContentLength = int64(len(x.body))
 	}
-	return req.WithContext(a.ctx)
+	return req
 }
 
 func (a *attempt) targetURL() *url.URL {
--- a/internal/forward/rawtarget_test.go
+++ b/internal/forward/rawtarget_test.go
@@ -10,6 +10,26 @@
 	"time"
 )
 
+// serveConns serves each connection to a new address by a function, and returns the address.
+func serveConns(t testing.TB, serve func(*net.TCPConn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
 // script is what a scripted target does with each request.
 type script struct {
 	readBytes  int // close after this many bytes of the request; -1: read all
@@ -36,21 +56,8 @@
 
 func newScripted(t testing.TB) *scriptedTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &scriptedTarget{address: l.Addr().String()}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s := &scriptedTarget{}
+	s.address = serveConns(t, func(conn *net.TCPConn) { s.serve(conn) })
 	return s
 }
 
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -1,6 +1,7 @@
 package targetconn
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -42,14 +43,14 @@
 // RoundTrip sends the request once and returns the head of the response, or a *MalformedError. Reading the body of a
 // response that ends with its connection fails if the connection was reset, or if the request could not be written
 // completely.
-func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
+func (c *Conn) RoundTrip(ctx context.Context, req *http.Request) (*http.Response, error) {
 	request := c.wire.request
 	interims := &interimCheck{bytesLeft: c.maxHeadBytes}
 	hooks := &httptrace.ClientTrace{
 		WroteRequest:   func(info httptrace.WroteRequestInfo) { request.finish(info.Err) },
 		Got1xxResponse: interims.check,
 	}
-	resp, err := c.client.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
+	resp, err := c.client.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, hooks)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/targetconn/requestwrite.go
+++ b/internal/targetconn/requestwrite.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// flushTime is left to net/http, which flushes its buffer after it has reported a request as written, and closes the
-// connection after the end of a response that is delimited by it.
+// flushTime is the time for net/http to flush its buffer after it has reported a request as written. It closes the
+// connection at the end of a response that is delimited by it.
 const flushTime = 10 * time.Millisecond
 
 // requestWrite tracks the writing of one request.
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -78,7 +78,7 @@
 // exchange sends one request and returns the body of the response.
 func exchange(ctx context.Context, c *Conn, method string) (string, error) {
 	req := &http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Header: http.Header{}}
-	resp, err := c.RoundTrip(req.WithContext(ctx))
+	resp, err := c.RoundTrip(ctx, req)
 	if err != nil {
 		return "", err
 	}
--- a/internal/targetconn/wellformed.go
+++ b/internal/targetconn/wellformed.go
@@ -32,7 +32,7 @@
 	return CheckNames(resp.Trailer)
 }
 
-// maxReportedName limits how much of a field's name an error tells, in bytes.
+// maxReportedName limits how much of a field's name an error contains, in bytes.
 const maxReportedName = 64
 
 // CheckNames returns a *MalformedError if the name of a field is no token (RFC 9110, section 5.6.2). net/http allows
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -418,6 +418,37 @@
 	})
 }
 
+// Guards against a carrier that goes on reading an answer without end after nobody takes it any more.
+func TestClosedTunnelEndsAnAnswerWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Time, 10)
+		f, stop := newTestFleet(t, 2, 2, func(c net.Conn) {
+			written, _ := io.Copy(c, zeros{})
+			if written > 0 {
+				ended <- time.Now()
+			}
+		})
+		defer stop()
+		f.refuse(f.vms[0])
+		c := f.mustDialTunnel(f.vms[0], 0)
+		if _, err := io.CopyN(io.Discard, c, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		for len(ended) > 0 { // connections of checks
+			<-ended
+		}
+		_ = c.Close()
+		closedAt := time.Now()
+		if took := (<-ended).Sub(closedAt); took > 10*time.Millisecond {
+			t.Errorf("the target's connection was closed after %v", took)
+		}
+		time.Sleep(time.Second)
+		if n := f.vms[1].originsInUse.total() + f.vms[0].carriersInUse.total(); n != 0 {
+			t.Errorf("%d tunnels are counted as open", n)
+		}
+	})
+}
+
 // Guards against a VM that lets others connect to anything.
 func TestOnlyKnownTargetsAreConnectedTo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
